--- /dev/null
+++ b/include/pepperlug/Support.h
@@ -0,0 +1,256 @@
+//===- pepperlug/Support.h - Ids, clock, errors, logs, metrics ---*- C++ -*-===//
+//
+// The base that every other library stands on: typed ids, time, the error type,
+// the two log sinks, counters and latency summaries, and a checked JSON reader.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace pepperlug
+{
+
+/// A point on the clock that is passed in. Steady: never set back.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, std::chrono::nanoseconds>;
+using Duration = std::chrono::nanoseconds;
+using Milliseconds = std::chrono::milliseconds;
+
+/// Source of time. Daemons use SteadyClock, tests use ManualClock.
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    /// Current steady time.
+    virtual TimePoint now() const = 0;
+    /// Current wall-clock time in whole milliseconds since the epoch, for signatures and log lines only.
+    virtual Milliseconds wallTime() const = 0;
+};
+
+class SteadyClock final : public Clock
+{
+public:
+    TimePoint now() const override;
+    Milliseconds wallTime() const override;
+};
+
+/// A clock that moves only when told to.
+class ManualClock final : public Clock
+{
+public:
+    TimePoint now() const override;
+    Milliseconds wallTime() const override;
+    void advance(Duration by);
+
+private:
+    TimePoint m_now{};
+};
+
+enum class RegionId : std::uint32_t {};
+enum class ZoneId : std::uint32_t {};
+enum class HostId : std::uint32_t {};
+enum class ServiceId : std::uint32_t {};
+enum class TargetId : std::uint32_t {};
+enum class RequestId : std::uint64_t {};
+
+/// Position of an id in the vector that it indexes.
+template <typename Id>
+constexpr std::size_t idx(Id id)
+{
+    return static_cast<std::size_t>(id);
+}
+
+template <typename Id>
+constexpr Id makeId(std::size_t n)
+{
+    return static_cast<Id>(n);
+}
+
+/// An error that carries the step at which it arose and the peer that it concerns (empty for none).
+class Error : public std::runtime_error
+{
+public:
+    Error(std::string step, std::string peer, const std::string &reason);
+    const std::string &step() const;
+    const std::string &peer() const;
+    const std::string &reason() const;
+
+private:
+    std::string m_step;
+    std::string m_peer;
+    std::string m_reason;
+};
+
+/// One fault found in a settings file or a bundle.
+struct Finding {
+    std::string file;
+    std::string path;
+    std::string reason;
+
+    std::string text() const;
+};
+using Findings = std::vector<Finding>;
+
+/// Thrown with all findings at once; what() holds one line for each.
+class InvalidInput : public Error
+{
+public:
+    explicit InvalidInput(Findings findings);
+    const Findings &findings() const;
+
+private:
+    Findings m_findings;
+};
+
+/// Parses JSON with comments; a repeated key or a syntax error is thrown as InvalidInput.
+nlohmann::json parseJson(const std::string &text, const std::string &file);
+
+/// Reads a whole file; throws Error with step "read file".
+std::string readFile(const std::string &file);
+
+/// Reads one JSON object member by member and notes each fault instead of stopping at the first.
+class ObjectReader
+{
+public:
+    ObjectReader(const nlohmann::json &value, std::string path, std::string file, Findings &findings);
+
+    /// Required text; empty text is a finding.
+    std::string text(const std::string &key);
+    std::string textOr(const std::string &key, const std::string &fallback);
+    /// Whole number within [low, high]; without a fallback the key is required.
+    std::int64_t integer(const std::string &key, std::int64_t low, std::int64_t high,
+                         std::optional<std::int64_t> fallback = std::nullopt);
+    double number(const std::string &key, double low, double high, std::optional<double> fallback = std::nullopt);
+    bool boolean(const std::string &key, bool fallback);
+    /// Reader for one nested object; nothing, and a finding if required, where it is missing.
+    std::optional<ObjectReader> object(const std::string &key, bool required = true);
+    /// Readers for the objects of an array; a missing array is a finding unless optional.
+    std::vector<ObjectReader> objects(const std::string &key, bool required = true);
+    std::vector<std::string> texts(const std::string &key, bool required = true);
+    /// Notes every key that no call above has asked for.
+    void finish();
+    void fault(const std::string &key, const std::string &reason);
+    bool has(const std::string &key) const;
+    const std::string &path() const;
+
+private:
+    const nlohmann::json *find(const std::string &key, bool required);
+
+    const nlohmann::json *m_value;
+    std::string m_path;
+    std::string m_file;
+    Findings *m_findings;
+    std::vector<std::string> m_seen;
+};
+
+/// An IP address and port. Names are not resolved anywhere in the system.
+struct Address {
+    std::string ip;
+    std::uint16_t port = 0;
+
+    /// Parses "1.2.3.4:80" or "[::1]:80"; nothing if it is not that.
+    static std::optional<Address> parse(const std::string &text);
+    std::string text() const;
+    bool operator==(const Address &) const = default;
+    auto operator<=>(const Address &) const = default;
+};
+
+struct HeaderField {
+    std::string name;
+    std::string value;
+    bool operator==(const HeaderField &) const = default;
+};
+
+/// A whole HTTP answer. The body is never cut: an answer that can't be had whole is an error instead.
+struct Answer {
+    unsigned status = 0;
+    std::vector<HeaderField> headers;
+    std::string body;
+};
+using AnswerPtr = std::shared_ptr<const Answer>;
+
+/// Writes lines to one file through easylogging++ from a thread of its own. When the queue is full the line is
+/// dropped and counted, so that a slow disk never holds up a request.
+class LogSink
+{
+public:
+    /// Throws Error if the file can't be opened. An empty path gives a sink that drops all without counting.
+    LogSink(const std::string &name, const std::string &file, std::size_t capacity = 65536);
+    ~LogSink();
+    LogSink(const LogSink &) = delete;
+    LogSink &operator=(const LogSink &) = delete;
+
+    void write(std::string line);
+    /// Queues work that makes the line, so that its formatting is done on the sink's thread too.
+    void writeLater(std::function<std::string()> make);
+    std::uint64_t dropped() const;
+    bool enabled() const;
+
+private:
+    void run();
+
+    std::string m_name;
+    std::size_t m_capacity;
+    bool m_enabled;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::vector<std::function<std::string()>> m_queue;
+    bool m_sleeping = false;
+    bool m_stop = false;
+    std::atomic<std::uint64_t> m_dropped{0};
+    std::thread m_thread;
+};
+
+/// Counters and latency summaries (Boost.Accumulators), written in the Prometheus text format.
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    void count(const std::string &name, std::uint64_t by = 1);
+    void gauge(const std::string &name, double value);
+    /// Adds one latency to the summary; reported in seconds.
+    void latency(const std::string &name, Duration value);
+    std::string text() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// 64-bit hash (xxHash) of a text, the same on every host.
+std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
+
+/// BLAKE2b-256 of a text as lower-case hex.
+std::string digestHex(std::string_view text);
+
+/// An ed25519 key pair as lower-case hex.
+struct KeyPair {
+    std::string publicKey;
+    std::string secretKey;
+};
+KeyPair makeKeyPair();
+std::string signText(std::string_view text, const std::string &secretKeyHex);
+bool verifyText(std::string_view text, const std::string &signatureHex, const std::string &publicKeyHex);
+/// Random lower-case hex from the system's generator.
+std::string randomHex(std::size_t bytes);
+bool isHex(std::string_view text, std::size_t bytes);
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Steer/Impl.h
@@ -0,0 +1,188 @@
+//===- Impl.h - State of the entry host's reducer ----------------*- C++ -*-===//
+//
+// The state behind Steering. Its member functions are grouped by file: Config,
+// Placement, Attempts, OnceFlow, Lookup and Steering, which dispatches events.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "Demand.h"
+#include "LeaseHolder.h"
+#include "LeaseIssuer.h"
+#include "SliceGuard.h"
+#include "TargetPool.h"
+#include "ZoneChoosers.h"
+
+#include <queue>
+#include <unordered_map>
+
+namespace pepperlug
+{
+
+struct Attempt {
+    unsigned number = 0;
+    std::optional<TargetId> target;
+    std::optional<HostId> host;
+    bool toHome = false;
+    bool isHedge = false; ///< counted at the issuer on its own
+    bool isRunning = true;
+    TimePoint startedAt{};
+};
+
+enum class Phase {
+    AwaitingClaimSync, ///< its claim is on the way to the disk
+    AwaitingCloseSync, ///< its claim is being closed as not run
+    AwaitingOther, ///< an earlier request with the same key runs
+    Queued,
+    Running,
+    Detached, ///< a once-only operation whose caller has been answered or has left
+};
+
+struct Request {
+    RequestArrived info;
+    Charge charge;
+    Phase phase = Phase::Queued;
+    bool isCharged = false; ///< counted at the issuer
+    bool isCounted = false; ///< part of the demand estimate
+    bool holdsClaim = false;
+    bool sent = false; ///< a target or another host may have got it
+    bool hedged = false;
+    TimePoint arrivedAt{};
+    std::vector<Attempt> attempts;
+    std::vector<TargetId> triedTargets;
+    std::vector<HostId> triedHosts;
+    Refuse pendingRefusal; ///< with AwaitingCloseSync
+};
+
+class Steering::Impl
+{
+public:
+    Impl(SteerSettings settings, TimePoint now);
+
+    void on(const ConfigApplied &event);
+    void on(const ControlHeard &event);
+    void on(const LookupArrived &event);
+    void on(const RequestArrived &event);
+    void on(const AttemptEnded &event);
+    void on(const CallerLeft &event);
+    void on(const LeaseAsked &event);
+    void on(const LeaseGranted &event);
+    void on(const LeaseFailed &event);
+    void on(const TargetReported &event);
+    void on(const PlatformListed &event);
+    void on(const ClaimSynced &event);
+    void on(const StopAsked &event);
+    void on(const Tick &event);
+
+    // Config.cpp
+    void remapRequests(const IdMap &ids);
+    void applyDrains(const ConfigApplied &event);
+    void refreshSlice();
+    bool isDrainedHost(HostId host) const;
+
+    // Placement.cpp
+    Charge chargeOf(const RequestArrived &info) const;
+    /// Starts the request, queues it, or says why neither is possible.
+    std::optional<Reason> place(Request &request);
+    std::optional<Reason> tryLocal(Request &request);
+    bool tryLease(Request &request);
+    std::optional<Reason> placeByBaseline(Request &request);
+    bool enqueue(Request &request);
+    void runQueue(ServiceId service);
+    Duration queueWait(ServiceId service) const;
+    /// Region to which a request of this charge may be sent on; nothing for any.
+    std::optional<RegionId> onwardRegion(const Charge &charge) const;
+    /// Whether going to the nearest lease adds less time than waiting here.
+    bool leaseIsQuicker(ServiceId service, std::optional<RegionId> region, const std::vector<HostId> &excluded) const;
+    bool isHopeless(const Request &request) const;
+    void startAtTarget(Request &request, TargetId target, Reason reason);
+    void startAtHost(Request &request, HostId host, Reason reason, bool toHome);
+    void refuse(Request &request, Outcome outcome, Reason reason, const std::string &peer);
+    Milliseconds retryAfter(const Request &request, Reason reason) const;
+    void log(const Request &request, Reason reason, std::optional<TargetId> target, std::optional<HostId> host,
+             unsigned attempt);
+
+    // Attempts.cpp
+    void endAttempt(Request &request, Attempt &attempt, AttemptResult result);
+    void settle(const Request &request, Attempt &attempt);
+    void afterFailure(Request &request, const Attempt &attempt, AttemptResult result);
+    void cancelAttempts(Request &request);
+    void release(Request &request);
+    void erase(RequestId id);
+    void deadlinePassed(Request &request);
+    void hedge(Request &request);
+    bool takeRetryToken();
+    std::string peerName(const Attempt &attempt) const;
+
+    // OnceFlow.cpp
+    /// Returns true if the request goes on to be placed now.
+    bool claim(Request &request);
+    void startAtHome(Request &request, const OperationKey &key);
+    void finishClaim(Request &request, const AttemptEnded &event);
+    /// Closes the claim of a refused request. Returns true if the refusal has to wait for a disk.
+    bool closeClaim(Request &request, const Refuse &refusal);
+    void answerWaiters(const std::string &key);
+
+    // Lookup.cpp
+    std::vector<HostId> rankHosts(const LookupArrived &event);
+    bool spendLookup(const LookupArrived &event, HostId host);
+    bool serves(ZoneId zone, ServiceId service) const;
+
+    // Steering.cpp
+    void pollLeases();
+    unsigned homeNeed(ServiceId service) const;
+    unsigned localCapacity(ServiceId service) const;
+    std::vector<unsigned> capacities() const;
+    std::vector<unsigned> homeNeeds() const;
+    void runTimers();
+    void checkStop();
+    void checkPeers();
+    void tell(std::string what, std::string subject, std::string detail = {});
+
+    enum class TimerKind { Deadline, Hedge };
+    struct Timer {
+        TimePoint at{};
+        RequestId id{};
+        TimerKind kind{};
+        bool operator>(const Timer &other) const
+        {
+            return at > other.at;
+        }
+    };
+
+    SteerSettings m_settings;
+    TimePoint m_now;
+    Effects *m_out = nullptr;
+    std::mt19937_64 m_random;
+
+    BundlePtr m_bundle;
+    std::uint64_t m_index = 0;
+    std::optional<HostId> m_self; ///< nothing if the bundle does not name this host
+    ZoneId m_zone{};
+    RegionId m_region{};
+    std::vector<bool> m_drainedHosts; ///< by HostId
+    std::vector<std::vector<ZoneId>> m_zonesByDistance; ///< by ZoneId of the caller
+    std::vector<std::vector<bool>> m_serves; ///< by ZoneId, then ServiceId
+
+    TargetPool m_pool;
+    LeaseIssuer m_issuer;
+    LeaseHolder m_holder;
+    SliceGuard m_guard;
+    bool m_sliceValid = false;
+    std::vector<Demand> m_demand; ///< by ServiceId
+    std::vector<std::deque<RequestId>> m_queues; ///< by ServiceId
+    std::vector<bool> m_alive; ///< by HostId, as last told
+
+    Ledger m_ledger;
+    std::unordered_map<std::string, std::vector<RequestId>> m_waiters; ///< by key
+    std::unordered_map<RequestId, Request> m_requests;
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+
+    RoundRobinChooser m_roundRobin;
+    double m_retryTokens = 0;
+    std::optional<TimePoint> m_stopAskedAt;
+    bool m_stopTold = false;
+    TimePoint m_nextLedgerSweep{};
+};
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Steer/LeaseHolder.cpp
@@ -0,0 +1,350 @@
+//===- LeaseHolder.cpp - Use and renewal of borrowed capacity -------------===//
+//
+// A lease is valid from the moment its request was sent, shortened by the allowed drift; so it ends here before it ends
+// at its issuer, whatever the messages took. From sending a request on, no earlier grant is used beyond the `keep`
+// stated in it: that is what lets the issuer shrink its reserve on receipt.
+//
+//===----------------------------------------------------------------------===//
+#include "LeaseHolder.h"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+
+namespace pepperlug
+{
+
+namespace
+{
+
+constexpr int ExchangesInLease = 5;
+constexpr int ExchangesUntilLost = 4;
+constexpr std::size_t OtherZoneContacts = 8; ///< hosts outside the own zone
+constexpr std::size_t ContactsInZone = 2;
+constexpr std::size_t StandbyLeases = 3; ///< issuers asked for one slot in advance, so that a first overflow finds room
+constexpr unsigned KeepSlack = 1; ///< slots kept above the want, so that small swings need no regrowth
+
+std::uint64_t rendezvous(const std::string &self, const std::string &other)
+{
+    return hash64(self + "|" + other);
+}
+
+} // namespace
+
+LeaseHolder::LeaseHolder(std::uint64_t incarnation)
+    : m_incarnation(incarnation)
+{
+}
+
+void LeaseHolder::applyBundle(const Bundle &bundle, HostId self)
+{
+    m_self = self;
+    m_services = bundle.services.size();
+    m_lookupsPerSlot = bundle.policy.lookupsPerSlot;
+    m_leaseTime = bundle.policy.leaseTime;
+    m_drift = bundle.policy.driftAllowance;
+    m_regions.clear();
+    m_zones.clear();
+    for (const EntryHost &host : bundle.hosts) {
+        m_regions.push_back(bundle.regionOf(host.zone));
+        m_zones.push_back(host.zone);
+    }
+    const ZoneId ownZone = bundle.hosts[idx(self)].zone;
+    const std::string &ownName = bundle.hosts[idx(self)].name;
+
+    std::vector<std::size_t> zones(bundle.zones.size());
+    for (std::size_t n = 0; n < zones.size(); ++n) {
+        zones[n] = n;
+    }
+    std::stable_sort(zones.begin(), zones.end(), [&](std::size_t lhs, std::size_t rhs) {
+        return bundle.latency(ownZone, makeId<ZoneId>(lhs)) < bundle.latency(ownZone, makeId<ZoneId>(rhs));
+    });
+    m_issuers.clear();
+    std::size_t others = 0;
+    for (const std::size_t zone : zones) {
+        std::vector<HostId> hosts = bundle.zones[zone].hosts;
+        std::erase(hosts, self);
+        if (makeId<ZoneId>(zone) != ownZone) {
+            std::sort(hosts.begin(), hosts.end(), [&](HostId lhs, HostId rhs) {
+                return rendezvous(ownName, bundle.hosts[idx(lhs)].name)
+                    < rendezvous(ownName, bundle.hosts[idx(rhs)].name);
+            });
+            const std::size_t room = others < OtherZoneContacts ? OtherZoneContacts - others : 0;
+            hosts.resize(std::min({hosts.size(), ContactsInZone, room}));
+            others += hosts.size();
+        }
+        m_issuers.insert(m_issuers.end(), hosts.begin(), hosts.end());
+    }
+    for (const HostId host : m_issuers) {
+        peer(host).services.resize(m_services);
+    }
+}
+
+void LeaseHolder::remap(const IdMap &ids)
+{
+    ids.hosts.apply(m_peers);
+    for (auto &[id, peer] : m_peers) {
+        ids.services.apply(peer.services);
+    }
+}
+
+LeaseHolder::Peer &LeaseHolder::peer(HostId host)
+{
+    Peer &it = m_peers[host];
+    it.services.resize(m_services);
+    return it;
+}
+
+const LeaseHolder::Peer *LeaseHolder::find(HostId host) const
+{
+    const auto it = m_peers.find(host);
+    return it == m_peers.end() ? nullptr : &it->second;
+}
+
+Duration LeaseHolder::exchangeInterval() const
+{
+    return m_leaseTime / ExchangesInLease;
+}
+
+unsigned LeaseHolder::inUse(const Held &held) const
+{
+    return held.used + held.lookups.slots(m_lookupsPerSlot);
+}
+
+unsigned LeaseHolder::room(const Held &held, TimePoint now) const
+{
+    if (now >= held.validUntil) {
+        return 0;
+    }
+    const unsigned limit = std::min(held.amount, held.kept);
+    return limit > inUse(held) ? limit - inUse(held) : 0;
+}
+
+// What does not fit at home is asked of the nearest issuers first, each up to what it holds for us and says that it
+// has to spare. A remainder that nobody seems to have is asked of the nearest: spare figures are a little old.
+std::vector<unsigned> LeaseHolder::shareWants(ServiceId service, unsigned overflow, TimePoint now) const
+{
+    std::vector<unsigned> wants(m_issuers.size(), 0);
+    std::optional<std::size_t> firstAlive;
+    std::size_t standby = 0;
+    for (std::size_t n = 0; n < m_issuers.size(); ++n) {
+        if (!isAlive(m_issuers[n], now) || isLeaving(m_issuers[n])) {
+            continue;
+        }
+        firstAlive = firstAlive.value_or(n);
+        const Held &held = find(m_issuers[n])->services[idx(service)];
+        const unsigned share = std::min(overflow, std::min(held.amount, held.kept) + held.spare);
+        wants[n] = share;
+        overflow -= share;
+        if (share == 0 && standby < StandbyLeases) {
+            wants[n] = 1;
+        }
+        ++standby;
+    }
+    if (firstAlive) {
+        wants[*firstAlive] += overflow;
+    }
+    return wants;
+}
+
+LeaseRequest LeaseHolder::makeRequest(Peer &peer, std::uint64_t configIndex, bool isLeaving, TimePoint now)
+{
+    LeaseRequest request;
+    request.sequence = ++peer.sequence;
+    request.incarnation = m_incarnation;
+    request.configIndex = configIndex;
+    request.leaving = isLeaving;
+    for (std::size_t n = 0; n < peer.services.size(); ++n) {
+        Held &held = peer.services[n];
+        const unsigned want = isLeaving ? 0 : held.want;
+        const unsigned limit = now < held.validUntil ? std::min(held.amount, held.kept) : 0;
+        // What runs now can't be given back, and a request may outlive its lease.
+        held.kept = std::max(inUse(held), std::min(limit, want + (isLeaving ? 0 : KeepSlack)));
+        request.wants.push_back({static_cast<std::uint32_t>(n), held.kept, want});
+    }
+    return request;
+}
+
+void LeaseHolder::poll(const std::vector<unsigned> &overflow, std::uint64_t configIndex, bool isLeaving, TimePoint now,
+                       Effects &out)
+{
+    const bool anyDue = std::any_of(m_issuers.begin(), m_issuers.end(), [&](HostId host) {
+        const Peer *it = find(host);
+        return it != nullptr && !it->isAsking && now >= it->nextAsk;
+    });
+    if (!anyDue) {
+        return;
+    }
+    for (std::size_t service = 0; service < m_services; ++service) {
+        const std::vector<unsigned> wants = shareWants(makeId<ServiceId>(service), overflow[service], now);
+        for (std::size_t n = 0; n < m_issuers.size(); ++n) {
+            peer(m_issuers[n]).services[service].want = wants[n];
+        }
+    }
+    for (const HostId host : m_issuers) {
+        Peer &it = peer(host);
+        if (it.isAsking || now < it.nextAsk) {
+            continue;
+        }
+        it.isAsking = true;
+        it.askedAt = now;
+        it.nextAsk = now + exchangeInterval();
+        out.emplace_back(AskLease{host, makeRequest(it, configIndex, isLeaving, now), exchangeInterval() * 2});
+    }
+}
+
+bool LeaseHolder::granted(HostId issuer, const LeaseGrant &grant, TimePoint now)
+{
+    Peer &it = peer(issuer);
+    if (!it.isAsking || grant.sequence != it.sequence) {
+        return false;
+    }
+    it.isAsking = false;
+    heard(issuer, grant.configIndex, grant.leaving, now);
+    const auto valid = std::chrono::duration_cast<Duration>(grant.duration * (1 - m_drift));
+    for (const ServiceGrant &service : grant.grants) {
+        if (service.service >= it.services.size()) {
+            continue;
+        }
+        Held &held = it.services[service.service];
+        held.amount = service.amount;
+        held.kept = service.amount;
+        held.spare = service.spare;
+        held.validUntil = it.askedAt + valid;
+    }
+    return true;
+}
+
+void LeaseHolder::failed(HostId issuer, std::uint64_t sequence)
+{
+    Peer &it = peer(issuer);
+    if (it.isAsking && sequence == it.sequence) {
+        it.isAsking = false;
+    }
+}
+
+void LeaseHolder::heard(HostId host, std::uint64_t configIndex, bool isLeaving, TimePoint now)
+{
+    Peer &it = peer(host);
+    it.lastHeard = now;
+    it.configIndex = std::max(it.configIndex, configIndex);
+    it.isLeaving = isLeaving;
+}
+
+bool LeaseHolder::canUse(HostId issuer, ServiceId service, TimePoint now) const
+{
+    const Peer *it = find(issuer);
+    return it != nullptr && !it->isLeaving && room(it->services[idx(service)], now) > 0;
+}
+
+std::optional<HostId> LeaseHolder::choose(ServiceId service, std::optional<RegionId> region,
+                                          const std::vector<HostId> &excluded, TimePoint now) const
+{
+    std::optional<HostId> best;
+    unsigned bestRoom = 0;
+    for (const HostId host : m_issuers) {
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), host) != excluded.end();
+        if (isExcluded || (region && m_regions[idx(host)] != *region) || !canUse(host, service, now)) {
+            continue;
+        }
+        // m_issuers is sorted by distance; hosts of one zone are equally near and the one with most room is taken.
+        if (best && m_zones[idx(*best)] != m_zones[idx(host)]) {
+            break;
+        }
+        const unsigned hostRoom = room(find(host)->services[idx(service)], now);
+        if (hostRoom > bestRoom) {
+            best = host;
+            bestRoom = hostRoom;
+        }
+    }
+    return best;
+}
+
+void LeaseHolder::started(HostId issuer, ServiceId service)
+{
+    ++peer(issuer).services[idx(service)].used;
+}
+
+void LeaseHolder::ended(HostId issuer, ServiceId service)
+{
+    Held &held = peer(issuer).services[idx(service)];
+    assert(held.used > 0 && "a forwarded request ends that did not start");
+    --held.used;
+}
+
+void LeaseHolder::lookedUp(HostId issuer, ServiceId service, TimePoint expires)
+{
+    peer(issuer).services[idx(service)].lookups.add(expires);
+}
+
+void LeaseHolder::refresh(TimePoint now)
+{
+    for (auto &[id, it] : m_peers) {
+        for (Held &held : it.services) {
+            held.lookups.expire(now);
+        }
+    }
+}
+
+bool LeaseHolder::isAlive(HostId host, TimePoint now) const
+{
+    if (host == m_self) {
+        return true;
+    }
+    const Peer *it = find(host);
+    const bool isContact = std::find(m_issuers.begin(), m_issuers.end(), host) != m_issuers.end();
+    if (it == nullptr || !it->lastHeard) {
+        return !isContact;
+    }
+    return now < *it->lastHeard + exchangeInterval() * ExchangesUntilLost || !isContact;
+}
+
+bool LeaseHolder::isLeaving(HostId host) const
+{
+    const Peer *it = find(host);
+    return it != nullptr && it->isLeaving;
+}
+
+std::optional<TimePoint> LeaseHolder::lastHeard(HostId host) const
+{
+    const Peer *it = find(host);
+    return it == nullptr ? std::nullopt : it->lastHeard;
+}
+
+std::uint64_t LeaseHolder::configIndex(HostId host) const
+{
+    const Peer *it = find(host);
+    return it == nullptr ? 0 : it->configIndex;
+}
+
+unsigned LeaseHolder::held(ServiceId service, TimePoint now) const
+{
+    unsigned sum = 0;
+    for (const auto &[id, it] : m_peers) {
+        const Held &held = it.services[idx(service)];
+        sum += now < held.validUntil ? std::min(held.amount, held.kept) : 0;
+    }
+    return sum;
+}
+
+unsigned LeaseHolder::inUse(ServiceId service) const
+{
+    unsigned sum = 0;
+    for (const auto &[id, it] : m_peers) {
+        sum += inUse(it.services[idx(service)]);
+    }
+    return sum;
+}
+
+unsigned LeaseHolder::spare(HostId host, ServiceId service) const
+{
+    const Peer *it = find(host);
+    return it == nullptr ? 0 : it->services[idx(service)].spare;
+}
+
+const std::vector<HostId> &LeaseHolder::issuers() const
+{
+    return m_issuers;
+}
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Steer/LeaseHolder.h
@@ -0,0 +1,97 @@
+//===- LeaseHolder.h - Capacity borrowed from other hosts --------*- C++ -*-===//
+//
+// The leases that this host holds, what it uses of them, and the regular
+// exchange with their issuers, which serves as heartbeat too.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "ExpiringCount.h"
+#include "IdMap.h"
+#include "pepperlug/Steer.h"
+
+namespace pepperlug
+{
+
+class LeaseHolder
+{
+public:
+    explicit LeaseHolder(std::uint64_t incarnation);
+
+    /// Chooses the issuers: every host of the own zone, and of other zones the few that rendezvous hashing gives,
+    /// nearest zones first.
+    void applyBundle(const Bundle &bundle, HostId self);
+    void remap(const IdMap &ids);
+
+    /// Asks each issuer whose turn has come. `overflow` is, by service, the demand that the own slice can't hold.
+    void poll(const std::vector<unsigned> &overflow, std::uint64_t configIndex, bool isLeaving, TimePoint now,
+              Effects &out);
+    /// Takes a grant; an answer to any but the last request is dropped. Returns whether it was taken.
+    bool granted(HostId issuer, const LeaseGrant &grant, TimePoint now);
+    void failed(HostId issuer, std::uint64_t sequence);
+    /// Notes that a request of that host arrived.
+    void heard(HostId peer, std::uint64_t configIndex, bool isLeaving, TimePoint now);
+
+    bool canUse(HostId issuer, ServiceId service, TimePoint now) const;
+    /// The nearest issuer with room, seen from this host; only in `region` if given.
+    std::optional<HostId> choose(ServiceId service, std::optional<RegionId> region, const std::vector<HostId> &excluded,
+                                 TimePoint now) const;
+    void started(HostId issuer, ServiceId service);
+    void ended(HostId issuer, ServiceId service);
+    void lookedUp(HostId issuer, ServiceId service, TimePoint expires);
+    void refresh(TimePoint now);
+
+    /// Whether the host was heard lately. One that this host exchanges nothing with counts as alive.
+    bool isAlive(HostId host, TimePoint now) const;
+    bool isLeaving(HostId host) const;
+    std::optional<TimePoint> lastHeard(HostId host) const;
+    std::uint64_t configIndex(HostId host) const;
+    unsigned held(ServiceId service, TimePoint now) const;
+    unsigned inUse(ServiceId service) const;
+    unsigned spare(HostId host, ServiceId service) const;
+    const std::vector<HostId> &issuers() const;
+    /// Time between two requests to one issuer.
+    Duration exchangeInterval() const;
+
+private:
+    struct Held {
+        unsigned amount = 0;
+        TimePoint validUntil{};
+        unsigned kept = 0; ///< what the last request promised to stay within
+        unsigned used = 0;
+        ExpiringCount lookups;
+        unsigned spare = 0; ///< as the issuer said last
+        unsigned want = 0;
+    };
+
+    struct Peer {
+        std::vector<Held> services;
+        std::uint64_t sequence = 0;
+        bool isAsking = false;
+        TimePoint askedAt{};
+        TimePoint nextAsk{};
+        std::optional<TimePoint> lastHeard;
+        bool isLeaving = false;
+        std::uint64_t configIndex = 0;
+    };
+
+    Peer &peer(HostId host);
+    const Peer *find(HostId host) const;
+    unsigned inUse(const Held &held) const;
+    unsigned room(const Held &held, TimePoint now) const;
+    std::vector<unsigned> shareWants(ServiceId service, unsigned overflow, TimePoint now) const;
+    LeaseRequest makeRequest(Peer &peer, std::uint64_t configIndex, bool isLeaving, TimePoint now);
+
+    std::uint64_t m_incarnation;
+    HostId m_self{};
+    std::size_t m_services = 0;
+    unsigned m_lookupsPerSlot = 1;
+    Duration m_leaseTime{};
+    double m_drift = 0;
+    std::vector<HostId> m_issuers; ///< nearest first
+    std::vector<RegionId> m_regions; ///< by HostId
+    std::vector<ZoneId> m_zones; ///< by HostId
+    std::map<HostId, Peer> m_peers;
+};
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Steer/LeaseIssuer.cpp
@@ -0,0 +1,368 @@
+//===- LeaseIssuer.cpp - The sum that is never exceeded -------------------===//
+//
+// A lease counts in full from the moment it is granted until its holder says that it keeps less, or until it has run
+// out by this host's clock with the allowed drift added. Requests that outlive their lease go on counting as used.
+//
+//===----------------------------------------------------------------------===//
+#include "LeaseIssuer.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pepperlug
+{
+
+namespace
+{
+
+constexpr unsigned WeightScale = 64;
+
+// Parts of caps and links follow the slices: a host with more slots gets more of the growth into its region.
+std::vector<unsigned> hostWeights(const Bundle &bundle, RegionId region)
+{
+    std::vector<unsigned> zoneSlots(bundle.zones.size(), 0);
+    for (const Target &target : bundle.targets) {
+        zoneSlots[idx(target.zone)] += target.slots;
+    }
+    std::vector<unsigned> weights(bundle.hosts.size(), 0);
+    for (std::size_t n = 0; n < bundle.hosts.size(); ++n) {
+        const ZoneId zone = bundle.hosts[n].zone;
+        const auto sharers = static_cast<unsigned>(bundle.zones[idx(zone)].hosts.size());
+        weights[n] = bundle.regionOf(zone) == region ? zoneSlots[idx(zone)] * WeightScale / sharers : 0;
+    }
+    return weights;
+}
+
+} // namespace
+
+LeaseIssuer::LeaseIssuer(TimePoint now)
+    : m_started(now)
+{
+}
+
+void LeaseIssuer::applyBundle(const Bundle &bundle, HostId self, TimePoint now)
+{
+    const bool isFirst = m_bundle == nullptr;
+    m_bundle = &bundle;
+    m_ownRegion = bundle.regionOf(self);
+    m_leaseTime = bundle.policy.leaseTime;
+    m_reserveTime = std::chrono::duration_cast<Duration>(m_leaseTime * (1 + bundle.policy.driftAllowance));
+    m_lookupsPerSlot = bundle.policy.lookupsPerSlot;
+    m_services.resize(bundle.services.size());
+    for (ServiceUse &use : m_services) {
+        use.regions.resize(bundle.regions.size());
+    }
+    if (isFirst) {
+        m_started = now;
+    }
+    // A bundle may drop a host or move it to another region, so the sums by region are made anew.
+    for (ServiceUse &use : m_services) {
+        for (RegionUse &region : use.regions) {
+            region.reservedByHolders = 0;
+            region.usedByHolders = 0;
+        }
+        for (const auto &[id, holder] : use.holders) {
+            RegionUse &region = use.regions[idx(bundle.regionOf(id))];
+            region.reservedByHolders += holder.reserved;
+            region.usedByHolders += holder.used;
+        }
+    }
+
+    const std::vector<unsigned> weights = hostWeights(bundle, m_ownRegion);
+    m_meters.resize(bundle.regions.size());
+    for (ShiftMeter &meter : m_meters) {
+        meter.setCap(std::nullopt, {});
+        meter.setLink(std::nullopt);
+    }
+    for (const ShiftCap &cap : bundle.shiftCaps) {
+        if (cap.to == m_ownRegion) {
+            m_meters[idx(cap.from)].setCap(partOf(cap.slots, weights, idx(self)), cap.interval);
+        }
+    }
+    for (const LinkLimit &limit : bundle.linkLimits) {
+        if (limit.to == m_ownRegion) {
+            m_meters[idx(limit.from)].setLink(partOf(limit.slots, weights, idx(self)));
+        }
+    }
+}
+
+void LeaseIssuer::remap(const IdMap &ids)
+{
+    ids.services.apply(m_services);
+    for (ServiceUse &use : m_services) {
+        ids.hosts.apply(use.holders);
+        ids.regions.apply(use.regions);
+    }
+    ids.regions.apply(m_meters);
+}
+
+unsigned LeaseIssuer::reserved(const RegionUse &use) const
+{
+    return use.reservedByHolders + use.selfReserved;
+}
+
+unsigned LeaseIssuer::used(const RegionUse &use) const
+{
+    return use.usedByHolders + use.usedDirectly + use.lookups.slots(m_lookupsPerSlot);
+}
+
+unsigned LeaseIssuer::taken(const RegionUse &use) const
+{
+    return std::max(reserved(use), used(use));
+}
+
+unsigned LeaseIssuer::committed(ServiceId service) const
+{
+    const ServiceUse &use = m_services[idx(service)];
+    unsigned sum = use.homeUsed;
+    for (const RegionUse &region : use.regions) {
+        sum += taken(region);
+    }
+    return sum;
+}
+
+unsigned LeaseIssuer::homeUsed(ServiceId service) const
+{
+    return m_services[idx(service)].homeUsed;
+}
+
+unsigned LeaseIssuer::lent(ServiceId service) const
+{
+    unsigned sum = 0;
+    for (const RegionUse &region : m_services[idx(service)].regions) {
+        sum += region.reservedByHolders;
+    }
+    return sum;
+}
+
+int LeaseIssuer::margin(ServiceId service, unsigned capacity, unsigned homeNeed) const
+{
+    const unsigned homeUsed = m_services[idx(service)].homeUsed;
+    const unsigned kept = homeNeed > homeUsed ? homeNeed - homeUsed : 0;
+    return static_cast<int>(capacity) - static_cast<int>(committed(service) + kept);
+}
+
+unsigned LeaseIssuer::spare(ServiceId service, unsigned capacity, unsigned homeNeed) const
+{
+    return static_cast<unsigned>(std::max(0, margin(service, capacity, homeNeed)));
+}
+
+unsigned LeaseIssuer::takenInRegion(RegionId region) const
+{
+    unsigned sum = 0;
+    for (const ServiceUse &use : m_services) {
+        sum += taken(use.regions[idx(region)]);
+    }
+    return sum;
+}
+
+// A host that was restarted does not know what it lent before. Holders' old leases are refused on arrival, but their
+// callers may still come on old look-ups; so it waits until the longest old lease has surely run out.
+bool LeaseIssuer::mayLend(TimePoint now) const
+{
+    return m_bundle != nullptr && now >= m_started + m_reserveTime;
+}
+
+bool LeaseIssuer::growDirect(RegionId region, ServiceId service, TimePoint now)
+{
+    if (m_meters[idx(region)].allowed(1, takenInRegion(region), now) == 0) {
+        return false;
+    }
+    m_meters[idx(region)].grew(1, now);
+    ++m_services[idx(service)].regions[idx(region)].selfReserved;
+    return true;
+}
+
+std::optional<Reason> LeaseIssuer::admit(const Charge &charge, ServiceId service, unsigned capacity, unsigned homeNeed,
+                                         TimePoint now)
+{
+    ServiceUse &use = m_services[idx(service)];
+    if (charge.kind == Charge::Kind::Home) {
+        if (committed(service) >= capacity) {
+            return Reason::NoCapacity;
+        }
+        return std::nullopt;
+    }
+    if (charge.kind == Charge::Kind::Holder) {
+        const auto it = use.holders.find(charge.holder);
+        const bool isLive = it != use.holders.end() && now < it->second.expires;
+        if (!isLive || it->second.used >= it->second.reserved) {
+            return Reason::OverLease;
+        }
+    }
+    RegionUse &region = use.regions[idx(charge.region)];
+    if (used(region) < reserved(region)) {
+        region.selfExpires = now + m_reserveTime;
+        return std::nullopt;
+    }
+    if (margin(service, capacity, homeNeed) <= 0) {
+        return Reason::NoCapacity;
+    }
+    if (!growDirect(charge.region, service, now)) {
+        return m_meters[idx(charge.region)].capIsReached(now) ? Reason::ShiftCap : Reason::LinkLimit;
+    }
+    region.selfExpires = now + m_reserveTime;
+    return std::nullopt;
+}
+
+void LeaseIssuer::started(const Charge &charge, ServiceId service)
+{
+    ServiceUse &use = m_services[idx(service)];
+    switch (charge.kind) {
+    case Charge::Kind::Home:
+        ++use.homeUsed;
+        break;
+    case Charge::Kind::Region:
+        ++use.regions[idx(charge.region)].usedDirectly;
+        break;
+    case Charge::Kind::Holder:
+        ++use.holders[charge.holder].used;
+        ++use.regions[idx(charge.region)].usedByHolders;
+        break;
+    }
+}
+
+void LeaseIssuer::ended(const Charge &charge, ServiceId service)
+{
+    ServiceUse &use = m_services[idx(service)];
+    switch (charge.kind) {
+    case Charge::Kind::Home:
+        assert(use.homeUsed > 0 && "a home request ends that did not start");
+        --use.homeUsed;
+        break;
+    case Charge::Kind::Region:
+        assert(use.regions[idx(charge.region)].usedDirectly > 0 && "a direct request ends that did not start");
+        --use.regions[idx(charge.region)].usedDirectly;
+        break;
+    case Charge::Kind::Holder:
+        assert(use.holders[charge.holder].used > 0 && "a forwarded request ends that did not start");
+        --use.holders[charge.holder].used;
+        --use.regions[idx(charge.region)].usedByHolders;
+        break;
+    }
+}
+
+void LeaseIssuer::lookedUp(RegionId from, ServiceId service, TimePoint expires)
+{
+    m_services[idx(service)].regions[idx(from)].lookups.add(expires);
+}
+
+void LeaseIssuer::setReserved(ServiceId service, HostId id, Holder &holder, unsigned amount)
+{
+    RegionUse &region = m_services[idx(service)].regions[idx(m_bundle->regionOf(id))];
+    region.reservedByHolders += amount;
+    region.reservedByHolders -= holder.reserved;
+    holder.reserved = amount;
+}
+
+void LeaseIssuer::refresh(TimePoint now)
+{
+    for (std::size_t service = 0; service < m_services.size(); ++service) {
+        ServiceUse &use = m_services[service];
+        for (auto &[id, holder] : use.holders) {
+            if (holder.reserved > 0 && now >= holder.expires) {
+                setReserved(makeId<ServiceId>(service), id, holder, 0);
+            }
+        }
+        for (RegionUse &region : use.regions) {
+            region.lookups.expire(now);
+            if (region.selfReserved > 0 && now >= region.selfExpires) {
+                const unsigned needed = used(region);
+                region.selfReserved = needed > region.reservedByHolders ? needed - region.reservedByHolders : 0;
+                region.selfExpires = now + m_reserveTime;
+            }
+        }
+    }
+}
+
+// Max-min: the smallest wants are met first, what they leave is shared by the rest.
+unsigned LeaseIssuer::fairShare(const ServiceUse &use, HostId id, unsigned pool, TimePoint now) const
+{
+    std::vector<unsigned> wants;
+    unsigned own = 0;
+    for (const auto &[other, holder] : use.holders) {
+        const bool isFresh = now < holder.wantedAt + m_reserveTime;
+        if (isFresh && holder.want > 0) {
+            wants.push_back(holder.want);
+        }
+        own = other == id ? holder.want : own;
+    }
+    std::sort(wants.begin(), wants.end());
+    unsigned left = pool;
+    for (std::size_t n = 0; n < wants.size(); ++n) {
+        const auto share = static_cast<unsigned>(left / (wants.size() - n));
+        if (wants[n] > share) {
+            return std::min(own, share);
+        }
+        left -= wants[n];
+    }
+    return own;
+}
+
+ServiceGrant LeaseIssuer::grant(HostId id, const LeaseRequest &request, const ServiceWant &want, unsigned capacity,
+                                unsigned homeNeed, TimePoint now)
+{
+    const ServiceId service = makeId<ServiceId>(want.service);
+    ServiceUse &use = m_services[want.service];
+    Holder &holder = use.holders[id];
+    const RegionId region = m_bundle->regionOf(id);
+    const bool isNewProcess = holder.incarnation != request.incarnation;
+    if (!isNewProcess && request.sequence <= holder.sequence) {
+        return {want.service, 0, 0}; // an old message that came late: the holder no longer waits for an answer
+    }
+    // A restarted holder knows nothing of its old leases, but answers that its old process gave to callers live on;
+    // so an old lease is not cut short by a new incarnation.
+    const unsigned live = now < holder.expires ? holder.reserved : 0;
+    const unsigned kept = isNewProcess ? live : std::min(live, std::max(want.keep, holder.used));
+    holder.incarnation = request.incarnation;
+    holder.sequence = request.sequence;
+    holder.want = want.want;
+    holder.wantedAt = now;
+    setReserved(service, id, holder, kept);
+
+    const unsigned room = spare(service, capacity, homeNeed);
+    int lentNow = 0;
+    for (const auto &[other, it] : use.holders) {
+        lentNow += static_cast<int>(it.reserved);
+    }
+    const auto pool = static_cast<unsigned>(std::max(0, lentNow + margin(service, capacity, homeNeed)));
+    const unsigned target = mayLend(now) ? std::min(want.want, fairShare(use, id, pool, now)) : 0;
+    unsigned amount = std::min(kept, target);
+    if (target > kept) {
+        unsigned growth = std::min(target - kept, room);
+        if (region != m_ownRegion) {
+            growth = m_meters[idx(region)].allowed(growth, takenInRegion(region), now);
+            m_meters[idx(region)].grew(growth, now);
+        }
+        amount = kept + growth;
+    }
+    if (isNewProcess) {
+        amount = std::min(amount, target);
+    }
+    setReserved(service, id, holder, std::max(kept, amount));
+    holder.expires = now + m_reserveTime;
+    return {want.service, amount, spare(service, capacity, homeNeed)};
+}
+
+LeaseGrant LeaseIssuer::answer(HostId holder, const LeaseRequest &request, const std::vector<unsigned> &capacity,
+                               const std::vector<unsigned> &homeNeed, TimePoint now)
+{
+    assert(m_bundle != nullptr && "a lease is asked for before a bundle is in force");
+    LeaseGrant reply;
+    reply.sequence = request.sequence;
+    reply.duration = std::chrono::duration_cast<std::chrono::microseconds>(m_leaseTime);
+    for (const ServiceWant &want : request.wants) {
+        if (want.service < m_services.size()) {
+            reply.grants.push_back(grant(holder, request, want, capacity[want.service], homeNeed[want.service], now));
+        }
+    }
+    return reply;
+}
+
+ShiftView LeaseIssuer::shift(RegionId from) const
+{
+    const ShiftMeter &meter = m_meters[idx(from)];
+    return {takenInRegion(from), meter.cap().value_or(UINT32_MAX), meter.interval(), meter.link()};
+}
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Steer/LeaseIssuer.h
@@ -0,0 +1,116 @@
+//===- LeaseIssuer.h - Lending this host's slice -----------------*- C++ -*-===//
+//
+// Keeps the one sum that no promise about capacity may exceed: what callers of
+// this host's region use, what is lent to other hosts, and what callers of other
+// regions use directly. Every admission and every lease passes through here.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "ExpiringCount.h"
+#include "IdMap.h"
+#include "ShiftMeter.h"
+#include "TargetPool.h"
+
+namespace pepperlug
+{
+
+/// Whose capacity a running request uses here.
+struct Charge {
+    enum class Kind {
+        Home, ///< a caller of this host's own region
+        Region, ///< a caller of another region who came here directly
+        Holder, ///< another entry host, under its lease
+    };
+    Kind kind = Kind::Home;
+    RegionId region{};
+    HostId holder{};
+};
+
+class LeaseIssuer
+{
+public:
+    explicit LeaseIssuer(TimePoint now);
+
+    void applyBundle(const Bundle &bundle, HostId self, TimePoint now);
+    /// Moves what is known to the ids of another bundle; applyBundle must follow.
+    void remap(const IdMap &ids);
+
+    /// Answers a holder. `capacity` is by service; `homeNeed` is what this host keeps for its own callers.
+    LeaseGrant answer(HostId holder, const LeaseRequest &request, const std::vector<unsigned> &capacity,
+                      const std::vector<unsigned> &homeNeed, TimePoint now);
+
+    /// Whether one more request may run; grows the part of a region of direct callers if cap and link allow.
+    /// Returns the reason of the refusal, nothing if admitted. Call started() when it then runs.
+    std::optional<Reason> admit(const Charge &charge, ServiceId service, unsigned capacity, unsigned homeNeed,
+                                TimePoint now);
+    void started(const Charge &charge, ServiceId service);
+    void ended(const Charge &charge, ServiceId service);
+    /// Counts a look-up answer that sends a caller of another region here.
+    void lookedUp(RegionId from, ServiceId service, TimePoint expires);
+
+    /// Lets leases and look-up answers run out.
+    void refresh(TimePoint now);
+
+    unsigned committed(ServiceId service) const;
+    unsigned homeUsed(ServiceId service) const;
+    unsigned lent(ServiceId service) const;
+    ShiftView shift(RegionId from) const;
+    /// Slots that could still be lent, after what home needs.
+    unsigned spare(ServiceId service, unsigned capacity, unsigned homeNeed) const;
+    bool mayLend(TimePoint now) const;
+
+private:
+    struct Holder {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        unsigned reserved = 0;
+        TimePoint expires{};
+        unsigned used = 0;
+        unsigned want = 0;
+        TimePoint wantedAt{};
+    };
+
+    struct RegionUse {
+        unsigned reservedByHolders = 0;
+        unsigned usedByHolders = 0;
+        unsigned selfReserved = 0; ///< grown on arrival of direct callers
+        TimePoint selfExpires{};
+        unsigned usedDirectly = 0;
+        ExpiringCount lookups;
+    };
+
+    struct ServiceUse {
+        std::map<HostId, Holder> holders;
+        std::vector<RegionUse> regions; ///< by RegionId; the own region counts its holders only
+        unsigned homeUsed = 0;
+    };
+
+    struct Arrival {
+        HostId holder{};
+        ServiceId service{};
+    };
+
+    unsigned reserved(const RegionUse &use) const;
+    unsigned used(const RegionUse &use) const;
+    unsigned taken(const RegionUse &use) const;
+    unsigned takenInRegion(RegionId region) const;
+    /// Slots left after all that is committed and that home still needs; below zero where too much is lent.
+    int margin(ServiceId service, unsigned capacity, unsigned homeNeed) const;
+    bool growDirect(RegionId region, ServiceId service, TimePoint now);
+    void setReserved(ServiceId service, HostId id, Holder &holder, unsigned amount);
+    ServiceGrant grant(HostId id, const LeaseRequest &request, const ServiceWant &want, unsigned capacity,
+                       unsigned homeNeed, TimePoint now);
+    unsigned fairShare(const ServiceUse &use, HostId id, unsigned pool, TimePoint now) const;
+
+    const Bundle *m_bundle = nullptr;
+    RegionId m_ownRegion{};
+    Duration m_leaseTime{};
+    Duration m_reserveTime{}; ///< how long a lease counts here: its time and the drift that is allowed
+    unsigned m_lookupsPerSlot = 1;
+    TimePoint m_started;
+    std::vector<ServiceUse> m_services;
+    std::vector<ShiftMeter> m_meters; ///< by RegionId of the callers
+};
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Steer/Placement.cpp
@@ -0,0 +1,326 @@
+//===- Placement.cpp - Where a request runs -------------------------------===//
+//
+// Own slice first, then the nearest lease with room, then a short queue, else an honest refusal at once. Where the own
+// slice is full, waiting for it and going further are weighed by the time that each adds.
+//
+//===----------------------------------------------------------------------===//
+#include "Impl.h"
+
+#include <algorithm>
+
+namespace pepperlug
+{
+
+namespace
+{
+
+constexpr auto MinRetryAfter = Milliseconds(100);
+constexpr auto MaxRetryAfter = Milliseconds(10000);
+constexpr double MaxRetryTokens = 10;
+
+} // namespace
+
+Charge Steering::Impl::chargeOf(const RequestArrived &info) const
+{
+    if (info.forwardedBy && !info.toHome && m_settings.strategy == Strategy::Leases) {
+        return {Charge::Kind::Holder, m_bundle->regionOf(*info.forwardedBy), *info.forwardedBy};
+    }
+    const bool isForeign = info.callerZone && m_bundle->regionOf(*info.callerZone) != m_region;
+    if (isForeign && m_settings.strategy == Strategy::Leases) {
+        return {Charge::Kind::Region, m_bundle->regionOf(*info.callerZone), {}};
+    }
+    return {Charge::Kind::Home, m_region, {}};
+}
+
+void Steering::Impl::on(const RequestArrived &event)
+{
+    Request &request = m_requests[event.id];
+    request.info = event;
+    request.arrivedAt = m_now;
+    if (!m_self || !m_bundle) {
+        refuse(request, event.cls == RouteClass::Once ? Outcome::Unknown : Outcome::NotRun, Reason::NotReady, {});
+        return;
+    }
+    request.charge = chargeOf(event);
+    request.info.deadline = std::min(event.deadline, m_now + m_bundle->services[idx(event.service)].maxDeadline);
+    if (request.charge.kind == Charge::Kind::Home) {
+        m_demand[idx(event.service)].arrived();
+        request.isCounted = true;
+    }
+    m_timers.push({request.info.deadline, event.id, TimerKind::Deadline});
+    if (event.cls == RouteClass::Read) {
+        m_retryTokens = std::min(MaxRetryTokens, m_retryTokens + m_bundle->policy.retryShare);
+    }
+    if (event.cls == RouteClass::Once && !event.claimed && !claim(request)) {
+        return;
+    }
+    if (const std::optional<Reason> reason = place(request)) {
+        refuse(request, Outcome::NotRun, *reason, {});
+    }
+}
+
+std::optional<Reason> Steering::Impl::place(Request &request)
+{
+    if (m_settings.strategy != Strategy::Leases) {
+        return placeByBaseline(request);
+    }
+    // Whoever waits already goes first, unless this request may go where the waiting ones may not.
+    const bool mayOvertake = request.charge.kind != Charge::Kind::Home || m_queues[idx(request.info.service)].empty();
+    std::optional<Reason> reason = Reason::NoCapacity;
+    if (mayOvertake) {
+        reason = tryLocal(request);
+        if (!reason) {
+            return std::nullopt;
+        }
+    }
+    if (request.charge.kind == Charge::Kind::Holder) {
+        return reason; // the holder decides where it goes next
+    }
+    const std::optional<RegionId> region = onwardRegion(request.charge);
+    if (leaseIsQuicker(request.info.service, region, request.triedHosts) && tryLease(request)) {
+        return std::nullopt;
+    }
+    if (enqueue(request) || tryLease(request)) {
+        return std::nullopt;
+    }
+    return reason;
+}
+
+std::optional<Reason> Steering::Impl::tryLocal(Request &request)
+{
+    if (!m_sliceValid) {
+        return Reason::SliceExpired;
+    }
+    const ServiceId service = request.info.service;
+    const unsigned capacity = localCapacity(service);
+    if (request.charge.kind == Charge::Kind::Home && m_issuer.committed(service) >= capacity) {
+        return Reason::NoCapacity;
+    }
+    const std::optional<TargetId> target = m_pool.choose(service, request.triedTargets, m_now, m_random);
+    if (!target) {
+        return Reason::NoCapacity;
+    }
+    if (!request.isCharged) {
+        if (const auto reason = m_issuer.admit(request.charge, service, capacity, homeNeed(service), m_now)) {
+            return reason;
+        }
+        m_issuer.started(request.charge, service);
+        request.isCharged = true;
+    }
+    startAtTarget(request, *target, Reason::LocalTarget);
+    return std::nullopt;
+}
+
+// A caller of another region whom this host can't serve is sent on to its own region only: sending it to a third one
+// would be a shift that no cap here accounts for.
+bool Steering::Impl::tryLease(Request &request)
+{
+    const std::optional<RegionId> region = onwardRegion(request.charge);
+    const auto host = m_holder.choose(request.info.service, region, request.triedHosts, m_now);
+    if (!host) {
+        return false;
+    }
+    release(request);
+    startAtHost(request, *host, Reason::LeasedZone, false);
+    return true;
+}
+
+std::optional<Reason> Steering::Impl::placeByBaseline(Request &request)
+{
+    const ServiceId service = request.info.service;
+    const unsigned capacity = localCapacity(service);
+    HostId host = *m_self;
+    if (!request.info.forwardedBy && request.triedHosts.empty()) {
+        const ChooserInput input{*m_bundle, m_holder, *m_self, service, m_issuer.spare(service, capacity, 0), m_now};
+        if (m_settings.strategy == Strategy::RoundRobin) {
+            host = m_roundRobin.choose(input);
+        } else if (m_settings.strategy == Strategy::ReportedLoad) {
+            host = ReportedLoadChooser().choose(input);
+        } else {
+            host = NearestChooser().choose(input);
+        }
+    }
+    if (host != *m_self) {
+        startAtHost(request, host, Reason::LeasedZone, false);
+        return std::nullopt;
+    }
+    const std::optional<Reason> reason = m_queues[idx(service)].empty() ? tryLocal(request) : Reason::NoCapacity;
+    if (!reason || enqueue(request)) {
+        return std::nullopt;
+    }
+    return reason;
+}
+
+Duration Steering::Impl::queueWait(ServiceId service) const
+{
+    const unsigned capacity = std::max(1U, localCapacity(service));
+    return m_pool.meanLatency(service) * (m_queues[idx(service)].size() + 1) / capacity;
+}
+
+std::optional<RegionId> Steering::Impl::onwardRegion(const Charge &charge) const
+{
+    return charge.kind == Charge::Kind::Region ? std::optional(charge.region) : std::nullopt;
+}
+
+bool Steering::Impl::leaseIsQuicker(ServiceId service, std::optional<RegionId> region,
+                                    const std::vector<HostId> &excluded) const
+{
+    const auto host = m_holder.choose(service, region, excluded, m_now);
+    if (!host) {
+        return false;
+    }
+    const auto oneWay = m_bundle->latency(m_zone, m_bundle->hosts[idx(*host)].zone);
+    return localCapacity(service) == 0 || Duration(oneWay) * 2 < queueWait(service);
+}
+
+bool Steering::Impl::enqueue(Request &request)
+{
+    const ServiceId service = request.info.service;
+    std::deque<RequestId> &queue = m_queues[idx(service)];
+    const bool isFull = queue.size() >= m_bundle->services[idx(service)].queue;
+    const bool isTooLate = m_now + queueWait(service) + m_pool.meanLatency(service) >= request.info.deadline;
+    if (isFull || isTooLate || localCapacity(service) == 0) {
+        return false;
+    }
+    release(request);
+    request.phase = Phase::Queued;
+    queue.push_back(request.info.id);
+    log(request, Reason::Queued, std::nullopt, std::nullopt, 0);
+    return true;
+}
+
+bool Steering::Impl::isHopeless(const Request &request) const
+{
+    return m_now + m_pool.meanLatency(request.info.service) > request.info.deadline;
+}
+
+// Requests that can no longer be served in time are answered here and now, not held until their deadline.
+void Steering::Impl::runQueue(ServiceId service)
+{
+    std::deque<RequestId> &queue = m_queues[idx(service)];
+    while (!queue.empty()) {
+        const auto it = m_requests.find(queue.front());
+        if (it == m_requests.end() || it->second.phase != Phase::Queued) {
+            queue.pop_front();
+            continue;
+        }
+        Request &request = it->second;
+        if (isHopeless(request)) {
+            queue.pop_front();
+            refuse(request, Outcome::NotRun, Reason::NoCapacity, {});
+            continue;
+        }
+        if (!tryLocal(request)) {
+            queue.pop_front();
+            continue;
+        }
+        if (!leaseIsQuicker(service, onwardRegion(request.charge), request.triedHosts) || !tryLease(request)) {
+            return;
+        }
+        queue.pop_front();
+    }
+}
+
+void Steering::Impl::startAtTarget(Request &request, TargetId target, Reason reason)
+{
+    Attempt attempt;
+    attempt.number = static_cast<unsigned>(request.attempts.size());
+    attempt.target = target;
+    attempt.startedAt = m_now;
+    m_pool.started(target);
+    request.phase = Phase::Running;
+    request.triedTargets.push_back(target);
+    request.attempts.push_back(attempt);
+    log(request, attempt.number == 0 || reason == Reason::Hedge ? reason : Reason::Retry, target, std::nullopt,
+        attempt.number);
+    m_out->emplace_back(Dispatch{request.info.id, attempt.number, target, request.info.deadline});
+    const bool mayHedge = request.info.cls == RouteClass::Read && !request.hedged && !request.info.forwardedBy;
+    if (mayHedge && m_pool.meanLatency(request.info.service) > Duration{}) {
+        m_timers.push({m_now + m_pool.hedgeAfter(request.info.service), request.info.id, TimerKind::Hedge});
+    }
+}
+
+void Steering::Impl::startAtHost(Request &request, HostId host, Reason reason, bool toHome)
+{
+    Attempt attempt;
+    attempt.number = static_cast<unsigned>(request.attempts.size());
+    attempt.host = host;
+    attempt.toHome = toHome;
+    attempt.startedAt = m_now;
+    if (!toHome) {
+        m_holder.started(host, request.info.service);
+    }
+    request.phase = Phase::Running;
+    request.triedHosts.push_back(host);
+    request.attempts.push_back(attempt);
+    log(request, reason, std::nullopt, host, attempt.number);
+    m_out->emplace_back(Forward{request.info.id, attempt.number, host, request.info.deadline, toHome});
+}
+
+Milliseconds Steering::Impl::retryAfter(const Request &request, Reason reason) const
+{
+    if (!m_bundle) {
+        return MinRetryAfter;
+    }
+    switch (reason) {
+    case Reason::NoCapacity:
+    case Reason::Shed:
+    case Reason::TargetUnreachable: {
+        const auto wait = std::chrono::duration_cast<Milliseconds>(queueWait(request.info.service) * 2);
+        return std::clamp(wait, MinRetryAfter, MaxRetryAfter);
+    }
+    case Reason::ShiftCap:
+        return std::chrono::duration_cast<Milliseconds>(m_issuer.shift(request.charge.region).interval);
+    case Reason::OverLease:
+    case Reason::LinkLimit:
+    case Reason::NotReady:
+        return std::chrono::duration_cast<Milliseconds>(m_holder.exchangeInterval()) + MinRetryAfter;
+    case Reason::SliceExpired:
+    case Reason::HomeUnreachable:
+        return m_bundle->policy.leaseTime;
+    default:
+        return Milliseconds{};
+    }
+}
+
+void Steering::Impl::refuse(Request &request, Outcome outcome, Reason reason, const std::string &peer)
+{
+    const Refuse refusal{request.info.id, outcome, reason, retryAfter(request, reason), peer};
+    const bool isLoad = reason == Reason::NoCapacity || reason == Reason::ShiftCap || reason == Reason::LinkLimit;
+    if (isLoad && m_self && request.charge.kind == Charge::Kind::Home) {
+        m_demand[idx(request.info.service)].refused();
+    }
+    cancelAttempts(request);
+    release(request);
+    if (m_self) {
+        log(request, reason, std::nullopt, std::nullopt, 0);
+    }
+    if (request.holdsClaim && closeClaim(request, refusal)) {
+        return;
+    }
+    const std::string key = request.holdsClaim ? request.info.key : std::string();
+    m_out->emplace_back(refusal);
+    erase(refusal.id);
+    if (!key.empty()) {
+        answerWaiters(key);
+    }
+}
+
+void Steering::Impl::log(const Request &request, Reason reason, std::optional<TargetId> target,
+                         std::optional<HostId> host, unsigned attempt)
+{
+    Decision decision;
+    decision.id = request.info.id;
+    decision.service = request.info.service;
+    decision.reason = reason;
+    decision.callerZone = request.info.callerZone;
+    decision.target = target;
+    decision.host = host;
+    decision.attempt = attempt;
+    decision.capacity = localCapacity(request.info.service);
+    decision.committed = m_issuer.committed(request.info.service);
+    decision.queued = static_cast<unsigned>(m_queues[idx(request.info.service)].size());
+    m_out->emplace_back(decision);
+}
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Steer/Steering.cpp
@@ -0,0 +1,286 @@
+//===- Steering.cpp - The reducer of an entry host ------------------------===//
+//
+// Dispatches events to the parts of the state and runs what time brings. Everything that is decided is decided under
+// one caller at a time, so the sums that promises rest on never race.
+//
+//===----------------------------------------------------------------------===//
+#include "Impl.h"
+
+#include <cassert>
+
+namespace pepperlug
+{
+
+namespace
+{
+
+constexpr double HomeMargin = 1.1; ///< kept for own callers beyond the estimate
+constexpr auto LedgerSweepInterval = std::chrono::seconds(1);
+
+} // namespace
+
+Steering::Impl::Impl(SteerSettings settings, TimePoint now)
+    : m_settings(std::move(settings))
+    , m_now(now)
+    , m_random(m_settings.seed)
+    , m_issuer(now)
+    , m_holder(m_settings.seed)
+    , m_ledger(m_settings.hostName, m_settings.ledgerId, std::chrono::seconds(600), now)
+{
+}
+
+void Steering::Impl::tell(std::string what, std::string subject, std::string detail)
+{
+    m_out->emplace_back(StateChange{std::move(what), std::move(subject), std::move(detail)});
+}
+
+unsigned Steering::Impl::localCapacity(ServiceId service) const
+{
+    return m_sliceValid ? m_pool.capacity(service) : 0;
+}
+
+unsigned Steering::Impl::homeNeed(ServiceId service) const
+{
+    const double need = m_demand[idx(service)].slots() * HomeMargin;
+    return std::min(localCapacity(service), static_cast<unsigned>(std::ceil(need)));
+}
+
+std::vector<unsigned> Steering::Impl::capacities() const
+{
+    std::vector<unsigned> all(m_bundle->services.size());
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        all[n] = localCapacity(makeId<ServiceId>(n));
+    }
+    return all;
+}
+
+std::vector<unsigned> Steering::Impl::homeNeeds() const
+{
+    std::vector<unsigned> all(m_bundle->services.size());
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        all[n] = homeNeed(makeId<ServiceId>(n));
+    }
+    return all;
+}
+
+void Steering::Impl::on(const LeaseAsked &event)
+{
+    if (!m_self || idx(event.holder) >= m_bundle->hosts.size()) {
+        return;
+    }
+    m_holder.heard(event.holder, event.request.configIndex, event.request.leaving, m_now);
+    LeaseGrant grant = m_issuer.answer(event.holder, event.request, capacities(), homeNeeds(), m_now);
+    grant.configIndex = m_index;
+    grant.leaving = m_stopAskedAt.has_value() || isDrainedHost(*m_self);
+    m_out->emplace_back(GrantLease{event.holder, std::move(grant)});
+}
+
+void Steering::Impl::on(const LeaseGranted &event)
+{
+    if (!m_self || idx(event.issuer) >= m_bundle->hosts.size() || !m_holder.granted(event.issuer, event.grant, m_now)) {
+        return;
+    }
+    for (std::size_t n = 0; n < m_queues.size(); ++n) {
+        runQueue(makeId<ServiceId>(n));
+    }
+}
+
+void Steering::Impl::on(const LeaseFailed &event)
+{
+    if (m_self && idx(event.issuer) < m_bundle->hosts.size()) {
+        m_holder.failed(event.issuer, event.sequence);
+    }
+}
+
+void Steering::Impl::on(const TargetReported &event)
+{
+    if (!m_self || idx(event.target) >= m_bundle->targets.size()) {
+        return;
+    }
+    m_pool.report(event, m_now);
+    m_pool.setDrain(event.target, DrainSource::Target, event.leaving, m_now, *m_out);
+}
+
+void Steering::Impl::on(const StopAsked &)
+{
+    if (m_stopAskedAt) {
+        return;
+    }
+    m_stopAskedAt = m_now;
+    tell("stop asked", m_settings.hostName);
+}
+
+void Steering::Impl::on(const Tick &)
+{
+    if (!m_self) {
+        checkStop();
+        return;
+    }
+    m_pool.refresh(m_now);
+    m_holder.refresh(m_now);
+    m_issuer.refresh(m_now);
+    refreshSlice();
+    for (std::size_t n = 0; n < m_demand.size(); ++n) {
+        m_demand[n].refresh(m_settings.tick, m_pool.meanLatency(makeId<ServiceId>(n)));
+    }
+    runTimers();
+    for (std::size_t n = 0; n < m_queues.size(); ++n) {
+        runQueue(makeId<ServiceId>(n));
+    }
+    pollLeases();
+    checkPeers();
+    if (m_now >= m_nextLedgerSweep) {
+        m_nextLedgerSweep = m_now + LedgerSweepInterval;
+        m_ledger.forgetExpired(m_now);
+    }
+    checkStop();
+}
+
+void Steering::Impl::pollLeases()
+{
+    std::vector<unsigned> overflow(m_demand.size(), 0);
+    for (std::size_t n = 0; n < overflow.size(); ++n) {
+        const ServiceId service = makeId<ServiceId>(n);
+        const unsigned demand = m_demand[n].slots();
+        const unsigned homeUsed = m_issuer.homeUsed(service);
+        const unsigned committed = m_issuer.committed(service);
+        const unsigned takenByOthers = committed - homeUsed;
+        const unsigned capacity = localCapacity(service);
+        const unsigned room = capacity > takenByOthers ? capacity - takenByOthers : 0;
+        overflow[n] = demand > room ? demand - room : 0;
+    }
+    m_holder.poll(overflow, m_index, m_stopAskedAt.has_value(), m_now, *m_out);
+}
+
+void Steering::Impl::runTimers()
+{
+    while (!m_timers.empty() && m_timers.top().at <= m_now) {
+        const Timer timer = m_timers.top();
+        m_timers.pop();
+        const auto it = m_requests.find(timer.id);
+        if (it == m_requests.end()) {
+            continue;
+        }
+        if (timer.kind == TimerKind::Deadline) {
+            deadlinePassed(it->second);
+        } else {
+            hedge(it->second);
+        }
+    }
+}
+
+void Steering::Impl::checkPeers()
+{
+    m_alive.resize(m_bundle->hosts.size(), true);
+    for (const HostId host : m_holder.issuers()) {
+        const bool isAlive = m_holder.isAlive(host, m_now);
+        if (m_alive[idx(host)] != isAlive) {
+            tell(isAlive ? "host heard again" : "host lost", m_bundle->hosts[idx(host)].name);
+        }
+        m_alive[idx(host)] = isAlive;
+    }
+}
+
+// Callers may keep a look-up answer that names this host until its time is over; they are served until then.
+void Steering::Impl::checkStop()
+{
+    if (!m_stopAskedAt || m_stopTold || !m_requests.empty()) {
+        return;
+    }
+    const Duration ttl = m_bundle ? Duration(m_bundle->policy.lookupTtl) : Duration{};
+    if (m_now < *m_stopAskedAt + ttl) {
+        return;
+    }
+    m_stopTold = true;
+    tell("stop ready", m_settings.hostName);
+    m_out->emplace_back(StopReady{});
+}
+
+Steering::Steering(SteerSettings settings, TimePoint now)
+    : m_impl(std::make_unique<Impl>(std::move(settings), now))
+{
+}
+
+Steering::~Steering() = default;
+Steering::Steering(Steering &&) noexcept = default;
+Steering &Steering::operator=(Steering &&) noexcept = default;
+
+void Steering::reduce(const Event &event, TimePoint now, Effects &out)
+{
+    m_impl->m_now = std::max(m_impl->m_now, now);
+    m_impl->m_out = &out;
+    std::visit([this](const auto &it) { m_impl->on(it); }, event);
+    m_impl->m_out = nullptr;
+}
+
+bool Steering::ready() const
+{
+    return m_impl->m_self.has_value();
+}
+
+std::uint64_t Steering::configIndex() const
+{
+    return m_impl->m_index;
+}
+
+const Bundle *Steering::bundle() const
+{
+    return m_impl->m_bundle.get();
+}
+
+std::optional<HostId> Steering::self() const
+{
+    return m_impl->m_self;
+}
+
+ServiceView Steering::view(ServiceId service) const
+{
+    ServiceView view;
+    view.sliceSlots = m_impl->m_pool.sliceSlots(service);
+    view.capacity = m_impl->localCapacity(service);
+    view.inFlight = m_impl->m_pool.inFlight(service);
+    view.committed = m_impl->m_issuer.committed(service);
+    view.lent = m_impl->m_issuer.lent(service);
+    view.held = m_impl->m_holder.held(service, m_impl->m_now);
+    view.heldInUse = m_impl->m_holder.inUse(service);
+    view.queued = static_cast<unsigned>(m_impl->m_queues[idx(service)].size());
+    view.demand = m_impl->m_demand[idx(service)].slots();
+    return view;
+}
+
+TargetView Steering::view(TargetId target) const
+{
+    return m_impl->m_pool.view(target);
+}
+
+ShiftView Steering::shift(RegionId from) const
+{
+    return m_impl->m_issuer.shift(from);
+}
+
+bool Steering::isAlive(HostId host, TimePoint now) const
+{
+    return m_impl->m_holder.isAlive(host, now);
+}
+
+bool Steering::sliceValid(TimePoint now) const
+{
+    return m_impl->m_guard.isValid(m_impl->m_holder, now);
+}
+
+std::size_t Steering::requestsInProgress() const
+{
+    return m_impl->m_requests.size();
+}
+
+const Ledger &Steering::ledger() const
+{
+    return m_impl->m_ledger;
+}
+
+void Steering::restoreClaims(const std::vector<LedgerRecord> &records)
+{
+    m_impl->m_ledger.restore(records);
+}
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Steer/ZoneChoosers.h
@@ -0,0 +1,75 @@
+//===- ZoneChoosers.h - Baselines for the choice of a host -------*- C++ -*-===//
+//
+// The ways to place a request without leases that measurements compare with.
+// Each is a small type that meets ZoneChooser.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "LeaseHolder.h"
+
+#include <concepts>
+
+namespace pepperlug
+{
+
+/// What a baseline may know: this host, all others, and what they reported last.
+struct ChooserInput {
+    const Bundle &bundle;
+    const LeaseHolder &holder;
+    HostId self{};
+    ServiceId service{};
+    unsigned ownSpare = 0;
+    TimePoint now{};
+};
+
+template <typename T>
+concept ZoneChooser = requires(T chooser, const ChooserInput &input)
+{
+    {
+        chooser.choose(input)
+        } -> std::same_as<HostId>;
+};
+
+struct NearestChooser {
+    HostId choose(const ChooserInput &input)
+    {
+        return input.self;
+    }
+};
+
+struct RoundRobinChooser {
+    std::size_t next = 0;
+
+    HostId choose(const ChooserInput &input)
+    {
+        const std::size_t hosts = input.bundle.hosts.size();
+        for (std::size_t n = 0; n < hosts; ++n) {
+            const HostId host = makeId<HostId>(next++ % hosts);
+            if (host == input.self || input.holder.isAlive(host, input.now)) {
+                return host;
+            }
+        }
+        return input.self;
+    }
+};
+
+struct ReportedLoadChooser {
+    HostId choose(const ChooserInput &input)
+    {
+        HostId best = input.self;
+        unsigned bestSpare = input.ownSpare;
+        for (const HostId host : input.holder.issuers()) {
+            const unsigned spare = input.holder.spare(host, input.service);
+            if (spare > bestSpare && input.holder.isAlive(host, input.now)) {
+                best = host;
+                bestSpare = spare;
+            }
+        }
+        return best;
+    }
+};
+
+static_assert(ZoneChooser<NearestChooser> && ZoneChooser<RoundRobinChooser> && ZoneChooser<ReportedLoadChooser>);
+
+} // namespace pepperlug
