Serve the whole path: entry, control, command, load and demo

Cause: nothing ran yet. Change: the control log with synced storage and an administration API, calls between processes over nghttp2 streams, callers over Pistache, targets over libcurl, the entry and control daemons, the operators' command, a load tool, stand-in targets, both examples and scripts/demo.

--- /dev/null
+++ b/include/pepperlug/Control.h
@@ -0,0 +1,116 @@
+//===- pepperlug/Control.h - What the control hosts decide -------*- C++ -*-===//
+//
+// The state machine behind the control log: bundles that were proposed, signed
+// off and put in force, drains, and entry hosts whose slice has passed on. Pure
+// and deterministic: every control host applies the same commands in order.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pepperlug/Bundle.h"
+#include "pepperlug/Codec.h"
+
+namespace pepperlug
+{
+
+enum class CommandKind : std::uint8_t {
+    Propose, ///< a bundle under a version
+    Sign, ///< an operator's sign-off
+    Rollout, ///< puts a signed-off bundle in force
+    DrainTarget,
+    UndrainTarget,
+    DrainHost,
+    UndrainHost,
+    VoidHost, ///< the leader: this entry host's slice has run out, its zone may take it over
+    UnvoidHost,
+};
+const char *nameOf(CommandKind kind);
+
+struct ControlCommand {
+    CommandKind kind{};
+    std::string author; ///< operator, or the leader's name
+    std::uint64_t version = 0;
+    std::string digest;
+    std::string text; ///< bundle
+    std::string signature;
+    std::string subject; ///< target or host
+    MSGPACK_DEFINE(kind, author, version, digest, text, signature, subject);
+};
+
+enum class CommandStatus : std::uint8_t {
+    Done,
+    AlreadyDone, ///< the same command again: the first answer
+    Conflict, ///< the version is taken by another bundle
+    Refused,
+};
+
+struct CommandResult {
+    CommandStatus status{};
+    std::string reason;
+    std::string winnerDigest; ///< with Conflict
+    std::string winnerAuthor;
+};
+
+/// A bundle on its way, or past.
+struct BundleRecord {
+    std::uint64_t version = 0;
+    std::string digest;
+    std::string author;
+    std::string text; ///< emptied once a later version is in force
+    std::vector<std::string> signers;
+    std::uint64_t inForceIndex = 0; ///< of the log; 0 while not in force
+    MSGPACK_DEFINE(version, digest, author, text, signers, inForceIndex);
+};
+
+/// What entry hosts have to have in force.
+struct ConfigState {
+    std::uint64_t index = 0; ///< of the last command that changed it
+    std::string bundleText;
+    std::vector<std::string> drainedTargets;
+    std::vector<std::string> drainedHosts;
+    std::vector<std::string> voidHosts;
+    MSGPACK_DEFINE(index, bundleText, drainedTargets, drainedHosts, voidHosts);
+    bool operator==(const ConfigState &) const = default;
+};
+
+struct BootstrapKey {
+    std::string name;
+    std::string publicKey;
+};
+
+class ControlState
+{
+public:
+    /// Until a bundle is in force, the holders of these keys may propose and sign.
+    explicit ControlState(std::vector<BootstrapKey> bootstrapKeys);
+
+    CommandResult apply(const ControlCommand &command, std::uint64_t index);
+    std::string snapshot() const;
+    /// Throws Error if the data can't be read.
+    void restore(const std::string &data);
+
+    const ConfigState &config() const;
+    const std::map<std::uint64_t, BundleRecord> &bundles() const;
+    const BundlePtr &bundle() const;
+    std::uint64_t versionInForce() const;
+    /// Key of an operator who may do this kind of thing now; nothing if there is none.
+    std::optional<std::string> keyFor(const std::string &operatorName, CommandKind kind) const;
+    unsigned signaturesRequired() const;
+
+private:
+    CommandResult propose(const ControlCommand &command);
+    CommandResult sign(const ControlCommand &command);
+    CommandResult rollout(const ControlCommand &command, std::uint64_t index);
+    CommandResult setMember(std::vector<std::string> &names, const std::string &subject, bool present,
+                            std::uint64_t index);
+    void forgetOld();
+
+    std::vector<BootstrapKey> m_bootstrapKeys;
+    std::map<std::uint64_t, BundleRecord> m_bundles; ///< by version
+    ConfigState m_config;
+    BundlePtr m_bundle;
+};
+
+} // namespace pepperlug
+
+PEPPERLUG_CODEC_ENUM(pepperlug::CommandKind);
--- /dev/null
+++ b/include/pepperlug/Http.h
@@ -0,0 +1,126 @@
+//===- pepperlug/Http.h - Callers and targets over HTTP/1.1 ------*- C++ -*-===//
+//
+// The server side over Pistache and the client side over libcurl. Both take and
+// give whole messages.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pepperlug/Support.h"
+
+namespace pepperlug
+{
+
+struct HttpRequest {
+    std::string method;
+    std::string resource; ///< path and query as sent
+    std::vector<HeaderField> headers;
+    std::string body;
+    std::string peerIp;
+
+    /// First value of a header, names compared without case; nothing if it is absent.
+    std::optional<std::string> header(std::string_view name) const;
+    /// Path without the query.
+    std::string path() const;
+    /// Decoded value of a query parameter; nothing if it is absent.
+    std::optional<std::string> query(std::string_view name) const;
+};
+
+/// Removes what concerns one connection only (RFC 9110, 7.6.1), and what the encoder sets itself.
+std::vector<HeaderField> endToEndHeaders(const std::vector<HeaderField> &headers);
+bool sameName(std::string_view lhs, std::string_view rhs);
+
+struct HttpLimits {
+    std::size_t headBytes = 16 * 1024;
+    std::size_t bodyBytes = 1024 * 1024;
+    std::size_t pipelined = 16; ///< requests of one connection that may be in progress
+    Duration headTimeout = std::chrono::seconds(10); ///< for a request to arrive whole
+    Duration idleTimeout = std::chrono::seconds(300); ///< between requests
+};
+
+/// A request from a caller, until it is answered. Functions may be called from any thread.
+class HttpExchange
+{
+public:
+    virtual ~HttpExchange() = default;
+    virtual const HttpRequest &request() const = 0;
+    /// Sends the answer, after those of earlier requests of the same connection. The second one is dropped, and so is
+    /// one whose caller has left.
+    virtual void respond(const Answer &answer) = 0;
+    /// Called at most once, if the caller leaves before the answer was sent.
+    virtual void onDeparture(std::function<void()> handler) = 0;
+};
+using HttpExchangePtr = std::shared_ptr<HttpExchange>;
+using HttpHandler = std::function<void(HttpExchangePtr)>;
+
+/// Listens and hands whole, checked requests to a handler, which is called on a worker thread and must not wait.
+class HttpServer
+{
+public:
+    /// Port 0 lets the kernel choose. Throws Error with step "listen".
+    HttpServer(const Address &address, unsigned threads, HttpLimits limits, const Clock &clock, HttpHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    Address address() const;
+    /// Closes connections that have been too slow or idle for too long; to be called about once a second.
+    void sweep();
+    void stop();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// A request to a target.
+struct HttpCall {
+    Address to;
+    std::string method;
+    std::string resource;
+    std::vector<HeaderField> headers;
+    std::shared_ptr<const std::string> body; ///< null for none
+    Duration timeout{};
+    std::string fromIp; ///< local address to call from; empty for any
+    bool mayRepeat = false; ///< the library may send it again where a kept connection turns out to be closed
+};
+
+struct HttpResult {
+    enum class Kind {
+        Answered, ///< a whole answer
+        NotSent, ///< no byte of the request left this host
+        Broken, ///< lost after it may have been sent
+        TooLarge, ///< the answer is longer than the client takes
+    };
+    Kind kind = Kind::NotSent;
+    Answer answer;
+    std::string reason;
+};
+using HttpResultHandler = std::function<void(HttpResult)>;
+
+enum class HttpCallId : std::uint64_t {};
+
+/// Calls over kept connections, run by one thread. Handlers run on that thread and must not wait.
+class HttpClient
+{
+public:
+    explicit HttpClient(std::size_t maxAnswerBytes);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /// The handler is called exactly once, unless the call is cancelled or the client stopped first.
+    HttpCallId start(HttpCall call, HttpResultHandler handler);
+    /// Ends a call and its connection.
+    void cancel(HttpCallId id);
+    void stop();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// An answer with a JSON body.
+Answer jsonAnswer(unsigned status, const nlohmann::json &body);
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Consensus/Consensus.cpp
@@ -0,0 +1,260 @@
+//===- Consensus.cpp - State, ticks and commands of the control log -------===//
+//
+// The protocol is a leader-based replicated log with one vote per member and term. Its parts are the project's own
+// work. Elections and replication have files of their own.
+//
+//===----------------------------------------------------------------------===//
+#include "pepperlug/Consensus.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pepperlug
+{
+
+const char *nameOf(ControlRole role)
+{
+    switch (role) {
+    case ControlRole::Follower:
+        return "follower";
+    case ControlRole::PreCandidate:
+        return "pre-candidate";
+    case ControlRole::Candidate:
+        return "candidate";
+    case ControlRole::Leader:
+        return "leader";
+    }
+    return "follower";
+}
+
+Consensus::Consensus(ConsensusSettings settings, RecoveredLog recovered, TimePoint now)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed)
+    , m_now(now)
+    , m_hard(std::move(recovered.hardState))
+    , m_snapshot(std::move(recovered.snapshot))
+    , m_entries(std::move(recovered.entries))
+    , m_commit(m_snapshot.index)
+    // A restarted member forgets whom it heard last, so it must not vote before that leader's lease has run out.
+    , m_leaderHeard(now)
+{
+    reloadMembers();
+    resetElectionTimer();
+}
+
+void Consensus::reduce(const ControlEvent &event, TimePoint now, ControlEffects &out)
+{
+    m_now = std::max(m_now, now);
+    m_out = &out;
+    std::visit([this](const auto &it) { on(it); }, event);
+    m_out = nullptr;
+}
+
+void Consensus::on(const ControlTick &)
+{
+    if (m_role == ControlRole::Leader) {
+        if (m_now >= m_nextHeartbeat) {
+            replicateAll();
+        }
+        return;
+    }
+    if (m_now >= m_electionDue && isVoter()) {
+        startPreVote();
+    }
+}
+
+void Consensus::on(const MessageReceived &event)
+{
+    std::visit([this](const auto &it) { on(it); }, event.message);
+}
+
+void Consensus::on(const CommandProposed &event)
+{
+    if (m_role != ControlRole::Leader) {
+        m_out->emplace_back(CommandRejected{event.token, m_leader});
+        return;
+    }
+    append(EntryKind::Command, event.command);
+    m_out->emplace_back(CommandPlaced{event.token, lastIndex(), m_hard.term});
+    replicateAll();
+    advanceCommit();
+}
+
+void Consensus::on(const SnapshotTaken &event)
+{
+    if (event.index <= m_snapshot.index || event.index > m_commit) {
+        return;
+    }
+    LogSnapshot snapshot;
+    snapshot.index = event.index;
+    snapshot.term = termAt(event.index);
+    snapshot.data = event.data;
+    // Members as of the snapshot: the newest list at or before its index.
+    snapshot.members = m_snapshot.members.empty() ? m_settings.members : m_snapshot.members;
+    for (const LogEntry &entry : m_entries) {
+        if (entry.index <= event.index && entry.kind == EntryKind::Members) {
+            snapshot.members = decode<std::vector<ControlMember>>(entry.data, m_settings.name);
+        }
+    }
+    const auto kept = static_cast<std::ptrdiff_t>(event.index - m_snapshot.index);
+    m_entries.erase(m_entries.begin(), m_entries.begin() + kept);
+    m_snapshot = std::move(snapshot);
+    m_out->emplace_back(PersistSnapshot{m_snapshot, m_hard, m_entries, false});
+}
+
+ControlRole Consensus::role() const
+{
+    return m_role;
+}
+
+std::uint64_t Consensus::term() const
+{
+    return m_hard.term;
+}
+
+std::uint64_t Consensus::commitIndex() const
+{
+    return m_commit;
+}
+
+std::uint64_t Consensus::lastIndex() const
+{
+    return m_snapshot.index + m_entries.size();
+}
+
+std::uint64_t Consensus::firstIndex() const
+{
+    return m_snapshot.index + 1;
+}
+
+const std::string &Consensus::leader() const
+{
+    return m_leader;
+}
+
+const std::vector<ControlMember> &Consensus::members() const
+{
+    return m_members;
+}
+
+bool Consensus::isVoter() const
+{
+    return countsAsVoter(m_settings.name, m_settings.diskId);
+}
+
+std::optional<LogEntry> Consensus::entryAt(std::uint64_t index) const
+{
+    if (index <= m_snapshot.index || index > lastIndex()) {
+        return std::nullopt;
+    }
+    return at(index);
+}
+
+const LogEntry &Consensus::at(std::uint64_t index) const
+{
+    assert(index > m_snapshot.index && index <= lastIndex() && "an entry outside the log is read");
+    return m_entries[index - m_snapshot.index - 1];
+}
+
+std::uint64_t Consensus::termAt(std::uint64_t index) const
+{
+    if (index == 0) {
+        return 0;
+    }
+    if (index == m_snapshot.index) {
+        return m_snapshot.term;
+    }
+    return at(index).term;
+}
+
+// Half an election timeout less the drift: no other leader can have been elected before that, since members that heard
+// this one lately refuse to vote.
+Duration Consensus::leaseTime() const
+{
+    return std::chrono::duration_cast<Duration>(m_settings.electionTimeout * (1 - m_settings.driftAllowance));
+}
+
+bool Consensus::isCurrent(TimePoint now) const
+{
+    if (m_role == ControlRole::Leader) {
+        return now < m_leaseUntil;
+    }
+    return m_everHeardLeader && now < m_leaderHeard + leaseTime();
+}
+
+const ControlMember *Consensus::findMember(const std::string &name) const
+{
+    const auto it = std::find_if(m_members.begin(), m_members.end(),
+                                 [&](const ControlMember &member) { return member.name == name; });
+    return it == m_members.end() ? nullptr : &*it;
+}
+
+bool Consensus::countsAsVoter(const std::string &name, const std::string &diskId) const
+{
+    const ControlMember *member = findMember(name);
+    return member != nullptr && member->voter && member->diskId == diskId;
+}
+
+bool Consensus::hasMajority(const std::set<std::string> &names) const
+{
+    std::size_t voters = 0;
+    std::size_t present = 0;
+    for (const ControlMember &member : m_members) {
+        voters += member.voter ? 1 : 0;
+        present += member.voter && names.contains(member.name) ? 1 : 0;
+    }
+    return present * 2 > voters;
+}
+
+ControlSender Consensus::sender() const
+{
+    return {m_settings.name, m_settings.diskId, m_hard.term};
+}
+
+void Consensus::send(const std::string &to, ControlMessage message)
+{
+    m_out->emplace_back(SendMessage{to, std::move(message)});
+}
+
+void Consensus::persistHardState()
+{
+    m_out->emplace_back(PersistLog{m_hard, std::nullopt, {}});
+}
+
+void Consensus::persistEntries(std::optional<std::uint64_t> truncateFrom, std::vector<LogEntry> entries)
+{
+    m_out->emplace_back(PersistLog{std::nullopt, truncateFrom, std::move(entries)});
+}
+
+void Consensus::append(EntryKind kind, std::string data)
+{
+    LogEntry entry{m_hard.term, lastIndex() + 1, kind, std::move(data)};
+    persistEntries(std::nullopt, {entry});
+    useMembersOf(entry);
+    m_entries.push_back(std::move(entry));
+}
+
+void Consensus::useMembersOf(const LogEntry &entry)
+{
+    if (entry.kind == EntryKind::Members) {
+        m_members = decode<std::vector<ControlMember>>(entry.data, m_settings.name);
+    }
+}
+
+void Consensus::reloadMembers()
+{
+    m_members = m_snapshot.members.empty() ? m_settings.members : m_snapshot.members;
+    for (const LogEntry &entry : m_entries) {
+        useMembersOf(entry);
+    }
+}
+
+void Consensus::commitTo(std::uint64_t index)
+{
+    while (m_commit < std::min(index, lastIndex())) {
+        ++m_commit;
+        m_out->emplace_back(ApplyEntry{at(m_commit)});
+    }
+}
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Consensus/Replication.cpp
@@ -0,0 +1,249 @@
+//===- Replication.cpp - Append, commit, snapshots and new members --------===//
+//
+// The leader keeps a lease: it is current only while a majority has acknowledged a heartbeat round that was sent less
+// than the lease time ago. Acknowledgements of members that do not vote count for nothing but their own catching up.
+//
+//===----------------------------------------------------------------------===//
+#include "pepperlug/Consensus.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pepperlug
+{
+
+namespace
+{
+
+constexpr std::size_t MaxEntriesInMessage = 64;
+constexpr std::size_t MaxBytesInMessage = 4 * 1024 * 1024;
+constexpr std::size_t MaxRoundsKept = 256;
+constexpr auto SnapshotResend = std::chrono::seconds(2);
+
+} // namespace
+
+void Consensus::replicateAll()
+{
+    m_nextHeartbeat = m_now + m_settings.heartbeat;
+    m_rounds.emplace_back(++m_round, m_now);
+    if (m_rounds.size() > MaxRoundsKept) {
+        m_rounds.pop_front();
+    }
+    if (hasMajority({m_settings.name})) {
+        m_leaseUntil = m_now + leaseTime();
+    }
+    for (const ControlMember &member : m_members) {
+        if (member.name != m_settings.name) {
+            replicate(member.name);
+        }
+    }
+}
+
+void Consensus::replicate(const std::string &to)
+{
+    Progress &progress = m_progress[to];
+    progress.nextIndex = std::clamp<std::uint64_t>(progress.nextIndex, 1, lastIndex() + 1);
+    if (progress.nextIndex <= m_snapshot.index) {
+        // The snapshot may be large; it is not sent again with each heartbeat. An empty append keeps the lease.
+        if (m_now < progress.snapshotSentAt + SnapshotResend && progress.snapshotSentAt != TimePoint{}) {
+            send(to, AppendRequest{sender(), m_round, lastIndex(), termAt(lastIndex()), m_commit, {}});
+            return;
+        }
+        progress.snapshotSentAt = m_now;
+        send(to, SnapshotRequest{sender(), m_round, m_snapshot});
+        return;
+    }
+    AppendRequest request{sender(), m_round, progress.nextIndex - 1, termAt(progress.nextIndex - 1), m_commit, {}};
+    std::size_t bytes = 0;
+    for (std::uint64_t n = progress.nextIndex; n <= lastIndex(); ++n) {
+        if (request.entries.size() >= MaxEntriesInMessage || bytes > MaxBytesInMessage) {
+            break;
+        }
+        request.entries.push_back(at(n));
+        bytes += at(n).data.size();
+    }
+    // Taken as received until a reply says otherwise, so that a burst of commands is sent once.
+    progress.nextIndex += request.entries.size();
+    send(to, std::move(request));
+}
+
+void Consensus::on(const AppendRequest &message)
+{
+    const ControlSender &from = message.sender;
+    AppendReply reply{sender(), message.round, false, 0};
+    if (from.term < m_hard.term) {
+        send(from.name, reply);
+        return;
+    }
+    becomeFollower(from.term, from.name);
+    m_leaderHeard = m_now;
+    m_everHeardLeader = true;
+    resetElectionTimer();
+    reply.sender = sender();
+
+    if (message.previousIndex > lastIndex()) {
+        reply.matchIndex = lastIndex();
+        send(from.name, reply);
+        return;
+    }
+    if (message.previousIndex > m_snapshot.index && termAt(message.previousIndex) != message.previousTerm) {
+        // Step back over the whole term that does not match, not entry by entry.
+        const std::uint64_t wrongTerm = termAt(message.previousIndex);
+        std::uint64_t index = message.previousIndex;
+        while (index > m_snapshot.index && termAt(index) == wrongTerm) {
+            --index;
+        }
+        reply.matchIndex = std::max(index, m_commit);
+        send(from.name, reply);
+        return;
+    }
+    std::optional<std::uint64_t> truncateFrom;
+    std::vector<LogEntry> fresh;
+    for (const LogEntry &entry : message.entries) {
+        if (entry.index <= m_snapshot.index) {
+            continue;
+        }
+        if (entry.index <= lastIndex() && !truncateFrom && termAt(entry.index) == entry.term) {
+            continue;
+        }
+        if (entry.index <= lastIndex() && !truncateFrom) {
+            assert(entry.index > m_commit && "a committed entry would be overwritten");
+            truncateFrom = entry.index;
+            m_entries.resize(entry.index - m_snapshot.index - 1);
+        }
+        m_entries.push_back(entry);
+        fresh.push_back(entry);
+    }
+    if (truncateFrom) {
+        reloadMembers();
+    }
+    if (!fresh.empty()) {
+        for (const LogEntry &entry : fresh) {
+            useMembersOf(entry);
+        }
+        persistEntries(truncateFrom, std::move(fresh));
+    }
+    const std::uint64_t match = message.previousIndex + message.entries.size();
+    commitTo(std::min(message.commit, match));
+    reply.success = true;
+    reply.matchIndex = match;
+    send(from.name, reply);
+}
+
+void Consensus::on(const SnapshotRequest &message)
+{
+    const ControlSender &from = message.sender;
+    if (from.term < m_hard.term) {
+        send(from.name, AppendReply{sender(), message.round, false, 0});
+        return;
+    }
+    becomeFollower(from.term, from.name);
+    m_leaderHeard = m_now;
+    m_everHeardLeader = true;
+    resetElectionTimer();
+    if (message.snapshot.index > m_commit) {
+        const bool keepsTail = message.snapshot.index < lastIndex() && message.snapshot.index >= m_snapshot.index
+            && termAt(message.snapshot.index) == message.snapshot.term;
+        if (keepsTail) {
+            const auto covered = static_cast<std::ptrdiff_t>(message.snapshot.index - m_snapshot.index);
+            m_entries.erase(m_entries.begin(), m_entries.begin() + covered);
+        } else {
+            m_entries.clear();
+        }
+        m_snapshot = message.snapshot;
+        m_commit = m_snapshot.index;
+        reloadMembers();
+        m_out->emplace_back(PersistSnapshot{m_snapshot, m_hard, m_entries, true});
+    }
+    send(from.name, AppendReply{sender(), message.round, true, std::max(message.snapshot.index, m_commit)});
+}
+
+void Consensus::on(const AppendReply &message)
+{
+    const ControlSender &from = message.sender;
+    if (from.term > m_hard.term) {
+        becomeFollower(from.term, {});
+        return;
+    }
+    if (m_role != ControlRole::Leader || from.term < m_hard.term || findMember(from.name) == nullptr) {
+        return;
+    }
+    Progress &progress = m_progress[from.name];
+    if (progress.diskId != from.diskId) {
+        progress = Progress{};
+        progress.diskId = from.diskId;
+        progress.nextIndex = lastIndex() + 1;
+    }
+    progress.ackedRound = std::max(progress.ackedRound, message.round);
+    if (!message.success) {
+        const std::uint64_t before = progress.nextIndex;
+        progress.nextIndex = std::min(before, std::max(message.matchIndex, progress.matchIndex) + 1);
+        if (progress.nextIndex < before) {
+            replicate(from.name);
+        }
+        return;
+    }
+    progress.matchIndex = std::max(progress.matchIndex, message.matchIndex);
+    progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
+    advanceCommit();
+    promoteLearner(from.name);
+    if (progress.nextIndex <= lastIndex()) {
+        replicate(from.name);
+    }
+}
+
+void Consensus::advanceCommit()
+{
+    // The lease: the newest round that a majority has acknowledged counts from when it was sent.
+    for (auto it = m_rounds.rbegin(); it != m_rounds.rend(); ++it) {
+        std::set<std::string> acked{m_settings.name};
+        for (const auto &[name, progress] : m_progress) {
+            if (progress.ackedRound >= it->first && countsAsVoter(name, progress.diskId)) {
+                acked.insert(name);
+            }
+        }
+        if (hasMajority(acked)) {
+            m_leaseUntil = std::max(m_leaseUntil, it->second + leaseTime());
+            break;
+        }
+    }
+    for (std::uint64_t index = lastIndex(); index > m_commit && termAt(index) == m_hard.term; --index) {
+        std::set<std::string> stored{m_settings.name};
+        for (const auto &[name, progress] : m_progress) {
+            if (progress.matchIndex >= index && countsAsVoter(name, progress.diskId)) {
+                stored.insert(name);
+            }
+        }
+        if (hasMajority(stored)) {
+            commitTo(index);
+            break;
+        }
+    }
+}
+
+// A member that answers under another disk id than the log knows has lost its disk. Once it has caught up it becomes a
+// voter again in two changes, each of which overlaps with the one before: first its old vote is taken away, then the
+// new one is given.
+void Consensus::promoteLearner(const std::string &name)
+{
+    const ControlMember *member = findMember(name);
+    const Progress &progress = m_progress[name];
+    const bool isVoterAlready = member->voter && member->diskId == progress.diskId;
+    if (isVoterAlready || progress.matchIndex < m_commit || m_commit < lastIndex()) {
+        return; // the last change of members, like all else, must be committed first
+    }
+    std::vector<ControlMember> members = m_members;
+    for (ControlMember &it : members) {
+        if (it.name != name) {
+            continue;
+        }
+        const bool loseVote = it.voter;
+        it.voter = !loseVote;
+        it.diskId = progress.diskId;
+    }
+    append(EntryKind::Members, encode(members));
+    replicateAll();
+    advanceCommit();
+}
+
+} // namespace pepperlug
--- /dev/null
+++ b/lib/Http/HttpClient.cpp
@@ -0,0 +1,367 @@
+//===- HttpClient.cpp - Requests to targets over libcurl ------------------===//
+//
+// One thread runs a libcurl multi handle, which keeps connections. Two things matter for promises. First, the library
+// sends a request again by itself when a kept connection turns out to be closed; whether the other side had run it by
+// then can't be known. A callback that it makes before each sending counts, and stops the second one unless the call
+// may be repeated. Second, the same count tells for certain whether any byte may have left.
+//
+//===----------------------------------------------------------------------===//
+#include "pepperlug/Http.h"
+
+#include <curl/curl.h>
+
+#include <charconv>
+#include <unordered_map>
+
+namespace pepperlug
+{
+
+namespace
+{
+
+constexpr long ConnectTimeoutMs = 1000;
+constexpr long KeptConnectionSeconds = 2; ///< a kept connection that was idle for longer is not used again
+constexpr int PollMs = 1000;
+constexpr long MaxKeptConnections = 512;
+
+// libcurl's handle types are all void, so each needs a deleter of its own name.
+struct EasyDeleter {
+    void operator()(CURL *handle) const
+    {
+        curl_easy_cleanup(handle);
+    }
+};
+
+struct ListDeleter {
+    void operator()(curl_slist *list) const
+    {
+        curl_slist_free_all(list);
+    }
+};
+
+struct MultiDeleter {
+    void operator()(CURLM *multi) const
+    {
+        curl_multi_cleanup(multi);
+    }
+};
+
+using EasyHandle = std::unique_ptr<CURL, EasyDeleter>;
+using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+using MultiHandle = std::unique_ptr<CURLM, MultiDeleter>;
+
+/// One call on its way.
+struct Transfer {
+    HttpCall call;
+    HttpResultHandler handler;
+    std::size_t maxAnswerBytes = 0;
+    EasyHandle easy;
+    HeaderList headers;
+    Answer answer;
+    unsigned sendings = 0;
+    bool isTooLarge = false;
+};
+
+std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    const std::size_t bytes = size * count;
+    if (transfer->answer.body.size() + bytes > transfer->maxAnswerBytes) {
+        transfer->isTooLarge = true;
+        return 0;
+    }
+    transfer->answer.body.append(data, bytes);
+    return bytes;
+}
+
+std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    const std::size_t bytes = size * count;
+    std::string_view line(data, bytes);
+    line = line.substr(0, line.find_last_not_of("\r\n") + 1);
+    if (line.starts_with("HTTP/")) {
+        transfer->answer.headers.clear(); // a head after an interim one
+        return bytes;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        std::string_view value = line.substr(colon + 1);
+        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+        transfer->answer.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    }
+    return bytes;
+}
+
+int onBeforeSending(void *self, char *, char *, int, int)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    ++transfer->sendings;
+    const bool isAgain = transfer->sendings > 1;
+    return isAgain && !transfer->call.mayRepeat ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+void addHeader(HeaderList &list, const std::string &line)
+{
+    curl_slist *head = curl_slist_append(list.get(), line.c_str());
+    list.release();
+    list.reset(head);
+}
+
+void setUpMethod(CURL *easy, const HttpCall &call)
+{
+    const bool hasBody = call.body != nullptr && !call.body->empty();
+    if (call.method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (hasBody || call.method == "POST" || call.method == "PUT" || call.method == "PATCH") {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(hasBody ? call.body->size() : 0));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, hasBody ? call.body->data() : "");
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+}
+
+void setUp(Transfer &transfer)
+{
+    const HttpCall &call = transfer.call;
+    CURL *easy = transfer.easy.get();
+    const std::string url = "http://" + call.to.text() + call.resource;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, KeptConnectionSeconds);
+    const auto timeout = std::chrono::duration_cast<Milliseconds>(call.timeout).count();
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(timeout)));
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeaderLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeSending);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    if (!call.fromIp.empty()) {
+        curl_easy_setopt(easy, CURLOPT_INTERFACE, call.fromIp.c_str());
+    }
+    setUpMethod(easy, call);
+    bool hasType = false;
+    for (const HeaderField &field : call.headers) {
+        hasType |= sameName(field.name, "content-type");
+        addHeader(transfer.headers, field.value.empty() ? field.name + ";" : field.name + ": " + field.value);
+    }
+    // The library's own additions are not the caller's words.
+    for (const char *unwanted : {"Expect:", "Accept:", "User-Agent:"}) {
+        const std::string name(unwanted, std::string_view(unwanted).size() - 1);
+        const bool given = std::any_of(call.headers.begin(), call.headers.end(),
+                                       [&](const HeaderField &field) { return sameName(field.name, name); });
+        if (!given) {
+            addHeader(transfer.headers, unwanted);
+        }
+    }
+    if (!hasType) {
+        addHeader(transfer.headers, "Content-Type:");
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers.get());
+}
+
+HttpResult resultOf(Transfer &transfer, CURLcode code)
+{
+    HttpResult result;
+    if (code == CURLE_OK) {
+        long status = 0;
+        curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+        result.kind = HttpResult::Kind::Answered;
+        result.answer = std::move(transfer.answer);
+        result.answer.status = static_cast<unsigned>(status);
+        return result;
+    }
+    result.reason = curl_easy_strerror(code);
+    if (transfer.isTooLarge) {
+        result.kind = HttpResult::Kind::TooLarge;
+    } else {
+        result.kind = transfer.sendings == 0 ? HttpResult::Kind::NotSent : HttpResult::Kind::Broken;
+    }
+    return result;
+}
+
+} // namespace
+
+class HttpClient::Impl
+{
+public:
+    explicit Impl(std::size_t maxAnswerBytes)
+        : m_maxAnswerBytes(maxAnswerBytes)
+    {
+        static const CURLcode started = curl_global_init(CURL_GLOBAL_DEFAULT);
+        if (started != CURLE_OK) {
+            throw Error("start libcurl", "", curl_easy_strerror(started));
+        }
+        m_multi.reset(curl_multi_init());
+        curl_multi_setopt(m_multi.get(), CURLMOPT_MAXCONNECTS, MaxKeptConnections);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~Impl()
+    {
+        stop();
+    }
+
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
+    HttpCallId start(HttpCall call, HttpResultHandler handler)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->call = std::move(call);
+        transfer->handler = std::move(handler);
+        transfer->maxAnswerBytes = m_maxAnswerBytes;
+        HttpCallId id{};
+        {
+            const std::lock_guard lock(m_mutex);
+            id = static_cast<HttpCallId>(++m_lastId);
+            m_orders.push_back({id, std::move(transfer)});
+        }
+        curl_multi_wakeup(m_multi.get());
+        return id;
+    }
+
+    void cancel(HttpCallId id)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_orders.push_back({id, nullptr});
+        }
+        curl_multi_wakeup(m_multi.get());
+    }
+
+    void stop()
+    {
+        if (!m_thread.joinable()) {
+            return;
+        }
+        {
+            const std::lock_guard lock(m_mutex);
+            m_stop = true;
+        }
+        curl_multi_wakeup(m_multi.get());
+        m_thread.join();
+    }
+
+private:
+    /// A call to start, or with no transfer, one to cancel.
+    struct Order {
+        HttpCallId id{};
+        std::unique_ptr<Transfer> transfer;
+    };
+
+    void run()
+    {
+        for (;;) {
+            std::vector<Order> orders;
+            {
+                const std::lock_guard lock(m_mutex);
+                if (m_stop) {
+                    break;
+                }
+                orders.swap(m_orders);
+            }
+            for (Order &order : orders) {
+                carryOut(order);
+            }
+            int running = 0;
+            curl_multi_perform(m_multi.get(), &running);
+            collect();
+            curl_multi_poll(m_multi.get(), nullptr, 0, PollMs, nullptr);
+        }
+        for (auto &[id, transfer] : m_transfers) {
+            curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
+        }
+        m_transfers.clear();
+    }
+
+    void carryOut(Order &order)
+    {
+        if (!order.transfer) {
+            const auto it = m_transfers.find(order.id);
+            if (it != m_transfers.end()) {
+                curl_multi_remove_handle(m_multi.get(), it->second->easy.get());
+                m_transfers.erase(it);
+            }
+            return;
+        }
+        Transfer &transfer = *order.transfer;
+        if (m_spare.empty()) {
+            transfer.easy.reset(curl_easy_init());
+        } else {
+            transfer.easy = std::move(m_spare.back());
+            m_spare.pop_back();
+        }
+        setUp(transfer);
+        curl_easy_setopt(transfer.easy.get(), CURLOPT_PRIVATE,
+                         reinterpret_cast<char *>(static_cast<std::uintptr_t>(order.id)));
+        curl_multi_add_handle(m_multi.get(), transfer.easy.get());
+        m_transfers.emplace(order.id, std::move(order.transfer));
+    }
+
+    void collect()
+    {
+        constexpr std::size_t MaxSpare = 256;
+        int left = 0;
+        while (const CURLMsg *message = curl_multi_info_read(m_multi.get(), &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            const CURLcode code = message->data.result;
+            char *tag = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &tag);
+            const auto it = m_transfers.find(static_cast<HttpCallId>(reinterpret_cast<std::uintptr_t>(tag)));
+            const std::unique_ptr<Transfer> transfer = std::move(it->second);
+            m_transfers.erase(it);
+            curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
+            HttpResult result = resultOf(*transfer, code);
+            if (m_spare.size() < MaxSpare) {
+                curl_easy_reset(transfer->easy.get());
+                m_spare.push_back(std::move(transfer->easy));
+            }
+            transfer->handler(std::move(result));
+        }
+    }
+
+    std::size_t m_maxAnswerBytes;
+    MultiHandle m_multi;
+    std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> m_transfers;
+    std::vector<EasyHandle> m_spare;
+    std::mutex m_mutex;
+    std::vector<Order> m_orders;
+    std::uint64_t m_lastId = 0;
+    bool m_stop = false;
+    std::thread m_thread;
+};
+
+HttpClient::HttpClient(std::size_t maxAnswerBytes)
+    : m_impl(std::make_unique<Impl>(maxAnswerBytes))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpCallId HttpClient::start(HttpCall call, HttpResultHandler handler)
+{
+    return m_impl->start(std::move(call), std::move(handler));
+}
+
+void HttpClient::cancel(HttpCallId id)
+{
+    m_impl->cancel(id);
+}
+
+void HttpClient::stop()
+{
+    m_impl->stop();
+}
+
+} // namespace pepperlug
--- a/lib/Steer/LeaseHolder.cpp
+++ b/lib/Steer/LeaseHolder.cpp
@@ -193,6 +193,13 @@
     }
 }
 
+void LeaseHolder::askSoon()
+{
+    for (auto &[id, it] : m_peers) {
+        it.nextAsk = {};
+    }
+}
+
 bool LeaseHolder::granted(HostId issuer, const LeaseGrant &grant, TimePoint now)
 {
     Peer &it = peer(issuer);
--- a/lib/Steer/LeaseHolder.h
+++ b/lib/Steer/LeaseHolder.h
@@ -26,6 +26,8 @@
     /// Asks each issuer whose turn has come. `overflow` is, by service, the demand that the own slice can't hold.
     void poll(const std::vector<unsigned> &overflow, std::uint64_t configIndex, bool isLeaving, TimePoint now,
               Effects &out);
+    /// Makes it every issuer's turn at the next poll().
+    void askSoon();
     /// Takes a grant; an answer to any but the last request is dropped. Returns whether it was taken.
     bool granted(HostId issuer, const LeaseGrant &grant, TimePoint now);
     void failed(HostId issuer, std::uint64_t sequence);
--- a/lib/Steer/Steering.cpp
+++ b/lib/Steer/Steering.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr double HomeMargin = 1.1; ///< kept for own callers beyond the estimate
+constexpr auto StopGrace = Milliseconds(500); ///< for look-up answers on their way
 constexpr auto LedgerSweepInterval = std::chrono::seconds(1);
 
 } // namespace
@@ -107,6 +108,7 @@
         return;
     }
     m_stopAskedAt = m_now;
+    m_holder.askSoon();
     tell("stop asked", m_settings.hostName);
 }
 
@@ -181,14 +183,16 @@
     }
 }
 
-// Callers may keep a look-up answer that names this host until its time is over; they are served until then.
+// Callers may keep a look-up answer that names this host until its time is over. Other hosts hand such answers out
+// until they hear that this one is leaving, which takes an exchange; and an answer takes a while to reach its caller.
 void Steering::Impl::checkStop()
 {
     if (!m_stopAskedAt || m_stopTold || !m_requests.empty()) {
         return;
     }
     const Duration ttl = m_bundle ? Duration(m_bundle->policy.lookupTtl) : Duration{};
-    if (m_now < *m_stopAskedAt + ttl) {
+    const Duration spread = m_self ? m_holder.exchangeInterval() + StopGrace : Duration{};
+    if (m_now < *m_stopAskedAt + ttl + spread) {
         return;
     }
     m_stopTold = true;
