Hand out the home token of the host that the caller is sent to

Cause: a host that was leaving answered look-ups with the id of its own ledger, which was gone two seconds later; callers then got 'unknown' for operations that they resent. Ruled out: a stop that ended too early (it waited out the look-up time). Change: hosts tell each other their ledger ids with each lease exchange, and a look-up names the ledger of its first host.

--- a/include/pepperlug/Steer.h
+++ b/include/pepperlug/Steer.h
@@ -79,8 +79,10 @@
     std::uint64_t incarnation = 0; ///< drawn anew at each start of the holder
     std::uint64_t configIndex = 0; ///< what the holder has in force
     bool leaving = false;
+    std::string ledgerId; ///< of the holder, for home tokens
+    std::chrono::seconds ledgerAge{};
     std::vector<ServiceWant> wants;
-    MSGPACK_DEFINE(sequence, incarnation, configIndex, leaving, wants);
+    MSGPACK_DEFINE(sequence, incarnation, configIndex, leaving, ledgerId, ledgerAge, wants);
     bool operator==(const LeaseRequest &) const = default;
 };
 
@@ -97,8 +99,10 @@
     std::uint64_t configIndex = 0; ///< what the issuer has in force
     std::chrono::microseconds duration{}; ///< counted by the holder from when it sent the request
     bool leaving = false;
+    std::string ledgerId; ///< of the issuer, for home tokens
+    std::chrono::seconds ledgerAge{};
     std::vector<ServiceGrant> grants;
-    MSGPACK_DEFINE(sequence, configIndex, duration, leaving, grants);
+    MSGPACK_DEFINE(sequence, configIndex, duration, leaving, ledgerId, ledgerAge, grants);
     bool operator==(const LeaseGrant &) const = default;
 };
 
@@ -210,7 +214,7 @@
     RequestId id{};
     std::vector<HostId> hosts; ///< in the order in which the caller should try them
     Milliseconds ttl{};
-    HomeToken home;
+    std::optional<HomeToken> home; ///< of the first host, if its ledger is known here
     std::uint64_t bundleVersion = 0;
 };
 
--- a/lib/Steer/Impl.h
+++ b/lib/Steer/Impl.h
@@ -127,9 +127,11 @@
     std::vector<HostId> rankHosts(const LookupArrived &event);
     bool spendLookup(const LookupArrived &event, HostId host);
     bool serves(ZoneId zone, ServiceId service) const;
+    std::optional<HomeToken> homeTokenOf(HostId host) const;
 
     // Steering.cpp
     void pollLeases();
+    OwnState ownState() const;
     unsigned homeNeed(ServiceId service) const;
     unsigned localCapacity(ServiceId service) const;
     std::vector<unsigned> capacities() const;
--- a/lib/Steer/LeaseHolder.cpp
+++ b/lib/Steer/LeaseHolder.cpp
@@ -147,26 +147,27 @@
     return wants;
 }
 
-LeaseRequest LeaseHolder::makeRequest(Peer &peer, std::uint64_t configIndex, bool isLeaving, TimePoint now)
+LeaseRequest LeaseHolder::makeRequest(Peer &peer, const OwnState &own, TimePoint now)
 {
     LeaseRequest request;
     request.sequence = ++peer.sequence;
     request.incarnation = m_incarnation;
-    request.configIndex = configIndex;
-    request.leaving = isLeaving;
+    request.configIndex = own.configIndex;
+    request.leaving = own.isLeaving;
+    request.ledgerId = own.ledgerId;
+    request.ledgerAge = own.ledgerAge;
     for (std::size_t n = 0; n < peer.services.size(); ++n) {
         Held &held = peer.services[n];
-        const unsigned want = isLeaving ? 0 : held.want;
+        const unsigned want = own.isLeaving ? 0 : held.want;
         const unsigned limit = now < held.validUntil ? std::min(held.amount, held.kept) : 0;
         // What runs now can't be given back, and a request may outlive its lease.
-        held.kept = std::max(inUse(held), std::min(limit, want + (isLeaving ? 0 : KeepSlack)));
+        held.kept = std::max(inUse(held), std::min(limit, want + (own.isLeaving ? 0 : KeepSlack)));
         request.wants.push_back({static_cast<std::uint32_t>(n), held.kept, want});
     }
     return request;
 }
 
-void LeaseHolder::poll(const std::vector<unsigned> &overflow, std::uint64_t configIndex, bool isLeaving, TimePoint now,
-                       Effects &out)
+void LeaseHolder::poll(const std::vector<unsigned> &overflow, const OwnState &own, TimePoint now, Effects &out)
 {
     const bool anyDue = std::any_of(m_issuers.begin(), m_issuers.end(), [&](HostId host) {
         const Peer *it = find(host);
@@ -189,7 +190,7 @@
         it.isAsking = true;
         it.askedAt = now;
         it.nextAsk = now + exchangeInterval();
-        out.emplace_back(AskLease{host, makeRequest(it, configIndex, isLeaving, now), exchangeInterval() * 2});
+        out.emplace_back(AskLease{host, makeRequest(it, own, now), exchangeInterval() * 2});
     }
 }
 
@@ -207,7 +208,7 @@
         return false;
     }
     it.isAsking = false;
-    heard(issuer, grant.configIndex, grant.leaving, now);
+    heard(issuer, {grant.configIndex, grant.leaving, grant.ledgerId, grant.ledgerAge}, now);
     const auto valid = std::chrono::duration_cast<Duration>(grant.duration * (1 - m_drift));
     for (const ServiceGrant &service : grant.grants) {
         if (service.service >= it.services.size()) {
@@ -230,18 +231,19 @@
     }
 }
 
-void LeaseHolder::heard(HostId host, std::uint64_t configIndex, bool isLeaving, TimePoint now)
+void LeaseHolder::heard(HostId host, const OwnState &said, TimePoint now)
 {
     Peer &it = peer(host);
+    const std::uint64_t index = std::max(it.said.configIndex, said.configIndex);
     it.lastHeard = now;
-    it.configIndex = std::max(it.configIndex, configIndex);
-    it.isLeaving = isLeaving;
+    it.said = said;
+    it.said.configIndex = index;
 }
 
 bool LeaseHolder::canUse(HostId issuer, ServiceId service, TimePoint now) const
 {
     const Peer *it = find(issuer);
-    return it != nullptr && !it->isLeaving && room(it->services[idx(service)], now) > 0;
+    return it != nullptr && !it->said.isLeaving && room(it->services[idx(service)], now) > 0;
 }
 
 std::optional<HostId> LeaseHolder::choose(ServiceId service, std::optional<RegionId> region,
@@ -309,7 +311,16 @@
 bool LeaseHolder::isLeaving(HostId host) const
 {
     const Peer *it = find(host);
-    return it != nullptr && it->isLeaving;
+    return it != nullptr && it->said.isLeaving;
+}
+
+std::optional<HomeToken> LeaseHolder::homeToken(HostId host, const std::string &name) const
+{
+    const Peer *it = find(host);
+    if (it == nullptr || it->said.ledgerId.empty()) {
+        return std::nullopt;
+    }
+    return HomeToken{name, it->said.ledgerId, it->said.ledgerAge};
 }
 
 std::optional<TimePoint> LeaseHolder::lastHeard(HostId host) const
@@ -321,7 +332,7 @@
 std::uint64_t LeaseHolder::configIndex(HostId host) const
 {
     const Peer *it = find(host);
-    return it == nullptr ? 0 : it->configIndex;
+    return it == nullptr ? 0 : it->said.configIndex;
 }
 
 unsigned LeaseHolder::held(ServiceId service, TimePoint now) const
--- a/lib/Steer/LeaseHolder.h
+++ b/lib/Steer/LeaseHolder.h
@@ -13,6 +13,14 @@
 namespace pepperlug
 {
 
+/// What a host says of itself with every exchange.
+struct OwnState {
+    std::uint64_t configIndex = 0;
+    bool isLeaving = false;
+    std::string ledgerId;
+    std::chrono::seconds ledgerAge{};
+};
+
 class LeaseHolder
 {
 public:
@@ -24,15 +32,14 @@
     void remap(const IdMap &ids);
 
     /// Asks each issuer whose turn has come. `overflow` is, by service, the demand that the own slice can't hold.
-    void poll(const std::vector<unsigned> &overflow, std::uint64_t configIndex, bool isLeaving, TimePoint now,
-              Effects &out);
+    void poll(const std::vector<unsigned> &overflow, const OwnState &own, TimePoint now, Effects &out);
     /// Makes it every issuer's turn at the next poll().
     void askSoon();
     /// Takes a grant; an answer to any but the last request is dropped. Returns whether it was taken.
     bool granted(HostId issuer, const LeaseGrant &grant, TimePoint now);
     void failed(HostId issuer, std::uint64_t sequence);
     /// Notes that a request of that host arrived.
-    void heard(HostId peer, std::uint64_t configIndex, bool isLeaving, TimePoint now);
+    void heard(HostId peer, const OwnState &said, TimePoint now);
 
     bool canUse(HostId issuer, ServiceId service, TimePoint now) const;
     /// The nearest issuer with room, seen from this host; only in `region` if given.
@@ -46,6 +53,8 @@
     /// Whether the host was heard lately. One that this host exchanges nothing with counts as alive.
     bool isAlive(HostId host, TimePoint now) const;
     bool isLeaving(HostId host) const;
+    /// Ledger of the host as it said last; its age is that of then, so a token made of it is never from the future.
+    std::optional<HomeToken> homeToken(HostId host, const std::string &name) const;
     std::optional<TimePoint> lastHeard(HostId host) const;
     std::uint64_t configIndex(HostId host) const;
     unsigned held(ServiceId service, TimePoint now) const;
@@ -73,8 +82,7 @@
         TimePoint askedAt{};
         TimePoint nextAsk{};
         std::optional<TimePoint> lastHeard;
-        bool isLeaving = false;
-        std::uint64_t configIndex = 0;
+        OwnState said;
     };
 
     Peer &peer(HostId host);
@@ -82,7 +90,7 @@
     unsigned inUse(const Held &held) const;
     unsigned room(const Held &held, TimePoint now) const;
     std::vector<unsigned> shareWants(ServiceId service, unsigned overflow, TimePoint now) const;
-    LeaseRequest makeRequest(Peer &peer, std::uint64_t configIndex, bool isLeaving, TimePoint now);
+    LeaseRequest makeRequest(Peer &peer, const OwnState &own, TimePoint now);
 
     std::uint64_t m_incarnation;
     HostId m_self{};
--- a/lib/Steer/Lookup.cpp
+++ b/lib/Steer/Lookup.cpp
@@ -98,6 +98,18 @@
     return candidates;
 }
 
+// The home of a caller's operations is the host that it is sent to: no hop is needed then, and a host that is leaving
+// gives nobody its own ledger any more, which will soon be gone.
+std::optional<HomeToken> Steering::Impl::homeTokenOf(HostId host) const
+{
+    if (host == *m_self) {
+        return m_ledger.token(m_now);
+    }
+    const std::optional<HomeToken> token = m_holder.homeToken(host, m_bundle->hosts[idx(host)].name);
+    const bool isOwnOfUse = !m_stopAskedAt && !isDrainedHost(*m_self);
+    return token || !isOwnOfUse ? token : std::optional(m_ledger.token(m_now));
+}
+
 void Steering::Impl::on(const LookupArrived &event)
 {
     if (!m_self) {
@@ -112,7 +124,7 @@
         return;
     }
     answer.ttl = m_bundle->policy.lookupTtl;
-    answer.home = m_ledger.token(m_now);
+    answer.home = homeTokenOf(answer.hosts.front());
     answer.bundleVersion = m_bundle->version;
 
     Decision decision;
--- a/lib/Steer/Steering.cpp
+++ b/lib/Steer/Steering.cpp
@@ -69,10 +69,14 @@
     if (!m_self || idx(event.holder) >= m_bundle->hosts.size()) {
         return;
     }
-    m_holder.heard(event.holder, event.request.configIndex, event.request.leaving, m_now);
+    const LeaseRequest &request = event.request;
+    m_holder.heard(event.holder, {request.configIndex, request.leaving, request.ledgerId, request.ledgerAge}, m_now);
     LeaseGrant grant = m_issuer.answer(event.holder, event.request, capacities(), homeNeeds(), m_now);
-    grant.configIndex = m_index;
-    grant.leaving = m_stopAskedAt.has_value() || isDrainedHost(*m_self);
+    const OwnState own = ownState();
+    grant.configIndex = own.configIndex;
+    grant.leaving = own.isLeaving;
+    grant.ledgerId = own.ledgerId;
+    grant.ledgerAge = own.ledgerAge;
     m_out->emplace_back(GrantLease{event.holder, std::move(grant)});
 }
 
@@ -151,7 +155,14 @@
         const unsigned room = capacity > takenByOthers ? capacity - takenByOthers : 0;
         overflow[n] = demand > room ? demand - room : 0;
     }
-    m_holder.poll(overflow, m_index, m_stopAskedAt.has_value(), m_now, *m_out);
+    m_holder.poll(overflow, ownState(), m_now, *m_out);
+}
+
+OwnState Steering::Impl::ownState() const
+{
+    const HomeToken token = m_ledger.token(m_now);
+    const bool isLeaving = m_stopAskedAt.has_value() || isDrainedHost(*m_self);
+    return {m_index, isLeaving, token.ledgerId, token.issued};
 }
 
 void Steering::Impl::runTimers()
--- a/lib/Steer/Trace.cpp
+++ b/lib/Steer/Trace.cpp
@@ -114,6 +114,8 @@
                 {"incarnation", it.request.incarnation},
                 {"index", it.request.configIndex},
                 {"leaving", it.request.leaving},
+                {"ledger", it.request.ledgerId},
+                {"ledger_age_s", it.request.ledgerAge.count()},
                 {"wants", wants}};
     }
 
@@ -129,6 +131,8 @@
                 {"index", it.grant.configIndex},
                 {"duration_us", it.grant.duration.count()},
                 {"leaving", it.grant.leaving},
+                {"ledger", it.grant.ledgerId},
+                {"ledger_age_s", it.grant.ledgerAge.count()},
                 {"grants", grants}};
     }
 
@@ -177,6 +181,8 @@
     request.incarnation = line.at("incarnation").get<std::uint64_t>();
     request.configIndex = line.at("index").get<std::uint64_t>();
     request.leaving = line.at("leaving").get<bool>();
+    request.ledgerId = line.at("ledger").get<std::string>();
+    request.ledgerAge = std::chrono::seconds(line.at("ledger_age_s").get<std::int64_t>());
     for (const json &want : line.at("wants")) {
         request.wants.push_back(
             {want.at(0).get<std::uint32_t>(), want.at(1).get<std::uint32_t>(), want.at(2).get<std::uint32_t>()});
@@ -191,6 +197,8 @@
     grant.configIndex = line.at("index").get<std::uint64_t>();
     grant.duration = std::chrono::microseconds(line.at("duration_us").get<std::int64_t>());
     grant.leaving = line.at("leaving").get<bool>();
+    grant.ledgerId = line.at("ledger").get<std::string>();
+    grant.ledgerAge = std::chrono::seconds(line.at("ledger_age_s").get<std::int64_t>());
     for (const json &it : line.at("grants")) {
         grant.grants.push_back(
             {it.at(0).get<std::uint32_t>(), it.at(1).get<std::uint32_t>(), it.at(2).get<std::uint32_t>()});
