Lend capacity by mean demand, queue foreign callers apart, spread look-ups

Change: plain mean for what is kept, queues by region of the caller, equally near hosts in random order weighted by room; a peer that was not heard yet counts as alive for a while.

--- a/lib/Steer/Attempts.cpp
+++ b/lib/Steer/Attempts.cpp
@@ -274,7 +274,7 @@
         return;
     }
     const ServiceId service = request.info.service;
-    const bool hasRoom = m_issuer.committed(service) < localCapacity(service) && m_queues[idx(service)].empty();
+    const bool hasRoom = m_issuer.committed(service) < localCapacity(service) && m_queues[idx(service)].home.empty();
     const auto target = hasRoom ? m_pool.choose(service, request.triedTargets, m_now, m_random) : std::nullopt;
     if (!target || !takeRetryToken()) {
         return;
--- a/lib/Steer/Config.cpp
+++ b/lib/Steer/Config.cpp
@@ -49,6 +49,9 @@
         m_holder.remap(ids);
         ids.services.apply(m_demand);
         ids.services.apply(m_queues);
+        for (ServiceQueue &queue : m_queues) {
+            ids.regions.apply(queue.foreign);
+        }
         ids.hosts.apply(m_alive);
         remapRequests(ids);
     }
@@ -77,7 +80,7 @@
     m_region = m_bundle->regionOf(m_zone);
     m_pool.applyBundle(*m_bundle, m_zone, m_now);
     m_issuer.applyBundle(*m_bundle, *self, m_now);
-    m_holder.applyBundle(*m_bundle, *self);
+    m_holder.applyBundle(*m_bundle, *self, m_now);
     m_guard.applyConfig(before.get(), *m_bundle, *self, event.voidHosts, m_index, m_now);
     refreshSlice();
     m_pool.setSlots(m_guard.slots());
--- a/lib/Steer/Demand.h
+++ b/lib/Steer/Demand.h
@@ -1,7 +1,9 @@
 //===- Demand.h - How many slots a service's callers need --------*- C++ -*-===//
 //
-// Estimates demand in slots from what runs, waits and was refused. Follows a
-// rise at once and a fall slowly, so that leases do not swing.
+// Estimates demand in slots from what runs, waits and was refused. Two figures
+// come of it: what is kept for own callers, a plain mean, since a short queue
+// takes up its swings; and what is asked of others, which follows a rise at once
+// and a fall slowly, so that leases do not swing.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -20,7 +22,6 @@
     void arrived()
     {
         ++m_running;
-        m_peak = std::max(m_peak, static_cast<double>(m_running));
     }
 
     void ended()
@@ -39,30 +40,40 @@
         const double tickSeconds = std::chrono::duration<double>(tick).count();
         const double rate = m_refused / tickSeconds;
         m_refused = 0;
-        const double share = std::min(1.0, tickSeconds / AverageSeconds);
-        m_refusedRate += share * (rate - m_refusedRate);
+        follow(m_refusedRate, rate, MeanSeconds, tickSeconds);
         const double needed = m_running + m_refusedRate * std::chrono::duration<double>(latency).count();
-        m_peak = std::max(needed, m_peak * std::exp2(-tickSeconds / HalfLifeSeconds));
+        follow(m_mean, needed, MeanSeconds, tickSeconds);
+        follow(m_wanted, needed, needed > m_wanted ? RiseSeconds : FallSeconds, tickSeconds);
     }
 
-    unsigned slots() const
+    /// Slots that own callers need on the mean, rounded up.
+    unsigned needed() const
     {
-        return static_cast<unsigned>(std::ceil(m_peak - 1e-6));
+        return static_cast<unsigned>(std::ceil(m_mean - Rounding));
     }
 
-    unsigned running() const
+    /// Slots to have, own and leased, rounded up.
+    unsigned wanted() const
     {
-        return m_running;
+        return static_cast<unsigned>(std::ceil(m_wanted - Rounding));
     }
 
 private:
-    static constexpr double AverageSeconds = 0.25;
-    static constexpr double HalfLifeSeconds = 1;
+    static constexpr double MeanSeconds = 0.3;
+    static constexpr double RiseSeconds = 0.05;
+    static constexpr double FallSeconds = 1;
+    static constexpr double Rounding = 0.05; ///< a little above a whole slot is not one slot more
+
+    static void follow(double &value, double target, double constant, double tick)
+    {
+        value += std::min(1.0, tick / constant) * (target - value);
+    }
 
     unsigned m_running = 0;
     unsigned m_refused = 0;
     double m_refusedRate = 0;
-    double m_peak = 0;
+    double m_mean = 0;
+    double m_wanted = 0;
 };
 
 } // namespace pepperlug
--- a/lib/Steer/Impl.h
+++ b/lib/Steer/Impl.h
@@ -54,6 +54,22 @@
     Refuse pendingRefusal; ///< with AwaitingCloseSync
 };
 
+/// Requests that wait for a slot. Callers of other regions wait apart, by region: what holds them up, a cap or their
+/// share, must not hold up own callers.
+struct ServiceQueue {
+    std::deque<RequestId> home;
+    std::map<RegionId, std::deque<RequestId>> foreign;
+
+    std::size_t size() const
+    {
+        std::size_t sum = home.size();
+        for (const auto &[region, queue] : foreign) {
+            sum += queue.size();
+        }
+        return sum;
+    }
+};
+
 class Steering::Impl
 {
 public:
@@ -89,7 +105,11 @@
     std::optional<Reason> placeByBaseline(Request &request);
     bool enqueue(Request &request);
     void runQueue(ServiceId service);
-    Duration queueWait(ServiceId service) const;
+    void runQueue(ServiceId service, std::deque<RequestId> &queue);
+    std::deque<RequestId> &queueOf(const Request &request);
+    /// Time that one more request would wait behind those that wait already, for `slots` to come free.
+    Duration queueWait(ServiceId service, std::size_t waiting, unsigned slots) const;
+    Duration homeWait(ServiceId service) const;
     /// Region to which a request of this charge may be sent on; nothing for any.
     std::optional<RegionId> onwardRegion(const Charge &charge) const;
     /// Whether going to the nearest lease adds less time than waiting here.
@@ -125,6 +145,9 @@
 
     // Lookup.cpp
     std::vector<HostId> rankHosts(const LookupArrived &event);
+    std::vector<HostId> candidates(const LookupArrived &event);
+    void shuffleByRoom(std::vector<HostId> &hosts, std::size_t from, ServiceId service);
+    unsigned roomAt(HostId host, ServiceId service) const;
     bool spendLookup(const LookupArrived &event, HostId host);
     bool serves(ZoneId zone, ServiceId service) const;
     std::optional<HomeToken> homeTokenOf(HostId host) const;
@@ -172,7 +195,7 @@
     SliceGuard m_guard;
     bool m_sliceValid = false;
     std::vector<Demand> m_demand; ///< by ServiceId
-    std::vector<std::deque<RequestId>> m_queues; ///< by ServiceId
+    std::vector<ServiceQueue> m_queues; ///< by ServiceId
     std::vector<bool> m_alive; ///< by HostId, as last told
 
     Ledger m_ledger;
--- a/lib/Steer/LeaseHolder.cpp
+++ b/lib/Steer/LeaseHolder.cpp
@@ -36,9 +36,10 @@
 {
 }
 
-void LeaseHolder::applyBundle(const Bundle &bundle, HostId self)
+void LeaseHolder::applyBundle(const Bundle &bundle, HostId self, TimePoint now)
 {
     m_self = self;
+    m_appliedAt = now;
     m_services = bundle.services.size();
     m_lookupsPerSlot = bundle.policy.lookupsPerSlot;
     m_leaseTime = bundle.policy.leaseTime;
@@ -128,7 +129,7 @@
     std::optional<std::size_t> firstAlive;
     std::size_t standby = 0;
     for (std::size_t n = 0; n < m_issuers.size(); ++n) {
-        if (!isAlive(m_issuers[n], now) || isLeaving(m_issuers[n])) {
+        if (!lastHeard(m_issuers[n]) || !isAlive(m_issuers[n], now) || isLeaving(m_issuers[n])) {
             continue;
         }
         firstAlive = firstAlive.value_or(n);
@@ -302,10 +303,12 @@
     }
     const Peer *it = find(host);
     const bool isContact = std::find(m_issuers.begin(), m_issuers.end(), host) != m_issuers.end();
-    if (it == nullptr || !it->lastHeard) {
-        return !isContact;
+    if (!isContact) {
+        return true;
     }
-    return now < *it->lastHeard + exchangeInterval() * ExchangesUntilLost || !isContact;
+    // One that was never heard gets as long as one that fell silent.
+    const TimePoint since = it != nullptr && it->lastHeard ? *it->lastHeard : m_appliedAt;
+    return now < since + exchangeInterval() * ExchangesUntilLost;
 }
 
 bool LeaseHolder::isLeaving(HostId host) const
--- a/lib/Steer/LeaseHolder.h
+++ b/lib/Steer/LeaseHolder.h
@@ -28,7 +28,7 @@
 
     /// Chooses the issuers: every host of the own zone, and of other zones the few that rendezvous hashing gives,
     /// nearest zones first.
-    void applyBundle(const Bundle &bundle, HostId self);
+    void applyBundle(const Bundle &bundle, HostId self, TimePoint now);
     void remap(const IdMap &ids);
 
     /// Asks each issuer whose turn has come. `overflow` is, by service, the demand that the own slice can't hold.
@@ -97,6 +97,7 @@
     std::size_t m_services = 0;
     unsigned m_lookupsPerSlot = 1;
     Duration m_leaseTime{};
+    TimePoint m_appliedAt{};
     double m_drift = 0;
     std::vector<HostId> m_issuers; ///< nearest first
     std::vector<RegionId> m_regions; ///< by HostId
--- a/lib/Steer/LeaseIssuer.cpp
+++ b/lib/Steer/LeaseIssuer.cpp
@@ -126,6 +126,11 @@
     return m_services[idx(service)].homeUsed;
 }
 
+unsigned LeaseIssuer::heldBy(RegionId region, ServiceId service) const
+{
+    return taken(m_services[idx(service)].regions[idx(region)]);
+}
+
 unsigned LeaseIssuer::lent(ServiceId service) const
 {
     unsigned sum = 0;
--- a/lib/Steer/LeaseIssuer.h
+++ b/lib/Steer/LeaseIssuer.h
@@ -55,6 +55,8 @@
     unsigned committed(ServiceId service) const;
     unsigned homeUsed(ServiceId service) const;
     unsigned lent(ServiceId service) const;
+    /// Slots that callers of another region hold here, by lease or by use.
+    unsigned heldBy(RegionId region, ServiceId service) const;
     ShiftView shift(RegionId from) const;
     /// Slots that could still be lent, after what home needs.
     unsigned spare(ServiceId service, unsigned capacity, unsigned homeNeed) const;
--- a/lib/Steer/Lookup.cpp
+++ b/lib/Steer/Lookup.cpp
@@ -23,13 +23,12 @@
     return m_serves[idx(zone)][idx(service)];
 }
 
-// Whether callers of the look-up may be sent to this host, and the use of it is noted. Within the callers' own region
-// nothing is spent: that is no shift.
+// Whether callers of the look-up may be sent to this host; if so, the use of it is noted. Within the callers' own
+// region nothing is spent: that is no shift.
 bool Steering::Impl::spendLookup(const LookupArrived &event, HostId host)
 {
     const ServiceId service = event.service;
     const RegionId from = event.callerZone ? m_bundle->regionOf(*event.callerZone) : m_region;
-    const RegionId to = m_bundle->regionOf(host);
     const TimePoint expires = m_now + m_bundle->policy.lookupTtl;
     if (host == *m_self) {
         if (from == m_region) {
@@ -43,59 +42,97 @@
         m_issuer.lookedUp(from, service, expires);
         return true;
     }
-    if (from == to) {
-        const bool knowsIt = m_holder.lastHeard(host).has_value();
-        const bool hasRoom = m_holder.spare(host, service) > 0 || m_holder.canUse(host, service, m_now);
-        return !knowsIt || hasRoom;
+    const bool hasSpare = m_holder.spare(host, service) > 0;
+    if (from != m_region) {
+        return hasSpare; // the host itself counts and caps those who come directly
     }
-    if (from != m_region || !m_holder.canUse(host, service, m_now)) {
+    if (from == m_bundle->regionOf(host)) {
+        return hasSpare || !m_holder.lastHeard(host) || m_holder.canUse(host, service, m_now);
+    }
+    if (!m_holder.canUse(host, service, m_now)) {
         return false;
     }
     m_holder.lookedUp(host, service, expires);
     return true;
 }
 
-// The first host is one that has room as far as this host can know; the others follow by distance, from at least one
-// other zone where there is one, for the case that the first can't be reached.
-std::vector<HostId> Steering::Impl::rankHosts(const LookupArrived &event)
+// Slots that the host could give to callers, as far as is known here; at least one, so that none is left out for good.
+unsigned Steering::Impl::roomAt(HostId host, ServiceId service) const
+{
+    if (host != *m_self) {
+        return m_holder.spare(host, service) + 1;
+    }
+    return m_issuer.spare(service, localCapacity(service), homeNeed(service)) + 1;
+}
+
+// Hosts that may be named for a caller, nearest first. Those that are equally near come in random order, weighted by
+// the room that they have: in a fixed order, callers of a lost region would all fall on the same zone.
+std::vector<HostId> Steering::Impl::candidates(const LookupArrived &event)
 {
     const ZoneId callerZone = event.callerZone.value_or(m_zone);
-    std::vector<HostId> candidates;
-    for (const ZoneId zone : m_zonesByDistance[idx(callerZone)]) {
-        if (!serves(zone, event.service)) {
-            continue;
-        }
-        const std::vector<HostId> &hosts = m_bundle->zones[idx(zone)].hosts;
-        const std::size_t offset = hosts.empty() ? 0 : m_random() % hosts.size();
-        for (std::size_t n = 0; n < hosts.size(); ++n) {
-            const HostId host = hosts[(n + offset) % hosts.size()];
-            const bool isLeaving = m_holder.isLeaving(host) || (host == *m_self && m_stopAskedAt);
-            if (m_holder.isAlive(host, m_now) && !isLeaving && !isDrainedHost(host)) {
-                candidates.push_back(host);
+    const std::vector<ZoneId> &zones = m_zonesByDistance[idx(callerZone)];
+    std::vector<HostId> all;
+    std::size_t groupStart = 0;
+    for (std::size_t n = 0; n < zones.size(); ++n) {
+        if (serves(zones[n], event.service)) {
+            for (const HostId host : m_bundle->zones[idx(zones[n])].hosts) {
+                const bool isLeaving = m_holder.isLeaving(host) || (host == *m_self && m_stopAskedAt);
+                if (m_holder.isAlive(host, m_now) && !isLeaving && !isDrainedHost(host)) {
+                    all.push_back(host);
+                }
             }
         }
+        const bool endsGroup = n + 1 == zones.size()
+            || m_bundle->latency(callerZone, zones[n]) != m_bundle->latency(callerZone, zones[n + 1]);
+        if (endsGroup) {
+            shuffleByRoom(all, groupStart, event.service);
+            groupStart = all.size();
+        }
     }
-    const auto first =
-        std::find_if(candidates.begin(), candidates.end(), [&](HostId host) { return spendLookup(event, host); });
-    if (first != candidates.end()) {
-        std::rotate(candidates.begin(), first, first + 1);
+    return all;
+}
+
+void Steering::Impl::shuffleByRoom(std::vector<HostId> &hosts, std::size_t from, ServiceId service)
+{
+    unsigned total = 0;
+    for (std::size_t n = from; n < hosts.size(); ++n) {
+        total += roomAt(hosts[n], service);
     }
-    if (candidates.size() > MaxHostsInAnswer) {
-        // Keep one host of another zone, or the answer is of no use when a whole zone is lost.
-        const auto zoneOf = [&](HostId host) {
-            return m_bundle->hosts[idx(host)].zone;
-        };
-        const auto cut = candidates.begin() + MaxHostsInAnswer;
-        const bool oneZone = std::all_of(candidates.begin(), cut,
-                                         [&](HostId host) { return zoneOf(host) == zoneOf(candidates.front()); });
-        const auto other = std::find_if(cut, candidates.end(),
-                                        [&](HostId host) { return zoneOf(host) != zoneOf(candidates.front()); });
-        if (oneZone && other != candidates.end()) {
-            *(cut - 1) = *other;
+    for (; from + 1 < hosts.size(); ++from) {
+        auto drawn = static_cast<unsigned>(m_random() % total);
+        std::size_t n = from;
+        while (drawn >= roomAt(hosts[n], service)) {
+            drawn -= roomAt(hosts[n], service);
+            ++n;
         }
-        candidates.resize(MaxHostsInAnswer);
+        total -= roomAt(hosts[n], service);
+        std::swap(hosts[from], hosts[n]);
+    }
+}
+
+// The first host is one that has room as far as this host can know; the others follow by distance, from at least one
+// other zone where there is one, for the case that the first can't be reached.
+std::vector<HostId> Steering::Impl::rankHosts(const LookupArrived &event)
+{
+    std::vector<HostId> hosts = candidates(event);
+    const auto first = std::find_if(hosts.begin(), hosts.end(), [&](HostId host) { return spendLookup(event, host); });
+    if (first != hosts.end()) {
+        std::rotate(hosts.begin(), first, first + 1);
+    }
+    if (hosts.size() <= MaxHostsInAnswer) {
+        return hosts;
+    }
+    // Keep one host of another zone, or the answer is of no use when a whole zone is lost.
+    const auto isElsewhere = [&](HostId host) {
+        return m_bundle->hosts[idx(host)].zone != m_bundle->hosts[idx(hosts.front())].zone;
+    };
+    const auto cut = hosts.begin() + MaxHostsInAnswer;
+    const auto other = std::find_if(hosts.begin(), hosts.end(), isElsewhere);
+    if (other != hosts.end() && other >= cut) {
+        *(cut - 1) = *other;
     }
-    return candidates;
+    hosts.resize(MaxHostsInAnswer);
+    return hosts;
 }
 
 // The home of a caller's operations is the host that it is sent to: no hop is needed then, and a host that is leaving
--- a/lib/Steer/Placement.cpp
+++ b/lib/Steer/Placement.cpp
@@ -17,6 +17,7 @@
 constexpr auto MinRetryAfter = Milliseconds(100);
 constexpr auto MaxRetryAfter = Milliseconds(10000);
 constexpr double MaxRetryTokens = 10;
+constexpr std::size_t ForeignTurns = 2; ///< callers of another region that may wait for each slot that they hold
 
 } // namespace
 
@@ -65,7 +66,7 @@
         return placeByBaseline(request);
     }
     // Whoever waits already goes first, unless this request may go where the waiting ones may not.
-    const bool mayOvertake = request.charge.kind != Charge::Kind::Home || m_queues[idx(request.info.service)].empty();
+    const bool mayOvertake = request.charge.kind == Charge::Kind::Holder || queueOf(request).empty();
     std::optional<Reason> reason = Reason::NoCapacity;
     if (mayOvertake) {
         reason = tryLocal(request);
@@ -144,17 +145,31 @@
         startAtHost(request, host, Reason::LeasedZone, false);
         return std::nullopt;
     }
-    const std::optional<Reason> reason = m_queues[idx(service)].empty() ? tryLocal(request) : Reason::NoCapacity;
+    const std::optional<Reason> reason = queueOf(request).empty() ? tryLocal(request) : Reason::NoCapacity;
     if (!reason || enqueue(request)) {
         return std::nullopt;
     }
     return reason;
 }
 
-Duration Steering::Impl::queueWait(ServiceId service) const
+Duration Steering::Impl::queueWait(ServiceId service, std::size_t waiting, unsigned slots) const
 {
-    const unsigned capacity = std::max(1U, localCapacity(service));
-    return m_pool.meanLatency(service) * (m_queues[idx(service)].size() + 1) / capacity;
+    return m_pool.meanLatency(service) * (waiting + 1) / std::max(1U, slots);
+}
+
+Duration Steering::Impl::homeWait(ServiceId service) const
+{
+    const unsigned committed = m_issuer.committed(service);
+    const unsigned takenByOthers = committed - m_issuer.homeUsed(service);
+    const unsigned capacity = localCapacity(service);
+    const unsigned slots = capacity > takenByOthers ? capacity - takenByOthers : 0;
+    return queueWait(service, m_queues[idx(service)].home.size(), slots);
+}
+
+std::deque<RequestId> &Steering::Impl::queueOf(const Request &request)
+{
+    ServiceQueue &queues = m_queues[idx(request.info.service)];
+    return request.charge.kind == Charge::Kind::Home ? queues.home : queues.foreign[request.charge.region];
 }
 
 std::optional<RegionId> Steering::Impl::onwardRegion(const Charge &charge) const
@@ -170,16 +185,24 @@
         return false;
     }
     const auto oneWay = m_bundle->latency(m_zone, m_bundle->hosts[idx(*host)].zone);
-    return localCapacity(service) == 0 || Duration(oneWay) * 2 < queueWait(service);
+    return localCapacity(service) == 0 || Duration(oneWay) * 2 < homeWait(service);
 }
 
+// Callers of another region wait only where they hold slots here that will come free, and not for more than about two
+// turns of them: what a cap does not allow now is refused now.
 bool Steering::Impl::enqueue(Request &request)
 {
     const ServiceId service = request.info.service;
-    std::deque<RequestId> &queue = m_queues[idx(service)];
-    const bool isFull = queue.size() >= m_bundle->services[idx(service)].queue;
-    const bool isTooLate = m_now + queueWait(service) + m_pool.meanLatency(service) >= request.info.deadline;
-    if (isFull || isTooLate || localCapacity(service) == 0) {
+    std::deque<RequestId> &queue = queueOf(request);
+    std::size_t limit = m_bundle->services[idx(service)].queue;
+    Duration wait = homeWait(service);
+    if (request.charge.kind == Charge::Kind::Region) {
+        const unsigned held = m_issuer.heldBy(request.charge.region, service);
+        limit = std::min<std::size_t>(limit, held * ForeignTurns);
+        wait = queueWait(service, queue.size(), held);
+    }
+    const bool isTooLate = m_now + wait + m_pool.meanLatency(service) >= request.info.deadline;
+    if (queue.size() >= limit || isTooLate || localCapacity(service) == 0) {
         return false;
     }
     release(request);
@@ -197,7 +220,14 @@
 // Requests that can no longer be served in time are answered here and now, not held until their deadline.
 void Steering::Impl::runQueue(ServiceId service)
 {
-    std::deque<RequestId> &queue = m_queues[idx(service)];
+    runQueue(service, m_queues[idx(service)].home);
+    for (auto &[region, queue] : m_queues[idx(service)].foreign) {
+        runQueue(service, queue);
+    }
+}
+
+void Steering::Impl::runQueue(ServiceId service, std::deque<RequestId> &queue)
+{
     while (!queue.empty()) {
         const auto it = m_requests.find(queue.front());
         if (it == m_requests.end() || it->second.phase != Phase::Queued) {
@@ -266,7 +296,7 @@
     case Reason::NoCapacity:
     case Reason::Shed:
     case Reason::TargetUnreachable: {
-        const auto wait = std::chrono::duration_cast<Milliseconds>(queueWait(request.info.service) * 2);
+        const auto wait = std::chrono::duration_cast<Milliseconds>(homeWait(request.info.service) * 2);
         return std::clamp(wait, MinRetryAfter, MaxRetryAfter);
     }
     case Reason::ShiftCap:
--- a/lib/Steer/Steering.cpp
+++ b/lib/Steer/Steering.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr double HomeMargin = 1.1; ///< kept for own callers beyond the estimate
 constexpr auto StopGrace = Milliseconds(500); ///< for look-up answers on their way
 constexpr auto LedgerSweepInterval = std::chrono::seconds(1);
 
@@ -42,8 +41,7 @@
 
 unsigned Steering::Impl::homeNeed(ServiceId service) const
 {
-    const double need = m_demand[idx(service)].slots() * HomeMargin;
-    return std::min(localCapacity(service), static_cast<unsigned>(std::ceil(need)));
+    return std::min(localCapacity(service), m_demand[idx(service)].needed());
 }
 
 std::vector<unsigned> Steering::Impl::capacities() const
@@ -147,7 +145,7 @@
     std::vector<unsigned> overflow(m_demand.size(), 0);
     for (std::size_t n = 0; n < overflow.size(); ++n) {
         const ServiceId service = makeId<ServiceId>(n);
-        const unsigned demand = m_demand[n].slots();
+        const unsigned demand = m_demand[n].wanted();
         const unsigned homeUsed = m_issuer.homeUsed(service);
         const unsigned committed = m_issuer.committed(service);
         const unsigned takenByOthers = committed - homeUsed;
@@ -259,7 +257,7 @@
     view.held = m_impl->m_holder.held(service, m_impl->m_now);
     view.heldInUse = m_impl->m_holder.inUse(service);
     view.queued = static_cast<unsigned>(m_impl->m_queues[idx(service)].size());
-    view.demand = m_impl->m_demand[idx(service)].slots();
+    view.demand = m_impl->m_demand[idx(service)].wanted();
     return view;
 }
 
