Estimate demand by arrivals, meter shifts by level, serve direct callers work-conservingly

Cause, from measure steer: demand counted what ran and waited, so hosts asked for capacity that they did not need and kept what others did; slots reserved for direct callers of another region stood idle while own callers waited. Change: offered load by arrival rate times service time; direct callers get what is free, their level is metered by the cap and the link by what is in use; look-ups are weighted by measured use; neighbours serve a foreign caller that the first host can't.

--- a/include/pepperlug/Model.h
+++ b/include/pepperlug/Model.h
@@ -94,8 +94,8 @@
     std::uint64_t falseNotRun() const;
     /// Requests that were ended, or once-only keys that were run, more than once; must stay 0.
     std::uint64_t endedTwice() const;
-    /// Slots that callers of `from` hold in `to`, by the issuers' own books.
-    unsigned shifted(RegionId from, RegionId to) const;
+    /// What callers of `from` hold in `to`, by the issuers' own books.
+    ShiftView shifted(RegionId from, RegionId to) const;
     std::uint64_t decisions() const;
     /// Requests of callers that were refused, by reason.
     const std::map<Reason, std::uint64_t> &refusals() const;
--- a/include/pepperlug/Steer.h
+++ b/include/pepperlug/Steer.h
@@ -38,6 +38,7 @@
 enum class Reason {
     LocalTarget, ///< a slot of this host's slice
     LeasedZone, ///< a lease on another host's slice
+    Neighbour, ///< a host of the same region that said it has room, for a caller of another region
     Home, ///< the host that keeps the operation's claim
     Queued, ///< waits for a slot
     Hedge, ///< second attempt of a slow read
@@ -339,7 +340,8 @@
 
 /// Growth of what callers of one region may use here.
 struct ShiftView {
-    unsigned reserved = 0; ///< slots held by callers of that region, over all services
+    unsigned level = 0; ///< slots to which that region's callers have grown, over all services; what the cap meters
+    unsigned committed = 0; ///< slots lent to that region or in use by its callers; what the link limits
     unsigned capPart = 0; ///< of the cap for each interval
     Duration interval{};
     std::optional<unsigned> linkPart;
--- a/lib/Model/Driver.cpp
+++ b/lib/Model/Driver.cpp
@@ -395,13 +395,15 @@
     return sum;
 }
 
-unsigned Driver::shifted(RegionId from, RegionId to) const
+ShiftView Driver::shifted(RegionId from, RegionId to) const
 {
-    unsigned sum = 0;
+    ShiftView sum;
     for (std::size_t n = 0; n < m_hosts.size(); ++n) {
         const Steering *it = host(makeId<HostId>(n));
         if (it != nullptr && it->ready() && m_bundle->regionOf(makeId<HostId>(n)) == to) {
-            sum += it->shift(from).reserved;
+            const ShiftView part = it->shift(from);
+            sum.level += part.level;
+            sum.committed += part.committed;
         }
     }
     return sum;
--- a/lib/Steer/Config.cpp
+++ b/lib/Steer/Config.cpp
@@ -48,6 +48,7 @@
         m_issuer.remap(ids);
         m_holder.remap(ids);
         ids.services.apply(m_demand);
+        ids.services.apply(m_homeLookups);
         ids.services.apply(m_queues);
         for (ServiceQueue &queue : m_queues) {
             ids.regions.apply(queue.foreign);
@@ -58,6 +59,7 @@
     m_bundle = event.bundle;
     m_index = event.index;
     m_demand.resize(m_bundle->services.size());
+    m_homeLookups.resize(m_bundle->services.size());
     m_queues.resize(m_bundle->services.size());
     m_alive.assign(m_bundle->hosts.size(), true);
     m_zonesByDistance = zonesByDistance(*m_bundle);
--- a/lib/Steer/Demand.h
+++ b/lib/Steer/Demand.h
@@ -1,9 +1,9 @@
 //===- Demand.h - How many slots a service's callers need --------*- C++ -*-===//
 //
-// Estimates demand in slots from what runs, waits and was refused. Two figures
-// come of it: what is kept for own callers, a plain mean, since a short queue
-// takes up its swings; and what is asked of others, which follows a rise at once
-// and a fall slowly, so that leases do not swing.
+// Estimates demand in slots as arrivals a second times the seconds that one
+// takes. Counting what runs and waits instead was tried: it swings with every
+// burst and grows with the queue, so hosts asked for what they did not need and
+// kept what others did.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -21,6 +21,7 @@
 public:
     void arrived()
     {
+        ++m_arrived;
         ++m_running;
     }
 
@@ -29,51 +30,42 @@
         --m_running;
     }
 
-    void refused()
+    /// To be called once a tick; `latency` is what one request takes at a target, zero if not known yet.
+    void refresh(Duration tick, Duration latency)
     {
-        ++m_refused;
+        const double tickSeconds = std::chrono::duration<double>(tick).count();
+        const double rate = m_arrived / tickSeconds;
+        m_arrived = 0;
+        m_rate += std::min(1.0, tickSeconds / MeanSeconds) * (rate - m_rate);
+        m_offered = latency > Duration{} ? m_rate * std::chrono::duration<double>(latency).count() : m_running;
     }
 
-    /// To be called once a tick; `latency` is what one request takes.
-    void refresh(Duration tick, Duration latency)
+    /// Slots that callers need on the mean.
+    double offered() const
     {
-        const double tickSeconds = std::chrono::duration<double>(tick).count();
-        const double rate = m_refused / tickSeconds;
-        m_refused = 0;
-        follow(m_refusedRate, rate, MeanSeconds, tickSeconds);
-        const double needed = m_running + m_refusedRate * std::chrono::duration<double>(latency).count();
-        follow(m_mean, needed, MeanSeconds, tickSeconds);
-        follow(m_wanted, needed, needed > m_wanted ? RiseSeconds : FallSeconds, tickSeconds);
+        return m_offered;
     }
 
-    /// Slots that own callers need on the mean, rounded up.
+    /// Slots that callers need on the mean, to the nearest whole.
     unsigned needed() const
     {
-        return static_cast<unsigned>(std::ceil(m_mean - Rounding));
+        return static_cast<unsigned>(std::lround(m_offered));
     }
 
-    /// Slots to have, own and leased, rounded up.
+    /// Slots to have so that swings seldom wait.
     unsigned wanted() const
     {
-        return static_cast<unsigned>(std::ceil(m_wanted - Rounding));
+        return static_cast<unsigned>(std::ceil(m_offered + Swing * std::sqrt(m_offered)));
     }
 
 private:
-    static constexpr double MeanSeconds = 0.3;
-    static constexpr double RiseSeconds = 0.05;
-    static constexpr double FallSeconds = 1;
-    static constexpr double Rounding = 0.05; ///< a little above a whole slot is not one slot more
-
-    static void follow(double &value, double target, double constant, double tick)
-    {
-        value += std::min(1.0, tick / constant) * (target - value);
-    }
+    static constexpr double MeanSeconds = 0.4;
+    static constexpr double Swing = 0.5;
 
+    unsigned m_arrived = 0;
     unsigned m_running = 0;
-    unsigned m_refused = 0;
-    double m_refusedRate = 0;
-    double m_mean = 0;
-    double m_wanted = 0;
+    double m_rate = 0;
+    double m_offered = 0;
 };
 
 } // namespace pepperlug
--- a/lib/Steer/Impl.h
+++ b/lib/Steer/Impl.h
@@ -102,11 +102,13 @@
     std::optional<Reason> place(Request &request);
     std::optional<Reason> tryLocal(Request &request);
     bool tryLease(Request &request);
+    bool tryNeighbour(Request &request);
     std::optional<Reason> placeByBaseline(Request &request);
     bool enqueue(Request &request);
     void runQueue(ServiceId service);
     void runQueue(ServiceId service, std::deque<RequestId> &queue);
     std::deque<RequestId> &queueOf(const Request &request);
+    bool noneWaitBefore(const Request &request);
     /// Time that one more request would wait behind those that wait already, for `slots` to come free.
     Duration queueWait(ServiceId service, std::size_t waiting, unsigned slots) const;
     Duration homeWait(ServiceId service) const;
@@ -148,6 +150,8 @@
     std::vector<HostId> candidates(const LookupArrived &event);
     void shuffleByRoom(std::vector<HostId> &hosts, std::size_t from, ServiceId service);
     unsigned roomAt(HostId host, ServiceId service) const;
+    /// Slots that a caller who keeps a look-up answer uses about.
+    double slotsPerLookup(ServiceId service) const;
     bool spendLookup(const LookupArrived &event, HostId host);
     bool serves(ZoneId zone, ServiceId service) const;
     std::optional<HomeToken> homeTokenOf(HostId host) const;
@@ -195,6 +199,7 @@
     SliceGuard m_guard;
     bool m_sliceValid = false;
     std::vector<Demand> m_demand; ///< by ServiceId
+    std::vector<ExpiringCount> m_homeLookups; ///< by ServiceId: answers that name this host to callers of its region
     std::vector<ServiceQueue> m_queues; ///< by ServiceId
     std::vector<bool> m_alive; ///< by HostId, as last told
 
--- a/lib/Steer/LeaseHolder.cpp
+++ b/lib/Steer/LeaseHolder.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t OtherZoneContacts = 8; ///< hosts outside the own zone
 constexpr std::size_t ContactsInZone = 2;
 constexpr std::size_t StandbyLeases = 3; ///< issuers asked for one slot in advance, so that a first overflow finds room
+constexpr unsigned PlentySlots = 3; ///< spare from which an issuer is asked for a slot in advance
+constexpr int HurriedExchanges = 4; ///< times as often while demand is not met
 constexpr unsigned KeepSlack = 1; ///< slots kept above the want, so that small swings need no regrowth
 
 std::uint64_t rendezvous(const std::string &self, const std::string &other)
@@ -41,7 +43,6 @@
     m_self = self;
     m_appliedAt = now;
     m_services = bundle.services.size();
-    m_lookupsPerSlot = bundle.policy.lookupsPerSlot;
     m_leaseTime = bundle.policy.leaseTime;
     m_drift = bundle.policy.driftAllowance;
     m_regions.clear();
@@ -109,7 +110,7 @@
 
 unsigned LeaseHolder::inUse(const Held &held) const
 {
-    return held.used + held.lookups.slots(m_lookupsPerSlot);
+    return held.used + held.lookups.slots();
 }
 
 unsigned LeaseHolder::room(const Held &held, TimePoint now) const
@@ -137,10 +138,12 @@
         const unsigned share = std::min(overflow, std::min(held.amount, held.kept) + held.spare);
         wants[n] = share;
         overflow -= share;
-        if (share == 0 && standby < StandbyLeases) {
+        const bool hasPlenty =
+            held.spare + held.amount >= PlentySlots && m_regions[idx(m_issuers[n])] == m_regions[idx(m_self)];
+        if (share == 0 && standby < StandbyLeases && hasPlenty) {
             wants[n] = 1;
+            ++standby;
         }
-        ++standby;
     }
     if (firstAlive) {
         wants[*firstAlive] += overflow;
@@ -168,12 +171,27 @@
     return request;
 }
 
+bool LeaseHolder::isDue(const Peer &peer, Duration interval, TimePoint now) const
+{
+    return !peer.isAsking && now >= peer.askedAt + interval;
+}
+
+// Whether some service needs more than it has leased.
+bool LeaseHolder::isShort(const std::vector<unsigned> &overflow, TimePoint now) const
+{
+    for (std::size_t n = 0; n < overflow.size(); ++n) {
+        if (overflow[n] > held(makeId<ServiceId>(n), now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void LeaseHolder::poll(const std::vector<unsigned> &overflow, const OwnState &own, TimePoint now, Effects &out)
 {
-    const bool anyDue = std::any_of(m_issuers.begin(), m_issuers.end(), [&](HostId host) {
-        const Peer *it = find(host);
-        return it != nullptr && !it->isAsking && now >= it->nextAsk;
-    });
+    const Duration interval = isShort(overflow, now) ? exchangeInterval() / HurriedExchanges : exchangeInterval();
+    const bool anyDue =
+        std::any_of(m_issuers.begin(), m_issuers.end(), [&](HostId host) { return isDue(*find(host), interval, now); });
     if (!anyDue) {
         return;
     }
@@ -185,12 +203,11 @@
     }
     for (const HostId host : m_issuers) {
         Peer &it = peer(host);
-        if (it.isAsking || now < it.nextAsk) {
+        if (!isDue(it, interval, now)) {
             continue;
         }
         it.isAsking = true;
         it.askedAt = now;
-        it.nextAsk = now + exchangeInterval();
         out.emplace_back(AskLease{host, makeRequest(it, own, now), exchangeInterval() * 2});
     }
 }
@@ -198,7 +215,7 @@
 void LeaseHolder::askSoon()
 {
     for (auto &[id, it] : m_peers) {
-        it.nextAsk = {};
+        it.askedAt = {};
     }
 }
 
@@ -243,8 +260,7 @@
 
 bool LeaseHolder::canUse(HostId issuer, ServiceId service, TimePoint now) const
 {
-    const Peer *it = find(issuer);
-    return it != nullptr && !it->said.isLeaving && room(it->services[idx(service)], now) > 0;
+    return room(issuer, service, now) > 0;
 }
 
 std::optional<HostId> LeaseHolder::choose(ServiceId service, std::optional<RegionId> region,
@@ -270,6 +286,28 @@
     return best;
 }
 
+std::optional<HostId> LeaseHolder::chooseSpare(ServiceId service, RegionId region, const std::vector<HostId> &excluded,
+                                               TimePoint now)
+{
+    Held *best = nullptr;
+    std::optional<HostId> bestHost;
+    for (const HostId host : m_issuers) {
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), host) != excluded.end();
+        if (isExcluded || m_regions[idx(host)] != region || isLeaving(host) || !isAlive(host, now)) {
+            continue;
+        }
+        Held &held = peer(host).services[idx(service)];
+        if (held.spare > (best == nullptr ? 0 : best->spare)) {
+            best = &held;
+            bestHost = host;
+        }
+    }
+    if (best != nullptr) {
+        --best->spare;
+    }
+    return bestHost;
+}
+
 void LeaseHolder::started(HostId issuer, ServiceId service)
 {
     ++peer(issuer).services[idx(service)].used;
@@ -282,9 +320,15 @@
     --held.used;
 }
 
-void LeaseHolder::lookedUp(HostId issuer, ServiceId service, TimePoint expires)
+void LeaseHolder::lookedUp(HostId issuer, ServiceId service, double slots, TimePoint expires)
+{
+    peer(issuer).services[idx(service)].lookups.add(expires, slots);
+}
+
+unsigned LeaseHolder::room(HostId issuer, ServiceId service, TimePoint now) const
 {
-    peer(issuer).services[idx(service)].lookups.add(expires);
+    const Peer *it = find(issuer);
+    return it == nullptr || it->said.isLeaving ? 0 : room(it->services[idx(service)], now);
 }
 
 void LeaseHolder::refresh(TimePoint now)
--- a/lib/Steer/LeaseHolder.h
+++ b/lib/Steer/LeaseHolder.h
@@ -45,9 +45,14 @@
     /// The nearest issuer with room, seen from this host; only in `region` if given.
     std::optional<HostId> choose(ServiceId service, std::optional<RegionId> region, const std::vector<HostId> &excluded,
                                  TimePoint now) const;
+    /// The host of a region with most slots to spare, as it said last; counts one of them as gone.
+    std::optional<HostId> chooseSpare(ServiceId service, RegionId region, const std::vector<HostId> &excluded,
+                                      TimePoint now);
     void started(HostId issuer, ServiceId service);
     void ended(HostId issuer, ServiceId service);
-    void lookedUp(HostId issuer, ServiceId service, TimePoint expires);
+    void lookedUp(HostId issuer, ServiceId service, double slots, TimePoint expires);
+    /// Slots of a lease that are not in use.
+    unsigned room(HostId issuer, ServiceId service, TimePoint now) const;
     void refresh(TimePoint now);
 
     /// Whether the host was heard lately. One that this host exchanges nothing with counts as alive.
@@ -80,7 +85,6 @@
         std::uint64_t sequence = 0;
         bool isAsking = false;
         TimePoint askedAt{};
-        TimePoint nextAsk{};
         std::optional<TimePoint> lastHeard;
         OwnState said;
     };
@@ -89,13 +93,14 @@
     const Peer *find(HostId host) const;
     unsigned inUse(const Held &held) const;
     unsigned room(const Held &held, TimePoint now) const;
+    bool isDue(const Peer &peer, Duration interval, TimePoint now) const;
+    bool isShort(const std::vector<unsigned> &overflow, TimePoint now) const;
     std::vector<unsigned> shareWants(ServiceId service, unsigned overflow, TimePoint now) const;
     LeaseRequest makeRequest(Peer &peer, const OwnState &own, TimePoint now);
 
     std::uint64_t m_incarnation;
     HostId m_self{};
     std::size_t m_services = 0;
-    unsigned m_lookupsPerSlot = 1;
     Duration m_leaseTime{};
     TimePoint m_appliedAt{};
     double m_drift = 0;
--- a/lib/Steer/LeaseIssuer.cpp
+++ b/lib/Steer/LeaseIssuer.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace pepperlug
 {
@@ -47,7 +48,6 @@
     m_ownRegion = bundle.regionOf(self);
     m_leaseTime = bundle.policy.leaseTime;
     m_reserveTime = std::chrono::duration_cast<Duration>(m_leaseTime * (1 + bundle.policy.driftAllowance));
-    m_lookupsPerSlot = bundle.policy.lookupsPerSlot;
     m_services.resize(bundle.services.size());
     for (ServiceUse &use : m_services) {
         use.regions.resize(bundle.regions.size());
@@ -96,19 +96,19 @@
     ids.regions.apply(m_meters);
 }
 
-unsigned LeaseIssuer::reserved(const RegionUse &use) const
+unsigned LeaseIssuer::committed(const RegionUse &use) const
 {
-    return use.reservedByHolders + use.selfReserved;
+    return std::max(use.reservedByHolders, use.usedByHolders) + use.usedDirectly;
 }
 
-unsigned LeaseIssuer::used(const RegionUse &use) const
+unsigned LeaseIssuer::directUse(const RegionUse &use) const
 {
-    return use.usedByHolders + use.usedDirectly + use.lookups.slots(m_lookupsPerSlot);
+    return std::max(use.usedDirectly, use.lookups.slots());
 }
 
 unsigned LeaseIssuer::taken(const RegionUse &use) const
 {
-    return std::max(reserved(use), used(use));
+    return std::max(use.reservedByHolders, use.usedByHolders) + std::max(use.level, directUse(use));
 }
 
 unsigned LeaseIssuer::committed(ServiceId service) const
@@ -116,7 +116,7 @@
     const ServiceUse &use = m_services[idx(service)];
     unsigned sum = use.homeUsed;
     for (const RegionUse &region : use.regions) {
-        sum += taken(region);
+        sum += committed(region);
     }
     return sum;
 }
@@ -152,7 +152,16 @@
     return static_cast<unsigned>(std::max(0, margin(service, capacity, homeNeed)));
 }
 
-unsigned LeaseIssuer::takenInRegion(RegionId region) const
+unsigned LeaseIssuer::linkUse(RegionId region) const
+{
+    unsigned sum = 0;
+    for (const ServiceUse &use : m_services) {
+        sum += committed(use.regions[idx(region)]);
+    }
+    return sum;
+}
+
+unsigned LeaseIssuer::levelOf(RegionId region) const
 {
     unsigned sum = 0;
     for (const ServiceUse &use : m_services) {
@@ -168,45 +177,56 @@
     return m_bundle != nullptr && now >= m_started + m_reserveTime;
 }
 
-bool LeaseIssuer::growDirect(RegionId region, ServiceId service, TimePoint now)
+bool LeaseIssuer::raiseLevel(RegionId region, ServiceId service, unsigned slots, TimePoint now)
 {
-    if (m_meters[idx(region)].allowed(1, takenInRegion(region), now) == 0) {
+    RegionUse &use = m_services[idx(service)].regions[idx(region)];
+    if (slots <= use.level) {
+        return true;
+    }
+    const unsigned growth = slots - use.level;
+    if (m_meters[idx(region)].allowedByCap(growth, now) < growth) {
         return false;
     }
-    m_meters[idx(region)].grew(1, now);
-    ++m_services[idx(service)].regions[idx(region)].selfReserved;
+    m_meters[idx(region)].grew(growth, now);
+    use.level = slots;
     return true;
 }
 
-std::optional<Reason> LeaseIssuer::admit(const Charge &charge, ServiceId service, unsigned capacity, unsigned homeNeed,
-                                         TimePoint now)
+// The level follows the use down, a while later: coming back to where one was a moment ago is no shift.
+void LeaseIssuer::checkLevel(RegionUse &use, TimePoint now)
 {
-    ServiceUse &use = m_services[idx(service)];
-    if (charge.kind == Charge::Kind::Home) {
-        if (committed(service) >= capacity) {
-            return Reason::NoCapacity;
-        }
-        return std::nullopt;
+    use.peak = std::max(use.peak, directUse(use));
+    if (now < use.levelChecked + m_leaseTime) {
+        return;
     }
+    use.level = std::min(use.level, use.peak);
+    use.peak = directUse(use);
+    use.levelChecked = now;
+}
+
+std::optional<Reason> LeaseIssuer::admit(const Charge &charge, ServiceId service, unsigned capacity, TimePoint now)
+{
+    ServiceUse &use = m_services[idx(service)];
+    RegionUse &region = use.regions[idx(charge.region)];
     if (charge.kind == Charge::Kind::Holder) {
         const auto it = use.holders.find(charge.holder);
         const bool isLive = it != use.holders.end() && now < it->second.expires;
-        if (!isLive || it->second.used >= it->second.reserved) {
-            return Reason::OverLease;
-        }
+        const bool hasRoom = isLive && it->second.used < it->second.reserved;
+        return hasRoom && region.usedByHolders < region.reservedByHolders ? std::nullopt
+                                                                          : std::optional(Reason::OverLease);
     }
-    RegionUse &region = use.regions[idx(charge.region)];
-    if (used(region) < reserved(region)) {
-        region.selfExpires = now + m_reserveTime;
+    if (committed(service) >= capacity) {
+        return Reason::NoCapacity;
+    }
+    if (charge.kind == Charge::Kind::Home) {
         return std::nullopt;
     }
-    if (margin(service, capacity, homeNeed) <= 0) {
-        return Reason::NoCapacity;
+    if (m_meters[idx(charge.region)].allowedByLink(1, linkUse(charge.region)) == 0) {
+        return Reason::LinkLimit;
     }
-    if (!growDirect(charge.region, service, now)) {
-        return m_meters[idx(charge.region)].capIsReached(now) ? Reason::ShiftCap : Reason::LinkLimit;
+    if (!raiseLevel(charge.region, service, region.usedDirectly + 1, now)) {
+        return Reason::ShiftCap;
     }
-    region.selfExpires = now + m_reserveTime;
     return std::nullopt;
 }
 
@@ -247,9 +267,17 @@
     }
 }
 
-void LeaseIssuer::lookedUp(RegionId from, ServiceId service, TimePoint expires)
+bool LeaseIssuer::lookedUp(RegionId from, ServiceId service, double slots, TimePoint expires, TimePoint now)
 {
-    m_services[idx(service)].regions[idx(from)].lookups.add(expires);
+    RegionUse &use = m_services[idx(service)].regions[idx(from)];
+    const auto needed = static_cast<unsigned>(std::ceil(use.lookups.total() + slots));
+    const unsigned more = needed > use.usedDirectly ? needed - use.usedDirectly : 0;
+    const bool linkAllows = m_meters[idx(from)].allowedByLink(more, linkUse(from)) == more;
+    if (!linkAllows || !raiseLevel(from, service, needed, now)) {
+        return false;
+    }
+    use.lookups.add(expires, slots);
+    return true;
 }
 
 void LeaseIssuer::setReserved(ServiceId service, HostId id, Holder &holder, unsigned amount)
@@ -271,11 +299,7 @@
         }
         for (RegionUse &region : use.regions) {
             region.lookups.expire(now);
-            if (region.selfReserved > 0 && now >= region.selfExpires) {
-                const unsigned needed = used(region);
-                region.selfReserved = needed > region.reservedByHolders ? needed - region.reservedByHolders : 0;
-                region.selfExpires = now + m_reserveTime;
-            }
+            checkLevel(region, now);
         }
     }
 }
@@ -336,7 +360,8 @@
     if (target > kept) {
         unsigned growth = std::min(target - kept, room);
         if (region != m_ownRegion) {
-            growth = m_meters[idx(region)].allowed(growth, takenInRegion(region), now);
+            growth = m_meters[idx(region)].allowedByLink(growth, linkUse(region));
+            growth = m_meters[idx(region)].allowedByCap(growth, now);
             m_meters[idx(region)].grew(growth, now);
         }
         amount = kept + growth;
@@ -367,7 +392,7 @@
 ShiftView LeaseIssuer::shift(RegionId from) const
 {
     const ShiftMeter &meter = m_meters[idx(from)];
-    return {takenInRegion(from), meter.cap().value_or(UINT32_MAX), meter.interval(), meter.link()};
+    return {levelOf(from), linkUse(from), meter.cap().value_or(UINT32_MAX), meter.interval(), meter.link()};
 }
 
 } // namespace pepperlug
--- a/lib/Steer/LeaseIssuer.h
+++ b/lib/Steer/LeaseIssuer.h
@@ -42,12 +42,12 @@
 
     /// Whether one more request may run; grows the part of a region of direct callers if cap and link allow.
     /// Returns the reason of the refusal, nothing if admitted. Call started() when it then runs.
-    std::optional<Reason> admit(const Charge &charge, ServiceId service, unsigned capacity, unsigned homeNeed,
-                                TimePoint now);
+    std::optional<Reason> admit(const Charge &charge, ServiceId service, unsigned capacity, TimePoint now);
     void started(const Charge &charge, ServiceId service);
     void ended(const Charge &charge, ServiceId service);
-    /// Counts a look-up answer that sends a caller of another region here.
-    void lookedUp(RegionId from, ServiceId service, TimePoint expires);
+    /// Notes a look-up answer that sends a caller of another region here, who will use about so many slots. Returns
+    /// false, and notes nothing, if cap or link do not allow it.
+    bool lookedUp(RegionId from, ServiceId service, double slots, TimePoint expires, TimePoint now);
 
     /// Lets leases and look-up answers run out.
     void refresh(TimePoint now);
@@ -76,10 +76,13 @@
     struct RegionUse {
         unsigned reservedByHolders = 0;
         unsigned usedByHolders = 0;
-        unsigned selfReserved = 0; ///< grown on arrival of direct callers
-        TimePoint selfExpires{};
         unsigned usedDirectly = 0;
         ExpiringCount lookups;
+        /// Slots up to which direct callers have grown; growing further is metered. Reserves nothing: they get what is
+        /// free when they come.
+        unsigned level = 0;
+        unsigned peak = 0; ///< of their use since levelChecked
+        TimePoint levelChecked{};
     };
 
     struct ServiceUse {
@@ -93,13 +96,19 @@
         ServiceId service{};
     };
 
-    unsigned reserved(const RegionUse &use) const;
-    unsigned used(const RegionUse &use) const;
+    /// Slots that can't be given to others now.
+    unsigned committed(const RegionUse &use) const;
+    /// Slots to which callers of a region have grown, as caps count them.
     unsigned taken(const RegionUse &use) const;
-    unsigned takenInRegion(RegionId region) const;
+    unsigned directUse(const RegionUse &use) const;
+    void checkLevel(RegionUse &use, TimePoint now);
+    /// Slots of the link from that region that are taken, over all services.
+    unsigned linkUse(RegionId region) const;
+    unsigned levelOf(RegionId region) const;
     /// Slots left after all that is committed and that home still needs; below zero where too much is lent.
     int margin(ServiceId service, unsigned capacity, unsigned homeNeed) const;
-    bool growDirect(RegionId region, ServiceId service, TimePoint now);
+    /// Raises the level of direct callers to `slots` if cap and link allow.
+    bool raiseLevel(RegionId region, ServiceId service, unsigned slots, TimePoint now);
     void setReserved(ServiceId service, HostId id, Holder &holder, unsigned amount);
     ServiceGrant grant(HostId id, const LeaseRequest &request, const ServiceWant &want, unsigned capacity,
                        unsigned homeNeed, TimePoint now);
@@ -109,7 +118,6 @@
     RegionId m_ownRegion{};
     Duration m_leaseTime{};
     Duration m_reserveTime{}; ///< how long a lease counts here: its time and the drift that is allowed
-    unsigned m_lookupsPerSlot = 1;
     TimePoint m_started;
     std::vector<ServiceUse> m_services;
     std::vector<ShiftMeter> m_meters; ///< by RegionId of the callers
--- a/lib/Steer/Lookup.cpp
+++ b/lib/Steer/Lookup.cpp
@@ -31,16 +31,15 @@
     const RegionId from = event.callerZone ? m_bundle->regionOf(*event.callerZone) : m_region;
     const TimePoint expires = m_now + m_bundle->policy.lookupTtl;
     if (host == *m_self) {
-        if (from == m_region) {
-            const bool hasRoom = m_issuer.committed(service) < localCapacity(service);
-            return hasRoom || !leaseIsQuicker(service, std::nullopt, {});
+        // By mean demand, not by what is free this moment: a full slice with a short queue is no reason to move
+        // callers.
+        const unsigned capacity = localCapacity(service);
+        const unsigned takenByOthers = m_issuer.committed(service) - m_issuer.homeUsed(service);
+        const bool hasRoom = m_demand[idx(service)].offered() + takenByOthers < capacity;
+        if (from == m_region || !hasRoom) {
+            return hasRoom;
         }
-        const Charge charge{Charge::Kind::Region, from, {}};
-        if (m_issuer.admit(charge, service, localCapacity(service), homeNeed(service), m_now)) {
-            return false;
-        }
-        m_issuer.lookedUp(from, service, expires);
-        return true;
+        return m_issuer.lookedUp(from, service, slotsPerLookup(service), expires, m_now);
     }
     const bool hasSpare = m_holder.spare(host, service) > 0;
     if (from != m_region) {
@@ -52,10 +51,21 @@
     if (!m_holder.canUse(host, service, m_now)) {
         return false;
     }
-    m_holder.lookedUp(host, service, expires);
+    m_holder.lookedUp(host, service, slotsPerLookup(service), expires);
     return true;
 }
 
+// Measured: what own callers use, over the answers that they keep. The bundle's figure stands in until there are some.
+double Steering::Impl::slotsPerLookup(ServiceId service) const
+{
+    const double kept = m_homeLookups[idx(service)].total();
+    constexpr double EnoughToMeasure = 10;
+    if (kept < EnoughToMeasure) {
+        return 1.0 / m_bundle->policy.lookupsPerSlot;
+    }
+    return std::min(1.0, m_demand[idx(service)].offered() / kept);
+}
+
 // Slots that the host could give to callers, as far as is known here; at least one, so that none is left out for good.
 unsigned Steering::Impl::roomAt(HostId host, ServiceId service) const
 {
@@ -161,6 +171,10 @@
         return;
     }
     answer.ttl = m_bundle->policy.lookupTtl;
+    const bool isOwnCaller = !event.callerZone || m_bundle->regionOf(*event.callerZone) == m_region;
+    if (isOwnCaller && answer.hosts.front() == *m_self) {
+        m_homeLookups[idx(event.service)].add(m_now + answer.ttl, 1);
+    }
     answer.home = homeTokenOf(answer.hosts.front());
     answer.bundleVersion = m_bundle->version;
 
--- a/lib/Steer/Names.cpp
+++ b/lib/Steer/Names.cpp
@@ -11,9 +11,10 @@
 
 constexpr std::array<const char *, 4> StrategyNames{"leases", "nearest", "round-robin", "reported-load"};
 
-constexpr std::array<const char *, 26> ReasonNames{
+constexpr std::array<const char *, 27> ReasonNames{
     "local-target",
     "leased-zone",
+    "neighbour",
     "home",
     "queued",
     "hedge",
--- a/lib/Steer/Placement.cpp
+++ b/lib/Steer/Placement.cpp
@@ -21,12 +21,16 @@
 
 } // namespace
 
+// A caller of another region counts against that region's cap and link wherever in this region its request comes in, so
+// one that a neighbour passes on counts as if it had come here itself.
 Charge Steering::Impl::chargeOf(const RequestArrived &info) const
 {
-    if (info.forwardedBy && !info.toHome && m_settings.strategy == Strategy::Leases) {
+    const bool isForeign = info.callerZone && m_bundle->regionOf(*info.callerZone) != m_region;
+    const bool fromNeighbour = info.forwardedBy && m_bundle->regionOf(*info.forwardedBy) == m_region;
+    const bool underLease = info.forwardedBy && !info.toHome && !(isForeign && fromNeighbour);
+    if (underLease && m_settings.strategy == Strategy::Leases) {
         return {Charge::Kind::Holder, m_bundle->regionOf(*info.forwardedBy), *info.forwardedBy};
     }
-    const bool isForeign = info.callerZone && m_bundle->regionOf(*info.callerZone) != m_region;
     if (isForeign && m_settings.strategy == Strategy::Leases) {
         return {Charge::Kind::Region, m_bundle->regionOf(*info.callerZone), {}};
     }
@@ -66,7 +70,7 @@
         return placeByBaseline(request);
     }
     // Whoever waits already goes first, unless this request may go where the waiting ones may not.
-    const bool mayOvertake = request.charge.kind == Charge::Kind::Holder || queueOf(request).empty();
+    const bool mayOvertake = request.charge.kind == Charge::Kind::Holder || noneWaitBefore(request);
     std::optional<Reason> reason = Reason::NoCapacity;
     if (mayOvertake) {
         reason = tryLocal(request);
@@ -74,14 +78,15 @@
             return std::nullopt;
         }
     }
-    if (request.charge.kind == Charge::Kind::Holder) {
-        return reason; // the holder decides where it goes next
+    const bool wasPassedOn = request.info.forwardedBy && !request.info.toHome;
+    if (wasPassedOn) {
+        return reason; // the host that it came from decides where it goes next
     }
     const std::optional<RegionId> region = onwardRegion(request.charge);
     if (leaseIsQuicker(request.info.service, region, request.triedHosts) && tryLease(request)) {
         return std::nullopt;
     }
-    if (enqueue(request) || tryLease(request)) {
+    if (tryNeighbour(request) || enqueue(request) || tryLease(request)) {
         return std::nullopt;
     }
     return reason;
@@ -102,7 +107,7 @@
         return Reason::NoCapacity;
     }
     if (!request.isCharged) {
-        if (const auto reason = m_issuer.admit(request.charge, service, capacity, homeNeed(service), m_now)) {
+        if (const auto reason = m_issuer.admit(request.charge, service, capacity, m_now)) {
             return reason;
         }
         m_issuer.started(request.charge, service);
@@ -126,6 +131,21 @@
     return true;
 }
 
+// A caller of another region may be served anywhere in this one; a neighbour that said it has room is asked.
+bool Steering::Impl::tryNeighbour(Request &request)
+{
+    if (request.charge.kind != Charge::Kind::Region) {
+        return false;
+    }
+    const auto host = m_holder.chooseSpare(request.info.service, m_region, request.triedHosts, m_now);
+    if (!host) {
+        return false;
+    }
+    release(request);
+    startAtHost(request, *host, Reason::Neighbour, false);
+    return true;
+}
+
 std::optional<Reason> Steering::Impl::placeByBaseline(Request &request)
 {
     const ServiceId service = request.info.service;
@@ -145,7 +165,7 @@
         startAtHost(request, host, Reason::LeasedZone, false);
         return std::nullopt;
     }
-    const std::optional<Reason> reason = queueOf(request).empty() ? tryLocal(request) : Reason::NoCapacity;
+    const std::optional<Reason> reason = noneWaitBefore(request) ? tryLocal(request) : Reason::NoCapacity;
     if (!reason || enqueue(request)) {
         return std::nullopt;
     }
@@ -172,6 +192,11 @@
     return request.charge.kind == Charge::Kind::Home ? queues.home : queues.foreign[request.charge.region];
 }
 
+bool Steering::Impl::noneWaitBefore(const Request &request)
+{
+    return m_queues[idx(request.info.service)].home.empty() && queueOf(request).empty();
+}
+
 std::optional<RegionId> Steering::Impl::onwardRegion(const Charge &charge) const
 {
     return charge.kind == Charge::Kind::Region ? std::optional(charge.region) : std::nullopt;
@@ -221,6 +246,9 @@
 void Steering::Impl::runQueue(ServiceId service)
 {
     runQueue(service, m_queues[idx(service)].home);
+    if (!m_queues[idx(service)].home.empty()) {
+        return; // own callers first
+    }
     for (auto &[region, queue] : m_queues[idx(service)].foreign) {
         runQueue(service, queue);
     }
@@ -316,10 +344,6 @@
 void Steering::Impl::refuse(Request &request, Outcome outcome, Reason reason, const std::string &peer)
 {
     const Refuse refusal{request.info.id, outcome, reason, retryAfter(request, reason), peer};
-    const bool isLoad = reason == Reason::NoCapacity || reason == Reason::ShiftCap || reason == Reason::LinkLimit;
-    if (isLoad && m_self && request.charge.kind == Charge::Kind::Home) {
-        m_demand[idx(request.info.service)].refused();
-    }
     cancelAttempts(request);
     release(request);
     if (m_self) {
--- a/lib/Steer/ShiftMeter.cpp
+++ b/lib/Steer/ShiftMeter.cpp
@@ -32,16 +32,21 @@
     }
 }
 
-unsigned ShiftMeter::allowed(unsigned wanted, unsigned inUse, TimePoint now)
+unsigned ShiftMeter::allowedByCap(unsigned wanted, TimePoint now)
 {
     forget(now);
-    if (m_link) {
-        wanted = std::min(wanted, *m_link > inUse ? *m_link - inUse : 0);
+    if (!m_cap) {
+        return wanted;
     }
-    if (m_cap) {
-        wanted = std::min(wanted, *m_cap > m_recent ? *m_cap - m_recent : 0);
+    return std::min(wanted, *m_cap > m_recent ? *m_cap - m_recent : 0);
+}
+
+unsigned ShiftMeter::allowedByLink(unsigned wanted, unsigned inUse) const
+{
+    if (!m_link) {
+        return wanted;
     }
-    return wanted;
+    return std::min(wanted, *m_link > inUse ? *m_link - inUse : 0);
 }
 
 void ShiftMeter::grew(unsigned slots, TimePoint now)
@@ -53,12 +58,6 @@
     m_recent += slots;
 }
 
-bool ShiftMeter::capIsReached(TimePoint now)
-{
-    forget(now);
-    return m_cap && m_recent >= *m_cap;
-}
-
 std::optional<unsigned> ShiftMeter::cap() const
 {
     return m_cap;
--- a/lib/Steer/ShiftMeter.h
+++ b/lib/Steer/ShiftMeter.h
@@ -17,12 +17,12 @@
     void setCap(std::optional<unsigned> slots, Duration interval);
     void setLink(std::optional<unsigned> slots);
 
-    /// Slots by which the use may grow now, at most `wanted`, with `inUse` slots of the link taken.
-    unsigned allowed(unsigned wanted, unsigned inUse, TimePoint now);
-    /// Notes growth that was granted; allowed() must have covered it.
+    /// Slots by which the level may grow now, at most `wanted`.
+    unsigned allowedByCap(unsigned wanted, TimePoint now);
+    /// Slots more that the link takes, at most `wanted`, with `inUse` of them taken.
+    unsigned allowedByLink(unsigned wanted, unsigned inUse) const;
+    /// Notes growth that was granted; allowedByCap() must have covered it.
     void grew(unsigned slots, TimePoint now);
-    /// Whether the cap, not the link, would refuse one slot more.
-    bool capIsReached(TimePoint now);
 
     std::optional<unsigned> cap() const;
     Duration interval() const;
--- a/lib/Steer/Steering.cpp
+++ b/lib/Steer/Steering.cpp
@@ -123,6 +123,9 @@
     m_pool.refresh(m_now);
     m_holder.refresh(m_now);
     m_issuer.refresh(m_now);
+    for (ExpiringCount &lookups : m_homeLookups) {
+        lookups.expire(m_now);
+    }
     refreshSlice();
     for (std::size_t n = 0; n < m_demand.size(); ++n) {
         m_demand[n].refresh(m_settings.tick, m_pool.meanLatency(makeId<ServiceId>(n)));
--- a/tools/pepperlug-measure/Decisions.cpp
+++ b/tools/pepperlug-measure/Decisions.cpp
@@ -165,7 +165,8 @@
             std::uint64_t found = 0;
             std::vector<std::uint64_t> keys(Group);
             for (std::size_t n = 0; n < Lookups / Group; ++n) {
-                std::generate(keys.begin(), keys.end(), [&] { return known[random() % known.size()] << (isV4 ? 8 : 16); });
+                std::generate(keys.begin(), keys.end(),
+                              [&] { return known[random() % known.size()] << (isV4 ? 8 : 16); });
                 const auto start = std::chrono::steady_clock::now();
                 for (const std::uint64_t key : keys) {
                     const auto zone = isV4 ? map.findV4(static_cast<std::uint32_t>(key)) : map.findV6(key);
--- a/tools/pepperlug-measure/Steer.cpp
+++ b/tools/pepperlug-measure/Steer.cpp
@@ -116,7 +116,7 @@
         }
         for (const ShiftCap &cap : m_bundle.shiftCaps) {
             auto &series = m_shifts[{cap.from, cap.to}];
-            series.emplace_back(m_driver.now(), m_driver.shifted(cap.from, cap.to));
+            series.emplace_back(m_driver.now(), m_driver.shifted(cap.from, cap.to).level);
             while (series.front().first + cap.interval < m_driver.now()) {
                 series.pop_front();
             }
@@ -126,7 +126,7 @@
             m_capBreach += isOver ? SampleInterval : Duration{};
         }
         for (const LinkLimit &limit : m_bundle.linkLimits) {
-            const unsigned used = m_driver.shifted(limit.from, limit.to);
+            const unsigned used = m_driver.shifted(limit.from, limit.to).committed;
             m_linkBreach += used > limit.slots ? SampleInterval : Duration{};
             const double headroom = limit.slots == 0 ? 0 : 1 - static_cast<double>(used) / limit.slots;
             m_lowestLink = std::min(m_lowestLink, headroom);
