--- a/lib/Steer/Placement.cpp
+++ b/lib/Steer/Placement.cpp
@@ -265,7 +265,8 @@
         Request &request = it->second;
         if (isHopeless(request)) {
             queue.pop_front();
-            refuse(request, Outcome::NotRun, Reason::NoCapacity, {});
+            // A read that waits for another attempt may have run in its first.
+            refuse(request, request.sent ? Outcome::Unknown : Outcome::NotRun, Reason::NoCapacity, {});
             continue;
         }
         if (!tryLocal(request)) {
