Test callers' and targets' HTTP and the calls between processes

Cause: neither side of the wire had a test. Change: raw requests of each kind that the library takes or loses in silence (pipelining, two lengths, garbled lines, oversized heads, slow senders), late answers under reused sockets, what is known of a request whose connection breaks, calls that are cancelled, late, large or garbage.

--- /dev/null
+++ b/unittests/Http/HttpClientTest.cpp
@@ -0,0 +1,181 @@
+//===- HttpClientTest.cpp - What is known of a request to a target --------===//
+#include "pepperlug/Http.h"
+#include "RawSocket.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace pepperlug;
+
+namespace
+{
+
+constexpr std::size_t MaxAnswerBytes = 1 << 20;
+
+HttpResult call(HttpClient &client, HttpCall call)
+{
+    std::promise<HttpResult> promise;
+    client.start(std::move(call), [&promise](HttpResult it) { promise.set_value(std::move(it)); });
+    return promise.get_future().get();
+}
+
+HttpCall callTo(const Address &to, const std::string &method = "GET")
+{
+    HttpCall call;
+    call.to = to;
+    call.method = method;
+    call.resource = "/x";
+    call.headers = {{"Host", "h"}};
+    call.timeout = std::chrono::seconds(5);
+    return call;
+}
+
+const std::string Answer200 = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: keep-alive\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("no connection means that nothing was sent")
+{
+    Address closed;
+    {
+        const RawServer server({});
+        closed = server.address();
+    }
+    HttpClient client(MaxAnswerBytes);
+    CHECK(call(client, callTo(closed, "POST")).kind == HttpResult::Kind::NotSent);
+}
+
+TEST_CASE("a connection that closes without an answer means that it may have been sent")
+{
+    const RawServer server({[](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+    }});
+    HttpClient client(MaxAnswerBytes);
+    CHECK(call(client, callTo(server.address(), "POST")).kind == HttpResult::Kind::Broken);
+}
+
+TEST_CASE("an answer that is cut in its body is no answer")
+{
+    const RawServer server({[](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this");
+    }});
+    HttpClient client(MaxAnswerBytes);
+    CHECK(call(client, callTo(server.address())).kind == HttpResult::Kind::Broken);
+}
+
+TEST_CASE("a request on a kept connection that the target closes is not sent again, unless it may be")
+{
+    for (const bool mayRepeat : {false, true}) {
+        std::atomic<int> seen{0};
+        const auto first = [&seen](RawServer::Socket &socket) {
+            RawServer::readRequest(socket);
+            ++seen;
+            RawServer::send(socket, Answer200);
+            RawServer::readRequest(socket); // takes the second request, runs it, and closes without a word
+            ++seen;
+        };
+        const auto second = [&seen](RawServer::Socket &socket) {
+            RawServer::readRequest(socket);
+            ++seen;
+            RawServer::send(socket, Answer200);
+        };
+        HttpClient client(MaxAnswerBytes);
+        {
+            std::vector<RawServer::Script> scripts{first};
+            if (mayRepeat) {
+                scripts.push_back(second);
+            }
+            const RawServer server(scripts);
+            CHECK(call(client, callTo(server.address())).kind == HttpResult::Kind::Answered);
+            HttpCall again = callTo(server.address(), mayRepeat ? "GET" : "POST");
+            again.mayRepeat = mayRepeat;
+            const HttpResult result = call(client, std::move(again));
+            CHECK(result.kind == (mayRepeat ? HttpResult::Kind::Answered : HttpResult::Kind::Broken));
+        }
+        CHECK(seen == (mayRepeat ? 3 : 2));
+    }
+}
+
+TEST_CASE("chunked answers, repeated headers and empty values come whole")
+{
+    const RawServer server({[](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket,
+                        "HTTP/1.1 201 Created\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\nX-Empty:\r\nTransfer-Encoding: "
+                        "chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
+    }});
+    HttpClient client(MaxAnswerBytes);
+    const HttpResult result = call(client, callTo(server.address()));
+    REQUIRE(result.kind == HttpResult::Kind::Answered);
+    CHECK(result.answer.status == 201);
+    CHECK(result.answer.body == "abcdefg");
+    REQUIRE(result.answer.headers.size() == 4);
+    CHECK(result.answer.headers[1].value == "b=2");
+    CHECK(result.answer.headers[2].value.empty());
+}
+
+TEST_CASE("the request is sent as given, with nothing added")
+{
+    std::promise<std::string> seen;
+    const RawServer server({[&seen](RawServer::Socket &socket) {
+        seen.set_value(RawServer::readRequest(socket, 4));
+        RawServer::send(socket, Answer200);
+    }});
+    HttpClient client(MaxAnswerBytes);
+    HttpCall it = callTo(server.address(), "PATCH");
+    it.resource = "/a/../b?q=%2F&q=2";
+    it.headers = {{"Host", "service.example"}, {"X-One", "1"}, {"X-None", ""}};
+    it.body = std::make_shared<const std::string>("body");
+    call(client, std::move(it));
+    const std::string bytes = seen.get_future().get();
+    CHECK(bytes.starts_with("PATCH /a/../b?q=%2F&q=2 HTTP/1.1\r\n"));
+    CHECK(bytes.find("Host: service.example\r\n") != std::string::npos);
+    CHECK(bytes.find("X-None:\r\n") != std::string::npos);
+    CHECK(bytes.ends_with("\r\n\r\nbody"));
+    for (const char *added : {"User-Agent", "Accept", "Content-Type", "Expect"}) {
+        CHECK(bytes.find(added) == std::string::npos);
+    }
+}
+
+TEST_CASE("an answer past the limit is given up, a timeout breaks the call, a cancelled call says nothing")
+{
+    const RawServer server(
+        {[](RawServer::Socket &socket) {
+             RawServer::readRequest(socket);
+             RawServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + std::string(2000000, 'x'));
+         },
+         [](RawServer::Socket &socket) {
+             RawServer::readRequest(socket);
+             RawServer::readRequest(socket); // until the caller gives up
+         },
+         [](RawServer::Socket &socket) {
+             RawServer::readRequest(socket);
+             RawServer::readRequest(socket);
+         }});
+    HttpClient client(MaxAnswerBytes);
+    CHECK(call(client, callTo(server.address())).kind == HttpResult::Kind::TooLarge);
+    HttpCall hurried = callTo(server.address());
+    hurried.timeout = Milliseconds(50);
+    CHECK(call(client, std::move(hurried)).kind == HttpResult::Kind::Broken);
+    std::atomic<bool> wasCalled{false};
+    const HttpCallId id =
+        client.start(callTo(server.address()), [&wasCalled](const HttpResult &) { wasCalled = true; });
+    client.cancel(id);
+    client.stop();
+    CHECK_FALSE(wasCalled);
+}
+
+TEST_CASE("the answer to HEAD has its length and no body")
+{
+    const RawServer server({[](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
+    }});
+    HttpClient client(MaxAnswerBytes);
+    const HttpResult result = call(client, callTo(server.address(), "HEAD"));
+    REQUIRE(result.kind == HttpResult::Kind::Answered);
+    CHECK(result.answer.body.empty());
+    CHECK(result.answer.headers[0].value == "77");
+}
--- /dev/null
+++ b/unittests/Http/HttpServerTest.cpp
@@ -0,0 +1,304 @@
+//===- HttpServerTest.cpp - What callers may send, and what they get ------===//
+#include "pepperlug/Http.h"
+#include "RawSocket.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pepperlug;
+
+namespace
+{
+
+/// A server that echoes, with the paths /hold (answered later), /204, /304 and /cookies.
+class EchoServer
+{
+public:
+    explicit EchoServer(HttpLimits limits = {})
+        : server({"127.0.0.1", 0}, 2, limits, clock, [this](const HttpExchangePtr &exchange) { onRequest(exchange); })
+    {
+    }
+
+    void onRequest(const HttpExchangePtr &exchange)
+    {
+        const HttpRequest &request = exchange->request();
+        if (request.path() == "/hold") {
+            const std::lock_guard lock(mutex);
+            held.push_back(exchange);
+            exchange->onDeparture([this] {
+                const std::lock_guard inner(mutex);
+                ++departed;
+                changed.notify_all();
+            });
+            changed.notify_all();
+        } else if (request.path() == "/204" || request.path() == "/304") {
+            exchange->respond({static_cast<unsigned>(std::stoul(request.path().substr(1))), {{"X-Mark", "m"}}, ""});
+        } else if (request.path() == "/cookies") {
+            exchange->respond({200, {{"Set-Cookie", "a=1"}, {"Set-Cookie", "b=2"}}, "ok"});
+        } else if (request.path() == "/length" && request.method == "HEAD") {
+            exchange->respond({200, {{"Content-Length", "1234"}}, ""});
+        } else {
+            exchange->respond({200, {}, request.method + " " + request.resource + " [" + request.body + "]"});
+        }
+    }
+
+    std::vector<HttpExchangePtr> takeHeld(std::size_t count)
+    {
+        std::unique_lock lock(mutex);
+        changed.wait(lock, [&] { return held.size() >= count; });
+        return std::exchange(held, {});
+    }
+
+    void waitDeparted(int count)
+    {
+        std::unique_lock lock(mutex);
+        changed.wait(lock, [&] { return departed >= count; });
+    }
+
+    ManualClock clock;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<HttpExchangePtr> held;
+    int departed = 0;
+    HttpServer server;
+};
+
+std::string get(const std::string &path, const std::string &more = "")
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + more + "\r\n";
+}
+
+bool has(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string answerTo(EchoServer &echo, const std::string &bytes)
+{
+    RawSocket socket(echo.server.address());
+    socket.send(bytes);
+    return socket.readToEnd();
+}
+
+} // namespace
+
+TEST_CASE("connections are kept unless the caller says otherwise")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send(get("/one"));
+    CHECK(has(socket.readUntil("[]"), "Connection: keep-alive"));
+    socket.send(get("/two", "Connection: close\r\n"));
+    const std::string all = socket.readToEnd();
+    CHECK(has(all, "GET /two []"));
+    CHECK(has(all, "Connection: close"));
+    CHECK(has(answerTo(echo, "GET /old HTTP/1.0\r\n\r\n"), "Connection: close"));
+}
+
+TEST_CASE("pipelined requests are all answered, in order")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold") + get("/second") + "POST /third HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+                + get("/fourth"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    held[0]->respond({200, {}, "first []"});
+    const std::string all = socket.readUntil("]", 4);
+    const std::size_t first = all.find("first []");
+    const std::size_t second = all.find("GET /second []");
+    const std::size_t third = all.find("POST /third [body]");
+    const std::size_t fourth = all.find("GET /fourth []");
+    REQUIRE(fourth != std::string::npos);
+    CHECK(first < second);
+    CHECK(second < third);
+    CHECK(third < fourth);
+}
+
+TEST_CASE("bodies come whole, by length, in chunks and in small pieces")
+{
+    EchoServer echo;
+    CHECK(has(answerTo(echo, "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello"),
+              "[hello]"));
+    CHECK(has(
+        answerTo(echo,
+                 "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"),
+        "[abcde]"));
+    RawSocket socket(echo.server.address());
+    for (const char c : std::string("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz")) {
+        socket.send(std::string(1, c));
+    }
+    CHECK(has(socket.readUntil("]"), "POST /p [xyz]"));
+    const std::string large(900 * 1024, 'q');
+    const std::string answer = answerTo(echo,
+                                        "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: "
+                                            + std::to_string(large.size()) + "\r\n\r\n" + large);
+    CHECK(has(answer, "[" + large + "]"));
+}
+
+TEST_CASE("Expect: 100-continue is met, any other expectation is refused")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send("POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    CHECK(has(socket.readUntil("\r\n\r\n"), "HTTP/1.1 100 Continue"));
+    socket.send("ok");
+    CHECK(has(socket.readUntil("]"), "[ok]"));
+    CHECK(has(answerTo(echo, get("/x", "Expect: tea\r\n")), "HTTP/1.1 417"));
+}
+
+TEST_CASE("HEAD, 204 and 304 have no body; HEAD keeps the length")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send("HEAD /length HTTP/1.1\r\nHost: h\r\n\r\n" + get("/204") + get("/304")
+                + get("/end", "Connection: close\r\n"));
+    const std::string all = socket.readToEnd();
+    CHECK(has(all, "Content-Length: 1234\r\nConnection: keep-alive\r\n\r\nHTTP/1.1 204"));
+    CHECK(has(all, "X-Mark: m\r\nConnection: keep-alive\r\n\r\nHTTP/1.1 304"));
+    CHECK(has(all, "X-Mark: m\r\nConnection: keep-alive\r\n\r\nHTTP/1.1 200"));
+}
+
+TEST_CASE("headers that come twice are sent twice")
+{
+    EchoServer echo;
+    const std::string all = answerTo(echo, get("/cookies", "Connection: close\r\n"));
+    CHECK(has(all, "Set-Cookie: a=1\r\nSet-Cookie: b=2"));
+}
+
+TEST_CASE("bad requests get a clear answer and the connection is closed")
+{
+    EchoServer echo;
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"garbage\r\n\r\n", "400"},
+        {"GET /a b c HTTP/1.1\r\nHost: h\r\n\r\n", "400"},
+        {"GET / HTTP/2.0\r\nHost: h\r\n\r\n", "505"},
+        {"BREW / HTTP/1.1\r\nHost: h\r\n\r\n", "501"},
+        {"GET http://x/ HTTP/1.1\r\nHost: h\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nHost: h\r\nno colon\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nHost: h\r\nBad name: x\r\n\r\n", "400"},
+        {std::string("GET / HTTP/1.1\r\nHost: h\r\nX: a\x01") + "b\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400"},
+        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1e3\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", "400"},
+        {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n", "501"},
+        {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", "413"},
+        {"GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(20000, 'a') + "\r\n\r\n", "431"},
+        {"GET /" + std::string(20000, 'a'), "431"},
+    };
+    for (const auto &[bytes, status] : cases) {
+        INFO(bytes.substr(0, 80));
+        const std::string answer = answerTo(echo, bytes);
+        CHECK(answer.starts_with("HTTP/1.1 " + status + " "));
+        CHECK(has(answer, "Pepperlug-Outcome: not-run"));
+    }
+    CHECK(has(answerTo(echo, get("/well", "Connection: close\r\nCookie: no-equals\r\n")), "GET /well []"));
+}
+
+TEST_CASE("a chunked body past the limit is refused")
+{
+    HttpLimits limits;
+    limits.bodyBytes = 100;
+    EchoServer echo(limits);
+    const std::string chunk = "40\r\n" + std::string(64, 'a') + "\r\n";
+    CHECK(has(answerTo(echo,
+                       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk + chunk
+                           + chunk + "0\r\n\r\n"),
+              "HTTP/1.1 413"));
+}
+
+TEST_CASE("a slow sender is told and closed, and costs others nothing")
+{
+    EchoServer echo;
+    RawSocket slow(echo.server.address());
+    slow.send("GET /slow HTT");
+    RawSocket other(echo.server.address());
+    other.send(get("/other"));
+    CHECK(has(other.readUntil("[]"), "GET /other []"));
+    echo.clock.advance(std::chrono::seconds(11));
+    echo.server.sweep();
+    CHECK(has(slow.readToEnd(), "HTTP/1.1 408"));
+    other.send(get("/again"));
+    CHECK(has(other.readUntil("[]", 2), "GET /again []"));
+}
+
+TEST_CASE("an idle connection is closed, one that waits for its answer is not")
+{
+    EchoServer echo;
+    RawSocket idle(echo.server.address());
+    idle.send(get("/one"));
+    idle.readUntil("[]");
+    RawSocket waiting(echo.server.address());
+    waiting.send(get("/hold"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    echo.clock.advance(std::chrono::seconds(1000));
+    echo.server.sweep();
+    idle.readToEnd();
+    held[0]->respond({200, {}, "late []"});
+    CHECK(has(waiting.readUntil("[]"), "late []"));
+}
+
+TEST_CASE("an answer that comes after its caller has left reaches nobody else")
+{
+    EchoServer echo;
+    for (int round = 0; round < 50; ++round) {
+        RawSocket leaver(echo.server.address());
+        leaver.send(get("/hold"));
+        const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+        leaver.close();
+        // New connections come while the late answer is on its way; the kernel likes to reuse the closed one's number.
+        std::thread answerer([&] { held[0]->respond({200, {}, "secret"}); });
+        RawSocket stranger(echo.server.address());
+        stranger.send(get("/mine", "Connection: close\r\n"));
+        const std::string all = stranger.readToEnd();
+        answerer.join();
+        CHECK(has(all, "GET /mine []"));
+        CHECK_FALSE(has(all, "secret"));
+        echo.waitDeparted(round + 1);
+    }
+}
+
+TEST_CASE("the second answer to a request is dropped")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold", "Connection: close\r\n"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    held[0]->respond({200, {}, "first"});
+    held[0]->respond({200, {}, "second"});
+    const std::string all = socket.readToEnd();
+    CHECK(has(all, "first"));
+    CHECK_FALSE(has(all, "second"));
+}
+
+TEST_CASE("more requests in progress on one connection than allowed are refused")
+{
+    HttpLimits limits;
+    limits.pipelined = 2;
+    EchoServer echo(limits);
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold") + get("/hold") + get("/hold"));
+    for (const HttpExchangePtr &held : echo.takeHeld(2)) {
+        held->respond({200, {}, "held"});
+    }
+    const std::string all = socket.readToEnd();
+    CHECK(has(all, "HTTP/1.1 503"));
+}
+
+TEST_CASE("queries and headers are read as RFC 9110 says")
+{
+    HttpRequest request;
+    request.resource = "/v1/lookup?service=a%20b&client=10.0.0.1&flag";
+    request.headers = {{"X-Thing", "1"}};
+    CHECK(request.path() == "/v1/lookup");
+    CHECK(request.query("service") == "a b");
+    CHECK(request.query("client") == "10.0.0.1");
+    CHECK(request.query("flag") == "");
+    CHECK(request.query("none") == std::nullopt);
+    CHECK(request.header("x-thing") == "1");
+    const std::vector<HeaderField> kept =
+        endToEndHeaders({{"Connection", "X-Hop, close"}, {"X-Hop", "1"}, {"TE", "x"}, {"X-End", "2"}});
+    CHECK(kept == std::vector<HeaderField>{{"X-End", "2"}});
+}
