--- a/include/pepperlug/Model.h
+++ b/include/pepperlug/Model.h
@@ -179,7 +179,7 @@
     void grantLease(HostId host, const GrantLease &effect);
     void endRequest(HostId host, RequestId id, AttemptResult result, const Refuse *refusal);
     void cancel(HostId host, const CancelAttempt &effect);
-    void sendLease(HostId from, HostId to, std::function<void()> deliver);
+    void sendLease(HostId from, HostId to, const std::function<void()> &deliver);
     void schedule(ZoneId zone, ServiceId service);
     void startOperation(std::size_t caller);
     void lookUp(std::size_t operation);
--- a/include/pepperlug/Support.h
+++ b/include/pepperlug/Support.h
@@ -169,7 +169,7 @@
     static std::optional<Address> parse(const std::string &text);
     std::string text() const;
     bool operator==(const Address &) const = default;
-    auto operator<=>(const Address &) const = default;
+    auto operator<=>(const Address &) const = default; // NOLINT(modernize-use-nullptr): the check misreads this line
 };
 
 struct HeaderField {
--- a/lib/Daemon/EntryEffects.cpp
+++ b/lib/Daemon/EntryEffects.cpp
@@ -220,12 +220,12 @@
     m_metrics.count("pepperlug_forwards");
     pending.attempts[effect.attempt].peerCall =
         m_net.call(host.peer, path::Forward, encode(message), left + ReplyGrace,
-                   [this, id = effect.id, attempt = effect.attempt, name = host.name](PeerReply reply) {
-                       hostReplied(id, attempt, name, std::move(reply));
+                   [this, id = effect.id, attempt = effect.attempt, name = host.name](const PeerReply &reply) {
+                       hostReplied(id, attempt, name, reply);
                    });
 }
 
-void EntryDaemon::Impl::hostReplied(RequestId id, unsigned attempt, const std::string &host, PeerReply reply)
+void EntryDaemon::Impl::hostReplied(RequestId id, unsigned attempt, const std::string &host, const PeerReply &reply)
 {
     if (!reply.delivered) {
         attemptEnded(id, attempt, reply.maybeSent ? AttemptResult::Broken : AttemptResult::NotSent, false, nullptr);
@@ -340,7 +340,7 @@
     const EntryHost &host = m_bundle->hosts[idx(effect.issuer)];
     const std::uint64_t sequence = effect.request.sequence;
     m_net.call(host.peer, path::Lease, encode(LeaseCall{m_settings.name, effect.request}), effect.timeout,
-               [this, name = host.name, sequence](PeerReply reply) {
+               [this, name = host.name, sequence](const PeerReply &reply) {
                    std::optional<LeaseGrant> grant;
                    try {
                        if (reply.delivered && reply.status == Ok) {
--- a/lib/Daemon/EntryImpl.h
+++ b/lib/Daemon/EntryImpl.h
@@ -97,7 +97,7 @@
     void carryOut(const StopReady &effect);
     void attemptEnded(RequestId id, unsigned attempt, AttemptResult result, bool targetLeaving, AnswerPtr answer);
     void targetReplied(RequestId id, unsigned attempt, HttpResult result);
-    void hostReplied(RequestId id, unsigned attempt, const std::string &host, PeerReply reply);
+    void hostReplied(RequestId id, unsigned attempt, const std::string &host, const PeerReply &reply);
     void sendAnswer(RequestId id, PendingRequest &pending, const AnswerPtr &answer);
     void syncClaims();
 
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -52,6 +52,7 @@
 
 /// One call on its way.
 struct Transfer {
+    HttpCallId id{};
     HttpCall call;
     HttpResultHandler handler;
     std::size_t maxAnswerBytes = 0;
@@ -103,9 +104,7 @@
 
 void addHeader(HeaderList &list, const std::string &line)
 {
-    curl_slist *head = curl_slist_append(list.get(), line.c_str());
-    list.release();
-    list.reset(head);
+    list.reset(curl_slist_append(list.release(), line.c_str()));
 }
 
 void setUpMethod(CURL *easy, const HttpCall &call)
@@ -223,6 +222,7 @@
         {
             const std::lock_guard lock(m_mutex);
             id = static_cast<HttpCallId>(++m_lastId);
+            transfer->id = id;
             m_orders.push_back({id, std::move(transfer)});
         }
         curl_multi_wakeup(m_multi.get());
@@ -301,8 +301,7 @@
             m_spare.pop_back();
         }
         setUp(transfer);
-        curl_easy_setopt(transfer.easy.get(), CURLOPT_PRIVATE,
-                         reinterpret_cast<char *>(static_cast<std::uintptr_t>(order.id)));
+        curl_easy_setopt(transfer.easy.get(), CURLOPT_PRIVATE, &transfer);
         curl_multi_add_handle(m_multi.get(), transfer.easy.get());
         m_transfers.emplace(order.id, std::move(order.transfer));
     }
@@ -316,9 +315,9 @@
                 continue;
             }
             const CURLcode code = message->data.result;
-            char *tag = nullptr;
-            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &tag);
-            const auto it = m_transfers.find(static_cast<HttpCallId>(reinterpret_cast<std::uintptr_t>(tag)));
+            Transfer *done = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &done);
+            const auto it = m_transfers.find(done->id);
             const std::unique_ptr<Transfer> transfer = std::move(it->second);
             m_transfers.erase(it);
             curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -57,7 +57,7 @@
 class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(std::shared_ptr<pt::Peer> peer, ServerShared &shared)
+    Connection(const std::shared_ptr<pt::Peer> &peer, ServerShared &shared)
         : m_peer(peer)
         , m_ip(peer->address().host())
         , m_parser(shared.limits.headBytes + shared.limits.bodyBytes * 2)
--- a/lib/Model/Driver.cpp
+++ b/lib/Model/Driver.cpp
@@ -234,8 +234,8 @@
     }
     const auto sent = it->second.forwarded.find(effect.attempt);
     if (sent != it->second.forwarded.end()) {
-        const auto [to, id] = sent->second;
-        after(latency(host, to), [this, to, id] { post(to, CallerLeft{id}); });
+        const auto remote = sent->second;
+        after(latency(host, remote.first), [this, remote] { post(remote.first, CallerLeft{remote.second}); });
         return;
     }
     const auto attempt = it->second.running.find(effect.attempt);
--- a/lib/Model/Messages.cpp
+++ b/lib/Model/Messages.cpp
@@ -5,7 +5,7 @@
 {
 
 // Lease messages may be lost, repeated and overtake each other; that is what their sequence numbers are for.
-void Driver::sendLease(HostId from, HostId to, std::function<void()> deliver)
+void Driver::sendLease(HostId from, HostId to, const std::function<void()> &deliver)
 {
     std::uniform_real_distribution<double> share(0, 1);
     if (isCut(from, to) || share(m_random) < m_settings.lossShare) {
