--- a/tools/pepperlug-measure/Main.cpp
+++ b/tools/pepperlug-measure/Main.cpp
@@ -47,8 +47,13 @@
     ExitCode (*run)(const MeasureContext &context);
 };
 
-constexpr std::array<Measure, 3> All{
-    {{"steer", measureSteer}, {"decisions", measureDecisions}, {"clients", measureClients}}};
+const std::vector<Measure> &measures()
+{
+    static const std::vector<Measure> All{{"steer", measureSteer},     {"decisions", measureDecisions},
+                                          {"clients", measureClients}, {"lookup", measureLookup},
+                                          {"forward", measureForward}, {"bare", measureBare}};
+    return All;
+}
 
 ExitCode run(const cxxopts::ParseResult &arguments)
 {
@@ -56,15 +61,19 @@
     context.examples = arguments["examples"].as<std::string>();
     context.seconds = arguments["seconds"].as<double>();
     context.seed = arguments["seed"].as<std::uint64_t>();
+    context.bundle = arguments["bundle"].as<std::string>();
+    context.service = arguments["service"].as<std::string>();
+    context.entry = arguments["entry"].as<std::string>();
+    context.other = arguments["other"].as<std::string>();
     if (arguments.count("words") > 0) {
         context.words = arguments["words"].as<std::vector<std::string>>();
     }
-    for (const Measure &it : All) {
+    for (const Measure &it : measures()) {
         if (!context.words.empty() && context.words.front() == it.name) {
             return it.run(context);
         }
     }
-    throw Error("start", "", "a measure is needed: steer, decisions or clients");
+    throw Error("start", "", "a measure is needed; see scripts/measure");
 }
 
 } // namespace
@@ -79,6 +88,12 @@
                           cxxopts::value<std::string>()->default_value("examples"), "FOLDER");
     options.add_options()("seconds", "model time of each run", cxxopts::value<double>()->default_value("20"), "N");
     options.add_options()("seed", "of all random choices", cxxopts::value<std::uint64_t>()->default_value("1"), "N");
+    options.add_options()("bundle", "bundle of the running system", cxxopts::value<std::string>()->default_value(""),
+                          "FILE");
+    options.add_options()("service", "service to call", cxxopts::value<std::string>()->default_value(""), "NAME");
+    options.add_options()("entry", "entry host to call", cxxopts::value<std::string>()->default_value(""), "ADDRESS");
+    options.add_options()("other", "address to compare with", cxxopts::value<std::string>()->default_value(""),
+                          "ADDRESS");
     options.add_options()("words", "measure", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"words"});
     options.positional_help("MEASURE");
--- a/tools/pepperlug-measure/Measures.h
+++ b/tools/pepperlug-measure/Measures.h
@@ -12,11 +12,19 @@
     std::string examples; ///< folder
     double seconds = 0;
     std::uint64_t seed = 1;
+    std::string bundle; ///< of the running system
+    std::string service;
+    std::string entry; ///< address of an entry host, or to listen at
+    std::string other; ///< address to compare with
 };
 
 ExitCode measureSteer(const MeasureContext &context);
 ExitCode measureDecisions(const MeasureContext &context);
 ExitCode measureClients(const MeasureContext &context);
+ExitCode measureLookup(const MeasureContext &context);
+ExitCode measureForward(const MeasureContext &context);
+/// Serves a bare Pistache answer until it is told to stop, to compare with.
+ExitCode measureBare(const MeasureContext &context);
 
 /// Prints one row of columns of equal width.
 void printRow(const std::vector<std::string> &cells, std::size_t width = 12);
