--- a/lib/Daemon/ConfigWatch.cpp
+++ b/lib/Daemon/ConfigWatch.cpp
@@ -36,6 +36,7 @@
         call.idleTargets.assign(m_idleTargets.begin(), m_idleTargets.end());
     }
     const std::lock_guard lock(m_watchMutex);
+    tellIdleTargets(call);
     for (std::size_t n = 0; n < m_watched.size(); ++n) {
         Watched &it = m_watched[n];
         if (it.isAsking || now < it.nextAsk) {
@@ -47,6 +48,22 @@
     }
 }
 
+// An operator waits for a drained target to be idle; the control hosts are told at once, not with the next question,
+// which is held back until there is something new.
+void EntryDaemon::Impl::tellIdleTargets(WatchCall call)
+{
+    if (call.idleTargets == m_toldIdle) {
+        return;
+    }
+    m_toldIdle = call.idleTargets;
+    call.patience = Milliseconds{};
+    for (const Watched &it : m_watched) {
+        if (it.isControl) {
+            m_net.call(it.address, path::Watch, encode(call), WatchTimeout, [](const PeerReply &) {});
+        }
+    }
+}
+
 // Reading a bundle may take long, so it is not done on the network thread.
 void EntryDaemon::Impl::watchReplied(std::size_t n, PeerReply reply)
 {
--- a/lib/Daemon/EntryImpl.h
+++ b/lib/Daemon/EntryImpl.h
@@ -110,6 +110,7 @@
         bool hasReplied = false;
     };
     void pollWatches(TimePoint now);
+    void tellIdleTargets(WatchCall call);
     void watchReplied(std::size_t n, PeerReply reply);
     void takeConfig(const WatchReply &reply);
     bool mayServe() const;
@@ -136,8 +137,9 @@
     std::ofstream m_record;
 
     std::atomic<std::uint64_t> m_lastId{0};
-    std::mutex m_watchMutex; ///< guards the three below
+    std::mutex m_watchMutex; ///< guards all down to m_serving
     std::vector<Watched> m_watched;
+    std::vector<std::string> m_toldIdle; ///< drained and idle, as the control hosts were told last
     std::optional<ConfigApplied> m_bestConfig; ///< newest heard before this host may serve
     std::string m_bestText;
     bool m_serving = false;
--- a/lib/Wire/Http2Connection.cpp
+++ b/lib/Wire/Http2Connection.cpp
@@ -7,7 +7,6 @@
 #include "Http2Connection.h"
 
 #include <algorithm>
-#include <cstring>
 
 namespace pepperlug
 {
@@ -430,7 +429,7 @@
         return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     }
     const std::size_t n = std::min(size, stream->out.size() - stream->outSent);
-    std::memcpy(buf, stream->out.data() + stream->outSent, n);
+    std::copy_n(stream->out.data() + stream->outSent, n, buf);
     stream->outSent += n;
     if (stream->outSent == stream->out.size()) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/tools/pepperlug-load/Callers.cpp
+++ b/tools/pepperlug-load/Callers.cpp
@@ -164,7 +164,7 @@
     call.timeout = LookupTimeout;
     call.fromIp = caller.ip;
     call.mayRepeat = true;
-    m_client->start(std::move(call), [this, index, attempt](HttpResult result) {
+    m_client->start(std::move(call), [this, index, attempt](const HttpResult &result) {
         const std::lock_guard lock(m_mutex);
         Caller &it = m_callers[index];
         if (result.kind != HttpResult::Kind::Answered || result.answer.status != Ok) {
@@ -210,9 +210,9 @@
     call.fromIp = caller.ip;
     call.mayRepeat = !operation->isOnce;
     ++operation->attempts;
-    m_client->start(std::move(call), [this, operation](HttpResult result) {
+    m_client->start(std::move(call), [this, operation](const HttpResult &result) {
         const std::lock_guard lock(m_mutex);
-        replied(operation, std::move(result));
+        replied(operation, result);
         m_wake.notify_all();
     });
 }
@@ -229,7 +229,7 @@
     after(delay, [this, operation] { withLookup(operation->caller, [this, operation] { send(operation); }); });
 }
 
-void Callers::replied(const OperationPtr &operation, HttpResult result)
+void Callers::replied(const OperationPtr &operation, const HttpResult &result)
 {
     if (result.kind != HttpResult::Kind::Answered) {
         // The host may have gone; its look-up answer is of no more use.
--- a/tools/pepperlug-load/Callers.h
+++ b/tools/pepperlug-load/Callers.h
@@ -77,7 +77,7 @@
     void withLookup(std::size_t caller, std::function<void()> next);
     void lookUp(std::size_t caller, std::size_t attempt);
     void send(const OperationPtr &operation);
-    void replied(const OperationPtr &operation, HttpResult result);
+    void replied(const OperationPtr &operation, const HttpResult &result);
     void retry(const OperationPtr &operation, Duration delay);
     void end(const OperationPtr &operation, std::uint64_t RegionResult::*count);
     void after(Duration delay, std::function<void()> work);
--- a/tools/pepperlug-measure/Decisions.cpp
+++ b/tools/pepperlug-measure/Decisions.cpp
@@ -13,28 +13,39 @@
 /// A bundle with so many zones, and so many targets in each.
 std::string bundleText(unsigned zones, unsigned targetsInZone)
 {
-    std::string regions;
-    std::string hosts;
-    std::string targets;
+    using nlohmann::json;
+    json regions = json::array();
+    json hosts = json::array();
+    json targets = json::array();
     for (unsigned zone = 0; zone < zones; ++zone) {
-        const std::string name = "z" + std::to_string(zone);
-        const std::string comma = zone == 0 ? "" : ",";
-        regions += comma + R"({"name":"r)" + std::to_string(zone) + R"(","zones":[")" + name + R"("]})";
-        const std::string ip = "10.1." + std::to_string(zone) + ".1";
-        hosts += comma + R"({"name":"h)" + std::to_string(zone) + R"(","zone":")" + name + R"(","http":")" + ip
-            + R"(:1","peer":")" + ip + R"(:2"})";
+        const std::string number = std::to_string(zone);
+        const std::string name = "z" + number;
+        regions.push_back({{"name", "r" + number}, {"zones", {name}}});
+        hosts.push_back({{"name", "h" + number},
+                         {"zone", name},
+                         {"http", "10.1." + number + ".1:1"},
+                         {"peer", "10.1." + number + ".1:2"}});
         for (unsigned n = 0; n < targetsInZone; ++n) {
-            const std::string address = "10.2." + std::to_string(zone) + ".1:" + std::to_string(1000 + n);
-            targets += (targets.empty() ? "" : ",") + (R"({"name":"t)" + std::to_string(zone) + "-") + std::to_string(n)
-                + R"(","zone":")" + name + R"(","address":")" + address + R"(","slots":6,"connections":100})";
+            targets.push_back({{"name", "t" + number + "-" + std::to_string(n)},
+                               {"zone", name},
+                               {"address", "10.2." + number + ".1:" + std::to_string(1000 + n)},
+                               {"slots", 6},
+                               {"connections", 100}});
         }
     }
     const std::string key(64, 'a');
-    return R"({"owner":"bench","version":1,"policy":{},"latency":{"same_region_ms":1,"other_region_ms":20,"client_ms":5},"regions":[)"
-        + regions + R"(],"entry_hosts":[)" + hosts
-        + R"(],"services":[{"name":"s","routes":[{"prefix":"/","class":"read"}],"targets":[)" + targets
-        + R"(]}],"operators":[{"name":"a","public_key":")" + key
-        + R"(","roles":["propose"]},{"name":"b","public_key":")" + key + R"(","roles":["sign"]}]})";
+    const json service{{"name", "s"}, {"routes", {{{"prefix", "/"}, {"class", "read"}}}}, {"targets", targets}};
+    const json bundle{{"owner", "bench"},
+                      {"version", 1},
+                      {"policy", json::object()},
+                      {"latency", {{"same_region_ms", 1}, {"other_region_ms", 20}, {"client_ms", 5}}},
+                      {"regions", regions},
+                      {"entry_hosts", hosts},
+                      {"services", json::array({service})},
+                      {"operators",
+                       {{{"name", "a"}, {"public_key", key}, {"roles", {"propose"}}},
+                        {{"name", "b"}, {"public_key", key}, {"roles", {"sign"}}}}}};
+    return bundle.dump();
 }
 
 double nanosecondsSince(std::chrono::steady_clock::time_point start, std::size_t count)
--- a/tools/pepperlug/ControlCommands.cpp
+++ b/tools/pepperlug/ControlCommands.cpp
@@ -67,7 +67,7 @@
     const TimePoint until = context.clock.now() + context.timeout;
     for (;;) {
         try {
-            const AdminReply reply = client.post("/v1/commands/" + name, body);
+            AdminReply reply = client.post("/v1/commands/" + name, body);
             const bool isUnclear = reply.status >= 500;
             if (!isUnclear || context.clock.now() > until) {
                 return reply;
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -158,7 +158,8 @@
     CHECK(call(client, callTo(server.address())).kind == HttpResult::Kind::TooLarge);
     HttpCall hurried = callTo(server.address());
     hurried.timeout = Milliseconds(50);
-    CHECK(call(client, std::move(hurried)).kind == HttpResult::Kind::Broken);
+    const HttpResult late = call(client, std::move(hurried));
+    CHECK(late.kind == HttpResult::Kind::Broken);
     std::atomic<bool> wasCalled{false};
     const HttpCallId id =
         client.start(callTo(server.address()), [&wasCalled](const HttpResult &) { wasCalled = true; });
--- a/unittests/Wire/PeerNetTest.cpp
+++ b/unittests/Wire/PeerNetTest.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr Address AnyPort{"127.0.0.1", 0};
+const Address AnyPort{"127.0.0.1", 0};
 
 PeerReply callNow(PeerNet &net, const Address &to, const std::string &path, const std::string &body,
                   Duration timeout = std::chrono::seconds(10))
