Send callers by spare credit, short queues, neighbours for foreign callers

Cause, from measure steer: look-ups that moved callers held a lease on top of what those callers used on arrival, so a slot was taken twice; queues of 32 added wait and served nobody more; a foreign caller refused at a full host was not served by its neighbour with free slots. Change: look-up answers fill half of what an issuer said to spare and the issuer meters arrivals; queues as long as the slice; two neighbours are asked; no foreign wait behind own callers. The model's answers now travel back from the region that served them.

--- a/lib/Control/ControlState.cpp
+++ b/lib/Control/ControlState.cpp
@@ -31,10 +31,10 @@
 
 const char *nameOf(CommandKind kind)
 {
-    constexpr std::array<const char *, 9> names{"propose",      "sign",           "rollout",
+    constexpr std::array<const char *, 9> Names{"propose",      "sign",           "rollout",
                                                 "drain-target", "undrain-target", "drain-host",
                                                 "undrain-host", "void-host",      "unvoid-host"};
-    return names.at(static_cast<std::size_t>(kind));
+    return Names.at(static_cast<std::size_t>(kind));
 }
 
 ControlState::ControlState(std::vector<BootstrapKey> bootstrapKeys)
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -195,9 +195,9 @@
     explicit Impl(std::size_t maxAnswerBytes)
         : m_maxAnswerBytes(maxAnswerBytes)
     {
-        static const CURLcode started = curl_global_init(CURL_GLOBAL_DEFAULT);
-        if (started != CURLE_OK) {
-            throw Error("start libcurl", "", curl_easy_strerror(started));
+        static const CURLcode Started = curl_global_init(CURL_GLOBAL_DEFAULT);
+        if (Started != CURLE_OK) {
+            throw Error("start libcurl", "", curl_easy_strerror(Started));
         }
         m_multi.reset(curl_multi_init());
         curl_multi_setopt(m_multi.get(), CURLMOPT_MAXCONNECTS, MaxKeptConnections);
--- a/lib/Model/Messages.cpp
+++ b/lib/Model/Messages.cpp
@@ -93,8 +93,9 @@
         const auto count = refusal == nullptr ? &CallerView::answered
             : isNotRun                        ? &CallerView::refused
                                               : &CallerView::failed;
-        after(m_bundle->latencies.client,
-              [this, operation = *origin.operation, count] { endOperation(operation, count); });
+        const ZoneId zone = m_callers[m_operations[*origin.operation].caller].zone;
+        const Duration way = m_bundle->latencies.client + m_bundle->latency(zone, m_bundle->hosts[idx(host)].zone);
+        after(way, [this, operation = *origin.operation, count] { endOperation(operation, count); });
         return;
     }
     after(latency(host, origin.host), [this, origin, result] {
--- a/lib/Steer/Attempts.cpp
+++ b/lib/Steer/Attempts.cpp
@@ -47,7 +47,7 @@
     return result == AttemptResult::Answered || result == AttemptResult::ServerError;
 }
 
-Reason reasonOf(AttemptResult result, bool atHome)
+Reason reasonOf(AttemptResult result, bool atHome, Charge::Kind charge)
 {
     switch (result) {
     case AttemptResult::NotSent:
@@ -55,7 +55,7 @@
     case AttemptResult::Shed:
         return Reason::Shed;
     case AttemptResult::RemoteNotRun:
-        return Reason::OverLease;
+        return charge == Charge::Kind::Region ? Reason::NoCapacity : Reason::OverLease;
     default:
         return Reason::TargetFailed;
     }
@@ -137,7 +137,7 @@
         return;
     }
     const std::string peer = peerName(attempt);
-    const Reason reason = reasonOf(result, attempt.toHome);
+    const Reason reason = reasonOf(result, attempt.toHome, request.charge.kind);
     if (request.phase == Phase::Detached) {
         finishClaim(request, {request.info.id, attempt.number, result, false, nullptr});
         const std::string key = request.info.key;
--- a/lib/Steer/LeaseHolder.cpp
+++ b/lib/Steer/LeaseHolder.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t StandbyLeases = 3; ///< issuers asked for one slot in advance, so that a first overflow finds room
 constexpr unsigned PlentySlots = 3; ///< spare from which an issuer is asked for a slot in advance
 constexpr int HurriedExchanges = 4; ///< times as often while demand is not met
+constexpr double CreditShare = 0.5; ///< of an issuer's spare: other hosts send callers there, too
 constexpr unsigned KeepSlack = 1; ///< slots kept above the want, so that small swings need no regrowth
 
 std::uint64_t rendezvous(const std::string &self, const std::string &other)
@@ -108,18 +109,13 @@
     return m_leaseTime / ExchangesInLease;
 }
 
-unsigned LeaseHolder::inUse(const Held &held) const
-{
-    return held.used + held.lookups.slots();
-}
-
 unsigned LeaseHolder::room(const Held &held, TimePoint now) const
 {
     if (now >= held.validUntil) {
         return 0;
     }
     const unsigned limit = std::min(held.amount, held.kept);
-    return limit > inUse(held) ? limit - inUse(held) : 0;
+    return limit > held.used ? limit - held.used : 0;
 }
 
 // What does not fit at home is asked of the nearest issuers first, each up to what it holds for us and says that it
@@ -165,7 +161,7 @@
         const unsigned want = own.isLeaving ? 0 : held.want;
         const unsigned limit = now < held.validUntil ? std::min(held.amount, held.kept) : 0;
         // What runs now can't be given back, and a request may outlive its lease.
-        held.kept = std::max(inUse(held), std::min(limit, want + (own.isLeaving ? 0 : KeepSlack)));
+        held.kept = std::max(held.used, std::min(limit, want + (own.isLeaving ? 0 : KeepSlack)));
         request.wants.push_back({static_cast<std::uint32_t>(n), held.kept, want});
     }
     return request;
@@ -236,6 +232,7 @@
         held.amount = service.amount;
         held.kept = service.amount;
         held.spare = service.spare;
+        held.credit = service.spare * CreditShare;
         held.validUntil = it.askedAt + valid;
     }
     return true;
@@ -308,6 +305,17 @@
     return bestHost;
 }
 
+std::optional<HostId> LeaseHolder::chooseAny(RegionId region, const std::vector<HostId> &excluded, TimePoint now) const
+{
+    for (const HostId host : m_issuers) {
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), host) != excluded.end();
+        if (!isExcluded && m_regions[idx(host)] == region && !isLeaving(host) && isAlive(host, now)) {
+            return host;
+        }
+    }
+    return std::nullopt;
+}
+
 void LeaseHolder::started(HostId issuer, ServiceId service)
 {
     ++peer(issuer).services[idx(service)].used;
@@ -320,9 +328,14 @@
     --held.used;
 }
 
-void LeaseHolder::lookedUp(HostId issuer, ServiceId service, double slots, TimePoint expires)
+bool LeaseHolder::takeCredit(HostId host, ServiceId service, double slots)
 {
-    peer(issuer).services[idx(service)].lookups.add(expires, slots);
+    Held &held = peer(host).services[idx(service)];
+    if (held.credit < slots) {
+        return false;
+    }
+    held.credit -= slots;
+    return true;
 }
 
 unsigned LeaseHolder::room(HostId issuer, ServiceId service, TimePoint now) const
@@ -331,15 +344,6 @@
     return it == nullptr || it->said.isLeaving ? 0 : room(it->services[idx(service)], now);
 }
 
-void LeaseHolder::refresh(TimePoint now)
-{
-    for (auto &[id, it] : m_peers) {
-        for (Held &held : it.services) {
-            held.lookups.expire(now);
-        }
-    }
-}
-
 bool LeaseHolder::isAlive(HostId host, TimePoint now) const
 {
     if (host == m_self) {
@@ -396,7 +400,7 @@
 {
     unsigned sum = 0;
     for (const auto &[id, it] : m_peers) {
-        sum += inUse(it.services[idx(service)]);
+        sum += it.services[idx(service)].used;
     }
     return sum;
 }
--- a/lib/Steer/LeaseHolder.h
+++ b/lib/Steer/LeaseHolder.h
@@ -6,7 +6,6 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "ExpiringCount.h"
 #include "IdMap.h"
 #include "pepperlug/Steer.h"
 
@@ -48,12 +47,15 @@
     /// The host of a region with most slots to spare, as it said last; counts one of them as gone.
     std::optional<HostId> chooseSpare(ServiceId service, RegionId region, const std::vector<HostId> &excluded,
                                       TimePoint now);
+    /// The nearest live host of a region.
+    std::optional<HostId> chooseAny(RegionId region, const std::vector<HostId> &excluded, TimePoint now) const;
     void started(HostId issuer, ServiceId service);
     void ended(HostId issuer, ServiceId service);
-    void lookedUp(HostId issuer, ServiceId service, double slots, TimePoint expires);
+    /// Whether callers who will use about so many slots may be named this host; takes them off what it said to have to
+    /// spare.
+    bool takeCredit(HostId host, ServiceId service, double slots);
     /// Slots of a lease that are not in use.
     unsigned room(HostId issuer, ServiceId service, TimePoint now) const;
-    void refresh(TimePoint now);
 
     /// Whether the host was heard lately. One that this host exchanges nothing with counts as alive.
     bool isAlive(HostId host, TimePoint now) const;
@@ -75,8 +77,8 @@
         TimePoint validUntil{};
         unsigned kept = 0; ///< what the last request promised to stay within
         unsigned used = 0;
-        ExpiringCount lookups;
         unsigned spare = 0; ///< as the issuer said last
+        double credit = 0; ///< part of the spare that look-up answers from here may fill until it says more
         unsigned want = 0;
     };
 
@@ -91,7 +93,6 @@
 
     Peer &peer(HostId host);
     const Peer *find(HostId host) const;
-    unsigned inUse(const Held &held) const;
     unsigned room(const Held &held, TimePoint now) const;
     bool isDue(const Peer &peer, Duration interval, TimePoint now) const;
     bool isShort(const std::vector<unsigned> &overflow, TimePoint now) const;
--- a/lib/Steer/Lookup.cpp
+++ b/lib/Steer/Lookup.cpp
@@ -29,7 +29,6 @@
 {
     const ServiceId service = event.service;
     const RegionId from = event.callerZone ? m_bundle->regionOf(*event.callerZone) : m_region;
-    const TimePoint expires = m_now + m_bundle->policy.lookupTtl;
     if (host == *m_self) {
         // By mean demand, not by what is free this moment: a full slice with a short queue is no reason to move
         // callers.
@@ -39,20 +38,13 @@
         if (from == m_region || !hasRoom) {
             return hasRoom;
         }
-        return m_issuer.lookedUp(from, service, slotsPerLookup(service), expires, m_now);
+        return m_issuer.lookedUp(from, service, slotsPerLookup(service), m_now + m_bundle->policy.lookupTtl, m_now);
     }
-    const bool hasSpare = m_holder.spare(host, service) > 0;
-    if (from != m_region) {
-        return hasSpare; // the host itself counts and caps those who come directly
+    if (from == m_bundle->regionOf(host) && !m_holder.lastHeard(host)) {
+        return true; // nothing is known against it
     }
-    if (from == m_bundle->regionOf(host)) {
-        return hasSpare || !m_holder.lastHeard(host) || m_holder.canUse(host, service, m_now);
-    }
-    if (!m_holder.canUse(host, service, m_now)) {
-        return false;
-    }
-    m_holder.lookedUp(host, service, slotsPerLookup(service), expires);
-    return true;
+    // The host itself counts and caps those who come to it from another region.
+    return m_holder.takeCredit(host, service, slotsPerLookup(service));
 }
 
 // Measured: what own callers use, over the answers that they keep. The bundle's figure stands in until there are some.
--- a/lib/Steer/Placement.cpp
+++ b/lib/Steer/Placement.cpp
@@ -17,7 +17,9 @@
 constexpr auto MinRetryAfter = Milliseconds(100);
 constexpr auto MaxRetryAfter = Milliseconds(10000);
 constexpr double MaxRetryTokens = 10;
-constexpr std::size_t ForeignTurns = 2; ///< callers of another region that may wait for each slot that they hold
+constexpr unsigned MinQueue = 8; ///< small slices see larger swings
+constexpr std::size_t MaxNeighbours = 2; ///< asked one after the other for one request
+constexpr std::size_t ForeignTurns = 1; ///< callers of another region that may wait for each slot that they hold
 
 } // namespace
 
@@ -137,8 +139,12 @@
     if (request.charge.kind != Charge::Kind::Region) {
         return false;
     }
-    const auto host = m_holder.chooseSpare(request.info.service, m_region, request.triedHosts, m_now);
-    if (!host) {
+    auto host = m_holder.chooseSpare(request.info.service, m_region, request.triedHosts, m_now);
+    if (!host && !m_queues[idx(request.info.service)].home.empty()) {
+        // What a neighbour said is a little old; where own callers wait here already, asking it costs least.
+        host = m_holder.chooseAny(m_region, request.triedHosts, m_now);
+    }
+    if (!host || request.attempts.size() >= MaxNeighbours) {
         return false;
     }
     release(request);
@@ -219,11 +225,14 @@
 {
     const ServiceId service = request.info.service;
     std::deque<RequestId> &queue = queueOf(request);
-    std::size_t limit = m_bundle->services[idx(service)].queue;
+    // As many in line as there are slots keep every slot busy; a longer queue adds wait and serves hardly anybody more.
+    const unsigned useful = std::max(localCapacity(service), MinQueue);
+    std::size_t limit = std::min(m_bundle->services[idx(service)].queue, useful);
     Duration wait = homeWait(service);
     if (request.charge.kind == Charge::Kind::Region) {
         const unsigned held = m_issuer.heldBy(request.charge.region, service);
-        limit = std::min<std::size_t>(limit, held * ForeignTurns);
+        // Behind own callers who wait already, the wait has no bound.
+        limit = m_queues[idx(service)].home.empty() ? std::min<std::size_t>(limit, held * ForeignTurns) : 0;
         wait = queueWait(service, queue.size(), held);
     }
     const bool isTooLate = m_now + wait + m_pool.meanLatency(service) >= request.info.deadline;
--- a/lib/Steer/Steering.cpp
+++ b/lib/Steer/Steering.cpp
@@ -121,7 +121,6 @@
         return;
     }
     m_pool.refresh(m_now);
-    m_holder.refresh(m_now);
     m_issuer.refresh(m_now);
     for (ExpiringCount &lookups : m_homeLookups) {
         lookups.expire(m_now);
--- a/lib/Support/Crypto.cpp
+++ b/lib/Support/Crypto.cpp
@@ -12,8 +12,8 @@
 
 void initSodium()
 {
-    static const int result = sodium_init();
-    if (result < 0) {
+    static const int Result = sodium_init();
+    if (Result < 0) {
         throw Error("start libsodium", "", "no source of random numbers");
     }
 }
--- a/test/fakes/FakeTargets.cpp
+++ b/test/fakes/FakeTargets.cpp
@@ -154,6 +154,14 @@
     HttpServer m_server;
 };
 
+/// How often the operation of a key ran.
+Answer runsAnswer(Counters &counters, const std::string &key)
+{
+    const std::lock_guard lock(counters.mutex);
+    const auto it = counters.runs.find(key);
+    return {200, {}, std::to_string(it == counters.runs.end() ? 0 : it->second) + "\n"};
+}
+
 Answer statsAnswer(Counters &counters)
 {
     const std::lock_guard lock(counters.mutex);
@@ -184,8 +192,10 @@
         targets.push_back(std::make_unique<FakeTarget>(target, serviceTime, clock, delays, counters));
     }
     const auto statsAddress = Address::parse(arguments["stats"].as<std::string>());
-    HttpServer stats(statsAddress.value(), 1, HttpLimits{}, clock,
-                     [&counters](const HttpExchangePtr &exchange) { exchange->respond(statsAnswer(counters)); });
+    HttpServer stats(statsAddress.value(), 1, HttpLimits{}, clock, [&counters](const HttpExchangePtr &exchange) {
+        const auto key = exchange->request().query("key");
+        exchange->respond(key ? runsAnswer(counters, *key) : statsAnswer(counters));
+    });
     waitForStopSignal();
     stats.stop();
     targets.clear();
--- a/tools/pepperlug-load/Callers.cpp
+++ b/tools/pepperlug-load/Callers.cpp
@@ -113,6 +113,11 @@
     return m_results;
 }
 
+const std::vector<std::string> &Callers::notRunKeys() const
+{
+    return m_notRunKeys;
+}
+
 RegionResult &Callers::resultOf(const Operation &operation)
 {
     return m_results[idx(m_bundle->regionOf(m_callers[operation.caller].zone))];
@@ -239,6 +244,9 @@
     }
     const std::optional<std::string> outcome = headerOf(result.answer, "pepperlug-outcome");
     if (outcome && *outcome == "not-run") {
+        if (operation->isOnce) {
+            m_notRunKeys.push_back(operation->key);
+        }
         end(operation, &RegionResult::refused);
         return;
     }
--- a/tools/pepperlug-load/Callers.h
+++ b/tools/pepperlug-load/Callers.h
@@ -49,6 +49,8 @@
 
     /// Returns when every request has ended.
     std::vector<RegionResult> run();
+    /// Keys of once-only operations that were told, as the last word, not to have run.
+    const std::vector<std::string> &notRunKeys() const;
 
 private:
     struct Caller {
@@ -92,6 +94,7 @@
     std::vector<RegionResult> m_results;
     std::uint64_t m_lastEcho = 0;
     std::size_t m_open = 0;
+    std::vector<std::string> m_notRunKeys;
 
     std::recursive_mutex m_mutex; ///< guards all above
     std::condition_variable_any m_wake;
--- a/tools/pepperlug-load/Main.cpp
+++ b/tools/pepperlug-load/Main.cpp
@@ -186,6 +186,12 @@
         HttpClient client(MaxMetricsBytes);
         const Address address = Address::parse(arguments["stats"].as<std::string>()).value();
         total["targets"] = nlohmann::json::parse(fetchText(client, address, "/"));
+        std::uint64_t wrong = 0;
+        for (const std::string &key : callers.notRunKeys()) {
+            wrong += fetchText(client, address, "/runs?key=" + key) == "0\n" ? 0 : 1;
+        }
+        total["told_not_run"] = callers.notRunKeys().size();
+        total["wrong_not_run"] = wrong;
     }
     if (arguments.count("report") > 0) {
         std::ofstream(arguments["report"].as<std::string>())
--- a/tools/pepperlug-measure/Main.cpp
+++ b/tools/pepperlug-measure/Main.cpp
@@ -49,9 +49,11 @@
 
 const std::vector<Measure> &measures()
 {
-    static const std::vector<Measure> All{{"steer", measureSteer},     {"decisions", measureDecisions},
-                                          {"clients", measureClients}, {"lookup", measureLookup},
-                                          {"forward", measureForward}, {"bare", measureBare}};
+    static const std::vector<Measure> All{{"steer", measureSteer},       {"decisions", measureDecisions},
+                                          {"clients", measureClients},   {"lookup", measureLookup},
+                                          {"forward", measureForward},   {"once", measureOnce},
+                                          {"control", measureControl},   {"recovery", measureRecoveryTimes},
+                                          {"capacity", measureCapacity}, {"bare", measureBare}};
     return All;
 }
 
@@ -62,6 +64,7 @@
     context.seconds = arguments["seconds"].as<double>();
     context.seed = arguments["seed"].as<std::uint64_t>();
     context.bundle = arguments["bundle"].as<std::string>();
+    context.keys = arguments["keys"].as<std::string>();
     context.service = arguments["service"].as<std::string>();
     context.entry = arguments["entry"].as<std::string>();
     context.other = arguments["other"].as<std::string>();
@@ -90,6 +93,8 @@
     options.add_options()("seed", "of all random choices", cxxopts::value<std::uint64_t>()->default_value("1"), "N");
     options.add_options()("bundle", "bundle of the running system", cxxopts::value<std::string>()->default_value(""),
                           "FILE");
+    options.add_options()("keys", "folder of the operators' keys", cxxopts::value<std::string>()->default_value(""),
+                          "FOLDER");
     options.add_options()("service", "service to call", cxxopts::value<std::string>()->default_value(""), "NAME");
     options.add_options()("entry", "entry host to call", cxxopts::value<std::string>()->default_value(""), "ADDRESS");
     options.add_options()("other", "address to compare with", cxxopts::value<std::string>()->default_value(""),
--- a/tools/pepperlug-measure/Measures.h
+++ b/tools/pepperlug-measure/Measures.h
@@ -14,6 +14,7 @@
     std::uint64_t seed = 1;
     std::string bundle; ///< of the running system
     std::string service;
+    std::string keys; ///< folder of the operators' keys
     std::string entry; ///< address of an entry host, or to listen at
     std::string other; ///< address to compare with
 };
@@ -23,6 +24,10 @@
 ExitCode measureClients(const MeasureContext &context);
 ExitCode measureLookup(const MeasureContext &context);
 ExitCode measureForward(const MeasureContext &context);
+ExitCode measureOnce(const MeasureContext &context);
+ExitCode measureControl(const MeasureContext &context);
+ExitCode measureRecoveryTimes(const MeasureContext &context);
+ExitCode measureCapacity(const MeasureContext &context);
 /// Serves a bare Pistache answer until it is told to stop, to compare with.
 ExitCode measureBare(const MeasureContext &context);
 
