--- a/include/pepperlug/Support.h
+++ b/include/pepperlug/Support.h
@@ -60,7 +60,7 @@
     void advance(Duration by);
 
 private:
-    TimePoint m_now{};
+    std::atomic<Duration::rep> m_now{0}; ///< may be read while a test moves it
 };
 
 enum class RegionId : std::uint32_t {};
--- a/lib/Support/Clock.cpp
+++ b/lib/Support/Clock.cpp
@@ -16,17 +16,17 @@
 
 TimePoint ManualClock::now() const
 {
-    return m_now;
+    return TimePoint(Duration(m_now.load()));
 }
 
 Milliseconds ManualClock::wallTime() const
 {
-    return std::chrono::duration_cast<Milliseconds>(m_now.time_since_epoch());
+    return std::chrono::duration_cast<Milliseconds>(now().time_since_epoch());
 }
 
 void ManualClock::advance(Duration by)
 {
-    m_now += by;
+    m_now += by.count();
 }
 
 } // namespace pepperlug
--- a/test/fakes/FakeTargets.cpp
+++ b/test/fakes/FakeTargets.cpp
@@ -24,13 +24,21 @@
     }
 
     ~DelayQueue()
+    {
+        stop();
+    }
+
+    /// Drops what has not run yet.
+    void stop()
     {
         {
             const std::lock_guard lock(m_mutex);
             m_stop = true;
         }
         m_wake.notify_all();
-        m_thread.join();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
     }
 
     DelayQueue(const DelayQueue &) = delete;
@@ -198,6 +206,7 @@
     });
     waitForStopSignal();
     stats.stop();
+    delays.stop();
     targets.clear();
     return ExitCode::Success;
 }
