Name status codes in one place; drop two functions that nothing calls

Cause: the read of the whole change found the same status codes named in seven files of Daemon, and two readers of the control log without a caller. Change: lib/Daemon/HttpStatus.h; the two are gone. Behaviour is the same.

--- a/include/pepperlug/Consensus.h
+++ b/include/pepperlug/Consensus.h
@@ -211,13 +211,11 @@
     std::uint64_t term() const;
     std::uint64_t commitIndex() const;
     std::uint64_t lastIndex() const;
-    std::uint64_t firstIndex() const;
     const std::string &leader() const;
     const std::vector<ControlMember> &members() const;
     /// Whether this host is, or lately heard from, a leader that a majority follows.
     bool isCurrent(TimePoint now) const;
     bool isVoter() const;
-    std::optional<LogEntry> entryAt(std::uint64_t index) const;
 
 private:
     struct Progress {
--- a/lib/Consensus/Consensus.cpp
+++ b/lib/Consensus/Consensus.cpp
@@ -122,11 +122,6 @@
     return m_snapshot.index + m_entries.size();
 }
 
-std::uint64_t Consensus::firstIndex() const
-{
-    return m_snapshot.index + 1;
-}
-
 const std::string &Consensus::leader() const
 {
     return m_leader;
@@ -142,14 +137,6 @@
     return countsAsVoter(m_settings.name, m_settings.diskId);
 }
 
-std::optional<LogEntry> Consensus::entryAt(std::uint64_t index) const
-{
-    if (index <= m_snapshot.index || index > lastIndex()) {
-        return std::nullopt;
-    }
-    return at(index);
-}
-
 const LogEntry &Consensus::at(std::uint64_t index) const
 {
     assert(index > m_snapshot.index && index <= lastIndex() && "an entry outside the log is read");
--- a/lib/Daemon/AdminClient.cpp
+++ b/lib/Daemon/AdminClient.cpp
@@ -4,6 +4,7 @@
 // same command gets the first answer again.
 //
 //===----------------------------------------------------------------------===//
+#include "HttpStatus.h"
 #include "pepperlug/Daemon.h"
 
 #include <algorithm>
@@ -15,7 +16,6 @@
 {
 
 constexpr auto AskTimeout = std::chrono::seconds(10);
-constexpr unsigned MisdirectedRequest = 421;
 constexpr std::size_t MaxReplyBytes = 64 << 20;
 
 } // namespace
--- a/lib/Daemon/ControlAdmin.cpp
+++ b/lib/Daemon/ControlAdmin.cpp
@@ -5,6 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "ControlImpl.h"
+#include "HttpStatus.h"
 
 #include <algorithm>
 #include <charconv>
@@ -17,13 +18,6 @@
 {
 
 constexpr auto ProofWindow = std::chrono::seconds(60);
-constexpr unsigned Ok = 200;
-constexpr unsigned BadRequest = 400;
-constexpr unsigned Unauthorized = 401;
-constexpr unsigned NotFound = 404;
-constexpr unsigned MisdirectedRequest = 421;
-constexpr unsigned Unprocessable = 422;
-constexpr unsigned Unavailable = 503;
 
 std::optional<CommandKind> kindOfPath(const std::string &path)
 {
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -1,5 +1,6 @@
 //===- ControlDaemon.cpp - Life of a control host -------------------------===//
 #include "ControlImpl.h"
+#include "HttpStatus.h"
 
 #include <algorithm>
 
@@ -12,11 +13,6 @@
 constexpr Duration TickInterval = Milliseconds(10);
 constexpr auto MessageTimeout = std::chrono::seconds(2);
 constexpr auto SnapshotTimeout = std::chrono::seconds(30);
-constexpr unsigned Ok = 200;
-constexpr unsigned BadRequest = 400;
-constexpr unsigned Conflict = 409;
-constexpr unsigned Unprocessable = 422;
-constexpr unsigned Unavailable = 503;
 constexpr const char *FoundingDisk = "initial";
 
 std::vector<ControlMember> foundingMembers(const ControlSettings &settings)
--- a/lib/Daemon/EntryEffects.cpp
+++ b/lib/Daemon/EntryEffects.cpp
@@ -1,5 +1,6 @@
 //===- EntryEffects.cpp - Effects become calls and answers ----------------===//
 #include "EntryImpl.h"
+#include "HttpStatus.h"
 
 namespace pepperlug
 {
@@ -7,9 +8,6 @@
 namespace
 {
 
-constexpr unsigned Ok = 200;
-constexpr unsigned ServerErrors = 500;
-constexpr unsigned Unavailable = 503;
 constexpr const char *ShedHeader = "pepperlug-not-run";
 constexpr const char *LeavingHeader = "pepperlug-leaving";
 /// A forwarded call may take a little longer than its deadline, so that the other side's own word arrives.
--- a/lib/Daemon/EntryHttp.cpp
+++ b/lib/Daemon/EntryHttp.cpp
@@ -1,5 +1,6 @@
 //===- EntryHttp.cpp - Callers' requests become events --------------------===//
 #include "EntryImpl.h"
+#include "HttpStatus.h"
 
 #include <charconv>
 
@@ -10,9 +11,6 @@
 {
 
 constexpr std::string_view ServicePrefix = "/s/";
-constexpr unsigned NotFound = 404;
-constexpr unsigned BadRequest = 400;
-constexpr unsigned Unavailable = 503;
 
 /// A service and the path that its targets see.
 struct ServiceRoute {
--- a/lib/Daemon/EntryPeer.cpp
+++ b/lib/Daemon/EntryPeer.cpp
@@ -1,19 +1,10 @@
 //===- EntryPeer.cpp - Other entry hosts' calls become events -------------===//
 #include "EntryImpl.h"
+#include "HttpStatus.h"
 
 namespace pepperlug
 {
 
-namespace
-{
-
-constexpr unsigned Ok = 200;
-constexpr unsigned BadRequest = 400;
-constexpr unsigned NotFound = 404;
-constexpr unsigned Unavailable = 503;
-
-} // namespace
-
 void EntryDaemon::Impl::onPeerCall(const IncomingCallPtr &call)
 {
     try {
--- a/lib/Daemon/FanOut.cpp
+++ b/lib/Daemon/FanOut.cpp
@@ -5,6 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "ControlImpl.h"
+#include "HttpStatus.h"
 
 #include <algorithm>
 
@@ -14,7 +15,6 @@
 namespace
 {
 
-constexpr unsigned Ok = 200;
 constexpr auto MaxPatience = Milliseconds(2000);
 /// Lifetime of a slice in capacity leases, with a margin for messages on their way; see SliceGuard.
 constexpr int LeasesUntilVoid = 4;
