--- /dev/null
+++ b/include/pepperlug/Balance.h
@@ -0,0 +1,164 @@
+//===- pepperlug/Balance.h - Requests to targets that report themselves ------===//
+//
+// All decisions of an entry host about a request: its route, its service, the
+// region and the target, whether to admit it at all, and what to do when an
+// attempt ends. One reducer over typed events, with effects as data. Pure: time
+// and the random seed are passed in.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pepperlug/Registry.h"
+#include "pepperlug/Routes.h"
+
+#include <set>
+#include <variant>
+
+namespace pepperlug::fleet
+{
+
+/// How much more than one arrival a request all entry hosts together may cause.
+struct RetryTerms {
+    double ratio = 0.1; ///< of the requests in the window
+    Duration window = std::chrono::seconds(10);
+    double slack = 10; ///< retries in a window besides, over all hosts
+};
+
+struct BalanceSettings {
+    std::string hostId; ///< id of this host's own report
+    std::string zone;
+    std::map<std::string, std::string> regionOfZone;
+    RetryTerms retries;
+    double maxShift = 0.15; ///< part of a region's requests that may move to other regions from one window to the next
+    Duration shiftWindow = std::chrono::seconds(2);
+    std::uint64_t seed = 0;
+};
+
+//===-- Events ----------------------------------------------------------------===//
+
+struct RoutesChanged {
+    std::shared_ptr<const RouteTable> table;
+    std::set<std::string> evacuatedZones;
+};
+
+struct ReportsChanged {
+    RegistryChanges changes;
+};
+
+struct CallerRequest {
+    RequestId id{};
+    std::string host;
+    std::string path;
+    std::string affinityKey; ///< empty: none
+    std::optional<Duration> deadline; ///< time that the caller will wait
+};
+
+struct CallerLeft {
+    RequestId id{};
+};
+
+/// What came of an attempt.
+enum class AttemptOutcome : std::uint8_t {
+    Answered, ///< a whole answer for the caller
+    NotSent, ///< no byte reached the target
+    Shed, ///< the target says that it did not run the request
+    WrongTarget, ///< another incarnation is at the address; not run
+    Lost, ///< may have run; no usable answer
+    TimedOut, ///< may have run; no answer in time
+};
+const char *nameOf(AttemptOutcome outcome);
+
+/// Load that a target told with an answer.
+struct TargetLoad {
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+};
+
+struct AttemptEnded {
+    RequestId id{};
+    unsigned attempt = 0;
+    AttemptOutcome outcome{};
+    std::optional<TargetLoad> load;
+};
+
+struct BalanceTick {
+};
+
+using BalanceEvent =
+    std::variant<RoutesChanged, ReportsChanged, CallerRequest, CallerLeft, AttemptEnded, BalanceTick>;
+
+//===-- Effects ---------------------------------------------------------------===//
+
+struct StartAttempt {
+    RequestId id{};
+    unsigned attempt = 0; ///< 1 for the first
+    std::string target;
+    std::string address;
+    std::string zone;
+    std::string service;
+    Duration timeLeft{}; ///< of the caller's deadline and the route's time limit
+    double fill = 0; ///< requests at the target over its slots, as believed
+    Milliseconds loadAge{}; ///< of the belief
+};
+
+struct CancelAttempt {
+    RequestId id{};
+    unsigned attempt = 0;
+};
+
+/// Pass on the answer that an attempt got.
+struct PassAnswer {
+    RequestId id{};
+    unsigned attempt = 0;
+};
+
+enum class Refusal : std::uint8_t {
+    NoConfiguration, ///< none is known yet
+    NoRoute,
+    NoTarget, ///< no usable target of the service
+    Overloaded, ///< would not be served within the objective
+    NotReached, ///< no target could be reached in time; not run
+    Lost, ///< may have run
+    TimedOut, ///< may have run
+};
+const char *nameOf(Refusal refusal);
+/// Whether the refusal promises that the request has not run and never will.
+bool promisesNotRun(Refusal refusal);
+
+struct RefuseRequest {
+    RequestId id{};
+    Refusal reason{};
+    Milliseconds retryAfter{}; ///< with a refusal that promises "not run"
+    std::string route; ///< name; empty if none
+    std::string lastTarget; ///< of the last attempt; empty if none
+};
+
+using BalanceEffect = std::variant<StartAttempt, CancelAttempt, PassAnswer, RefuseRequest>;
+using BalanceEffects = std::vector<BalanceEffect>;
+
+class Balancer
+{
+public:
+    explicit Balancer(BalanceSettings settings);
+    ~Balancer();
+    Balancer(const Balancer &) = delete;
+    Balancer &operator=(const Balancer &) = delete;
+
+    /// Applies one event and appends what is to be done, in order.
+    void reduce(const BalanceEvent &event, TimePoint now, BalanceEffects &out);
+
+    /// Requests that have not ended.
+    std::size_t open() const;
+    /// What this host asks of each service, in slots.
+    std::vector<ServiceDemand> demand(TimePoint now) const;
+    std::uint64_t tableVersion() const;
+    /// Targets that may be used now, of all services.
+    std::size_t usableTargets(TimePoint now) const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace pepperlug::fleet
--- a/include/pepperlug/Consensus.h
+++ b/include/pepperlug/Consensus.h
@@ -22,7 +22,8 @@
     std::string name;
     std::string diskId;
     bool voter = true;
-    MSGPACK_DEFINE(name, diskId, voter);
+    std::string zone = {}; ///< empty where members are fixed by settings
+    MSGPACK_DEFINE(name, diskId, voter, zone);
     bool operator==(const ControlMember &) const = default;
 };
 
@@ -131,7 +132,20 @@
     std::string data;
 };
 
-using ControlEvent = std::variant<ControlTick, MessageReceived, CommandProposed, SnapshotTaken>;
+/// A control host that is not a member asks to become one, first as a learner.
+struct JoinRequested {
+    std::string name;
+    std::string diskId;
+    std::string zone;
+};
+
+/// A member is about to end for good and gives its place up.
+struct LeaveRequested {
+    std::string name;
+};
+
+using ControlEvent =
+    std::variant<ControlTick, MessageReceived, CommandProposed, SnapshotTaken, JoinRequested, LeaveRequested>;
 
 /// To be on the disk, synced, before any later effect of the same list is carried out.
 struct PersistLog {
@@ -190,6 +204,8 @@
     Duration electionTimeout = Milliseconds(500); ///< shortest; drawn up to twice as long
     double driftAllowance = 0.1;
     std::uint64_t seed = 0;
+    /// A silent member whose zone has another member that answers is removed after this time; none: members stay.
+    std::optional<Duration> replaceSilentAfter;
 };
 
 /// What the disk held at start.
@@ -215,7 +231,13 @@
     const std::vector<ControlMember> &members() const;
     /// Whether this host is, or lately heard from, a leader that a majority follows.
     bool isCurrent(TimePoint now) const;
+    /// Whether this host leads under a lease and has applied all that was agreed before its term.
+    bool canRead(TimePoint now) const;
     bool isVoter() const;
+    /// When a leader was heard last; the start of this process if never.
+    TimePoint leaderHeardAt() const;
+    /// Until when isCurrent() holds if nothing more is heard.
+    TimePoint currentUntil() const;
 
 private:
     struct Progress {
@@ -224,12 +246,15 @@
         std::string diskId; ///< as the member says itself
         std::uint64_t ackedRound = 0;
         TimePoint snapshotSentAt{};
+        TimePoint heardAt{};
     };
 
     void on(const ControlTick &event);
     void on(const MessageReceived &event);
     void on(const CommandProposed &event);
     void on(const SnapshotTaken &event);
+    void on(const JoinRequested &event);
+    void on(const LeaveRequested &event);
     void on(const VoteRequest &message);
     void on(const VoteReply &message);
     void on(const AppendRequest &message);
@@ -251,6 +276,9 @@
     void advanceCommit();
     void commitTo(std::uint64_t index);
     void promoteLearner(const std::string &name);
+    bool canChangeMembers() const;
+    void changeMembers(const std::vector<ControlMember> &members);
+    void removeReplacedMember();
     void useMembersOf(const LogEntry &entry);
     void reloadMembers();
     bool hasMajority(const std::set<std::string> &names) const;
--- a/include/pepperlug/Daemon.h
+++ b/include/pepperlug/Daemon.h
@@ -140,4 +140,11 @@
 /// Waits for SIGTERM or SIGINT.
 void waitForStopSignal();
 
+/// What a running daemon is told from outside.
+enum class DaemonSignal { Stop, Reload };
+/// Like blockStopSignals(), with SIGHUP besides.
+void blockDaemonSignals();
+/// Waits for SIGTERM or SIGINT (Stop) or SIGHUP (Reload).
+DaemonSignal waitForSignal();
+
 } // namespace pepperlug
--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -64,6 +64,8 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     Address address() const;
+    /// From now on each answer says that it is the last one of its connection.
+    void closeAfterAnswers();
     /// Closes connections that have been too slow or idle for too long; to be called about once a second.
     void sweep();
     void stop();
@@ -83,6 +85,9 @@
     Duration timeout{};
     std::string fromIp; ///< local address to call from; empty for any
     bool mayRepeat = false; ///< the library may send it again where a kept connection turns out to be closed
+    Duration connectTimeout = std::chrono::seconds(1);
+    /// Whether the head of an answer belongs to this call; if not, its connection is dropped. Empty: any does.
+    std::function<bool(const std::vector<HeaderField> &)> acceptsHead;
 };
 
 struct HttpResult {
@@ -95,6 +100,7 @@
     Kind kind = Kind::NotSent;
     Answer answer;
     std::string reason;
+    bool timedOut = false; ///< without an answer: the time ran out
 };
 using HttpResultHandler = std::function<void(HttpResult)>;
 
--- /dev/null
+++ b/include/pepperlug/Registry.h
@@ -0,0 +1,140 @@
+//===- pepperlug/Registry.h - Targets and hosts that report themselves -------===//
+//
+// A table of what targets, entry hosts and control hosts said of themselves
+// last, as every control host keeps it. Tables are merged by incarnation and
+// sequence number, so reports may be late, repeated and out of order. Pure: time
+// is passed in.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pepperlug/Codec.h"
+
+namespace pepperlug::fleet
+{
+
+enum class Presence : std::uint8_t {
+    Ready,
+    Draining, ///< takes no new work
+    Gone, ///< has ended; final for its incarnation
+};
+const char *nameOf(Presence presence);
+
+/// What a target says of itself. An id stands for one incarnation, from one start to its end.
+struct TargetReport {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::uint32_t slots = 0; ///< requests that it runs at once
+    Presence presence = Presence::Ready;
+    Milliseconds coldLeft{}; ///< how much longer it stays cold, as of the report
+    std::uint64_t sequence = 0;
+    MSGPACK_DEFINE(id, service, address, zone, slots, presence, coldLeft, sequence);
+};
+
+enum class HostRole : std::uint8_t { Entry, Control };
+
+/// Requests for a service that one entry host takes.
+struct ServiceDemand {
+    std::string service;
+    double slots = 0; ///< arrivals a second times the time that one takes
+    MSGPACK_DEFINE(service, slots);
+};
+
+/// What a host of the system says of itself. The id is drawn at each start.
+struct HostReport {
+    std::string id;
+    HostRole role = HostRole::Entry;
+    std::string zone;
+    std::string address; ///< where callers or operators connect
+    std::string peer; ///< where other hosts connect
+    Presence presence = Presence::Ready;
+    std::vector<ServiceDemand> demand;
+    std::uint64_t sequence = 0;
+    MSGPACK_DEFINE(id, role, zone, address, peer, presence, demand, sequence);
+};
+
+/// A report as one host passes it on to another.
+template <typename Report>
+struct AgedReport {
+    Report report;
+    Milliseconds age{}; ///< since it was heard from its author
+    bool isSilent = false; ///< nothing was heard for too long
+    MSGPACK_DEFINE(report, age, isSilent);
+};
+
+struct RegistryChanges {
+    std::vector<AgedReport<TargetReport>> targets;
+    std::vector<AgedReport<HostReport>> hosts;
+    MSGPACK_DEFINE(targets, hosts);
+    bool empty() const
+    {
+        return targets.empty() && hosts.empty();
+    }
+};
+
+struct RegistrySettings {
+    Duration targetExpiry = std::chrono::seconds(6); ///< a target that was not heard for so long is silent
+    Duration hostExpiry = Milliseconds(1800); ///< the same for hosts
+    Duration forgetAfter = std::chrono::seconds(60); ///< silent or gone reports are kept so long
+};
+
+class Registry
+{
+public:
+    explicit Registry(RegistrySettings settings = {});
+
+    template <typename Report>
+    struct Entry {
+        Report report;
+        TimePoint heardAt{};
+        bool isDirect = false; ///< heard from its author, not from another host
+        bool isSilent = false;
+        std::uint64_t heardVersion = 0; ///< table version at the last report
+        std::uint64_t changedVersion = 0; ///< table version at the last change that matters
+    };
+    using TargetEntry = Entry<TargetReport>;
+    using HostEntry = Entry<HostReport>;
+
+    /// Takes a report from its author. Returns false if it is late or its incarnation has ended.
+    bool receive(const TargetReport &report, TimePoint now);
+    bool receive(const HostReport &report, TimePoint now);
+    /// Takes what another host passed on.
+    void merge(const RegistryChanges &changes, TimePoint now);
+    /// Marks what was not heard for too long as silent and forgets what has been gone for long. `mayExpire` is false
+    /// while this host can't know whether it is itself that is cut off.
+    void expire(TimePoint now, bool mayExpire);
+
+    /// All that was heard directly after a version; with 0 all there is.
+    RegistryChanges heardSince(std::uint64_t version, TimePoint now) const;
+    /// All that changed in a way that matters after a version.
+    RegistryChanges changedSince(std::uint64_t version, TimePoint now) const;
+    std::uint64_t version() const;
+    /// Version of the newest change that matters.
+    std::uint64_t changedVersion() const;
+
+    const std::map<std::string, TargetEntry> &targets() const;
+    const std::map<std::string, HostEntry> &hosts() const;
+    const TargetEntry *target(const std::string &id) const;
+    /// Whether a host is known, ready and lately heard.
+    static bool isLive(const HostEntry &entry);
+
+private:
+    template <typename Report>
+    bool take(std::map<std::string, Entry<Report>> &table, const Report &report, TimePoint heardAt, bool isDirect);
+    template <typename Report>
+    void expireIn(std::map<std::string, Entry<Report>> &table, TimePoint now, Duration expiry, bool mayExpire);
+    void retireOthersAt(const TargetReport &report);
+
+    RegistrySettings m_settings;
+    std::map<std::string, TargetEntry> m_targets;
+    std::map<std::string, HostEntry> m_hosts;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_changedVersion = 0;
+};
+
+} // namespace pepperlug::fleet
+
+PEPPERLUG_CODEC_ENUM(pepperlug::fleet::Presence);
+PEPPERLUG_CODEC_ENUM(pepperlug::fleet::HostRole);
--- /dev/null
+++ b/include/pepperlug/Routes.h
@@ -0,0 +1,124 @@
+//===- pepperlug/Routes.h - Which service answers which request --*- C++ -*-===//
+//
+// The routing configuration of a deployment whose targets report themselves: a
+// versioned document of routes, services and limits. Pure: reading a format is
+// left to whoever speaks it; here are the types, the checks and the matching.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pepperlug/Codec.h"
+
+#include <set>
+
+namespace pepperlug::fleet
+{
+
+/// What may be done with a request that may have reached a target.
+enum class RouteKind : std::uint8_t {
+    Repeatable, ///< may run more than once
+    OnceOnly, ///< must not be sent again once it may have run
+};
+
+/// A service that a route may lead to, with its share of the route's requests.
+struct WeightedService {
+    std::string service;
+    double weight = 1;
+};
+
+struct Route {
+    std::string name;
+    std::string host;
+    std::string prefix; ///< begins and ends with a slash
+    RouteKind kind = RouteKind::OnceOnly;
+    Milliseconds timeout{}; ///< longest time that a request is held
+    Milliseconds objective{}; ///< an answer within it earns its whole worth
+    unsigned priority = 0; ///< 0 is the most urgent
+    std::vector<WeightedService> services;
+    unsigned attempts = 1; ///< targets that one request may be sent to
+    bool sticky = false; ///< targets that lately saw the same affinity key are faster
+    std::vector<std::string> homeRegions; ///< empty: any
+};
+
+/// How the targets of a service behave.
+struct ServiceTraits {
+    std::string name;
+    unsigned maxConnections = 0; ///< of one target, from all callers together
+    Milliseconds coldTime{}; ///< how long a target stays cold after a start
+    double coldPerSecond = 0; ///< requests that a cold target bears; 0: no limit
+};
+
+/// What callers may send.
+struct CallerLimits {
+    std::size_t headBytes = 0;
+    std::size_t bodyBytes = 0;
+    Milliseconds headTimeout{};
+    Milliseconds idleTimeout{};
+};
+
+/// One version of the routing configuration.
+struct RouteTable {
+    std::uint64_t version = 0;
+    std::vector<ServiceTraits> services;
+    std::vector<Route> routes;
+    CallerLimits limits;
+
+    /// Route with the longest prefix of the path among those of the host; null if there is none.
+    const Route *match(std::string_view host, std::string_view path) const;
+    const ServiceTraits *service(std::string_view name) const;
+};
+
+/// Every fault of a table; `file` names its source in the findings.
+Findings checkRouteTable(const RouteTable &table, const std::string &file);
+
+//===-- What the control hosts agree on ---------------------------------------===//
+
+enum class RoutingCommandKind : std::uint8_t { PutTable, EvacuateZone, ReturnZone };
+
+/// A change of the routing, as it stands in the control log.
+struct RoutingCommand {
+    RoutingCommandKind kind{};
+    std::uint64_t baseVersion = 0; ///< PutTable: the version that it was made upon
+    std::uint64_t version = 0; ///< PutTable
+    std::string text; ///< PutTable: the document as it was sent
+    std::string zone; ///< EvacuateZone, ReturnZone
+    MSGPACK_DEFINE(kind, baseVersion, version, text, zone);
+};
+
+enum class RoutingResult : std::uint8_t {
+    Done,
+    AlreadyDone, ///< the same change was taken before
+    Conflict, ///< another version is in force than the one it was made upon
+    NotNewer, ///< its version is not above the one in force
+};
+
+/// Tables, evacuated zones, and which changes were taken. A state machine: the same commands give the same state.
+class RoutingState
+{
+public:
+    RoutingResult apply(const RoutingCommand &command, std::uint64_t index);
+    /// The result that the command would have now, without applying it.
+    RoutingResult check(const RoutingCommand &command) const;
+
+    /// Log index of the newest change; 0 for none.
+    std::uint64_t index() const;
+    std::uint64_t version() const;
+    const std::string &text() const;
+    const std::set<std::string> &evacuatedZones() const;
+
+    std::string snapshot() const;
+    void restore(const std::string &data);
+
+private:
+    static std::string digestOf(const RoutingCommand &command);
+
+    std::uint64_t m_index = 0;
+    std::uint64_t m_version = 0;
+    std::string m_text;
+    std::set<std::string> m_evacuated;
+    std::map<std::uint64_t, std::string> m_taken; ///< digest of each table that was ever in force, by version
+};
+
+} // namespace pepperlug::fleet
+
+PEPPERLUG_CODEC_ENUM(pepperlug::fleet::RoutingCommandKind);
--- /dev/null
+++ b/lib/Balance/Balancer.cpp
@@ -0,0 +1,354 @@
+//===- Balancer.cpp - Life of a request at an entry host ------------------===//
+//
+// A request that may run only once is sent to a second target only where the first is certain not to have run it. One
+// that may be repeated is also sent again after a loss, within the retry budget; and when its target has fallen silent,
+// to a second target beside the first.
+//
+//===----------------------------------------------------------------------===//
+#include "Impl.h"
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// A first attempt at a silent target is doubled after this many work times.
+constexpr int HedgeInWork = 3;
+constexpr Milliseconds LeastHedge{500};
+/// Time that an answer needs back to its caller.
+constexpr Milliseconds WayBack{20};
+constexpr Milliseconds ShortestRetryAfter{80};
+constexpr Milliseconds LongestRetryAfter{400};
+constexpr Milliseconds StartRetryAfter{300};
+
+} // namespace
+
+const char *nameOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Answered:
+        return "answered";
+    case AttemptOutcome::NotSent:
+        return "not-sent";
+    case AttemptOutcome::Shed:
+        return "shed";
+    case AttemptOutcome::WrongTarget:
+        return "wrong-target";
+    case AttemptOutcome::Lost:
+        return "lost";
+    case AttemptOutcome::TimedOut:
+        return "timed-out";
+    }
+    return "lost";
+}
+
+const char *nameOf(Refusal refusal)
+{
+    switch (refusal) {
+    case Refusal::NoConfiguration:
+        return "no-configuration";
+    case Refusal::NoRoute:
+        return "no-route";
+    case Refusal::NoTarget:
+        return "no-target";
+    case Refusal::Overloaded:
+        return "overloaded";
+    case Refusal::NotReached:
+        return "not-reached";
+    case Refusal::Lost:
+        return "lost";
+    case Refusal::TimedOut:
+        return "timed-out";
+    }
+    return "lost";
+}
+
+bool promisesNotRun(Refusal refusal)
+{
+    return refusal != Refusal::Lost && refusal != Refusal::TimedOut;
+}
+
+Balancer::Impl::Impl(BalanceSettings settings)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed)
+    , m_targets(m_settings)
+{
+    m_region = m_targets.regionOf(m_settings.zone);
+}
+
+void Balancer::Impl::reduce(const BalanceEvent &event, TimePoint now, BalanceEffects &out)
+{
+    m_now = std::max(m_now, now);
+    m_out = &out;
+    std::visit([this](const auto &it) { on(it); }, event);
+    m_out = nullptr;
+}
+
+void Balancer::Impl::on(const RoutesChanged &event)
+{
+    m_table = event.table;
+    m_targets.setTable(m_table);
+    m_targets.setEvacuatedZones(event.evacuatedZones, m_now);
+    m_planDue = {};
+    followPlans();
+}
+
+void Balancer::Impl::on(const ReportsChanged &event)
+{
+    m_targets.apply(event.changes, m_now);
+    followPlans();
+}
+
+void Balancer::Impl::on(const CallerRequest &event)
+{
+    OpenRequest open;
+    open.request = event;
+    open.arrivedAt = m_now;
+    if (!m_table) {
+        refuse(open, Refusal::NoConfiguration);
+        return;
+    }
+    const Route *route = m_table->match(event.host, event.path);
+    if (route == nullptr) {
+        refuse(open, Refusal::NoRoute);
+        return;
+    }
+    open.route = *route;
+    open.service = pickService(*route);
+    open.affinity = route->sticky && !event.affinityKey.empty() ? hash64(event.affinityKey) : 0;
+    const Duration deadline = event.deadline ? *event.deadline - WayBack : Duration(route->timeout);
+    open.until = m_now + std::min<Duration>(route->timeout, deadline);
+    const Duration work = m_stats[route->name].work().value_or(route->objective / 2);
+    m_arrivals[open.service].add(m_now, work);
+    m_overflow[open.service].countRequest(m_now);
+    m_budgets.try_emplace(open.service, m_settings.retries).first->second.countRequest(m_now);
+    const Placement placement = place(open);
+    if (placement.target == nullptr) {
+        refuse(open, placement.refusal);
+        return;
+    }
+    OpenRequest &kept = m_open[static_cast<std::uint64_t>(event.id)] = std::move(open);
+    startAttempt(kept, placement);
+}
+
+void Balancer::Impl::startAttempt(OpenRequest &open, const Placement &placement)
+{
+    TargetState &target = *placement.target;
+    m_targets.attemptStarted(target, m_now);
+    const unsigned number = ++open.started;
+    open.attempts[number] = {target.report.id, m_now, placement.fill};
+    open.tried.insert(target.report.id);
+    open.lastTarget = target.report.id;
+    StartAttempt effect;
+    effect.id = open.request.id;
+    effect.attempt = number;
+    effect.target = target.report.id;
+    effect.address = target.report.address;
+    effect.zone = target.report.zone;
+    effect.service = open.service;
+    effect.timeLeft = open.until - m_now;
+    effect.fill = placement.fill;
+    effect.loadAge = target.load ? std::chrono::duration_cast<Milliseconds>(m_now - target.loadAt) : Milliseconds(-1);
+    m_out->emplace_back(std::move(effect));
+}
+
+// The later a caller comes back the less of its time is left; a little chance keeps callers apart.
+Milliseconds Balancer::Impl::retryAfter(const OpenRequest &open)
+{
+    if (open.route.name.empty()) {
+        return StartRetryAfter;
+    }
+    const Milliseconds base = std::clamp(open.route.objective / 3, ShortestRetryAfter, LongestRetryAfter);
+    return base + Milliseconds(static_cast<Milliseconds::rep>(m_random() % static_cast<std::uint64_t>(base.count())));
+}
+
+void Balancer::Impl::refuse(OpenRequest &open, Refusal reason)
+{
+    RefuseRequest effect;
+    effect.id = open.request.id;
+    effect.reason = reason;
+    effect.route = open.route.name;
+    effect.lastTarget = open.lastTarget;
+    if (promisesNotRun(reason) && reason != Refusal::NoRoute) {
+        effect.retryAfter = retryAfter(open);
+    }
+    m_out->emplace_back(std::move(effect));
+}
+
+void Balancer::Impl::cancelAttempts(OpenRequest &open)
+{
+    for (const auto &[number, attempt] : open.attempts) {
+        m_targets.attemptCancelled(attempt.target);
+        m_out->emplace_back(CancelAttempt{open.request.id, number});
+    }
+    open.attempts.clear();
+}
+
+void Balancer::Impl::on(const CallerLeft &event)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(event.id));
+    if (it == m_open.end()) {
+        return;
+    }
+    cancelAttempts(it->second);
+    m_open.erase(it);
+}
+
+// Each retry that may arrive at a target is taken from the budget that all entry hosts share.
+bool Balancer::Impl::maySendAgain(const OpenRequest &open, AttemptOutcome outcome)
+{
+    const bool isCertainlyNotRun =
+        outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Shed || outcome == AttemptOutcome::WrongTarget;
+    const bool isSafe = open.route.kind == RouteKind::Repeatable || (isCertainlyNotRun && !open.mayHaveRun);
+    if (!isSafe || open.started >= open.route.attempts || m_now >= open.until) {
+        return false;
+    }
+    if (outcome == AttemptOutcome::NotSent) {
+        return true;
+    }
+    return m_budgets.at(open.service).take(m_now, m_targets.entryHosts());
+}
+
+void Balancer::Impl::on(const AttemptEnded &event)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(event.id));
+    if (it == m_open.end()) {
+        return;
+    }
+    OpenRequest &open = it->second;
+    const auto ended = open.attempts.find(event.attempt);
+    if (ended == open.attempts.end()) {
+        return;
+    }
+    const Attempt attempt = ended->second;
+    open.attempts.erase(ended);
+    m_targets.attemptEnded(attempt.target, event.outcome, event.load, m_now);
+    if (event.outcome == AttemptOutcome::Answered) {
+        m_stats[open.route.name].add(m_now - attempt.startedAt, attempt.fill);
+        m_out->emplace_back(PassAnswer{open.request.id, event.attempt});
+        cancelAttempts(open);
+        m_open.erase(it);
+        return;
+    }
+    open.mayHaveRun |= event.outcome == AttemptOutcome::Lost || event.outcome == AttemptOutcome::TimedOut;
+    if (!open.attempts.empty()) {
+        return; // another attempt is on its way
+    }
+    if (maySendAgain(open, event.outcome)) {
+        const Placement placement = place(open);
+        if (placement.target != nullptr) {
+            startAttempt(open, placement);
+            return;
+        }
+    }
+    Refusal reason = event.outcome == AttemptOutcome::Shed ? Refusal::Overloaded : Refusal::NotReached;
+    if (open.mayHaveRun) {
+        reason = event.outcome == AttemptOutcome::TimedOut || m_now >= open.until ? Refusal::TimedOut : Refusal::Lost;
+    }
+    refuse(open, reason);
+    m_open.erase(it);
+}
+
+void Balancer::Impl::endOverdue()
+{
+    for (auto it = m_open.begin(); it != m_open.end();) {
+        OpenRequest &open = it->second;
+        if (m_now < open.until) {
+            ++it;
+            continue;
+        }
+        cancelAttempts(open);
+        refuse(open, Refusal::TimedOut);
+        it = m_open.erase(it);
+    }
+}
+
+void Balancer::Impl::hedgeSilent()
+{
+    for (auto &[id, open] : m_open) {
+        const bool mayHedge = open.route.kind == RouteKind::Repeatable && open.attempts.size() == 1
+            && open.started < open.route.attempts;
+        if (!mayHedge) {
+            continue;
+        }
+        const Attempt &attempt = open.attempts.begin()->second;
+        const TargetState *target = m_targets.find(attempt.target);
+        const Duration work = m_stats[open.route.name].work().value_or(open.route.objective);
+        const Duration patience = std::max<Duration>(LeastHedge, work * HedgeInWork);
+        const bool isSilent = target == nullptr || target->isSuspect(m_now, patience);
+        if (!isSilent || m_now - attempt.startedAt < patience) {
+            continue;
+        }
+        const Placement placement = place(open);
+        if (placement.target == nullptr || !m_budgets.at(open.service).take(m_now, m_targets.entryHosts())) {
+            continue;
+        }
+        startAttempt(open, placement);
+    }
+}
+
+void Balancer::Impl::on(const BalanceTick &)
+{
+    endOverdue();
+    hedgeSilent();
+    followPlans();
+}
+
+std::size_t Balancer::Impl::open() const
+{
+    return m_open.size();
+}
+
+std::vector<ServiceDemand> Balancer::Impl::demand(TimePoint now) const
+{
+    std::vector<ServiceDemand> demand;
+    for (const auto &[service, rate] : m_arrivals) {
+        demand.push_back({service, rate.slots(now)});
+    }
+    return demand;
+}
+
+std::uint64_t Balancer::Impl::tableVersion() const
+{
+    return m_table ? m_table->version : 0;
+}
+
+std::size_t Balancer::Impl::usableTargets(TimePoint now) const
+{
+    return m_targets.usable(now);
+}
+
+Balancer::Balancer(BalanceSettings settings)
+    : m_impl(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+Balancer::~Balancer() = default;
+
+void Balancer::reduce(const BalanceEvent &event, TimePoint now, BalanceEffects &out)
+{
+    m_impl->reduce(event, now, out);
+}
+
+std::size_t Balancer::open() const
+{
+    return m_impl->open();
+}
+
+std::vector<ServiceDemand> Balancer::demand(TimePoint now) const
+{
+    return m_impl->demand(now);
+}
+
+std::uint64_t Balancer::tableVersion() const
+{
+    return m_impl->tableVersion();
+}
+
+std::size_t Balancer::usableTargets(TimePoint now) const
+{
+    return m_impl->usableTargets(now);
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Balance/Impl.h
@@ -0,0 +1,94 @@
+//===- Impl.h - State of the balancer ---------------------------*- C++ -*-===//
+#pragma once
+
+#include "RegionPlan.h"
+#include "RetryBudget.h"
+#include "RouteStats.h"
+#include "TargetSet.h"
+
+#include <random>
+
+namespace pepperlug::fleet
+{
+
+class Balancer::Impl
+{
+public:
+    explicit Impl(BalanceSettings settings);
+
+    void reduce(const BalanceEvent &event, TimePoint now, BalanceEffects &out);
+    std::size_t open() const;
+    std::vector<ServiceDemand> demand(TimePoint now) const;
+    std::uint64_t tableVersion() const;
+    std::size_t usableTargets(TimePoint now) const;
+
+private:
+    struct Attempt {
+        std::string target;
+        TimePoint startedAt{};
+        double fill = 0;
+    };
+
+    struct OpenRequest {
+        CallerRequest request;
+        Route route;
+        std::string service;
+        std::uint64_t affinity = 0;
+        TimePoint arrivedAt{};
+        TimePoint until{};
+        unsigned started = 0; ///< attempts so far
+        std::map<unsigned, Attempt> attempts; ///< those on their way
+        std::set<std::string> tried;
+        std::string lastTarget;
+        bool mayHaveRun = false;
+    };
+
+    /// A target that a request may go to, or why there is none.
+    struct Placement {
+        TargetState *target = nullptr;
+        double fill = 0;
+        Refusal refusal{};
+    };
+
+    // Balancer.cpp
+    void on(const RoutesChanged &event);
+    void on(const ReportsChanged &event);
+    void on(const CallerRequest &event);
+    void on(const CallerLeft &event);
+    void on(const AttemptEnded &event);
+    void on(const BalanceTick &event);
+    void startAttempt(OpenRequest &open, const Placement &placement);
+    void refuse(OpenRequest &open, Refusal reason);
+    void endOverdue();
+    void hedgeSilent();
+    void cancelAttempts(OpenRequest &open);
+    bool maySendAgain(const OpenRequest &open, AttemptOutcome outcome);
+    Milliseconds retryAfter(const OpenRequest &open);
+
+    // Placement.cpp
+    Placement place(const OpenRequest &open);
+    Placement placeIn(const OpenRequest &open, const std::string &region);
+    bool isAdmissible(const OpenRequest &open, const Placement &placement, bool isAbroad) const;
+    std::string pickRegion(const OpenRequest &open);
+    std::string pickService(const Route &route);
+    bool isMostUrgent(const Route &route) const;
+    void followPlans();
+
+    BalanceSettings m_settings;
+    std::string m_region;
+    std::mt19937_64 m_random;
+    TargetSet m_targets;
+    std::shared_ptr<const RouteTable> m_table;
+    std::unordered_map<std::uint64_t, OpenRequest> m_open;
+    std::map<std::string, RegionPlan> m_plans; ///< by service
+    std::map<std::string, RetryBudget> m_budgets; ///< by service
+    std::map<std::string, RouteStats> m_stats; ///< by route
+    std::map<std::string, ArrivalRate> m_arrivals; ///< by service
+    std::map<std::string, ShiftAllowance> m_overflow; ///< by service
+    std::map<std::string, std::vector<double>> m_turns; ///< by route: what each part of a split is owed
+    TimePoint m_now{};
+    TimePoint m_planDue{};
+    BalanceEffects *m_out = nullptr;
+};
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Balance/RegionPlan.cpp
@@ -0,0 +1,135 @@
+//===- RegionPlan.cpp - Spill between regions -----------------------------===//
+#include "RegionPlan.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// Part of a region's slots up to which it serves its own callers before it sends any away.
+constexpr double FullRegion = 0.8;
+/// Below this a region is treated as having no room.
+constexpr double LeastRoom = 0.5;
+
+double valueOr0(const std::map<std::string, double> &values, const std::string &key)
+{
+    const auto it = values.find(key);
+    return it == values.end() ? 0.0 : it->second;
+}
+
+RegionShares normalized(RegionShares shares)
+{
+    const double sum =
+        std::accumulate(shares.begin(), shares.end(), 0.0, [](double n, const auto &it) { return n + it.second; });
+    if (sum <= 0) {
+        return {};
+    }
+    for (auto &[region, share] : shares) {
+        share /= sum;
+    }
+    return shares;
+}
+
+} // namespace
+
+RegionShares plannedShares(const std::string &region, const std::map<std::string, double> &capacity,
+                           const std::map<std::string, double> &demand)
+{
+    const double own = valueOr0(capacity, region);
+    double totalCapacity = 0;
+    double totalDemand = 0;
+    for (const auto &[name, slots] : capacity) {
+        totalCapacity += slots;
+    }
+    for (const auto &[name, slots] : demand) {
+        totalDemand += slots;
+    }
+    if (totalCapacity <= 0) {
+        return {};
+    }
+    const double wanted = valueOr0(demand, region);
+    // All regions are filled to the same level when there is more demand than room.
+    const double level = std::max(FullRegion, totalDemand / totalCapacity);
+    const double kept = wanted <= 0 ? 1.0 : std::min(1.0, own * level / wanted);
+    RegionShares shares;
+    shares[region] = kept;
+    RegionShares room;
+    for (const auto &[name, slots] : capacity) {
+        const double free = slots * level - valueOr0(demand, name);
+        if (name != region && free > LeastRoom) {
+            room[name] = free;
+        }
+    }
+    room = normalized(room);
+    if (room.empty()) {
+        return {{region, 1.0}};
+    }
+    for (const auto &[name, part] : room) {
+        shares[name] = (1 - kept) * part;
+    }
+    if (own <= 0) {
+        shares.erase(region);
+    }
+    return normalized(shares);
+}
+
+RegionPlan::RegionPlan(double maxStep)
+    : m_maxStep(maxStep)
+{
+}
+
+void RegionPlan::follow(const RegionShares &planned, const std::map<std::string, double> &capacity, TimePoint now)
+{
+    if (planned.empty()) {
+        return;
+    }
+    // The first plan is taken whole, and a region without any target is left at once.
+    const bool leavesDead = std::any_of(m_shares.begin(), m_shares.end(), [&](const auto &it) {
+        return it.second > 0 && valueOr0(capacity, it.first) <= 0;
+    });
+    if (m_shares.empty() || leavesDead) {
+        m_shares = planned;
+        m_movedAt = now;
+        return;
+    }
+    double moved = 0;
+    for (const auto &[region, share] : planned) {
+        moved += std::max(0.0, share - valueOr0(m_shares, region));
+    }
+    const double allowed = m_maxStep * std::chrono::duration<double>(now - m_movedAt).count();
+    m_movedAt = now;
+    if (moved <= 0) {
+        return;
+    }
+    const double part = std::min(1.0, allowed / moved);
+    RegionShares next;
+    for (const auto &[region, share] : m_shares) {
+        next[region] = share * (1 - part);
+    }
+    for (const auto &[region, share] : planned) {
+        next[region] += share * part;
+    }
+    m_shares = next;
+}
+
+std::string RegionPlan::pick(double point) const
+{
+    for (const auto &[region, share] : m_shares) {
+        if (point < share) {
+            return region;
+        }
+        point -= share;
+    }
+    return m_shares.empty() ? std::string() : m_shares.rbegin()->first;
+}
+
+const RegionShares &RegionPlan::shares() const
+{
+    return m_shares;
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Balance/RetryBudget.h
@@ -0,0 +1,56 @@
+//===- RetryBudget.h - How often a request may be sent again ----*- C++ -*-===//
+#pragma once
+
+#include "pepperlug/Balance.h"
+
+namespace pepperlug::fleet
+{
+
+/// Counts one service's requests and retries at one host over a sliding window. The slack of all hosts is divided by
+/// their number; hosts that restart begin with nothing counted, so only a part of it is ever used.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(const RetryTerms &terms)
+        : m_terms(terms)
+    {
+    }
+
+    void countRequest(TimePoint now)
+    {
+        m_requests.push_back(now);
+        drop(now);
+    }
+
+    /// Takes one retry if the budget has one.
+    bool take(TimePoint now, std::size_t hosts)
+    {
+        drop(now);
+        const double slack = m_terms.slack * SlackPart / static_cast<double>(std::max<std::size_t>(1, hosts));
+        const double allowed = m_terms.ratio * RatioPart * static_cast<double>(m_requests.size()) + slack;
+        if (static_cast<double>(m_retries.size()) + 1 > allowed) {
+            return false;
+        }
+        m_retries.push_back(now);
+        return true;
+    }
+
+private:
+    static constexpr double SlackPart = 0.4;
+    static constexpr double RatioPart = 0.7;
+
+    void drop(TimePoint now)
+    {
+        for (std::deque<TimePoint> *times : {&m_requests, &m_retries}) {
+            while (!times->empty() && now - times->front() > m_terms.window) {
+                times->pop_front();
+            }
+        }
+    }
+
+    RetryTerms m_terms;
+    std::deque<TimePoint> m_requests;
+    std::deque<TimePoint> m_retries;
+};
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Balance/RouteStats.h
@@ -0,0 +1,106 @@
+//===- RouteStats.h - What an entry host saw of its requests ----*- C++ -*-===//
+#pragma once
+
+#include "pepperlug/Support.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pepperlug::fleet
+{
+
+/// How long a route's requests take at a target that is not overfull.
+class RouteStats
+{
+public:
+    /// `fill`: requests over slots at the target when the attempt began; above 1 a part of the time was waiting.
+    void add(Duration took, double fill)
+    {
+        const double work = std::chrono::duration<double>(took).count() / std::max(1.0, fill);
+        m_work = m_count == 0 ? work : m_work + (work - m_work) * Weight;
+        ++m_count;
+    }
+
+    /// Mean time; nothing while too little was seen.
+    std::optional<Duration> work() const
+    {
+        if (m_count < LeastSeen) {
+            return std::nullopt;
+        }
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_work));
+    }
+
+private:
+    static constexpr double Weight = 0.05;
+    static constexpr unsigned LeastSeen = 5;
+
+    double m_work = 0;
+    unsigned m_count = 0;
+};
+
+/// Arrivals a second, as a mean that fades.
+class ArrivalRate
+{
+public:
+    /// `work`: time that the request will take at a target.
+    void add(TimePoint now, Duration work)
+    {
+        fade(now);
+        m_slotSeconds += std::chrono::duration<double>(work).count();
+    }
+
+    /// Slots that the arrivals keep busy.
+    double slots(TimePoint now) const
+    {
+        ArrivalRate faded = *this;
+        faded.fade(now);
+        return faded.m_slotSeconds / TimeConstant.count();
+    }
+
+private:
+    static constexpr std::chrono::duration<double> TimeConstant{2.0};
+
+    void fade(TimePoint now)
+    {
+        const std::chrono::duration<double> passed = now - m_at;
+        m_slotSeconds *= std::exp(-passed / TimeConstant);
+        m_at = now;
+    }
+
+    double m_slotSeconds = 0;
+    TimePoint m_at{};
+};
+
+/// Bounds the part of the requests that leave their region besides the plan.
+class ShiftAllowance
+{
+public:
+    void countRequest(TimePoint now)
+    {
+        m_requests.push_back(now);
+    }
+
+    bool take(TimePoint now, Duration window, double part)
+    {
+        drop(m_requests, now, window);
+        drop(m_moved, now, window);
+        if (static_cast<double>(m_moved.size()) + 1 > part * static_cast<double>(m_requests.size())) {
+            return false;
+        }
+        m_moved.push_back(now);
+        return true;
+    }
+
+private:
+    static void drop(std::deque<TimePoint> &times, TimePoint now, Duration window)
+    {
+        while (!times.empty() && now - times.front() > window) {
+            times.pop_front();
+        }
+    }
+
+    std::deque<TimePoint> m_requests;
+    std::deque<TimePoint> m_moved;
+};
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Balance/TargetSet.cpp
@@ -0,0 +1,318 @@
+//===- TargetSet.cpp - Beliefs about targets, and the choice among them ---===//
+//
+// With an affinity key the choice is the least filled of the few targets that rendezvous hashing ranks first for the
+// key: all entry hosts rank alike without talking, so a target sees the same keys again and stays warm for them. The
+// rank list is as short as the load allows; when its targets are full the next ones are taken.
+//
+//===----------------------------------------------------------------------===//
+#include "TargetSet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// Targets that a key is spread over while they have room.
+constexpr std::size_t AffinityWidth = 2;
+/// A ranked target is passed over when it is fuller than this.
+constexpr double AffinityFill = 0.9;
+/// What a told load is worth halves in this time.
+constexpr std::chrono::duration<double> LoadHalfLife{0.6};
+/// Part of the bound on cold targets that is used, since membership may be believed differently for a moment.
+constexpr double ColdMargin = 0.8;
+constexpr Milliseconds FirstBlock{700};
+constexpr Milliseconds LongestBlock{4000};
+constexpr unsigned FailuresToBlock = 3;
+
+double seconds(Duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+double TargetState::slots() const
+{
+    return std::max(1U, load && load->slots > 0 ? load->slots : report.slots);
+}
+
+// The told load holds this host's own requests of then; the others are taken to fade towards nothing, so that a target
+// that was full is tried again soon.
+double TargetState::believedRequests(TimePoint now) const
+{
+    if (!load) {
+        return inFlight;
+    }
+    const double told = static_cast<double>(load->running) + load->waiting;
+    const double others = std::max(0.0, told - inFlightAtLoad);
+    const double halves = seconds(now - loadAt) / LoadHalfLife.count();
+    return inFlight + others * std::exp2(-halves);
+}
+
+bool TargetState::isCold(TimePoint now) const
+{
+    return now < coldUntil;
+}
+
+bool TargetState::isSuspect(TimePoint now, Duration patience) const
+{
+    return awaitingSince && now - *awaitingSince > patience;
+}
+
+TargetSet::TargetSet(const BalanceSettings &settings)
+    : m_settings(settings)
+{
+}
+
+std::string TargetSet::regionOf(const std::string &zone) const
+{
+    const auto it = m_settings.regionOfZone.find(zone);
+    return it == m_settings.regionOfZone.end() ? zone : it->second;
+}
+
+void TargetSet::apply(const RegistryChanges &changes, TimePoint now)
+{
+    for (const AgedReport<TargetReport> &it : changes.targets) {
+        const auto [place, isNew] = m_targets.try_emplace(it.report.id);
+        TargetState &target = place->second;
+        if (!isNew && it.report.sequence < target.report.sequence && it.report.presence != Presence::Gone) {
+            continue;
+        }
+        const TimePoint heardAt = now - it.age;
+        const bool isEvidence = !target.presumedCold || heardAt > *target.presumedCold;
+        target.report = it.report;
+        target.region = regionOf(it.report.zone);
+        target.hash = hash64(it.report.id);
+        target.isSilent = it.isSilent;
+        if (isEvidence) {
+            target.coldUntil = heardAt + it.report.coldLeft;
+            target.presumedCold.reset();
+        }
+        if (it.report.presence == Presence::Gone && target.inFlight == 0) {
+            m_targets.erase(place);
+        }
+    }
+    for (const AgedReport<HostReport> &it : changes.hosts) {
+        const bool isLive = it.report.presence == Presence::Ready && !it.isSilent;
+        if (it.report.role == HostRole::Entry && isLive) {
+            m_entryHosts[it.report.id] = it.report;
+        } else {
+            m_entryHosts.erase(it.report.id);
+        }
+    }
+}
+
+void TargetSet::setTable(std::shared_ptr<const RouteTable> table)
+{
+    m_table = std::move(table);
+}
+
+// Targets of a zone that is taken back may have become cold without a report yet.
+void TargetSet::setEvacuatedZones(const std::set<std::string> &zones, TimePoint now)
+{
+    for (auto &[id, target] : m_targets) {
+        const bool isBack = m_evacuated.contains(target.report.zone) && !zones.contains(target.report.zone);
+        const ServiceTraits *traits = m_table ? m_table->service(target.report.service) : nullptr;
+        if (isBack && traits != nullptr) {
+            target.presumedCold = now;
+            target.coldUntil = std::max(target.coldUntil, now + traits->coldTime);
+        }
+    }
+    m_evacuated = zones;
+}
+
+bool TargetSet::isUsable(const TargetState &target, TimePoint) const
+{
+    return target.report.presence == Presence::Ready && !target.isSilent && !target.isRetired
+        && !m_evacuated.contains(target.report.zone);
+}
+
+bool TargetSet::warmsZone(const HostReport &host, const TargetState &target) const
+{
+    const bool zoneHasHost = std::any_of(m_entryHosts.begin(), m_entryHosts.end(),
+                                         [&](const auto &it) { return it.second.zone == target.report.zone; });
+    if (zoneHasHost) {
+        return host.zone == target.report.zone;
+    }
+    const bool regionHasHost = std::any_of(m_entryHosts.begin(), m_entryHosts.end(),
+                                           [&](const auto &it) { return regionOf(it.second.zone) == target.region; });
+    return !regionHasHost || regionOf(host.zone) == target.region;
+}
+
+std::size_t TargetSet::warmers(const TargetState &target) const
+{
+    return static_cast<std::size_t>(std::count_if(m_entryHosts.begin(), m_entryHosts.end(), [&](const auto &it) {
+        return warmsZone(it.second, target);
+    }));
+}
+
+bool TargetSet::isWarmer(const TargetState &target) const
+{
+    HostReport self;
+    self.zone = m_settings.zone;
+    return warmsZone(self, target);
+}
+
+// Only the entry hosts of a cold target's own zone send to it, each its part of what the target bears; so the sum over
+// all hosts stays bounded without a word between them.
+bool TargetSet::mayWarm(const TargetState &target, TimePoint now) const
+{
+    return isWarmer(target) && now >= target.coldTokenAt;
+}
+
+TargetState *TargetSet::chooseAmong(std::vector<TargetState *> &candidates, std::uint64_t affinity, TimePoint now)
+{
+    const auto fill = [now](const TargetState *it) { return (it->believedRequests(now) + 1) / it->slots(); };
+    const auto isEmptier = [&](const TargetState *lhs, const TargetState *rhs) { return fill(lhs) < fill(rhs); };
+    if (affinity == 0) {
+        return *std::min_element(candidates.begin(), candidates.end(), isEmptier);
+    }
+    std::vector<std::pair<std::uint64_t, TargetState *>> ranked;
+    ranked.reserve(candidates.size());
+    for (TargetState *it : candidates) {
+        ranked.emplace_back(hash64(std::string_view(reinterpret_cast<const char *>(&it->hash), sizeof it->hash), affinity),
+                            it);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto &lhs, const auto &rhs) { return lhs.first > rhs.first; });
+    TargetState *best = nullptr;
+    std::size_t seen = 0;
+    for (const auto &[rank, target] : ranked) {
+        if (best == nullptr || fill(target) < fill(best)) {
+            best = target;
+        }
+        ++seen;
+        if (seen >= AffinityWidth && fill(best) <= AffinityFill) {
+            return best;
+        }
+    }
+    return best;
+}
+
+TargetState *TargetSet::choose(const TargetQuery &query, TimePoint now)
+{
+    std::vector<TargetState *> open;
+    std::vector<TargetState *> blocked;
+    for (auto &[id, target] : m_targets) {
+        const bool isHome = query.homeRegions == nullptr || query.homeRegions->empty()
+            || std::find(query.homeRegions->begin(), query.homeRegions->end(), target.region) != query.homeRegions->end();
+        const bool fits = target.report.service == query.service && isHome
+            && (query.region.empty() || query.region == target.region) && !query.excluded.contains(id);
+        if (!fits || !isUsable(target, now) || (target.isCold(now) && !mayWarm(target, now))) {
+            continue;
+        }
+        const bool isDoubtful = now < target.blockedUntil || target.isSuspect(now, query.patience);
+        (isDoubtful ? blocked : open).push_back(&target);
+    }
+    if (!open.empty()) {
+        return chooseAmong(open, query.affinity, now);
+    }
+    // All failed lately: the one whose turn to be tried again comes first.
+    const auto it = std::min_element(blocked.begin(), blocked.end(), [](const TargetState *lhs, const TargetState *rhs) {
+        return lhs->blockedUntil < rhs->blockedUntil;
+    });
+    return it == blocked.end() ? nullptr : *it;
+}
+
+TargetState *TargetSet::find(const std::string &id)
+{
+    const auto it = m_targets.find(id);
+    return it == m_targets.end() ? nullptr : &it->second;
+}
+
+void TargetSet::attemptStarted(TargetState &target, TimePoint now)
+{
+    ++target.inFlight;
+    target.awaitingSince = target.awaitingSince.value_or(now);
+    const ServiceTraits *traits = m_table ? m_table->service(target.report.service) : nullptr;
+    if (target.isCold(now) && traits != nullptr && traits->coldPerSecond > 0) {
+        const double rate = traits->coldPerSecond * ColdMargin / static_cast<double>(std::max<std::size_t>(1, warmers(target)));
+        target.coldTokenAt = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+    }
+}
+
+void TargetSet::attemptCancelled(const std::string &id)
+{
+    TargetState *target = find(id);
+    if (target != nullptr && target->inFlight > 0) {
+        --target->inFlight;
+    }
+    if (target != nullptr && target->inFlight == 0) {
+        target->awaitingSince.reset();
+    }
+}
+
+void TargetSet::attemptEnded(const std::string &id, AttemptOutcome outcome, const std::optional<TargetLoad> &load,
+                             TimePoint now)
+{
+    TargetState *target = find(id);
+    if (target == nullptr) {
+        return;
+    }
+    attemptCancelled(id);
+    if (load) {
+        target->load = load;
+        target->inFlightAtLoad = target->inFlight;
+        target->loadAt = now;
+    }
+    switch (outcome) {
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::Shed:
+        target->failures = 0;
+        target->awaitingSince = target->inFlight > 0 ? std::optional(now) : std::nullopt;
+        return;
+    case AttemptOutcome::WrongTarget:
+        target->isRetired = true;
+        return;
+    case AttemptOutcome::NotSent:
+        target->failures = std::max(target->failures + 1, FailuresToBlock);
+        break;
+    case AttemptOutcome::Lost:
+    case AttemptOutcome::TimedOut:
+        ++target->failures;
+        break;
+    }
+    if (target->failures >= FailuresToBlock) {
+        const unsigned doublings = std::min(target->failures - FailuresToBlock, 4U);
+        target->blockedUntil = now + std::min<Duration>(FirstBlock * (1 << doublings), LongestBlock);
+    }
+}
+
+std::map<std::string, double> TargetSet::capacity(std::string_view service, TimePoint now) const
+{
+    std::map<std::string, double> slots;
+    for (const auto &[id, target] : m_targets) {
+        if (target.report.service == service && isUsable(target, now)) {
+            slots[target.region] += target.slots();
+        }
+    }
+    return slots;
+}
+
+std::map<std::string, double> TargetSet::demand(std::string_view service) const
+{
+    std::map<std::string, double> slots;
+    for (const auto &[id, host] : m_entryHosts) {
+        double &region = slots[regionOf(host.zone)];
+        for (const ServiceDemand &it : host.demand) {
+            region += it.service == service ? it.slots : 0;
+        }
+    }
+    return slots;
+}
+
+std::size_t TargetSet::usable(TimePoint now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_targets.begin(), m_targets.end(), [&](const auto &it) { return isUsable(it.second, now); }));
+}
+
+std::size_t TargetSet::entryHosts() const
+{
+    return m_entryHosts.size();
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Balance/TargetSet.h
@@ -0,0 +1,92 @@
+//===- TargetSet.h - Targets as one entry host believes them -----*- C++ -*-===//
+//
+// What is known of each target: its last report, the requests that this host has
+// there, the load that it told, its failures, and how much it bears while cold.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pepperlug/Balance.h"
+
+#include <unordered_map>
+
+namespace pepperlug::fleet
+{
+
+struct TargetState {
+    TargetReport report;
+    std::string region;
+    std::uint64_t hash = 0;
+    bool isSilent = false;
+    bool isRetired = false; ///< another incarnation answered at its address
+    unsigned inFlight = 0; ///< of this host
+    TimePoint coldUntil{};
+    std::optional<TimePoint> presumedCold; ///< an evacuation ended then; a later report decides
+    TimePoint coldTokenAt{}; ///< when the next request may go there while it is cold
+    std::optional<TargetLoad> load;
+    unsigned inFlightAtLoad = 0;
+    TimePoint loadAt{};
+    std::optional<TimePoint> awaitingSince; ///< requests are there, and nothing came back since then
+    unsigned failures = 0; ///< in a row
+    TimePoint blockedUntil{};
+
+    /// Requests there, of all hosts, as believed.
+    double believedRequests(TimePoint now) const;
+    double slots() const;
+    bool isCold(TimePoint now) const;
+    /// Whether it has kept this host waiting for so long without any answer that it may have stopped.
+    bool isSuspect(TimePoint now, Duration patience) const;
+};
+
+/// What a request needs of a target.
+struct TargetQuery {
+    std::string_view service;
+    std::uint64_t affinity = 0; ///< 0: none
+    std::set<std::string> excluded;
+    const std::vector<std::string> *homeRegions = nullptr; ///< null or empty: any
+    std::string region; ///< empty: any
+    Duration patience{}; ///< silence after which a target with requests is not trusted
+};
+
+class TargetSet
+{
+public:
+    explicit TargetSet(const BalanceSettings &settings);
+
+    void apply(const RegistryChanges &changes, TimePoint now);
+    void setTable(std::shared_ptr<const RouteTable> table);
+    void setEvacuatedZones(const std::set<std::string> &zones, TimePoint now);
+
+    /// Best target for a request; null if none is usable.
+    TargetState *choose(const TargetQuery &query, TimePoint now);
+    TargetState *find(const std::string &id);
+
+    void attemptStarted(TargetState &target, TimePoint now);
+    void attemptEnded(const std::string &id, AttemptOutcome outcome, const std::optional<TargetLoad> &load,
+                      TimePoint now);
+    void attemptCancelled(const std::string &id);
+
+    /// Slots of usable targets by region.
+    std::map<std::string, double> capacity(std::string_view service, TimePoint now) const;
+    /// What the entry hosts of each region ask of a service.
+    std::map<std::string, double> demand(std::string_view service) const;
+    std::size_t usable(TimePoint now) const;
+    std::string regionOf(const std::string &zone) const;
+    std::size_t entryHosts() const;
+
+private:
+    bool isUsable(const TargetState &target, TimePoint now) const;
+    bool mayWarm(const TargetState &target, TimePoint now) const;
+    std::size_t warmers(const TargetState &target) const;
+    bool isWarmer(const TargetState &target) const;
+    bool warmsZone(const HostReport &host, const TargetState &target) const;
+    TargetState *chooseAmong(std::vector<TargetState *> &candidates, std::uint64_t affinity, TimePoint now);
+
+    const BalanceSettings &m_settings;
+    std::shared_ptr<const RouteTable> m_table;
+    std::set<std::string> m_evacuated;
+    std::unordered_map<std::string, TargetState> m_targets;
+    std::map<std::string, HostReport> m_entryHosts; ///< live ones, by id
+};
+
+} // namespace pepperlug::fleet
--- a/lib/Consensus/Consensus.cpp
+++ b/lib/Consensus/Consensus.cpp
@@ -54,6 +54,7 @@
 {
     if (m_role == ControlRole::Leader) {
         if (m_now >= m_nextHeartbeat) {
+            removeReplacedMember();
             replicateAll();
         }
         return;
@@ -162,11 +163,26 @@
 }
 
 bool Consensus::isCurrent(TimePoint now) const
+{
+    return now < currentUntil();
+}
+
+TimePoint Consensus::currentUntil() const
 {
     if (m_role == ControlRole::Leader) {
-        return now < m_leaseUntil;
+        return m_leaseUntil;
     }
-    return m_everHeardLeader && now < m_leaderHeard + leaseTime();
+    return m_everHeardLeader ? m_leaderHeard + leaseTime() : TimePoint{};
+}
+
+bool Consensus::canRead(TimePoint now) const
+{
+    return m_role == ControlRole::Leader && now < m_leaseUntil && termAt(m_commit) == m_hard.term;
+}
+
+TimePoint Consensus::leaderHeardAt() const
+{
+    return m_leaderHeard;
 }
 
 const ControlMember *Consensus::findMember(const std::string &name) const
--- a/lib/Consensus/Election.cpp
+++ b/lib/Consensus/Election.cpp
@@ -82,6 +82,7 @@
     m_leaseUntil = {};
     for (const ControlMember &member : m_members) {
         m_progress[member.name].nextIndex = lastIndex() + 1;
+        m_progress[member.name].heardAt = m_now;
     }
     // Entries of earlier terms are committed only along with one of this term.
     append(EntryKind::Barrier, {});
--- a/lib/Consensus/Replication.cpp
+++ b/lib/Consensus/Replication.cpp
@@ -175,6 +175,7 @@
         progress.nextIndex = lastIndex() + 1;
     }
     progress.ackedRound = std::max(progress.ackedRound, message.round);
+    progress.heardAt = m_now;
     if (!message.success) {
         const std::uint64_t before = progress.nextIndex;
         progress.nextIndex = std::min(before, std::max(message.matchIndex, progress.matchIndex) + 1);
@@ -221,29 +222,4 @@
     }
 }
 
-// A member that answers under another disk id than the log knows has lost its disk. Once it has caught up it becomes a
-// voter again in two changes, each of which overlaps with the one before: first its old vote is taken away, then the
-// new one is given.
-void Consensus::promoteLearner(const std::string &name)
-{
-    const ControlMember *member = findMember(name);
-    const Progress &progress = m_progress[name];
-    const bool isVoterAlready = member->voter && member->diskId == progress.diskId;
-    if (isVoterAlready || progress.matchIndex < m_commit || m_commit < lastIndex()) {
-        return; // the last change of members, like all else, must be committed first
-    }
-    std::vector<ControlMember> members = m_members;
-    for (ControlMember &it : members) {
-        if (it.name != name) {
-            continue;
-        }
-        const bool loseVote = it.voter;
-        it.voter = !loseVote;
-        it.diskId = progress.diskId;
-    }
-    append(EntryKind::Members, encode(members));
-    replicateAll();
-    advanceCommit();
-}
-
 } // namespace pepperlug
--- a/lib/Daemon/Signals.cpp
+++ b/lib/Daemon/Signals.cpp
@@ -35,6 +35,24 @@
     sigwait(&set, &signal);
 }
 
+void blockDaemonSignals()
+{
+    blockStopSignals();
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
+DaemonSignal waitForSignal()
+{
+    sigset_t set = stopSignals();
+    sigaddset(&set, SIGHUP);
+    int signal = 0;
+    sigwait(&set, &signal);
+    return signal == SIGHUP ? DaemonSignal::Reload : DaemonSignal::Stop;
+}
+
 HttpResult fetch(HttpClient &client, HttpCall call)
 {
     auto promise = std::make_shared<std::promise<HttpResult>>();
--- /dev/null
+++ b/lib/Fleet/ControlLog.h
@@ -0,0 +1,126 @@
+//===- ControlLog.h - Runs the replicated log of a control host --*- C++ -*-===//
+//
+// One thread reduces all events of the log. What one batch of events wants on the
+// disk is written with one sync, before any message of that batch goes out.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pepperlug/Storage.h"
+#include "pepperlug/Wire.h"
+
+namespace pepperlug::fleet
+{
+
+struct ControlLogSettings {
+    std::string name; ///< peer address of this host, which is its name among the members
+    std::string zone;
+    std::string dataFolder;
+    bool isFounder = false; ///< one of the first members, on its first start
+    std::vector<std::string> founders;
+    Duration heartbeat = Milliseconds(150);
+    Duration electionTimeout = Milliseconds(700);
+    Duration replaceSilentAfter = Milliseconds(2500);
+    std::uint64_t snapshotEvery = 200; ///< applied entries between snapshots
+};
+
+/// How a proposal ended.
+struct ProposalFate {
+    bool isDecided = false; ///< applied; `result` holds what the state machine returned
+    std::string result;
+    std::string leader; ///< name of the host to ask instead; empty if not known
+};
+using FateHandler = std::function<void(ProposalFate)>;
+
+/// What others may know of the log without waiting for its thread.
+struct ControlLogStatus {
+    ControlRole role{};
+    std::uint64_t term = 0;
+    std::string leader;
+    std::uint64_t commit = 0;
+    TimePoint currentUntil{}; ///< a majority was heard, directly or through the leader
+    bool readsAllowed = false; ///< leads, and has applied all that was agreed before its term
+    std::vector<ControlMember> members;
+
+    bool isCurrent(TimePoint now) const
+    {
+        return now < currentUntil;
+    }
+    bool canRead(TimePoint now) const
+    {
+        return readsAllowed && isCurrent(now);
+    }
+};
+
+/// What the log is for. Called on the log's thread.
+class ControlLogClient
+{
+public:
+    virtual ~ControlLogClient() = default;
+    virtual std::string applyCommand(const std::string &command, std::uint64_t index) = 0;
+    virtual std::string takeSnapshot() = 0;
+    virtual void restoreSnapshot(const std::string &data) = 0;
+    virtual void statusChanged(const ControlLogStatus &status) = 0;
+    virtual void sendToMember(const std::string &name, const ControlMessage &message) = 0;
+    /// The disk can't be trusted any more; nothing may be promised.
+    virtual void logFailed(const std::string &reason) = 0;
+};
+
+class ControlLog
+{
+public:
+    ControlLog(ControlLogSettings settings, const Clock &clock, ControlLogClient &client);
+    ~ControlLog();
+    ControlLog(const ControlLog &) = delete;
+    ControlLog &operator=(const ControlLog &) = delete;
+
+    /// Recovers the state and starts; the client may be called from now on.
+    void start();
+    void stop();
+    /// The handler is called once, unless the log stops first.
+    void propose(std::string command, FateHandler handler);
+    void post(ControlEvent event);
+    ControlLogStatus status() const;
+    const std::string &diskId() const;
+
+private:
+    void run();
+    void reduceBatch(std::vector<ControlEvent> &events);
+    void persist(const ControlEffects &effects);
+    void carryOut(const PersistLog &effect);
+    void carryOut(const PersistSnapshot &effect);
+    void carryOut(const SendMessage &effect);
+    void carryOut(const ApplyEntry &effect);
+    void carryOut(const CommandPlaced &effect);
+    void carryOut(const CommandRejected &effect);
+    void carryOut(const RoleChanged &effect);
+    void end(std::uint64_t token, const ProposalFate &fate);
+    void publishStatus();
+
+    struct Place {
+        std::uint64_t token = 0;
+        std::uint64_t term = 0;
+    };
+
+    ControlLogSettings m_settings;
+    const Clock &m_clock;
+    ControlLogClient &m_client;
+    DataFolder m_folder;
+    std::string m_diskId; ///< made before the log, or a log without one would look damaged
+    ControlStore m_store;
+    std::unique_ptr<Consensus> m_consensus;
+    std::uint64_t m_applied = 0;
+    std::uint64_t m_lastSnapshot = 0;
+    std::map<std::uint64_t, Place> m_placed; ///< by index
+
+    mutable std::mutex m_mutex; ///< guards what follows
+    std::condition_variable m_wake;
+    std::vector<ControlEvent> m_queue;
+    std::map<std::uint64_t, FateHandler> m_waiting; ///< by token
+    std::uint64_t m_lastToken = 0;
+    bool m_stop = false;
+    ControlLogStatus m_status;
+    std::thread m_thread;
+};
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/ControlWatch.cpp
@@ -0,0 +1,146 @@
+//===- ControlWatch.cpp - A host that follows control hosts ---------------===//
+#include "ControlWatch.h"
+
+#include <algorithm>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// What a reply may take besides the time for which it is held back.
+constexpr Milliseconds ReplyTime{700};
+constexpr Milliseconds PauseAfterFailure{150};
+
+} // namespace
+
+ControlWatch::ControlWatch(PeerNet &net, Milliseconds patience, Hooks hooks)
+    : m_net(net)
+    , m_patience(patience)
+    , m_hooks(std::move(hooks))
+{
+}
+
+Address ControlWatch::next(const std::vector<Address> &candidates) const
+{
+    const auto it = std::find(candidates.begin(), candidates.end(), m_control);
+    if (it == candidates.end()) {
+        return candidates.front();
+    }
+    if (!m_moveOn) {
+        return m_control;
+    }
+    return std::next(it) == candidates.end() ? candidates.front() : *std::next(it);
+}
+
+void ControlWatch::poll(TimePoint now)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_now = now;
+        if (m_isAsking || now < m_notBefore) {
+            return;
+        }
+    }
+    const std::vector<Address> candidates = m_hooks.candidates();
+    if (candidates.empty()) {
+        return;
+    }
+    Address to;
+    {
+        const std::lock_guard lock(m_mutex);
+        to = next(candidates);
+        if (to != m_control) {
+            m_epoch.clear();
+            m_since = 0;
+        }
+        m_control = to;
+        m_moveOn = false;
+        m_isAsking = true;
+    }
+    ask(to);
+}
+
+void ControlWatch::ask(const Address &to)
+{
+    FleetWatchCall call;
+    call.self = m_hooks.self();
+    call.routingIndex = m_hooks.routingIndex();
+    std::uint64_t number = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        call.epoch = m_epoch;
+        call.since = m_since;
+        // What was lost may have been lost for a while: it is asked for without waiting.
+        call.patience = m_isLost ? Milliseconds(0) : m_patience;
+        number = ++m_askNumber;
+    }
+    const CallId id = m_net.call(to, path::FleetWatch, encode(call), m_patience + ReplyTime,
+                                 [this, to, number](const PeerReply &reply) { onReply(to, number, reply); });
+    const std::lock_guard lock(m_mutex);
+    if (number == m_askNumber) {
+        m_call = id;
+    }
+}
+
+void ControlWatch::onReply(const Address &from, std::uint64_t number, const PeerReply &reply)
+{
+    constexpr unsigned Ok = 200;
+    std::optional<FleetWatchReply> news;
+    std::string reason = reply.reason;
+    if (reply.delivered && reply.status == Ok) {
+        try {
+            news = decode<FleetWatchReply>(reply.body, from.text());
+        } catch (const Error &ex) {
+            reason = ex.what();
+        }
+    }
+    bool linkChanged = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (number != m_askNumber) {
+            return;
+        }
+        m_isAsking = false;
+        const bool wasHurried = !news && reason == "cancelled";
+        if (!wasHurried) {
+            linkChanged = m_isLost != !news;
+            m_isLost = !news;
+            m_isCurrent = news && news->isCurrent;
+            m_moveOn = !m_isCurrent;
+            m_notBefore = m_moveOn ? m_now + PauseAfterFailure : TimePoint{};
+        }
+        if (news) {
+            m_epoch = news->epoch;
+            m_since = news->version;
+        }
+    }
+    if (linkChanged) {
+        m_hooks.onLink(from, !news, reason);
+    }
+    if (news) {
+        m_hooks.onReply(from, *news);
+    }
+}
+
+void ControlWatch::hurry()
+{
+    CallId id{};
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_isAsking) {
+            return;
+        }
+        id = m_call;
+    }
+    m_net.cancel(id);
+}
+
+bool ControlWatch::isCurrent() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isCurrent;
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/ControlWatch.h
@@ -0,0 +1,60 @@
+//===- ControlWatch.h - A host that follows control hosts -------*- C++ -*-===//
+//
+// Asks one control host again and again for what is new; the reply is held back
+// until there is something, so that news travels at once. Each ask also says that
+// the asker lives. When the control host fails or has lost its majority, the next
+// one is asked.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "FleetMessages.h"
+#include "pepperlug/Wire.h"
+
+namespace pepperlug::fleet
+{
+
+class ControlWatch
+{
+public:
+    struct Hooks {
+        std::function<HostReport()> self; ///< report of this host, with a new sequence number
+        std::function<std::uint64_t()> routingIndex;
+        std::function<std::vector<Address>()> candidates; ///< control hosts in the order of preference
+        std::function<void(const Address &from, const FleetWatchReply &reply)> onReply;
+        std::function<void(const Address &peer, bool isLost, const std::string &reason)> onLink;
+    };
+
+    /// `patience`: how long a reply may be held back.
+    ControlWatch(PeerNet &net, Milliseconds patience, Hooks hooks);
+
+    /// Asks now if no ask is on its way and the pause after a failure is over; to be called regularly.
+    void poll(TimePoint now);
+    /// Ends the ask that is on its way, so that the next poll tells the newest report.
+    void hurry();
+    /// Whether the last reply came from a host in touch with a majority.
+    bool isCurrent() const;
+
+private:
+    void ask(const Address &to);
+    void onReply(const Address &from, std::uint64_t number, const PeerReply &reply);
+    Address next(const std::vector<Address> &candidates) const;
+
+    PeerNet &m_net;
+    Milliseconds m_patience;
+    Hooks m_hooks;
+    mutable std::mutex m_mutex;
+    Address m_control;
+    std::string m_epoch;
+    std::uint64_t m_since = 0;
+    bool m_isAsking = false;
+    bool m_isLost = true;
+    bool m_isCurrent = false;
+    bool m_moveOn = true; ///< another control host is to be asked next
+    std::uint64_t m_askNumber = 0;
+    CallId m_call{};
+    TimePoint m_notBefore{};
+    TimePoint m_now{};
+};
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/EventLog.cpp
@@ -0,0 +1,65 @@
+//===- EventLog.cpp - Decision lines on standard output -------------------===//
+#include "EventLog.h"
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+constexpr auto RateWindow = std::chrono::seconds(1);
+constexpr std::size_t QueuedLines = 4096;
+
+} // namespace
+
+EventLog::EventLog(const std::string &process, const Clock &clock, unsigned linesPerSecond)
+    : m_process(process)
+    , m_clock(clock)
+    , m_linesPerSecond(linesPerSecond)
+    , m_sink("events", "-", QueuedLines)
+{
+}
+
+void EventLog::decision(const char *what, const nlohmann::json &fields)
+{
+    write("decision", what, fields, true);
+}
+
+void EventLog::state(const char *what, const nlohmann::json &fields)
+{
+    write("state", what, fields, false);
+}
+
+std::uint64_t EventLog::dropped() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_dropped + m_sink.dropped();
+}
+
+void EventLog::write(const char *kind, const char *what, const nlohmann::json &fields, bool mayDrop)
+{
+    std::uint64_t untold = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        const TimePoint now = m_clock.now();
+        if (now - m_second >= RateWindow) {
+            m_second = now;
+            m_lines = 0;
+            untold = m_dropped - m_toldDropped;
+            m_toldDropped = m_dropped;
+        }
+        if (mayDrop && m_lines >= m_linesPerSecond) {
+            ++m_dropped;
+            return;
+        }
+        ++m_lines;
+    }
+    nlohmann::json line{{"at_ms", m_clock.wallTime().count()}, {"process", m_process}, {"kind", kind}, {"what", what}};
+    line.update(fields);
+    if (untold > 0) {
+        line["lines_dropped"] = untold;
+    }
+    m_sink.writeLater([line = std::move(line)] { return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace); });
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -0,0 +1,278 @@
+//===- GatewayDaemon.cpp - Life of an entry host --------------------------===//
+#include "GatewayImpl.h"
+
+#include <algorithm>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+constexpr Milliseconds TickInterval{25};
+constexpr Milliseconds WatchPatience{500};
+constexpr std::size_t IncarnationBytes = 8;
+constexpr unsigned Ok = 200;
+constexpr unsigned Unavailable = 503;
+/// Callers that hold a directory answer still come for so long after this host has left it.
+constexpr Milliseconds LeastLeavingTime{2500};
+/// What is left of the grace time when the process ends in any case.
+constexpr Milliseconds GraceReserve{500};
+
+BalanceSettings balanceSettings(const FleetSettings &settings, const std::string &incarnation)
+{
+    BalanceSettings balance;
+    balance.hostId = incarnation;
+    balance.zone = settings.zone;
+    balance.regionOfZone = settings.regionOfZone;
+    balance.retries = settings.bounds.retries;
+    balance.maxShift = settings.bounds.maxShift;
+    balance.seed = hash64(incarnation);
+    return balance;
+}
+
+HttpLimits callerLimits(const FleetSettings &settings)
+{
+    HttpLimits limits;
+    limits.headBytes = 64UL * 1024;
+    limits.bodyBytes = settings.maxBodyBytes;
+    return limits;
+}
+
+} // namespace
+
+GatewayDaemon::Impl::Impl(FleetSettings settings, const Clock &clock, CallerDialectTable dialect)
+    : m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_dialect(dialect)
+    , m_events(m_settings.name, clock, m_settings.logLinesPerSecond)
+    , m_incarnation(m_settings.name + "#" + randomHex(IncarnationBytes))
+    , m_balancer(std::make_unique<Balancer>(balanceSettings(m_settings, m_incarnation)))
+{
+    m_events.state("start", {{"role", "entry"}, {"zone", m_settings.zone}});
+    m_client = std::make_unique<HttpClient>(m_settings.maxAnswerBytes);
+    ControlWatch::Hooks hooks;
+    hooks.self = [this] {
+        const std::lock_guard lock(m_mutex);
+        return selfReport();
+    };
+    hooks.routingIndex = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_routingIndex;
+    };
+    hooks.candidates = [this] { return controlHosts(); };
+    hooks.onReply = [this](const Address &from, const FleetWatchReply &reply) { onControlReply(from, reply); };
+    hooks.onLink = [this](const Address &control, bool isLost, const std::string &reason) {
+        onLink(control, isLost, reason);
+    };
+    m_watch = std::make_unique<ControlWatch>(m_net, WatchPatience, std::move(hooks));
+    m_callersServer = std::make_unique<HttpServer>(m_settings.callers, 1, callerLimits(m_settings), m_clock,
+                                                   [this](const HttpExchangePtr &exchange) { onHttp(exchange); });
+    m_readinessServer = std::make_unique<HttpServer>(m_settings.readiness, 1, HttpLimits{}, m_clock,
+                                                     [this](const HttpExchangePtr &exchange) { onReadiness(exchange); });
+    m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
+}
+
+GatewayDaemon::Impl::~Impl()
+{
+    m_ticker.reset();
+    m_callersServer->stop();
+    m_readinessServer->stop();
+    m_net.stop();
+    m_client->stop();
+}
+
+void GatewayDaemon::Impl::tick()
+{
+    reduce(BalanceTick{});
+    m_watch->poll(m_clock.now());
+}
+
+HostReport GatewayDaemon::Impl::selfReport()
+{
+    HostReport report;
+    report.id = m_incarnation;
+    report.role = HostRole::Entry;
+    report.zone = m_settings.zone;
+    report.address = m_settings.callers.text();
+    report.peer = m_settings.peer.text();
+    report.presence = m_isStopping ? Presence::Draining : Presence::Ready;
+    report.demand = m_balancer->demand(m_clock.now());
+    report.sequence = ++m_sequence;
+    return report;
+}
+
+// Nearest first; a host whose place is not known yet comes last.
+std::vector<Address> GatewayDaemon::Impl::controlHosts()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto regionOf = [&](const std::string &zone) {
+        const auto it = m_settings.regionOfZone.find(zone);
+        return it == m_settings.regionOfZone.end() ? std::string() : it->second;
+    };
+    std::vector<std::pair<int, Address>> ranked;
+    for (const auto &[id, host] : m_controlHosts) {
+        const std::optional<Address> peer = Address::parse(host.peer);
+        if (!peer) {
+            continue;
+        }
+        const bool isNear = regionOf(host.zone) == regionOf(m_settings.zone);
+        ranked.emplace_back(host.zone == m_settings.zone ? 0 : (isNear ? 1 : 2), *peer);
+    }
+    for (const Address &seed : m_settings.seeds) {
+        ranked.emplace_back(3, Address{seed.ip, m_settings.peer.port});
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<Address> addresses;
+    for (const auto &[rank, address] : ranked) {
+        if (std::find(addresses.begin(), addresses.end(), address) == addresses.end()) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
+void GatewayDaemon::Impl::onLink(const Address &control, bool isLost, const std::string &reason)
+{
+    m_events.state(isLost ? "control-lost" : "control-regained", {{"peer", control.text()}, {"reason", reason}});
+}
+
+void GatewayDaemon::Impl::onControlReply(const Address &from, const FleetWatchReply &reply)
+{
+    for (const AgedReport<TargetReport> &it : reply.changes.targets) {
+        m_events.state("target", {{"target", it.report.id}, {"service", it.report.service},
+                                  {"address", it.report.address}, {"presence", nameOf(it.report.presence)},
+                                  {"silent", it.isSilent}, {"cold_ms", it.report.coldLeft.count()},
+                                  {"sequence", it.report.sequence}, {"age_ms", it.age.count()}, {"from", from.text()}});
+    }
+    std::shared_ptr<RouteTable> table;
+    if (reply.hasRouting && !reply.tableText.empty()) {
+        try {
+            table = std::make_shared<RouteTable>(m_dialect.readTable(reply.tableText));
+        } catch (const Error &ex) {
+            // It was checked before it was agreed on, so this host speaks another version of the dialect.
+            m_events.state("table-unreadable", {{"index", reply.routingIndex}, {"reason", ex.what()}});
+        }
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const AgedReport<HostReport> &it : reply.changes.hosts) {
+            if (it.report.role == HostRole::Control && it.report.presence == Presence::Ready && !it.isSilent) {
+                m_controlHosts[it.report.id] = it.report;
+            } else {
+                m_controlHosts.erase(it.report.id);
+            }
+        }
+    }
+    if (!reply.changes.empty()) {
+        reduce(ReportsChanged{reply.changes});
+    }
+    if (!table) {
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        if (reply.routingIndex <= m_routingIndex) {
+            return;
+        }
+        m_routingIndex = reply.routingIndex;
+    }
+    m_events.state("routing", {{"index", reply.routingIndex}, {"table", table->version},
+                               {"evacuated", reply.evacuatedZones}, {"from", from.text()}});
+    reduce(RoutesChanged{table, {reply.evacuatedZones.begin(), reply.evacuatedZones.end()}});
+}
+
+bool GatewayDaemon::Impl::isReady()
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_isStopping && m_balancer->tableVersion() > 0 && m_balancer->usableTargets(m_clock.now()) > 0;
+}
+
+void GatewayDaemon::Impl::onReadiness(const HttpExchangePtr &exchange)
+{
+    if (exchange->request().path() == "/metrics") {
+        exchange->respond({Ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
+        return;
+    }
+    if (!m_dialect.isReadinessCheck(exchange->request())) {
+        exchange->respond(jsonAnswer(404, {{"reason", "no such page"}}));
+        return;
+    }
+    exchange->respond(jsonAnswer(isReady() ? Ok : Unavailable, nlohmann::json::object()));
+}
+
+void GatewayDaemon::Impl::reload(const FleetSettings &settings)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_settings.seeds = settings.seeds;
+    }
+    m_events.state("reload", {{"seeds", settings.seeds.size()}});
+}
+
+// New callers may come until the directory's answers have run out, so they are served meanwhile.
+void GatewayDaemon::Impl::stopGracefully()
+{
+    const TimePoint begun = m_clock.now();
+    m_events.state("stop", {{"role", "entry"}});
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_callersServer->closeAfterAnswers();
+    m_watch->hurry();
+    const TimePoint last = begun + m_settings.bounds.grace - GraceReserve;
+    for (;;) {
+        std::this_thread::sleep_for(TickInterval);
+        const TimePoint now = m_clock.now();
+        std::size_t open = 0;
+        {
+            const std::lock_guard lock(m_mutex);
+            open = m_open.size();
+        }
+        const bool isIdle = open == 0 && now - begun >= LeastLeavingTime;
+        if (isIdle || now >= last) {
+            m_events.state("stopped", {{"open_requests", open}});
+            return;
+        }
+    }
+}
+
+Address GatewayDaemon::Impl::callersAddress() const
+{
+    return m_callersServer->address();
+}
+
+Address GatewayDaemon::Impl::readinessAddress() const
+{
+    return m_readinessServer->address();
+}
+
+GatewayDaemon::GatewayDaemon(FleetSettings settings, const Clock &clock, CallerDialectTable dialect)
+    : m_impl(std::make_unique<Impl>(std::move(settings), clock, dialect))
+{
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+void GatewayDaemon::reload(const FleetSettings &settings)
+{
+    m_impl->reload(settings);
+}
+
+void GatewayDaemon::stopGracefully()
+{
+    m_impl->stopGracefully();
+}
+
+Address GatewayDaemon::callersAddress() const
+{
+    return m_impl->callersAddress();
+}
+
+Address GatewayDaemon::readinessAddress() const
+{
+    return m_impl->readinessAddress();
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/GatewayImpl.h
@@ -0,0 +1,87 @@
+//===- GatewayImpl.h - State of a running entry host ------------*- C++ -*-===//
+//
+// Callers' threads, the client's thread, the network's and the ticker reduce
+// events under one mutex and carry the effects out while they hold it; an effect
+// only queues work, so nothing waits there.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "../Daemon/TaskThread.h"
+#include "ControlWatch.h"
+#include "EventLog.h"
+#include "pepperlug/Fleet.h"
+
+#include <unordered_map>
+
+namespace pepperlug::fleet
+{
+
+class GatewayDaemon::Impl
+{
+public:
+    Impl(FleetSettings settings, const Clock &clock, CallerDialectTable dialect);
+    ~Impl();
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
+    void reload(const FleetSettings &settings);
+    void stopGracefully();
+    Address callersAddress() const;
+    Address readinessAddress() const;
+
+private:
+    /// A caller's request until it is answered.
+    struct OpenExchange {
+        HttpExchangePtr exchange;
+        CallerTerms terms;
+        TimePoint arrivedAt{};
+        std::shared_ptr<const std::string> body;
+        std::map<unsigned, HttpCallId> calls; ///< by attempt
+        Answer answer; ///< of the attempt that ended last
+    };
+
+    // GatewayDaemon.cpp
+    void tick();
+    HostReport selfReport();
+    std::vector<Address> controlHosts();
+    void onControlReply(const Address &from, const FleetWatchReply &reply);
+    void onLink(const Address &control, bool isLost, const std::string &reason);
+    void onReadiness(const HttpExchangePtr &exchange);
+    bool isReady();
+
+    // GatewayRequests.cpp
+    void onHttp(const HttpExchangePtr &exchange);
+    void onAttemptEnded(RequestId id, unsigned attempt, const std::string &target, HttpResult result);
+    void reduce(const BalanceEvent &event);
+    void carryOut(const StartAttempt &effect);
+    void carryOut(const CancelAttempt &effect);
+    void carryOut(const PassAnswer &effect);
+    void carryOut(const RefuseRequest &effect);
+    AttemptEnded readResult(RequestId id, unsigned attempt, HttpResult &result);
+
+    FleetSettings m_settings;
+    const Clock &m_clock;
+    CallerDialectTable m_dialect;
+    Metrics m_metrics;
+    EventLog m_events;
+    std::string m_incarnation;
+
+    std::mutex m_mutex; ///< guards what follows, down to m_isStopping
+    std::unique_ptr<Balancer> m_balancer;
+    std::unordered_map<std::uint64_t, OpenExchange> m_open;
+    std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_routingIndex = 0;
+    std::map<std::string, HostReport> m_controlHosts; ///< live ones, by id
+    bool m_isStopping = false;
+
+    PeerNet m_net;
+    std::unique_ptr<ControlWatch> m_watch;
+    std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<HttpServer> m_callersServer;
+    std::unique_ptr<HttpServer> m_readinessServer;
+    std::unique_ptr<Ticker> m_ticker;
+};
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -0,0 +1,189 @@
+//===- GatewayRequests.cpp - Callers' requests at an entry host -----------===//
+#include "GatewayImpl.h"
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// A connection that is not made by then is tried elsewhere; the way to the farthest region and back is much shorter.
+constexpr Milliseconds ConnectTimeout{350};
+/// The client's own limit, past the time at which the request is given up anyway.
+constexpr Milliseconds ClientMargin{50};
+
+double secondsOf(Duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+void GatewayDaemon::Impl::onHttp(const HttpExchangePtr &exchange)
+{
+    const HttpRequest &http = exchange->request();
+    OpenExchange open;
+    open.exchange = exchange;
+    open.terms = m_dialect.readRequest(http);
+    open.arrivedAt = m_clock.now();
+    if (!http.body.empty()) {
+        open.body = std::make_shared<const std::string>(http.body);
+    }
+    CallerRequest request;
+    request.host = open.terms.host;
+    request.path = open.terms.path;
+    request.affinityKey = open.terms.affinityKey;
+    request.deadline = open.terms.deadline;
+    m_metrics.count("pepperlug_requests");
+    {
+        const std::lock_guard lock(m_mutex);
+        request.id = static_cast<RequestId>(++m_lastRequest);
+        m_open[m_lastRequest] = std::move(open);
+    }
+    const RequestId id = request.id;
+    reduce(std::move(request));
+    exchange->onDeparture([this, id] {
+        reduce(CallerLeft{id});
+        const std::lock_guard lock(m_mutex);
+        m_open.erase(static_cast<std::uint64_t>(id));
+    });
+}
+
+void GatewayDaemon::Impl::reduce(const BalanceEvent &event)
+{
+    const std::lock_guard lock(m_mutex);
+    BalanceEffects effects;
+    m_balancer->reduce(event, m_clock.now(), effects);
+    for (const BalanceEffect &effect : effects) {
+        std::visit([this](const auto &it) { carryOut(it); }, effect);
+    }
+}
+
+void GatewayDaemon::Impl::carryOut(const StartAttempt &effect)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
+    const std::optional<Address> to = Address::parse(effect.address);
+    if (it == m_open.end() || !to) {
+        return;
+    }
+    OpenExchange &open = it->second;
+    const HttpRequest &http = open.exchange->request();
+    HttpCall call;
+    call.to = *to;
+    call.method = http.method;
+    call.resource = http.resource;
+    call.headers = m_dialect.targetHeaders(endToEndHeaders(http.headers), effect.target, effect.timeLeft);
+    call.body = open.body;
+    call.timeout = effect.timeLeft + ClientMargin;
+    call.connectTimeout = std::min<Duration>(ConnectTimeout, effect.timeLeft);
+    call.acceptsHead = [accepts = m_dialect.answersRequest, id = open.terms.requestId](
+                           const std::vector<HeaderField> &headers) { return accepts(headers, id); };
+    m_metrics.count("pepperlug_attempts");
+    m_events.decision("attempt", {{"request", open.terms.requestId}, {"attempt", effect.attempt},
+                                  {"target", effect.target}, {"address", effect.address}, {"zone", effect.zone},
+                                  {"service", effect.service}, {"fill", effect.fill},
+                                  {"load_age_ms", effect.loadAge.count()},
+                                  {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
+    const RequestId id = effect.id;
+    const unsigned attempt = effect.attempt;
+    open.calls[attempt] =
+        m_client->start(std::move(call), [this, id, attempt, target = effect.target](HttpResult result) {
+            onAttemptEnded(id, attempt, target, std::move(result));
+        });
+}
+
+void GatewayDaemon::Impl::carryOut(const CancelAttempt &effect)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
+    if (it == m_open.end()) {
+        return;
+    }
+    const auto call = it->second.calls.find(effect.attempt);
+    if (call != it->second.calls.end()) {
+        m_client->cancel(call->second);
+        it->second.calls.erase(call);
+    }
+}
+
+AttemptEnded GatewayDaemon::Impl::readResult(RequestId id, unsigned attempt, HttpResult &result)
+{
+    AttemptEnded ended{id, attempt, AttemptOutcome::Lost, {}};
+    if (result.kind == HttpResult::Kind::NotSent) {
+        ended.outcome = AttemptOutcome::NotSent;
+        return ended;
+    }
+    if (result.kind != HttpResult::Kind::Answered) {
+        ended.outcome = result.timedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
+        return ended;
+    }
+    const AnswerTerms terms = m_dialect.readAnswer(result.answer);
+    ended.load = terms.load;
+    if (terms.isWrongTarget) {
+        ended.outcome = AttemptOutcome::WrongTarget;
+    } else if (!terms.isExecuted) {
+        ended.outcome = AttemptOutcome::Shed;
+    } else if (!terms.isComplete) {
+        result.reason = "the answer lacks what a target's answer bears";
+        ended.outcome = AttemptOutcome::Lost;
+    } else {
+        ended.outcome = AttemptOutcome::Answered;
+    }
+    return ended;
+}
+
+void GatewayDaemon::Impl::onAttemptEnded(RequestId id, unsigned attempt, const std::string &target, HttpResult result)
+{
+    const AttemptEnded ended = readResult(id, attempt, result);
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_open.find(static_cast<std::uint64_t>(id));
+        if (it == m_open.end()) {
+            return;
+        }
+        it->second.calls.erase(attempt);
+        m_events.decision("attempt-ended", {{"request", it->second.terms.requestId}, {"attempt", attempt},
+                                            {"target", target}, {"outcome", nameOf(ended.outcome)},
+                                            {"status", result.answer.status}, {"reason", result.reason}});
+        if (ended.outcome == AttemptOutcome::Answered) {
+            it->second.answer = std::move(result.answer);
+        }
+    }
+    m_metrics.count(std::string("pepperlug_attempt_outcomes{outcome=\"") + nameOf(ended.outcome) + "\"}");
+    reduce(ended);
+}
+
+void GatewayDaemon::Impl::carryOut(const PassAnswer &effect)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
+    if (it == m_open.end()) {
+        return;
+    }
+    OpenExchange &open = it->second;
+    Answer answer = std::move(open.answer);
+    answer.headers = endToEndHeaders(answer.headers);
+    const Duration took = m_clock.now() - open.arrivedAt;
+    m_metrics.latency("pepperlug_request_seconds", took);
+    m_events.decision("answered", {{"request", open.terms.requestId}, {"attempt", effect.attempt},
+                                   {"status", answer.status}, {"took_ms", secondsOf(took) * 1000}});
+    open.exchange->respond(answer);
+    m_open.erase(it);
+}
+
+void GatewayDaemon::Impl::carryOut(const RefuseRequest &effect)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
+    if (it == m_open.end()) {
+        return;
+    }
+    OpenExchange &open = it->second;
+    const Duration took = m_clock.now() - open.arrivedAt;
+    m_metrics.count(std::string("pepperlug_refusals{reason=\"") + nameOf(effect.reason) + "\"}");
+    m_events.decision("refused", {{"request", open.terms.requestId}, {"reason", nameOf(effect.reason)},
+                                  {"route", effect.route}, {"target", effect.lastTarget},
+                                  {"table", m_balancer->tableVersion()},
+                                  {"retry_after_ms", effect.retryAfter.count()}, {"took_ms", secondsOf(took) * 1000}});
+    open.exchange->respond(m_dialect.refusal({open.terms.requestId, effect.reason, effect.retryAfter}));
+    m_open.erase(it);
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -0,0 +1,331 @@
+//===- RegistryDaemon.cpp - Life of a control host ------------------------===//
+//
+// Two kinds of state. What operators decide is agreed on through the replicated log. What targets and hosts report is
+// spread from each control host to all others, without agreement: it is renewed all the time.
+//
+//===----------------------------------------------------------------------===//
+#include "RegistryImpl.h"
+
+#include <algorithm>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+constexpr Milliseconds TickInterval{25};
+constexpr Milliseconds SelfReportInterval{500};
+constexpr Milliseconds JoinInterval{300};
+constexpr Milliseconds PeerPatience{300};
+constexpr auto MessageTimeout = std::chrono::seconds(1);
+constexpr auto SnapshotTimeout = std::chrono::seconds(5);
+constexpr std::size_t IncarnationBytes = 8;
+/// Silence is judged only by a host that has itself been in touch for so long.
+constexpr auto TimeToJudge = std::chrono::seconds(3);
+constexpr std::size_t MaxTableBytes = 4UL << 20;
+constexpr Milliseconds LastAnswers{300};
+
+HttpLimits operatorLimits()
+{
+    HttpLimits limits;
+    limits.bodyBytes = MaxTableBytes;
+    return limits;
+}
+
+ControlLogSettings logSettings(const FleetSettings &settings)
+{
+    ControlLogSettings log;
+    log.name = settings.peer.text();
+    log.zone = settings.zone;
+    log.dataFolder = settings.dataFolder;
+    // The seeds of the first start found the group; all others join it.
+    for (const Address &seed : settings.seeds) {
+        log.founders.push_back(Address{seed.ip, settings.peer.port}.text());
+        log.isFounder |= settings.isFirstStart && seed == settings.operators;
+    }
+    return log;
+}
+
+} // namespace
+
+RegistryDaemon::Impl::Impl(FleetSettings settings, const Clock &clock, ControlDialectTable dialect)
+    : m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_dialect(dialect)
+    , m_events(m_settings.name, clock, m_settings.logLinesPerSecond)
+    , m_epoch(randomHex(IncarnationBytes))
+    , m_incarnation(m_settings.name + "#" + m_epoch)
+    , m_startedAt(clock.now())
+{
+    m_log = std::make_unique<ControlLog>(logSettings(m_settings), m_clock, *this);
+    m_events.state("start", {{"role", "control"}, {"zone", m_settings.zone}, {"disk", m_log->diskId()},
+                             {"first_start", m_settings.isFirstStart}});
+    m_net.listen(m_settings.peer, [this](const IncomingCallPtr &call) { onPeerCall(call); });
+    m_log->start();
+    const auto handler = [this](const HttpExchangePtr &exchange) { onHttp(exchange); };
+    m_operatorsServer = std::make_unique<HttpServer>(m_settings.operators, 1, operatorLimits(), m_clock, handler);
+    m_directoryServer = std::make_unique<HttpServer>(m_settings.directory, 1, HttpLimits{}, m_clock, handler);
+    m_metricsServer =
+        std::make_unique<HttpServer>(m_settings.metrics, 1, HttpLimits{}, m_clock, [this](const HttpExchangePtr &exchange) {
+            exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
+        });
+    m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
+}
+
+RegistryDaemon::Impl::~Impl()
+{
+    m_ticker.reset();
+    m_log->stop();
+    m_operatorsServer->stop();
+    m_directoryServer->stop();
+    m_metricsServer->stop();
+    m_net.stop();
+}
+
+void RegistryDaemon::Impl::tick()
+{
+    const TimePoint now = m_clock.now();
+    {
+        const std::lock_guard lock(m_mutex);
+        reportSelf(now);
+        expire(now);
+        replyWatchers(now);
+        settleDepartures(now);
+    }
+    askToJoin(now);
+    followPeers(now);
+}
+
+HostReport RegistryDaemon::Impl::selfReport()
+{
+    HostReport report;
+    report.id = m_incarnation;
+    report.role = HostRole::Control;
+    report.zone = m_settings.zone;
+    report.address = m_settings.operators.text();
+    report.peer = m_settings.peer.text();
+    report.presence = m_isLeaving ? Presence::Gone : Presence::Ready;
+    report.sequence = ++m_sequence;
+    return report;
+}
+
+void RegistryDaemon::Impl::reportSelf(TimePoint now)
+{
+    if (now < m_nextSelfReport) {
+        return;
+    }
+    m_nextSelfReport = now + SelfReportInterval;
+    m_registry.receive(selfReport(), now);
+}
+
+void RegistryDaemon::Impl::expire(TimePoint now)
+{
+    const bool isCurrent = m_log->status().isCurrent(now);
+    if (isCurrent && !m_wasCurrent) {
+        m_currentSince = now;
+    }
+    if (isCurrent != m_wasCurrent) {
+        m_events.state(isCurrent ? "majority-regained" : "majority-lost", {{"term", m_log->status().term}});
+    }
+    m_wasCurrent = isCurrent;
+    m_registry.expire(now, isCurrent && now - m_currentSince > TimeToJudge);
+}
+
+std::vector<Address> RegistryDaemon::Impl::knownControlHosts()
+{
+    const std::lock_guard lock(m_mutex);
+    std::set<Address> addresses;
+    for (const Address &seed : m_settings.seeds) {
+        addresses.insert({seed.ip, m_settings.peer.port});
+    }
+    for (const auto &[id, entry] : m_registry.hosts()) {
+        const std::optional<Address> peer = Address::parse(entry.report.peer);
+        if (entry.report.role == HostRole::Control && Registry::isLive(entry) && peer) {
+            addresses.insert(*peer);
+        }
+    }
+    for (const ControlMember &member : m_log->status().members) {
+        if (const std::optional<Address> peer = Address::parse(member.name)) {
+            addresses.insert(*peer);
+        }
+    }
+    addresses.erase(m_settings.peer);
+    return {addresses.begin(), addresses.end()};
+}
+
+void RegistryDaemon::Impl::askToJoin(TimePoint now)
+{
+    const ControlLogStatus status = m_log->status();
+    const std::string name = m_settings.peer.text();
+    const auto self = std::find_if(status.members.begin(), status.members.end(),
+                                   [&](const ControlMember &member) { return member.name == name; });
+    const bool isMember = self != status.members.end() && self->zone == m_settings.zone && status.isCurrent(now);
+    if (isMember || now < m_nextJoin) {
+        return;
+    }
+    m_nextJoin = now + JoinInterval;
+    const MembershipCall call{name, m_log->diskId(), m_settings.zone};
+    m_log->post(JoinRequested{call.name, call.diskId, call.zone});
+    for (const Address &to : knownControlHosts()) {
+        m_net.call(to, path::FleetJoin, encode(call), MessageTimeout, [](const PeerReply &) {});
+    }
+}
+
+void RegistryDaemon::Impl::followPeers(TimePoint now)
+{
+    const std::vector<Address> known = knownControlHosts();
+    std::vector<ControlWatch *> watches;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const Address &peer : known) {
+            std::unique_ptr<ControlWatch> &watch = m_peers[peer];
+            if (!watch) {
+                ControlWatch::Hooks hooks;
+                hooks.self = [this] {
+                    const std::lock_guard guard(m_mutex);
+                    return selfReport();
+                };
+                hooks.routingIndex = [this] {
+                    const std::lock_guard guard(m_mutex);
+                    return m_routing.index();
+                };
+                hooks.candidates = [peer] { return std::vector<Address>{peer}; };
+                hooks.onReply = [this](const Address &from, const FleetWatchReply &reply) { onPeerNews(from, reply); };
+                hooks.onLink = [this](const Address &to, bool isLost, const std::string &reason) {
+                    m_events.state(isLost ? "control-host-lost" : "control-host-regained",
+                                   {{"peer", to.text()}, {"reason", reason}});
+                };
+                watch = std::make_unique<ControlWatch>(m_net, PeerPatience, std::move(hooks));
+            }
+            watches.push_back(watch.get());
+        }
+    }
+    for (ControlWatch *watch : watches) {
+        watch->poll(now);
+    }
+}
+
+std::string RegistryDaemon::Impl::applyCommand(const std::string &command, std::uint64_t index)
+{
+    const auto decoded = decode<RoutingCommand>(command, "log");
+    RoutingResult result{};
+    {
+        const std::lock_guard lock(m_mutex);
+        result = m_routing.apply(decoded, index);
+        replyWatchers(m_clock.now());
+    }
+    if (result == RoutingResult::Done) {
+        m_events.state("routing-changed", {{"index", index},
+                                           {"change", decoded.kind == RoutingCommandKind::PutTable
+                                                ? "table " + std::to_string(decoded.version)
+                                                : (decoded.kind == RoutingCommandKind::EvacuateZone ? "evacuate " : "return ")
+                                                    + decoded.zone}});
+    }
+    return std::to_string(static_cast<int>(result));
+}
+
+std::string RegistryDaemon::Impl::takeSnapshot()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_routing.snapshot();
+}
+
+void RegistryDaemon::Impl::restoreSnapshot(const std::string &data)
+{
+    const std::lock_guard lock(m_mutex);
+    m_routing.restore(data);
+    replyWatchers(m_clock.now());
+}
+
+void RegistryDaemon::Impl::statusChanged(const ControlLogStatus &status)
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const ControlMember &member : status.members) {
+        members.push_back(member.name + (member.voter ? "" : " (learner)"));
+    }
+    m_events.state("control-group", {{"role", nameOf(status.role)}, {"term", status.term}, {"leader", status.leader},
+                                     {"commit", status.commit}, {"members", members}});
+}
+
+void RegistryDaemon::Impl::sendToMember(const std::string &name, const ControlMessage &message)
+{
+    const std::optional<Address> to = Address::parse(name);
+    if (!to) {
+        return;
+    }
+    const bool isLarge = std::holds_alternative<SnapshotRequest>(message);
+    m_net.call(*to, pathOf(message), encodeControlMessage(message),
+               isLarge ? Duration(SnapshotTimeout) : Duration(MessageTimeout), [](const PeerReply &) {});
+}
+
+void RegistryDaemon::Impl::logFailed(const std::string &reason)
+{
+    // What is on the disk is not known any more, so nothing more may be promised.
+    m_events.state("disk-failed", {{"reason", reason}});
+    std::_Exit(1);
+}
+
+void RegistryDaemon::Impl::reload(const FleetSettings &settings)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_settings.seeds = settings.seeds;
+        m_settings.bounds = settings.bounds;
+    }
+    m_events.state("reload", {{"seeds", settings.seeds.size()}});
+}
+
+void RegistryDaemon::Impl::stopGracefully()
+{
+    m_events.state("stop", {{"role", "control"}});
+    m_operatorsServer->closeAfterAnswers();
+    m_directoryServer->closeAfterAnswers();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isLeaving = true;
+        m_nextSelfReport = {};
+        reportSelf(m_clock.now());
+        replyWatchers(m_clock.now());
+    }
+    std::this_thread::sleep_for(LastAnswers);
+}
+
+Address RegistryDaemon::Impl::operatorsAddress() const
+{
+    return m_operatorsServer->address();
+}
+
+Address RegistryDaemon::Impl::directoryAddress() const
+{
+    return m_directoryServer->address();
+}
+
+RegistryDaemon::RegistryDaemon(FleetSettings settings, const Clock &clock, ControlDialectTable dialect)
+    : m_impl(std::make_unique<Impl>(std::move(settings), clock, dialect))
+{
+}
+
+RegistryDaemon::~RegistryDaemon() = default;
+
+void RegistryDaemon::reload(const FleetSettings &settings)
+{
+    m_impl->reload(settings);
+}
+
+void RegistryDaemon::stopGracefully()
+{
+    m_impl->stopGracefully();
+}
+
+Address RegistryDaemon::operatorsAddress() const
+{
+    return m_impl->operatorsAddress();
+}
+
+Address RegistryDaemon::directoryAddress() const
+{
+    return m_impl->directoryAddress();
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/RegistryImpl.h
@@ -0,0 +1,112 @@
+//===- RegistryImpl.h - State of a running control host ---------*- C++ -*-===//
+#pragma once
+
+#include "../Daemon/TaskThread.h"
+#include "ControlLog.h"
+#include "ControlWatch.h"
+#include "EventLog.h"
+#include "pepperlug/Fleet.h"
+
+namespace pepperlug::fleet
+{
+
+class RegistryDaemon::Impl final : public ControlLogClient
+{
+public:
+    Impl(FleetSettings settings, const Clock &clock, ControlDialectTable dialect);
+    ~Impl() override;
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
+    void reload(const FleetSettings &settings);
+    void stopGracefully();
+    Address operatorsAddress() const;
+    Address directoryAddress() const;
+
+    std::string applyCommand(const std::string &command, std::uint64_t index) override;
+    std::string takeSnapshot() override;
+    void restoreSnapshot(const std::string &data) override;
+    void statusChanged(const ControlLogStatus &status) override;
+    void sendToMember(const std::string &name, const ControlMessage &message) override;
+    void logFailed(const std::string &reason) override;
+
+private:
+    // RegistryDaemon.cpp
+    void tick();
+    void reportSelf(TimePoint now);
+    HostReport selfReport();
+    void expire(TimePoint now);
+    void askToJoin(TimePoint now);
+    std::vector<Address> knownControlHosts();
+    void followPeers(TimePoint now);
+
+    // RegistryPeers.cpp
+    void onPeerCall(const IncomingCallPtr &call);
+    void onWatch(const IncomingCallPtr &call);
+    bool hasNews(const FleetWatchCall &call) const;
+    FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now) const;
+    void replyWatchers(TimePoint now);
+    void onPeerNews(const Address &from, const FleetWatchReply &reply);
+
+    // RegistryRequests.cpp
+    void onHttp(const HttpExchangePtr &exchange);
+    void answer(const HttpExchangePtr &exchange, const TargetSays &request);
+    void answer(const HttpExchangePtr &exchange, const PutTable &request);
+    void answer(const HttpExchangePtr &exchange, const GetTable &request);
+    void answer(const HttpExchangePtr &exchange, const SetEvacuation &request);
+    void answer(const HttpExchangePtr &exchange, const FindEntryHosts &request);
+    void answer(const HttpExchangePtr &exchange, const UnknownCall &request);
+    void decide(const HttpExchangePtr &exchange, const RoutingCommand &command, const std::string &subject);
+    void respondDecided(const HttpExchangePtr &exchange, RoutingResult result, const std::string &subject);
+    void sendElsewhere(const HttpExchangePtr &exchange, const std::string &leader);
+    std::string operatorsAddressOf(const std::string &peer);
+    void settleDepartures(TimePoint now);
+    std::vector<std::string> entryHostsFor(const std::string &zone) const;
+
+    /// A held ask of another host.
+    struct Watcher {
+        IncomingCallPtr call;
+        FleetWatchCall ask;
+        TimePoint until{};
+    };
+
+    /// A target's departure that is acknowledged once a majority of the control hosts knows of it.
+    struct Departure {
+        HttpExchangePtr exchange;
+        std::string target;
+        std::uint64_t version = 0;
+        TimePoint until{};
+    };
+
+    FleetSettings m_settings;
+    const Clock &m_clock;
+    ControlDialectTable m_dialect;
+    Metrics m_metrics;
+    EventLog m_events;
+    std::string m_epoch;
+    std::string m_incarnation;
+
+    mutable std::mutex m_mutex; ///< guards what follows, down to m_peers
+    Registry m_registry;
+    RoutingState m_routing;
+    std::uint64_t m_sequence = 0;
+    bool m_isLeaving = false;
+    std::vector<Watcher> m_watchers;
+    std::vector<Departure> m_departures;
+    std::map<std::string, std::uint64_t> m_seenBy; ///< registry version that each control host has, by peer address
+    TimePoint m_startedAt{};
+    TimePoint m_currentSince{};
+    bool m_wasCurrent = false;
+    TimePoint m_nextSelfReport{};
+    TimePoint m_nextJoin{};
+    std::map<Address, std::unique_ptr<ControlWatch>> m_peers;
+
+    PeerNet m_net;
+    std::unique_ptr<ControlLog> m_log;
+    std::unique_ptr<HttpServer> m_operatorsServer;
+    std::unique_ptr<HttpServer> m_directoryServer;
+    std::unique_ptr<HttpServer> m_metricsServer;
+    std::unique_ptr<Ticker> m_ticker;
+};
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -0,0 +1,108 @@
+//===- RegistryPeers.cpp - What other hosts ask of a control host ---------===//
+#include "RegistryImpl.h"
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+constexpr unsigned Ok = 200;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+
+} // namespace
+
+void RegistryDaemon::Impl::onPeerCall(const IncomingCallPtr &call)
+{
+    try {
+        if (call->path() == path::FleetWatch) {
+            onWatch(call);
+            return;
+        }
+        if (call->path() == path::FleetJoin) {
+            const auto join = decode<MembershipCall>(call->body(), call->peer());
+            m_log->post(JoinRequested{join.name, join.diskId, join.zone});
+            call->reply(Ok, "");
+            return;
+        }
+        std::optional<ControlMessage> message = decodeControlMessage(call->path(), call->body(), call->peer());
+        if (!message) {
+            call->reply(NotFound, "unknown path " + call->path());
+            return;
+        }
+        m_log->post(MessageReceived{std::move(*message)});
+        call->reply(Ok, "");
+    } catch (const Error &ex) {
+        m_metrics.count("pepperlug_bad_peer_messages");
+        call->reply(BadRequest, ex.what());
+    }
+}
+
+void RegistryDaemon::Impl::onWatch(const IncomingCallPtr &call)
+{
+    Watcher watcher;
+    watcher.call = call;
+    watcher.ask = decode<FleetWatchCall>(call->body(), call->peer());
+    const TimePoint now = m_clock.now();
+    watcher.until = now + watcher.ask.patience;
+    const std::lock_guard lock(m_mutex);
+    if (watcher.ask.epoch != m_epoch) {
+        watcher.ask.since = 0;
+    }
+    const HostReport &self = watcher.ask.self;
+    m_registry.receive(self, now);
+    if (self.role == HostRole::Control) {
+        std::uint64_t &seen = m_seenBy[self.peer];
+        seen = watcher.ask.since;
+    }
+    m_watchers.push_back(std::move(watcher));
+    replyWatchers(now);
+    settleDepartures(now);
+}
+
+bool RegistryDaemon::Impl::hasNews(const FleetWatchCall &call) const
+{
+    return call.since == 0 || m_registry.changedVersion() > call.since || m_routing.index() > call.routingIndex;
+}
+
+FleetWatchReply RegistryDaemon::Impl::makeReply(const FleetWatchCall &call, TimePoint now) const
+{
+    FleetWatchReply reply;
+    reply.epoch = m_epoch;
+    reply.version = m_registry.version();
+    reply.isCurrent = !m_isLeaving && m_log->status().isCurrent(now);
+    const bool isControl = call.self.role == HostRole::Control;
+    reply.changes = isControl ? m_registry.heardSince(call.since, now) : m_registry.changedSince(call.since, now);
+    if (!isControl && m_routing.index() > call.routingIndex) {
+        reply.hasRouting = true;
+        reply.routingIndex = m_routing.index();
+        reply.tableText = m_routing.text();
+        reply.evacuatedZones.assign(m_routing.evacuatedZones().begin(), m_routing.evacuatedZones().end());
+    }
+    return reply;
+}
+
+void RegistryDaemon::Impl::replyWatchers(TimePoint now)
+{
+    const bool isCurrent = m_log && m_log->status().isCurrent(now) && !m_isLeaving;
+    std::erase_if(m_watchers, [&](const Watcher &watcher) {
+        // A host that follows one without a majority should look for another at once.
+        const bool isEntry = watcher.ask.self.role == HostRole::Entry;
+        if (now < watcher.until && !hasNews(watcher.ask) && (isCurrent || !isEntry)) {
+            return false;
+        }
+        watcher.call->reply(Ok, encode(makeReply(watcher.ask, now)));
+        return true;
+    });
+}
+
+void RegistryDaemon::Impl::onPeerNews(const Address &, const FleetWatchReply &reply)
+{
+    const TimePoint now = m_clock.now();
+    const std::lock_guard lock(m_mutex);
+    m_registry.merge(reply.changes, now);
+    replyWatchers(now);
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -0,0 +1,277 @@
+//===- RegistryRequests.cpp - Targets, operators and callers at control ---===//
+//
+// A target's departure is acknowledged only when a majority of the control hosts knows of it: every entry host that is
+// in touch follows one that hears from that majority. A change of the routing is acknowledged when it is agreed on.
+//
+//===----------------------------------------------------------------------===//
+#include "RegistryImpl.h"
+
+#include <algorithm>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// Targets turn to another host after a second.
+constexpr Milliseconds DeparturePatience{900};
+constexpr Milliseconds DirectoryTimeToLive{1000};
+/// A caller should have another host to turn to.
+constexpr std::size_t LeastEntryHosts = 2;
+
+std::string subjectOf(const RoutingCommand &command)
+{
+    return command.kind == RoutingCommandKind::PutTable ? "table " + std::to_string(command.version)
+                                                        : "zone " + command.zone;
+}
+
+} // namespace
+
+void RegistryDaemon::Impl::onHttp(const HttpExchangePtr &exchange)
+{
+    const ControlRequest request = m_dialect.readControlRequest(exchange->request());
+    std::visit([&](const auto &it) { answer(exchange, it); }, request);
+}
+
+void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const UnknownCall &request)
+{
+    const ControlAnswer kind = request.isKnownPath ? ControlAnswer::Invalid : ControlAnswer::Unknown;
+    exchange->respond(m_dialect.controlAnswer(kind, request.reason));
+}
+
+void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const TargetSays &request)
+{
+    const TimePoint now = m_clock.now();
+    bool isDeparture = request.report.presence != Presence::Ready;
+    {
+        const std::lock_guard lock(m_mutex);
+        TargetReport report = request.report;
+        const Registry::TargetEntry *known = m_registry.target(report.id);
+        if (report.presence == Presence::Gone && known != nullptr) {
+            report = known->report;
+            report.presence = Presence::Gone;
+            ++report.sequence;
+        }
+        const bool wasKnown = known != nullptr;
+        const Presence before = wasKnown ? known->report.presence : Presence::Gone;
+        m_registry.receive(report, now);
+        const Registry::TargetEntry *entry = m_registry.target(report.id);
+        if (!wasKnown || before != entry->report.presence) {
+            m_events.state("target", {{"target", report.id}, {"service", report.service}, {"address", report.address},
+                                      {"zone", report.zone}, {"presence", nameOf(entry->report.presence)},
+                                      {"cold_ms", report.coldLeft.count()}, {"sequence", report.sequence}});
+        }
+        replyWatchers(now);
+        if (isDeparture) {
+            m_departures.push_back({exchange, report.id, entry->heardVersion, now + DeparturePatience});
+            settleDepartures(now);
+        }
+    }
+    if (!isDeparture) {
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Done, {}));
+    }
+}
+
+void RegistryDaemon::Impl::settleDepartures(TimePoint now)
+{
+    if (m_departures.empty()) {
+        return;
+    }
+    const ControlLogStatus status = m_log->status();
+    const auto isSpread = [&](const Departure &departure) {
+        std::size_t voters = 0;
+        std::size_t knowing = 0;
+        for (const ControlMember &member : status.members) {
+            if (!member.voter) {
+                continue;
+            }
+            const auto seen = m_seenBy.find(member.name);
+            const bool knows =
+                member.name == m_settings.peer.text() || (seen != m_seenBy.end() && seen->second >= departure.version);
+            ++voters;
+            knowing += knows ? 1 : 0;
+        }
+        return knowing * 2 > voters;
+    };
+    std::erase_if(m_departures, [&](const Departure &departure) {
+        const bool isDone = isSpread(departure);
+        if (!isDone && now < departure.until) {
+            return false;
+        }
+        m_events.state(isDone ? "departure-acknowledged" : "departure-not-spread",
+                       {{"target", departure.target}, {"registry_version", departure.version}});
+        departure.exchange->respond(m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
+                                                            isDone ? "" : "no majority of control hosts knows of it yet"));
+        return true;
+    });
+}
+
+void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const PutTable &request)
+{
+    RouteTable table;
+    try {
+        table = m_dialect.readTable(request.text);
+        const Findings findings = checkRouteTable(table, "request");
+        if (!findings.empty()) {
+            throw InvalidInput(findings);
+        }
+    } catch (const Error &ex) {
+        m_events.decision("table-invalid", {{"reason", ex.what()}});
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Invalid, ex.what()));
+        return;
+    }
+    RoutingCommand command;
+    command.kind = RoutingCommandKind::PutTable;
+    command.baseVersion = request.baseVersion;
+    command.version = table.version;
+    command.text = request.text;
+    decide(exchange, command, subjectOf(command));
+}
+
+void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const SetEvacuation &request)
+{
+    RoutingCommand command;
+    command.kind = request.isEvacuated ? RoutingCommandKind::EvacuateZone : RoutingCommandKind::ReturnZone;
+    command.zone = request.zone;
+    if (!m_settings.regionOfZone.contains(request.zone)) {
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Unknown, "unknown zone " + request.zone));
+        return;
+    }
+    decide(exchange, command, subjectOf(command));
+}
+
+void RegistryDaemon::Impl::decide(const HttpExchangePtr &exchange, const RoutingCommand &command,
+                                  const std::string &subject)
+{
+    const ControlLogStatus status = m_log->status();
+    if (status.role != ControlRole::Leader) {
+        sendElsewhere(exchange, status.leader);
+        return;
+    }
+    if (status.canRead(m_clock.now())) {
+        RoutingResult result{};
+        {
+            const std::lock_guard lock(m_mutex);
+            result = m_routing.check(command);
+        }
+        if (result != RoutingResult::Done) {
+            respondDecided(exchange, result, subject);
+            return;
+        }
+    }
+    m_log->propose(encode(command), [this, exchange, subject](const ProposalFate &fate) {
+        if (!fate.isDecided) {
+            // It may be agreed on yet. The same change again, to whoever leads, is safe.
+            m_events.decision("change-undecided", {{"change", subject}, {"leader", fate.leader}});
+            exchange->respond(m_dialect.controlAnswer(ControlAnswer::Unavailable, "not decided; send it again"));
+            return;
+        }
+        respondDecided(exchange, static_cast<RoutingResult>(std::stoi(fate.result)), subject);
+    });
+}
+
+void RegistryDaemon::Impl::respondDecided(const HttpExchangePtr &exchange, RoutingResult result,
+                                          const std::string &subject)
+{
+    switch (result) {
+    case RoutingResult::Done:
+    case RoutingResult::AlreadyDone:
+        m_events.decision("change-acknowledged", {{"change", subject}, {"again", result == RoutingResult::AlreadyDone}});
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Done, {}));
+        return;
+    case RoutingResult::Conflict:
+        m_events.decision("change-conflicts", {{"change", subject}});
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Conflict, "another version is in force"));
+        return;
+    case RoutingResult::NotNewer:
+        m_events.decision("change-not-newer", {{"change", subject}});
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Invalid, "the version is not above the one in force"));
+        return;
+    }
+}
+
+void RegistryDaemon::Impl::sendElsewhere(const HttpExchangePtr &exchange, const std::string &leader)
+{
+    const std::string address = operatorsAddressOf(leader);
+    if (address.empty()) {
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Unavailable, "no leading control host is known"));
+        return;
+    }
+    exchange->respond(m_dialect.redirect(exchange->request(), address));
+}
+
+std::string RegistryDaemon::Impl::operatorsAddressOf(const std::string &peer)
+{
+    // The operators' port is the same on all hosts.
+    const std::optional<Address> address = Address::parse(peer);
+    return address ? Address{address->ip, m_settings.operators.port}.text() : std::string();
+}
+
+void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const GetTable &)
+{
+    const ControlLogStatus status = m_log->status();
+    if (status.role != ControlRole::Leader) {
+        sendElsewhere(exchange, status.leader);
+        return;
+    }
+    if (!status.canRead(m_clock.now())) {
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Unavailable, "not sure of the newest version"));
+        return;
+    }
+    std::string text;
+    {
+        const std::lock_guard lock(m_mutex);
+        text = m_routing.text();
+    }
+    if (text.empty()) {
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Unavailable, "there is no configuration yet"));
+        return;
+    }
+    exchange->respond(m_dialect.tableAnswer(text));
+}
+
+std::vector<std::string> RegistryDaemon::Impl::entryHostsFor(const std::string &zone) const
+{
+    const auto regionOf = [&](const std::string &name) {
+        const auto it = m_settings.regionOfZone.find(name);
+        return it == m_settings.regionOfZone.end() ? std::string() : it->second;
+    };
+    std::vector<std::string> inZone;
+    std::vector<std::string> inRegion;
+    std::vector<std::string> elsewhere;
+    for (const auto &[id, entry] : m_registry.hosts()) {
+        const HostReport &host = entry.report;
+        if (host.role != HostRole::Entry || !Registry::isLive(entry)) {
+            continue;
+        }
+        const bool sharesRegion = regionOf(host.zone) == regionOf(zone);
+        std::vector<std::string> &list = host.zone == zone ? inZone : (sharesRegion ? inRegion : elsewhere);
+        list.push_back(host.address);
+    }
+    for (std::vector<std::string> *more : {&inRegion, &elsewhere}) {
+        for (const std::string &address : *more) {
+            if (inZone.size() >= LeastEntryHosts) {
+                return inZone;
+            }
+            inZone.push_back(address);
+        }
+    }
+    return inZone;
+}
+
+void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const FindEntryHosts &request)
+{
+    std::vector<std::string> addresses;
+    {
+        const std::lock_guard lock(m_mutex);
+        addresses = entryHostsFor(request.zone);
+    }
+    if (addresses.empty()) {
+        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Unavailable, "no entry host is known"));
+        return;
+    }
+    exchange->respond(m_dialect.entryHosts(addresses, DirectoryTimeToLive));
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/Settings.cpp
@@ -0,0 +1,107 @@
+//===- Settings.cpp - Settings of hosts that find each other --------------===//
+#include "pepperlug/Fleet.h"
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+constexpr std::int64_t MaxBytes = 1LL << 30;
+constexpr std::int64_t DefaultMaxBody = 64LL << 20;
+constexpr std::int64_t DefaultMaxAnswer = 32LL << 20;
+constexpr std::int64_t DefaultLogLines = 200;
+constexpr double MaxSeconds = 86400;
+
+Address readAddress(ObjectReader &reader, const std::string &key)
+{
+    const std::string text = reader.text(key);
+    const std::optional<Address> address = Address::parse(text);
+    if (!address && !text.empty()) {
+        reader.fault(key, "\"" + text + "\" is not an IP address with a port");
+    }
+    return address.value_or(Address{});
+}
+
+Duration readSeconds(ObjectReader &reader, const std::string &key, double fallback)
+{
+    const std::chrono::duration<double> value(reader.number(key, 0, MaxSeconds, fallback));
+    return std::chrono::duration_cast<Duration>(value);
+}
+
+FleetBounds readBounds(ObjectReader &reader)
+{
+    FleetBounds bounds;
+    bounds.grace = readSeconds(reader, "grace_s", 6);
+    bounds.acknowledge = readSeconds(reader, "acknowledge_s", 4);
+    bounds.retries.ratio = reader.number("retry_ratio", 0, 10, 0.1);
+    bounds.retries.window = readSeconds(reader, "retry_window_s", 10);
+    bounds.retries.slack = reader.number("retry_slack", 0, 1e6, 10);
+    bounds.maxShift = reader.number("max_shift", 0, 1, 0.15);
+    bounds.reportInterval = readSeconds(reader, "report_interval_s", 1.5);
+    return bounds;
+}
+
+void readZones(ObjectReader &reader, FleetSettings &settings)
+{
+    for (ObjectReader &zone : reader.objects("zones")) {
+        const std::string name = zone.text("name");
+        settings.regionOfZone[name] = zone.text("region");
+        zone.finish();
+    }
+}
+
+void readSeeds(ObjectReader &reader, FleetSettings &settings)
+{
+    for (const std::string &text : reader.texts("seeds")) {
+        const std::optional<Address> address = Address::parse(text);
+        if (address) {
+            settings.seeds.push_back(*address);
+        } else {
+            reader.fault("seeds", "\"" + text + "\" is not an IP address with a port");
+        }
+    }
+}
+
+} // namespace
+
+FleetSettings parseFleetSettings(const std::string &text, const std::string &file, FleetRole role)
+{
+    Findings findings;
+    const nlohmann::json json = parseJson(text, file);
+    ObjectReader reader(json, "", file, findings);
+    FleetSettings settings;
+    settings.name = reader.text("name");
+    settings.zone = reader.text("zone");
+    readZones(reader, settings);
+    settings.peer = readAddress(reader, "peer");
+    readSeeds(reader, settings);
+    if (std::optional<ObjectReader> bounds = reader.object("bounds", false)) {
+        settings.bounds = readBounds(*bounds);
+        bounds->finish();
+    }
+    settings.logLinesPerSecond = static_cast<unsigned>(reader.integer("log_lines_per_s", 0, 1000000, DefaultLogLines));
+    if (role == FleetRole::Entry) {
+        settings.callers = readAddress(reader, "callers");
+        settings.readiness = readAddress(reader, "readiness");
+        settings.maxBodyBytes = static_cast<std::size_t>(reader.integer("max_body_bytes", 0, MaxBytes, DefaultMaxBody));
+        settings.maxAnswerBytes =
+            static_cast<std::size_t>(reader.integer("max_answer_bytes", 1024, MaxBytes, DefaultMaxAnswer));
+    } else {
+        settings.operators = readAddress(reader, "operators");
+        settings.directory = readAddress(reader, "directory");
+        settings.metrics = readAddress(reader, "metrics");
+        settings.dataFolder = reader.text("data_folder");
+        settings.isFirstStart = reader.boolean("first_start", false);
+    }
+    reader.finish();
+    if (!settings.regionOfZone.contains(settings.zone) && findings.empty()) {
+        findings.push_back({file, "zone", "\"" + settings.zone + "\" is not among the zones"});
+    }
+    if (!findings.empty()) {
+        throw InvalidInput(findings);
+    }
+    return settings;
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -40,7 +40,8 @@
 
     void respond(const Answer &answer) override
     {
-        m_connection->complete(m_slot, encodeAnswer(answer, m_request.method == "HEAD", m_keepAlive), !m_keepAlive);
+        const bool keepAlive = m_keepAlive && !m_connection->isClosing();
+        m_connection->complete(m_slot, encodeAnswer(answer, m_request.method == "HEAD", keepAlive), !keepAlive);
     }
 
     void onDeparture(std::function<void()> handler) override
@@ -162,6 +163,11 @@
     return true;
 }
 
+bool Connection::isClosing() const
+{
+    return m_shared.closesAfterAnswers;
+}
+
 SlotPtr Connection::addSlot()
 {
     auto slot = std::make_shared<Slot>();
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -31,6 +31,7 @@
     HttpHandler handler;
     std::mutex mutex;
     std::vector<std::weak_ptr<Connection>> connections;
+    std::atomic<bool> closesAfterAnswers = false;
 };
 
 class Connection : public std::enable_shared_from_this<Connection>
@@ -48,6 +49,8 @@
     /// Worker thread: takes bytes and hands on the requests that they complete.
     void input(const char *data, std::size_t size);
 
+    /// Whether the server wants each connection to end after its next answer.
+    bool isClosing() const;
     void complete(const SlotPtr &slot, std::string bytes, bool closesAfter);
     bool setDeparture(const SlotPtr &slot, std::function<void()> handler);
     /// Worker thread: the peer has gone.
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -19,7 +19,6 @@
 namespace
 {
 
-constexpr long ConnectTimeoutMs = 1000;
 constexpr long KeptConnectionSeconds = 2; ///< a kept connection that was idle for longer is not used again
 constexpr int PollMs = 1000;
 constexpr long MaxKeptConnections = 512;
@@ -85,6 +84,10 @@
         transfer->answer.headers.clear(); // a head after an interim one
         return bytes;
     }
+    if (line.empty()) {
+        const bool isAccepted = !transfer->call.acceptsHead || transfer->call.acceptsHead(transfer->answer.headers);
+        return isAccepted ? bytes : 0;
+    }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
         std::string_view value = line.substr(colon + 1);
@@ -133,7 +136,8 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
+    const auto connectTimeout = std::chrono::duration_cast<Milliseconds>(call.connectTimeout).count();
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::max<long>(1, static_cast<long>(connectTimeout)));
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, KeptConnectionSeconds);
     const auto timeout = std::chrono::duration_cast<Milliseconds>(call.timeout).count();
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(timeout)));
@@ -179,6 +183,7 @@
         return result;
     }
     result.reason = curl_easy_strerror(code);
+    result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
     if (transfer.isTooLarge) {
         result.kind = HttpResult::Kind::TooLarge;
     } else {
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -71,7 +71,7 @@
 {
 public:
     Impl(const Address &address, unsigned threads, HttpLimits limits, const Clock &clock, HttpHandler handler)
-        : m_shared{limits, clock, std::move(handler), {}, {}}
+        : m_shared{limits, clock, std::move(handler), {}, {}, false}
         , m_ip(address.ip)
         , m_endpoint(Pistache::Address(address.ip, Pistache::Port(address.port)))
     {
@@ -115,6 +115,11 @@
         }
     }
 
+    void closeAfterAnswers()
+    {
+        m_shared.closesAfterAnswers = true;
+    }
+
     void stop()
     {
         if (!m_stopped) {
@@ -146,6 +151,11 @@
     return m_impl->address();
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    m_impl->closeAfterAnswers();
+}
+
 void HttpServer::sweep()
 {
     m_impl->sweep();
--- /dev/null
+++ b/lib/Registry/Registry.cpp
@@ -0,0 +1,242 @@
+//===- Registry.cpp - Reports of targets and hosts ------------------------===//
+//
+// Refreshes that say nothing new only matter to other control hosts, which must know that a reporter is alive; entry
+// hosts are told of changes alone. Hence two versions for each entry.
+//
+//===----------------------------------------------------------------------===//
+#include "pepperlug/Registry.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// A cold time that moves by less than this between two reports is the same one.
+constexpr Milliseconds ColdTolerance{600};
+/// Demand that moves by less than this part is not worth a message.
+constexpr double DemandTolerance = 0.1;
+
+// Both reports speak of the time left, each as of its own arrival.
+bool endsColdAlike(const Registry::TargetEntry &old, const TargetReport &report, TimePoint heardAt)
+{
+    const TimePoint before = old.heardAt + old.report.coldLeft;
+    const TimePoint after = heardAt + report.coldLeft;
+    const bool wasCold = before > heardAt;
+    const bool isCold = report.coldLeft > Milliseconds(0);
+    return wasCold == isCold && (!isCold || std::chrono::abs(after - before) < ColdTolerance);
+}
+
+bool isAlike(const Registry::TargetEntry &old, const TargetReport &report, TimePoint heardAt)
+{
+    const TargetReport &before = old.report;
+    return before.presence == report.presence && before.slots == report.slots && before.address == report.address
+        && before.service == report.service && before.zone == report.zone && endsColdAlike(old, report, heardAt);
+}
+
+bool isAlike(const std::vector<ServiceDemand> &lhs, const std::vector<ServiceDemand> &rhs)
+{
+    return std::equal(lhs.begin(), lhs.end(), rhs.begin(), rhs.end(),
+                      [](const ServiceDemand &before, const ServiceDemand &after) {
+                          const double larger = std::max({before.slots, after.slots, 1.0});
+                          return before.service == after.service
+                              && std::abs(before.slots - after.slots) < DemandTolerance * larger;
+                      });
+}
+
+bool isAlike(const Registry::HostEntry &old, const HostReport &report, TimePoint)
+{
+    return old.report.presence == report.presence && old.report.address == report.address
+        && isAlike(old.report.demand, report.demand);
+}
+
+template <typename Report>
+AgedReport<Report> aged(const Registry::Entry<Report> &entry, TimePoint now)
+{
+    return {entry.report, std::chrono::duration_cast<Milliseconds>(now - entry.heardAt), entry.isSilent};
+}
+
+} // namespace
+
+const char *nameOf(Presence presence)
+{
+    switch (presence) {
+    case Presence::Ready:
+        return "ready";
+    case Presence::Draining:
+        return "draining";
+    case Presence::Gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+Registry::Registry(RegistrySettings settings)
+    : m_settings(settings)
+{
+}
+
+template <typename Report>
+bool Registry::take(std::map<std::string, Entry<Report>> &table, const Report &report, TimePoint heardAt, bool isDirect)
+{
+    const auto [it, isNew] = table.try_emplace(report.id);
+    Entry<Report> &entry = it->second;
+    const bool hasEnded = !isNew && entry.report.presence == Presence::Gone;
+    // An end is final whatever its number: whoever passed it on may not have known the newest one.
+    const bool isLate =
+        !isNew && report.presence != Presence::Gone && report.sequence <= entry.report.sequence;
+    if (hasEnded || isLate) {
+        return false;
+    }
+    const bool matters = isNew || entry.isSilent || !isAlike(entry, report, heardAt);
+    entry.report = report;
+    entry.heardAt = heardAt;
+    entry.isDirect = isDirect;
+    entry.isSilent = false;
+    entry.heardVersion = ++m_version;
+    if (matters) {
+        entry.changedVersion = m_version;
+        m_changedVersion = m_version;
+    }
+    return true;
+}
+
+bool Registry::receive(const TargetReport &report, TimePoint now)
+{
+    const bool isTaken = take(m_targets, report, now, true);
+    if (isTaken) {
+        retireOthersAt(report);
+    }
+    return isTaken;
+}
+
+bool Registry::receive(const HostReport &report, TimePoint now)
+{
+    return take(m_hosts, report, now, true);
+}
+
+// An address that a new incarnation reports is no longer that of an older one.
+void Registry::retireOthersAt(const TargetReport &report)
+{
+    if (report.presence != Presence::Ready) {
+        return;
+    }
+    for (auto &[id, entry] : m_targets) {
+        const bool isOther = id != report.id && entry.report.address == report.address;
+        if (isOther && entry.report.presence == Presence::Ready && entry.heardAt < m_targets[report.id].heardAt) {
+            entry.report.presence = Presence::Gone;
+            entry.heardVersion = ++m_version;
+            entry.changedVersion = m_version;
+            m_changedVersion = m_version;
+        }
+    }
+}
+
+void Registry::merge(const RegistryChanges &changes, TimePoint now)
+{
+    for (const AgedReport<TargetReport> &it : changes.targets) {
+        if (take(m_targets, it.report, now - it.age, false)) {
+            retireOthersAt(it.report);
+        }
+    }
+    for (const AgedReport<HostReport> &it : changes.hosts) {
+        take(m_hosts, it.report, now - it.age, false);
+    }
+}
+
+template <typename Report>
+void Registry::expireIn(std::map<std::string, Entry<Report>> &table, TimePoint now, Duration expiry, bool mayExpire)
+{
+    for (auto it = table.begin(); it != table.end();) {
+        Entry<Report> &entry = it->second;
+        const Duration age = now - entry.heardAt;
+        const bool hasEnded = entry.report.presence == Presence::Gone || entry.isSilent;
+        if (hasEnded && age > m_settings.forgetAfter) {
+            it = table.erase(it);
+            continue;
+        }
+        if (mayExpire && !hasEnded && age > expiry) {
+            entry.isSilent = true;
+            entry.changedVersion = ++m_version;
+            m_changedVersion = m_version;
+        }
+        ++it;
+    }
+}
+
+void Registry::expire(TimePoint now, bool mayExpire)
+{
+    expireIn(m_targets, now, m_settings.targetExpiry, mayExpire);
+    expireIn(m_hosts, now, m_settings.hostExpiry, mayExpire);
+}
+
+RegistryChanges Registry::heardSince(std::uint64_t version, TimePoint now) const
+{
+    RegistryChanges changes;
+    const auto isWanted = [&](const auto &entry) {
+        return version == 0 || (entry.isDirect && entry.heardVersion > version);
+    };
+    for (const auto &[id, entry] : m_targets) {
+        if (isWanted(entry)) {
+            changes.targets.push_back(aged(entry, now));
+        }
+    }
+    for (const auto &[id, entry] : m_hosts) {
+        if (isWanted(entry)) {
+            changes.hosts.push_back(aged(entry, now));
+        }
+    }
+    return changes;
+}
+
+RegistryChanges Registry::changedSince(std::uint64_t version, TimePoint now) const
+{
+    RegistryChanges changes;
+    for (const auto &[id, entry] : m_targets) {
+        if (entry.changedVersion > version) {
+            changes.targets.push_back(aged(entry, now));
+        }
+    }
+    for (const auto &[id, entry] : m_hosts) {
+        if (entry.changedVersion > version) {
+            changes.hosts.push_back(aged(entry, now));
+        }
+    }
+    return changes;
+}
+
+std::uint64_t Registry::version() const
+{
+    return m_version;
+}
+
+std::uint64_t Registry::changedVersion() const
+{
+    return m_changedVersion;
+}
+
+const std::map<std::string, Registry::TargetEntry> &Registry::targets() const
+{
+    return m_targets;
+}
+
+const std::map<std::string, Registry::HostEntry> &Registry::hosts() const
+{
+    return m_hosts;
+}
+
+const Registry::TargetEntry *Registry::target(const std::string &id) const
+{
+    const auto it = m_targets.find(id);
+    return it == m_targets.end() ? nullptr : &it->second;
+}
+
+bool Registry::isLive(const HostEntry &entry)
+{
+    return !entry.isSilent && entry.report.presence == Presence::Ready;
+}
+
+} // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Routes/RoutingState.cpp
@@ -0,0 +1,108 @@
+//===- RoutingState.cpp - Tables and evacuations that were agreed on ------===//
+#include "pepperlug/Routes.h"
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// Enough to tell two documents apart that were sent under the same version.
+constexpr std::size_t DigestLength = 32;
+
+struct StoredState {
+    std::uint64_t index = 0;
+    std::uint64_t version = 0;
+    std::string text;
+    std::set<std::string> evacuated;
+    std::map<std::uint64_t, std::string> taken;
+    MSGPACK_DEFINE(index, version, text, evacuated, taken);
+};
+
+} // namespace
+
+std::string RoutingState::digestOf(const RoutingCommand &command)
+{
+    return digestHex(std::to_string(command.baseVersion) + "\n" + command.text).substr(0, DigestLength);
+}
+
+RoutingResult RoutingState::check(const RoutingCommand &command) const
+{
+    switch (command.kind) {
+    case RoutingCommandKind::EvacuateZone:
+        return m_evacuated.contains(command.zone) ? RoutingResult::AlreadyDone : RoutingResult::Done;
+    case RoutingCommandKind::ReturnZone:
+        return m_evacuated.contains(command.zone) ? RoutingResult::Done : RoutingResult::AlreadyDone;
+    case RoutingCommandKind::PutTable:
+        break;
+    }
+    // A change whose answer was lost is sent again, maybe after others were taken since.
+    const auto taken = m_taken.find(command.version);
+    if (taken != m_taken.end() && taken->second == digestOf(command)) {
+        return RoutingResult::AlreadyDone;
+    }
+    if (command.baseVersion != m_version) {
+        return RoutingResult::Conflict;
+    }
+    return command.version > m_version ? RoutingResult::Done : RoutingResult::NotNewer;
+}
+
+RoutingResult RoutingState::apply(const RoutingCommand &command, std::uint64_t index)
+{
+    const RoutingResult result = check(command);
+    if (result != RoutingResult::Done) {
+        return result;
+    }
+    m_index = index;
+    switch (command.kind) {
+    case RoutingCommandKind::EvacuateZone:
+        m_evacuated.insert(command.zone);
+        break;
+    case RoutingCommandKind::ReturnZone:
+        m_evacuated.erase(command.zone);
+        break;
+    case RoutingCommandKind::PutTable:
+        m_version = command.version;
+        m_text = command.text;
+        m_taken[command.version] = digestOf(command);
+        break;
+    }
+    return result;
+}
+
+std::uint64_t RoutingState::index() const
+{
+    return m_index;
+}
+
+std::uint64_t RoutingState::version() const
+{
+    return m_version;
+}
+
+const std::string &RoutingState::text() const
+{
+    return m_text;
+}
+
+const std::set<std::string> &RoutingState::evacuatedZones() const
+{
+    return m_evacuated;
+}
+
+std::string RoutingState::snapshot() const
+{
+    return encode(StoredState{m_index, m_version, m_text, m_evacuated, m_taken});
+}
+
+void RoutingState::restore(const std::string &data)
+{
+    const auto stored = decode<StoredState>(data, "snapshot");
+    m_index = stored.index;
+    m_version = stored.version;
+    m_text = stored.text;
+    m_evacuated = stored.evacuated;
+    m_taken = stored.taken;
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Support/LogSink.cpp
+++ b/lib/Support/LogSink.cpp
@@ -18,14 +18,19 @@
 namespace
 {
 
+constexpr std::string_view StandardOutput = "-";
+
 void configureLogger(const std::string &name, const std::string &file)
 {
     el::Configurations conf;
     conf.setToDefault();
     conf.setGlobally(el::ConfigurationType::Format, "%msg");
-    conf.setGlobally(el::ConfigurationType::Filename, file);
-    conf.setGlobally(el::ConfigurationType::ToFile, "true");
-    conf.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    const bool isFile = file != StandardOutput;
+    if (isFile) {
+        conf.setGlobally(el::ConfigurationType::Filename, file);
+    }
+    conf.setGlobally(el::ConfigurationType::ToFile, isFile ? "true" : "false");
+    conf.setGlobally(el::ConfigurationType::ToStandardOutput, isFile ? "false" : "true");
     conf.setGlobally(el::ConfigurationType::LogFlushThreshold, "256");
     el::Loggers::getLogger(name);
     el::Loggers::reconfigureLogger(name, conf);
@@ -41,7 +46,7 @@
     if (!m_enabled) {
         return;
     }
-    if (!std::ofstream(file, std::ios::app)) {
+    if (file != StandardOutput && !std::ofstream(file, std::ios::app)) {
         throw Error("open log", file, "cannot be opened for writing");
     }
     configureLogger(name, file);
