Watch libcurl's sockets one by one

Cause: curl_multi_perform looks at every transfer with a poll of its own at each event: 20 polls a request in a local count (strace, 20 callers, 20 targets).

--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -7,8 +7,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "pepperlug/Http.h"
-
-#include <curl/curl.h>
+#include "SocketLoop.h"
 
 #include <charconv>
 #include <unordered_map>
@@ -20,7 +19,6 @@
 {
 
 constexpr long KeptConnectionSeconds = 2; ///< a kept connection that was idle for longer is not used again
-constexpr int PollMs = 1000;
 constexpr long MaxKeptConnections = 512;
 
 // libcurl's handle types are all void, so each needs a deleter of its own name.
@@ -206,6 +204,7 @@
         }
         m_multi.reset(curl_multi_init());
         curl_multi_setopt(m_multi.get(), CURLMOPT_MAXCONNECTS, MaxKeptConnections);
+        m_loop = std::make_unique<SocketLoop>(m_multi.get());
         m_thread = std::thread([this] { run(); });
     }
 
@@ -230,7 +229,7 @@
             transfer->id = id;
             m_orders.push_back({id, std::move(transfer)});
         }
-        curl_multi_wakeup(m_multi.get());
+        m_loop->wake();
         return id;
     }
 
@@ -240,7 +239,7 @@
             const std::lock_guard lock(m_mutex);
             m_orders.push_back({id, nullptr});
         }
-        curl_multi_wakeup(m_multi.get());
+        m_loop->wake();
     }
 
     void stop()
@@ -252,7 +251,7 @@
             const std::lock_guard lock(m_mutex);
             m_stop = true;
         }
-        curl_multi_wakeup(m_multi.get());
+        m_loop->wake();
         m_thread.join();
     }
 
@@ -277,10 +276,8 @@
             for (Order &order : orders) {
                 carryOut(order);
             }
-            int running = 0;
-            curl_multi_perform(m_multi.get(), &running);
+            m_loop->runOnce();
             collect();
-            curl_multi_poll(m_multi.get(), nullptr, 0, PollMs, nullptr);
         }
         for (auto &[id, transfer] : m_transfers) {
             curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
@@ -337,6 +334,7 @@
 
     std::size_t m_maxAnswerBytes;
     MultiHandle m_multi;
+    std::unique_ptr<SocketLoop> m_loop;
     std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> m_transfers;
     std::vector<EasyHandle> m_spare;
     std::mutex m_mutex;
--- /dev/null
+++ b/lib/Http/SocketLoop.h
@@ -0,0 +1,43 @@
+//===- SocketLoop.h - Waits for the sockets of a libcurl multi handle -*- C++ -*-===//
+//
+// Asked to "perform", libcurl looks at every transfer in progress, with a system
+// call for each. So the sockets are watched here, and the library is told only of
+// those on which something happened.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pepperlug/Support.h"
+
+#include <curl/curl.h>
+
+namespace pepperlug
+{
+
+class SocketLoop
+{
+public:
+    /// Takes the socket and timer callbacks of the handle. Throws Error with step "start client".
+    explicit SocketLoop(CURLM *multi);
+    ~SocketLoop();
+    SocketLoop(const SocketLoop &) = delete;
+    SocketLoop &operator=(const SocketLoop &) = delete;
+
+    /// Waits until something happened, a timer of the library is due or wake() was called, and tells the library.
+    void runOnce();
+    /// From any thread.
+    void wake();
+
+private:
+    static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *known);
+    static int onTimer(CURLM *multi, long timeoutMs, void *self);
+    void watch(curl_socket_t socket, int what, bool isKnown);
+    int waitTime() const;
+
+    CURLM *m_multi;
+    int m_epoll = -1;
+    int m_event = -1;
+    std::optional<std::chrono::steady_clock::time_point> m_due; ///< of the library's timer
+};
+
+} // namespace pepperlug
