Write answers where they arise, gather log lines, let a region's callers share its entry hosts

Cause: a zone with one entry host was saturated at 0.2 core: about 2.2 ms of processor a request, most of it wake-ups and system calls (cycle counts inside libcurl and the reducer: small). Ruled out: rendezvous hashing, the balancer (40 us), decision lines as such. Conclusion: wake-ups are what to save.

--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -17,8 +17,8 @@
 /// Targets turn to another host after a second.
 constexpr Milliseconds DeparturePatience{900};
 constexpr Milliseconds DirectoryTimeToLive{1000};
-/// A caller should have another host to turn to.
-constexpr std::size_t LeastEntryHosts = 2;
+/// A zone with so many entry hosts of its own keeps its callers to itself.
+constexpr std::size_t EnoughEntryHosts = 4;
 
 std::string subjectOf(const RoutingCommand &command)
 {
@@ -249,15 +249,12 @@
         std::vector<std::string> &list = host.zone == zone ? inZone : (sharesRegion ? inRegion : elsewhere);
         list.push_back(host.address);
     }
-    for (std::vector<std::string> *more : {&inRegion, &elsewhere}) {
-        for (const std::string &address : *more) {
-            if (inZone.size() >= LeastEntryHosts) {
-                return inZone;
-            }
-            inZone.push_back(address);
-        }
+    if (inZone.size() >= EnoughEntryHosts) {
+        return inZone;
     }
-    return inZone;
+    // Zones have few hosts, and not alike many: a region's callers share them all.
+    inZone.insert(inZone.end(), inRegion.begin(), inRegion.end());
+    return inZone.empty() ? elsewhere : inZone;
 }
 
 void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const FindEntryHosts &request)
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -22,6 +22,20 @@
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Bytes that the socket took without waiting.
+std::size_t writeNow(int fd, const std::string &bytes)
+{
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t n = ::send(fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (n <= 0) {
+            break;
+        }
+        done += static_cast<std::size_t>(n);
+    }
+    return done;
+}
+
 class Exchange final : public HttpExchange
 {
 public:
@@ -248,7 +262,17 @@
     if (!m_isAlive || !peer) {
         return;
     }
-    auto promise = peer->send(Pistache::RawBuffer(bytes, bytes.size()));
+    // Most answers fit into the socket's buffer; then they are written at once, on this thread. The number of the socket
+    // is taken while the connection is alive, and no other write goes on: Pistache's queue is used only for what is left.
+    const std::size_t written = m_isQueued ? 0 : writeNow(peer->fd(), bytes);
+    if (written == bytes.size()) {
+        if (closesAfter) {
+            ::shutdown(peer->fd(), SHUT_RDWR);
+        }
+        return;
+    }
+    m_isQueued = true;
+    auto promise = peer->send(Pistache::RawBuffer(bytes.substr(written), bytes.size() - written));
     if (!closesAfter) {
         return;
     }
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -76,6 +76,7 @@
     std::mutex m_mutex; ///< guards what follows
     bool m_isAlive = true;
     bool m_ignoresInput = false; ///< a fault or "close" has been answered
+    bool m_isQueued = false; ///< Pistache has had a part of an answer to write; all that follows goes the same way
     std::deque<SlotPtr> m_slots;
     TimePoint m_lastActive;
     std::optional<TimePoint> m_partSince; ///< when an unfinished request began
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-constexpr long KeptConnectionSeconds = 2; ///< a kept connection that was idle for longer is not used again
+constexpr long KeptConnectionSeconds = 6; ///< a kept connection that was idle for longer is not used again
 constexpr long MaxKeptConnections = 512;
 
 // libcurl's handle types are all void, so each needs a deleter of its own name.
--- a/lib/Support/LogSink.cpp
+++ b/lib/Support/LogSink.cpp
@@ -19,6 +19,8 @@
 {
 
 constexpr std::string_view StandardOutput = "-";
+/// After a write, lines are gathered for so long; each wake-up costs more than a line.
+constexpr Milliseconds GatherTime{100};
 
 void configureLogger(const std::string &name, const std::string &file)
 {
@@ -116,11 +118,17 @@
             }
             batch.swap(m_queue);
         }
+        // Lines that wait together are written together.
+        std::string text;
         for (const auto &make : batch) {
-            logger->info(make());
+            text += text.empty() ? "" : "\n";
+            text += make();
         }
+        logger->info(text);
         logger->flush();
         batch.clear();
+        std::unique_lock lock(m_mutex);
+        m_wake.wait_for(lock, GatherTime, [this] { return m_stop || m_queue.size() >= m_capacity / 2; });
     }
 }
 
