--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -19,6 +19,8 @@
 
 /// Targets that a key is spread over.
 constexpr std::size_t AffinityWidth = 3;
+/// The first ranked target with no more than this keeps the key, so that few targets have to learn it.
+constexpr double PreferredFill = 0.7;
 /// What a told load is worth halves in this time.
 constexpr std::chrono::duration<double> LoadHalfLife{0.6};
 /// Part of the bound on cold targets that is used, since membership may be believed differently for a moment.
@@ -179,6 +181,9 @@
     std::sort(ranked.begin(), ranked.end(), [](const auto &lhs, const auto &rhs) { return lhs.first > rhs.first; });
     std::vector<TargetState *> first;
     for (std::size_t n = 0; n < std::min(AffinityWidth, ranked.size()); ++n) {
+        if (fill(ranked[n].second) <= PreferredFill) {
+            return ranked[n].second;
+        }
         first.push_back(ranked[n].second);
     }
     return *std::min_element(first.begin(), first.end(), isEmptier);
