Send all requests of a key to one region

Cause: requests that leave their region chose the region by chance, so each key of Wallonie was learnt by three targets in each of three regions: 1890 pairs where targets remember 1584.

--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -6,6 +6,8 @@
 //===----------------------------------------------------------------------===//
 #include "Impl.h"
 
+#include <limits>
+
 namespace pepperlug::fleet
 {
 
@@ -54,7 +56,10 @@
     if (!open.route.homeRegions.empty() || plan == m_plans.end()) {
         return m_region;
     }
-    const double point = std::uniform_real_distribution<double>(0, 1)(m_random);
+    // All requests of a key go to one region, so that no target of another has to learn it.
+    const double point = open.affinity != 0
+        ? static_cast<double>(open.affinity) / static_cast<double>(std::numeric_limits<std::uint64_t>::max())
+        : std::uniform_real_distribution<double>(0, 1)(m_random);
     const std::string region = plan->second.pick(point);
     return region.empty() ? m_region : region;
 }
@@ -114,6 +119,9 @@
         return planned;
     }
     const bool regionIsDead = planned.target == nullptr;
+    if (!regionIsDead && open.affinity != 0) {
+        return {nullptr, planned.fill, Refusal::Overloaded};
+    }
     Placement other = placeIn(open, {});
     if (other.target == nullptr) {
         return planned.target == nullptr ? other : Placement{nullptr, planned.fill, Refusal::Overloaded};
