Refuse what crosses the end of a planned stop; tests of all that was built for the platform

Evidence: stop at 13.000 s, request sent at 15.511, connection closed at 15.545 without an answer. Ruled out: grace time (6 s), the target (it had not answered). Change: from the moment in which nothing is open each new request is refused as not run, and the process ends 200 ms later. Test: FleetTest, 'a planned stop finishes ...'.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -119,6 +119,7 @@
     NoTarget, ///< no usable target of the service
     Overloaded, ///< would not be served within the objective
     NotReached, ///< no target could be reached in time; not run
+    Stopping, ///< this host is about to end; not run
     Lost, ///< may have run
     TimedOut, ///< may have run
 };
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -56,6 +56,8 @@
         return "overloaded";
     case Refusal::NotReached:
         return "not-reached";
+    case Refusal::Stopping:
+        return "stopping";
     case Refusal::Lost:
         return "lost";
     case Refusal::TimedOut:
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -17,7 +17,9 @@
 /// Callers that hold a directory answer still come for so long after this host has left it.
 constexpr Milliseconds LeastLeavingTime{2500};
 /// What is left of the grace time when the process ends in any case.
-constexpr Milliseconds GraceReserve{500};
+constexpr Milliseconds GraceReserve{600};
+/// For answers, and refusals of requests that cross the end, to be written.
+constexpr Milliseconds LastAnswers{200};
 
 BalanceSettings balanceSettings(const FleetSettings &settings, const std::string &incarnation)
 {
@@ -210,7 +212,9 @@
     m_events.state("reload", {{"seeds", settings.seeds.size()}});
 }
 
-// New callers may come until the directory's answers have run out, so they are served meanwhile.
+// New callers may come until the directory's answers have run out, so they are served meanwhile. A request that comes
+// just before the end must not be passed on and then be cut off: from the moment in which nothing is open, each new one
+// is refused, and the process ends a little later.
 void GatewayDaemon::Impl::stopGracefully()
 {
     const TimePoint begun = m_clock.now();
@@ -225,17 +229,26 @@
     for (;;) {
         std::this_thread::sleep_for(TickInterval);
         const TimePoint now = m_clock.now();
-        std::size_t open = 0;
-        {
-            const std::lock_guard lock(m_mutex);
-            open = m_open.size();
-        }
-        const bool isIdle = open == 0 && now - begun >= LeastLeavingTime;
+        const bool isIdle = now - begun >= LeastLeavingTime && closeIfIdle();
         if (isIdle || now >= last) {
-            m_events.state("stopped", {{"open_requests", open}});
-            return;
+            break;
         }
     }
+    std::size_t open = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isClosed = true;
+        open = m_open.size();
+    }
+    m_events.state("stopped", {{"open_requests", open}});
+    std::this_thread::sleep_for(LastAnswers);
+}
+
+bool GatewayDaemon::Impl::closeIfIdle()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isClosed = m_open.empty();
+    return m_isClosed;
 }
 
 Address GatewayDaemon::Impl::callersAddress() const
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -49,6 +49,8 @@
     void onLink(const Address &control, bool isLost, const std::string &reason);
     void onReadiness(const HttpExchangePtr &exchange);
     bool isReady();
+    bool closeIfIdle();
+    void refuseStopping(OpenExchange &open);
 
     // GatewayRequests.cpp
     void onHttp(const HttpExchangePtr &exchange);
@@ -74,7 +76,8 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_routingIndex = 0;
     std::map<std::string, HostReport> m_controlHosts; ///< live ones, by id
-    bool m_isStopping = false;
+    bool m_isStopping = false; ///< no caller is sent here any more
+    bool m_isClosed = false; ///< no request is passed on any more
 
     PeerNet m_net;
     std::unique_ptr<ControlWatch> m_watch;
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -12,6 +12,9 @@
 /// The client's own limit, past the time at which the request is given up anyway.
 constexpr Milliseconds ClientMargin{50};
 
+/// Another host serves at once.
+constexpr Milliseconds StoppingRetryAfter{20};
+
 double secondsOf(Duration time)
 {
     return std::chrono::duration<double>(time).count();
@@ -37,6 +40,10 @@
     m_metrics.count("pepperlug_requests");
     {
         const std::lock_guard lock(m_mutex);
+        if (m_isClosed) {
+            refuseStopping(open);
+            return;
+        }
         request.id = static_cast<RequestId>(++m_lastRequest);
         m_open[m_lastRequest] = std::move(open);
     }
@@ -49,6 +56,12 @@
     });
 }
 
+void GatewayDaemon::Impl::refuseStopping(OpenExchange &open)
+{
+    m_events.decision("refused", {{"request", open.terms.requestId}, {"reason", nameOf(Refusal::Stopping)}});
+    open.exchange->respond(m_dialect.refusal({open.terms.requestId, Refusal::Stopping, StoppingRetryAfter}));
+}
+
 void GatewayDaemon::Impl::reduce(const BalanceEvent &event)
 {
     const std::lock_guard lock(m_mutex);
--- /dev/null
+++ b/unittests/Balance/BalancerTest.cpp
@@ -0,0 +1,313 @@
+//===- BalancerTest.cpp - Requests at an entry host -----------------------===//
+#include "BalanceFixture.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+
+
+TEST_CASE("without a configuration a request is refused as not run, with a time to come back")
+{
+    Host host;
+    host.request("/read/x");
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::NoConfiguration);
+    CHECK(host.find<RefuseRequest>()->retryAfter > 0ms);
+}
+
+TEST_CASE("a request that may run only once is not sent again once it may have run")
+{
+    for (const AttemptOutcome outcome : {AttemptOutcome::Lost, AttemptOutcome::TimedOut}) {
+        auto host = std::make_unique<Host>();
+        host->useTable();
+        host->report(Host::targetOf("t1"));
+        host->report(Host::targetOf("t2", "z2"));
+        const RequestId id = host->request("/once/x");
+        REQUIRE(host->find<StartAttempt>() != nullptr);
+        host->end(id, 1, outcome);
+        CHECK(host->find<StartAttempt>() == nullptr);
+        REQUIRE(host->find<RefuseRequest>() != nullptr);
+        CHECK_FALSE(promisesNotRun(host->find<RefuseRequest>()->reason));
+    }
+}
+
+TEST_CASE("a request that was certainly not run goes to another target")
+{
+    for (const AttemptOutcome outcome : {AttemptOutcome::NotSent, AttemptOutcome::Shed, AttemptOutcome::WrongTarget}) {
+        Host host;
+        host.useTable();
+        host.report(Host::targetOf("t1"));
+        host.report(Host::targetOf("t2", "z2"));
+        const RequestId id = host.request("/once/x");
+        const std::string first = host.find<StartAttempt>()->target;
+        host.end(id, 1, outcome);
+        REQUIRE(host.find<StartAttempt>() != nullptr);
+        CHECK(host.find<StartAttempt>()->target != first);
+        host.end(id, 2, outcome);
+        REQUIRE(host.find<RefuseRequest>() != nullptr);
+        CHECK(promisesNotRun(host.find<RefuseRequest>()->reason));
+    }
+}
+
+TEST_CASE("a target whose address answers for another is not used until it reports again under a new id")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("t1"));
+    const RequestId id = host.request("/read/x");
+    host.end(id, 1, AttemptOutcome::WrongTarget);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() == nullptr);
+    host.report(Host::targetOf("t2"));
+    host.request("/read/x");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->target == "t2");
+}
+
+TEST_CASE("a draining target and an evacuated zone get nothing new")
+{
+    Host host;
+    host.useTable();
+    TargetReport draining = Host::targetOf("t1");
+    draining.presence = Presence::Draining;
+    host.report(draining);
+    host.report(Host::targetOf("t2", "z2"));
+    for (int n = 0; n < 4; ++n) {
+        host.request("/read/x");
+        REQUIRE(host.find<StartAttempt>() != nullptr);
+        CHECK(host.find<StartAttempt>()->target == "t2");
+    }
+    host.useTable({"z2"});
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() == nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::NoTarget);
+}
+
+TEST_CASE("the time left is passed on, and a request past it ends as maybe run")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("t1"));
+    host.request("/once/x", {}, 500ms);
+    CHECK(host.find<StartAttempt>()->timeLeft <= 500ms);
+    CHECK(host.find<StartAttempt>()->timeLeft >= 400ms);
+    host.now += 600ms;
+    host.reduce(BalanceTick{});
+    CHECK(host.find<CancelAttempt>() != nullptr);
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::TimedOut);
+    CHECK(host.balancer.open() == 0);
+}
+
+TEST_CASE("the work of a caller who left is cancelled")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("t1"));
+    const RequestId id = host.request("/read/x");
+    host.reduce(CallerLeft{id});
+    CHECK(host.find<CancelAttempt>() != nullptr);
+    CHECK(host.balancer.open() == 0);
+}
+
+TEST_CASE("a key stays with few targets, also when they are full")
+{
+    Host host;
+    host.useTable();
+    for (int n = 0; n < 12; ++n) {
+        host.report(Host::targetOf("t" + std::to_string(n), n % 2 == 0 ? "z1" : "z2"));
+    }
+    std::set<std::string> used;
+    for (int n = 0; n < 60; ++n) {
+        host.request("/read/x", "key");
+        if (const StartAttempt *start = host.find<StartAttempt>()) {
+            used.insert(start->target);
+        }
+    }
+    CHECK(used.size() <= 3);
+    CHECK(host.find<RefuseRequest>() != nullptr);
+}
+
+TEST_CASE("entry hosts send a key to the same target without talking")
+{
+    std::set<std::string> used;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        Host host("e" + std::to_string(seed), "z1", seed);
+        host.useTable();
+        for (int n = 0; n < 12; ++n) {
+            host.report(Host::targetOf("t" + std::to_string(n)));
+        }
+        host.request("/read/x", "key");
+        used.insert(host.find<StartAttempt>()->target);
+    }
+    CHECK(used.size() == 1);
+}
+
+TEST_CASE("a key does not change its region by chance")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("near", "z1", 2));
+    for (int n = 0; n < 6; ++n) {
+        host.report(Host::targetOf("far" + std::to_string(n), "z3", 8));
+    }
+    for (int key = 0; key < 20; ++key) {
+        std::set<bool> abroad;
+        for (int n = 0; n < 6; ++n) {
+            const RequestId id = host.request("/read/x", std::to_string(key));
+            if (const StartAttempt *start = host.find<StartAttempt>()) {
+                abroad.insert(start->zone == "z3");
+                host.end(id, 1, AttemptOutcome::Answered);
+            }
+        }
+        CHECK(abroad.size() == 1);
+    }
+}
+
+TEST_CASE("over all hosts of a zone a cold target gets no more than it bears")
+{
+    constexpr double PerSecond = 4;
+    std::vector<std::unique_ptr<Host>> hosts;
+    for (const char *id : {"e1", "e2", "e3", "e4"}) {
+        const bool isNear = std::string(id) < "e3";
+        hosts.push_back(std::make_unique<Host>(id, isNear ? "z1" : "z2"));
+    }
+    for (auto &host : hosts) {
+        host->useTable();
+        host->report(Host::entryOf("e1", "z1"));
+        host->report(Host::entryOf("e2", "z1"));
+        host->report(Host::entryOf("e3", "z2"));
+        host->report(Host::entryOf("e4", "z2"));
+        TargetReport cold = Host::targetOf("t1");
+        cold.coldLeft = 10s;
+        host->report(cold);
+    }
+    int sent = 0;
+    for (int step = 0; step < 400; ++step) { // 4 s, a request every 10 ms at each host
+        for (auto &host : hosts) {
+            host->now += 10ms;
+            const RequestId id = host->request("/read/x");
+            if (host->find<StartAttempt>() != nullptr) {
+                ++sent;
+                host->end(id, 1, AttemptOutcome::Answered);
+            }
+        }
+    }
+    CHECK(sent <= PerSecond * 4 + 2);
+    CHECK(sent >= PerSecond * 4 / 2);
+}
+
+TEST_CASE("targets of a zone that is taken back count as cold until they say otherwise")
+{
+    Host host("e1", "z2");
+    host.useTable({"z1"});
+    host.report(Host::entryOf("e1", "z2"));
+    host.report(Host::entryOf("e2", "z1"));
+    host.report(Host::targetOf("t1", "z1"));
+    host.useTable();
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() == nullptr); // the hosts of its own zone warm it
+    host.now += 100ms;
+    TargetReport warm = Host::targetOf("t1", "z1");
+    warm.sequence = 2;
+    host.report(warm);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
+TEST_CASE("retries stay within the part of the budget that one host may use")
+{
+    Host host;
+    host.table.routes[0].attempts = 5;
+    host.useTable();
+    for (const char *id : {"e1", "e2", "e3", "e4"}) {
+        host.report(Host::entryOf(id, "z1"));
+    }
+    for (int n = 0; n < 8; ++n) {
+        host.report(Host::targetOf("t" + std::to_string(n), "z1", 100));
+    }
+    int again = 0;
+    constexpr int Requests = 200;
+    for (int n = 0; n < Requests; ++n) {
+        const RequestId id = host.request("/read/x");
+        unsigned attempt = 1;
+        while (host.find<StartAttempt>() != nullptr) {
+            host.end(id, attempt++, AttemptOutcome::Shed);
+            again += host.find<StartAttempt>() != nullptr ? 1 : 0;
+        }
+    }
+    CHECK(again > 0);
+    CHECK(again <= 0.2 * Requests + 40.0 / 4);
+}
+
+TEST_CASE("parts of a split get their weights")
+{
+    Host host;
+    host.table.services.push_back({"s2", 100, 3s, 4});
+    host.table.routes[0].services = {{"s", 90}, {"s2", 10}};
+    host.useTable();
+    host.report(Host::targetOf("t1", "z1", 1000));
+    TargetReport other = Host::targetOf("t2", "z1", 1000);
+    other.service = "s2";
+    host.report(other);
+    int second = 0;
+    for (int n = 0; n < 200; ++n) {
+        host.request("/read/x");
+        second += host.find<StartAttempt>()->target == "t2" ? 1 : 0;
+    }
+    CHECK(second == 20);
+}
+
+TEST_CASE("whatever happens, nothing that may have run is called not run or is run again")
+{
+    rc::check([] {
+        Host host;
+        host.useTable();
+        for (int n = 0; n < 4; ++n) {
+            host.report(Host::targetOf("t" + std::to_string(n), n % 2 == 0 ? "z1" : "z3"));
+        }
+        std::map<std::uint64_t, bool> mayHaveRun;
+        std::map<std::uint64_t, std::vector<unsigned>> open;
+        const auto look = [&] {
+            for (const BalanceEffect &effect : host.effects) {
+                if (const auto *start = std::get_if<StartAttempt>(&effect)) {
+                    const auto id = static_cast<std::uint64_t>(start->id);
+                    RC_ASSERT(!mayHaveRun[id]);
+                    RC_ASSERT(open[id].empty());
+                    open[id].push_back(start->attempt);
+                } else if (const auto *cancel = std::get_if<CancelAttempt>(&effect)) {
+                    const auto id = static_cast<std::uint64_t>(cancel->id);
+                    mayHaveRun[id] = true;
+                    open[id].clear();
+                } else if (const auto *refuse = std::get_if<RefuseRequest>(&effect)) {
+                    const auto id = static_cast<std::uint64_t>(refuse->id);
+                    RC_ASSERT(!(mayHaveRun[id] && promisesNotRun(refuse->reason)));
+                }
+            }
+        };
+        const auto steps = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 9));
+        for (const int step : steps) {
+            host.now += 30ms;
+            if (step < 3) {
+                host.request("/once/x", std::to_string(step));
+                look();
+                continue;
+            }
+            const auto it = std::find_if(open.begin(), open.end(), [](const auto &entry) { return !entry.second.empty(); });
+            if (it == open.end()) {
+                host.reduce(BalanceTick{});
+                look();
+                continue;
+            }
+            const std::uint64_t id = it->first;
+            const unsigned attempt = it->second.back();
+            it->second.clear();
+            const auto outcome = static_cast<AttemptOutcome>(step - 3);
+            mayHaveRun[id] |= outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::TimedOut;
+            host.end(static_cast<RequestId>(id), attempt, outcome);
+            look();
+        }
+    });
+}
--- /dev/null
+++ b/unittests/Fleet/FleetTest.cpp
@@ -0,0 +1,331 @@
+//===- FleetTest.cpp - Entry and control hosts over loopback --------------===//
+//
+// Real daemons with a stand-in for the platform's clients, targets and operator, at the sockets. Everything that is
+// waited for is an event: a request is repeated until the answer is the one that must come.
+//
+//===----------------------------------------------------------------------===//
+#include "platform/Dialect.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Upper bound for what must come; no test is judged by its time.
+constexpr auto Patience = 30s;
+constexpr auto Pause = 10ms;
+
+HttpResult fetchOnce(HttpClient &client, HttpCall call)
+{
+    auto promise = std::make_shared<std::promise<HttpResult>>();
+    std::future<HttpResult> result = promise->get_future();
+    client.start(std::move(call), [promise](HttpResult it) { promise->set_value(std::move(it)); });
+    return result.get();
+}
+
+/// A target that counts what it ran, and answers as it is told to.
+class FakeTarget
+{
+public:
+    explicit FakeTarget(std::string id)
+        : m_id(std::move(id))
+        , m_server({"127.0.0.1", 0}, 1, HttpLimits{}, m_clock,
+                   [this](const HttpExchangePtr &exchange) { onRequest(exchange); })
+    {
+    }
+
+    ~FakeTarget()
+    {
+        release();
+        m_server.stop();
+    }
+
+    std::string address() const
+    {
+        return m_server.address().text();
+    }
+
+    int runs() const
+    {
+        return m_runs;
+    }
+
+    /// Requests are kept unanswered until release().
+    void hold()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_holds = true;
+    }
+
+    void release()
+    {
+        std::vector<HttpExchangePtr> held;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_holds = false;
+            held.swap(m_held);
+        }
+        for (const HttpExchangePtr &exchange : held) {
+            answer(exchange);
+        }
+    }
+
+    std::atomic<bool> answersForAnother{false};
+
+private:
+    void onRequest(const HttpExchangePtr &exchange)
+    {
+        if (exchange->request().header("X-Expect-Instance") != m_id) {
+            exchange->respond({421, {{"X-Request-Id", *exchange->request().header("X-Request-Id")}}, {}});
+            return;
+        }
+        ++m_runs;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_holds) {
+                m_held.push_back(exchange);
+                return;
+            }
+        }
+        answer(exchange);
+    }
+
+    void answer(const HttpExchangePtr &exchange)
+    {
+        const std::string id = answersForAnother ? "another" : exchange->request().header("X-Request-Id").value_or("");
+        exchange->respond({200, {{"X-Request-Id", id}, {"X-Upstream-Seal", "seal"}}, "body of " + m_id});
+    }
+
+    std::string m_id;
+    SteadyClock m_clock;
+    std::atomic<int> m_runs{0};
+    std::mutex m_mutex;
+    bool m_holds = false;
+    std::vector<HttpExchangePtr> m_held;
+    HttpServer m_server;
+};
+
+/// One control and one entry host in a folder of their own.
+class System
+{
+public:
+    System()
+        : m_folder(std::filesystem::temp_directory_path() / ("pepperlug-fleet-" + randomHex(8)))
+    {
+        std::filesystem::create_directories(m_folder);
+        FleetSettings settings;
+        settings.zone = "z1";
+        settings.regionOfZone = {{"z1", "r1"}};
+        settings.bounds.grace = 5s;
+        settings.bounds.retries = {0.2, 10s, 40};
+        settings.maxBodyBytes = 1 << 20;
+        settings.maxAnswerBytes = 1 << 20;
+        FleetSettings control = settings;
+        control.name = "control";
+        control.peer = freeAddress();
+        control.operators = freeAddress();
+        control.directory = freeAddress();
+        control.metrics = freeAddress();
+        control.seeds = {control.operators};
+        control.dataFolder = m_folder / "data";
+        control.isFirstStart = true;
+        registry = std::make_unique<RegistryDaemon>(control, m_clock, controlDialect<platform::Control>());
+        FleetSettings entry = settings;
+        entry.name = "entry";
+        // Hosts reach each other at the same port, so the entry host has an address of its own.
+        entry.peer = {"127.0.0.2", control.peer.port};
+        entry.callers = {"127.0.0.1", 0};
+        entry.readiness = {"127.0.0.1", 0};
+        entry.seeds = {control.operators};
+        gateway = std::make_unique<GatewayDaemon>(entry, m_clock, callerDialect<platform::Clients>());
+    }
+
+    ~System()
+    {
+        gateway.reset();
+        registry.reset();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    Answer operatorCall(const std::string &path, const std::string &body, const std::string &base = {})
+    {
+        HttpCall call;
+        call.to = registry->operatorsAddress();
+        call.method = "POST";
+        call.resource = path;
+        call.headers = {{"X-If-Rev", base}};
+        call.body = std::make_shared<const std::string>(body);
+        call.timeout = 5s;
+        return fetchOnce(m_client, call).answer;
+    }
+
+    Answer get(const Address &to, const std::string &path, const std::string &id = "q")
+    {
+        HttpCall call;
+        call.to = to;
+        call.method = "GET";
+        call.resource = path;
+        call.headers = {{"Host", "a.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "5000"}};
+        call.timeout = 10s;
+        return fetchOnce(m_client, call).answer;
+    }
+
+    /// Repeats a step until it returns true.
+    static bool eventually(const std::function<bool()> &step)
+    {
+        for (const auto end = std::chrono::steady_clock::now() + Patience; std::chrono::steady_clock::now() < end;) {
+            if (step()) {
+                return true;
+            }
+            std::this_thread::sleep_for(Pause);
+        }
+        return false;
+    }
+
+    void putTable(const std::string &version, const std::string &base, const std::string &prefix = "/p/")
+    {
+        const std::string text = tableText(version, prefix);
+        REQUIRE(eventually([&] { return operatorCall("/api/Config.Put", text, base).status == 200; }));
+    }
+
+    static std::string tableText(const std::string &version, const std::string &prefix)
+    {
+        return nlohmann::json{
+            {"version", version},
+            {"services", {{{"name", "s"}, {"coldS", 3}, {"coldPerS", 100}}}},
+            {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1 << 20}, {"headerTimeoutS", 3}, {"idleTimeoutS", 15}}},
+            {"hosts",
+             {{{"host", "a.example"},
+               {"paths",
+                {{{"name", "r"}, {"pathPrefix", prefix}, {"kind", "unsafe"}, {"timeoutS", 4}, {"sloS", 1}, {"prio", 1},
+                  {"service", "s"}, {"attempts", 2}}}}}}}}
+            .dump();
+    }
+
+    Answer beat(const std::string &id, const FakeTarget &target, int sequence, const std::string &state = "ready")
+    {
+        const nlohmann::json body{{"service", "s"}, {"addr", target.address()}, {"zone", "z1"}, {"slots", 4},
+                                  {"state", state}, {"coldLeftS", 0}, {"seq", sequence}};
+        return operatorCall("/api/Instances.Heartbeat/" + id, body.dump());
+    }
+
+    bool becomesReady()
+    {
+        return eventually([&] { return get(gateway->readinessAddress(), "/api/readyz").status == 200; });
+    }
+
+    std::unique_ptr<RegistryDaemon> registry;
+    std::unique_ptr<GatewayDaemon> gateway;
+
+private:
+    /// A port that the kernel has just given and taken back.
+    Address freeAddress()
+    {
+        HttpServer probe({"127.0.0.1", 0}, 1, HttpLimits{}, m_clock, [](const HttpExchangePtr &) {});
+        return probe.address();
+    }
+
+    std::filesystem::path m_folder;
+    SteadyClock m_clock;
+    HttpClient m_client{1 << 20};
+};
+
+} // namespace
+
+TEST_CASE("a request goes its whole way, and the entry host is found through the directory")
+{
+    System system;
+    FakeTarget target("i-1");
+    system.putTable("r2", "0");
+    REQUIRE(system.beat("i-1", target, 1).status == 200);
+    REQUIRE(system.becomesReady());
+    const Answer answer = system.get(system.gateway->callersAddress(), "/p/x", "q1");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "body of i-1");
+    const std::string directory = "/api/resolve?name=a.example&region=r1&zone=z1";
+    CHECK(System::eventually([&] { return system.get(system.registry->directoryAddress(), directory).status == 200; }));
+    CHECK(system.get(system.gateway->callersAddress(), "/other/x").status == 404);
+}
+
+TEST_CASE("a drain that was acknowledged stops new work")
+{
+    System system;
+    FakeTarget target("i-1");
+    system.putTable("r2", "0");
+    system.beat("i-1", target, 1);
+    REQUIRE(system.becomesReady());
+    REQUIRE(system.beat("i-1", target, 2, "draining").status == 200);
+    REQUIRE(System::eventually([&] { return system.get(system.gateway->callersAddress(), "/p/x").status == 503; }));
+    const int runs = target.runs();
+    CHECK(system.get(system.gateway->callersAddress(), "/p/x").status == 503);
+    CHECK(target.runs() == runs);
+}
+
+TEST_CASE("a configuration is linearizable: resends are acknowledged, races have one winner, bad ones are refused")
+{
+    System system;
+    system.putTable("r2", "0");
+    const std::string second = System::tableText("r5", "/q/");
+    CHECK(system.operatorCall("/api/Config.Put", second, "r2").status == 200);
+    CHECK(system.operatorCall("/api/Config.Put", second, "r2").status == 200);
+    CHECK(system.operatorCall("/api/Config.Put", System::tableText("r5", "/z/"), "r2").status == 412);
+    CHECK(system.operatorCall("/api/Config.Put", System::tableText("r5", "/z/"), "r5").status == 400);
+    CHECK(system.operatorCall("/api/Config.Put", second.substr(0, 40), "r5").status == 400);
+    CHECK(system.get(system.registry->operatorsAddress(), "/api/Config.Get").body == second);
+}
+
+TEST_CASE("an answer under another request's id reaches nobody")
+{
+    System system;
+    FakeTarget target("i-1");
+    system.putTable("r2", "0");
+    system.beat("i-1", target, 1);
+    REQUIRE(system.becomesReady());
+    target.answersForAnother = true;
+    CHECK(system.get(system.gateway->callersAddress(), "/p/x", "q1").status == 502);
+    target.answersForAnother = false;
+    CHECK(system.get(system.gateway->callersAddress(), "/p/x", "q2").status == 200);
+}
+
+TEST_CASE("a planned stop finishes what was passed on, and passes nothing on just before its end")
+{
+    System system;
+    FakeTarget target("i-1");
+    system.putTable("r2", "0");
+    system.beat("i-1", target, 1);
+    REQUIRE(system.becomesReady());
+    const Address callers = system.gateway->callersAddress();
+    target.hold();
+    std::future<Answer> held = std::async(std::launch::async, [&] { return system.get(callers, "/p/x", "q1"); });
+    REQUIRE(System::eventually([&] { return target.runs() == 1; }));
+    std::future<void> stopped = std::async(std::launch::async, [&] { system.gateway->stopGracefully(); });
+    REQUIRE(System::eventually(
+        [&] { return system.get(system.gateway->readinessAddress(), "/api/readyz").status == 503; }));
+    target.release();
+    CHECK(held.get().status == 200);
+    // Callers come until the very end: each is served, or told that nothing was run.
+    int served = 0;
+    while (stopped.wait_for(0s) != std::future_status::ready) {
+        const int before = target.runs();
+        const Answer answer = system.get(callers, "/p/x", "q2");
+        if (answer.status == 200) {
+            ++served;
+            CHECK(target.runs() == before + 1);
+        } else {
+            CHECK(answer.status == 503);
+            CHECK(target.runs() == before);
+        }
+    }
+    CHECK(served > 0);
+    const int runs = target.runs();
+    CHECK(system.get(callers, "/p/x", "q3").status == 503);
+    CHECK(target.runs() == runs);
+}
--- /dev/null
+++ b/unittests/Platform/DialectTest.cpp
@@ -0,0 +1,163 @@
+//===- DialectTest.cpp - The platform's words and the product's ----------===//
+#include "platform/Dialect.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+using namespace std::chrono_literals;
+using platform::Clients;
+using platform::Control;
+
+namespace
+{
+
+const std::string TableText =
+    R"({"version":"r7","services":[{"name":"s1","healthPath":"/healthz","maxConns":330,"coldS":3.0,"coldPerS":3.5},
+    {"name":"s2"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutS":3,"idleTimeoutS":15},
+    "hosts":[{"host":"a.example","paths":[
+    {"name":"r1","pathPrefix":"/p/","kind":"unsafe","timeoutS":4,"sloS":0.6,"prio":1,"service":"s1","attempts":2,
+     "sticky":true,"homeRegions":["x"]},
+    {"name":"r2","pathPrefix":"/q/","kind":"download","timeoutS":3,"sloS":0.4,"prio":2,"attempts":1,
+     "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}]}]})";
+
+HttpRequest request(const std::string &method, const std::string &resource, const std::string &body = {})
+{
+    HttpRequest it;
+    it.method = method;
+    it.resource = resource;
+    it.body = body;
+    return it;
+}
+
+std::string headerOf(const Answer &answer, const std::string &name)
+{
+    for (const HeaderField &field : answer.headers) {
+        if (sameName(field.name, name)) {
+            return field.value;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("a configuration is read whole")
+{
+    const RouteTable table = Control::readTable(TableText);
+    CHECK(table.version == 7);
+    CHECK(table.services.at(0).coldPerSecond == 3.5);
+    CHECK(table.services.at(0).coldTime == 3s);
+    const fleet::Route &once = table.routes.at(0);
+    CHECK(once.kind == RouteKind::OnceOnly);
+    CHECK(once.timeout == 4s);
+    CHECK(once.objective == 600ms);
+    CHECK(once.sticky);
+    CHECK(once.homeRegions == std::vector<std::string>{"x"});
+    const fleet::Route &split = table.routes.at(1);
+    CHECK(split.kind == RouteKind::Repeatable);
+    CHECK(split.services.at(1).weight == 10);
+    CHECK(table.limits.idleTimeout == 15s);
+    CHECK(checkRouteTable(table, "f").empty());
+}
+
+TEST_CASE("a configuration that is cut short or lacks a field is an error, not a part of one")
+{
+    CHECK_THROWS_AS(Control::readTable(TableText.substr(0, TableText.size() / 2)), Error);
+    CHECK_THROWS_AS(Control::readTable(R"({"version":"7"})"), Error);
+    CHECK_THROWS_AS(Control::readTable("[]"), Error);
+}
+
+TEST_CASE("targets' reports and departures")
+{
+    const std::string body = R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":3,)"
+                             R"("state":"draining","coldLeftS":1.5,"seq":4})";
+    const auto beat = std::get<TargetSays>(
+        Control::readControlRequest(request("POST", "/api/Instances.Heartbeat/i-1", body)));
+    CHECK(beat.report.id == "i-1");
+    CHECK(beat.report.presence == Presence::Draining);
+    CHECK(beat.report.coldLeft == 1500ms);
+    CHECK(beat.report.sequence == 4);
+    const auto leave = std::get<TargetSays>(Control::readControlRequest(request("POST", "/api/Instances.Leave/i-1")));
+    CHECK(leave.report.presence == Presence::Gone);
+    const auto bad = Control::readControlRequest(request("POST", "/api/Instances.Heartbeat/i-1", "{"));
+    CHECK(std::get<UnknownCall>(bad).isKnownPath);
+}
+
+TEST_CASE("orders of the operator")
+{
+    HttpRequest put = request("POST", "/api/Config.Put", TableText);
+    put.headers.push_back({"X-If-Rev", "r5"});
+    CHECK(std::get<PutTable>(Control::readControlRequest(put)).baseVersion == 5);
+    put.headers = {{"X-If-Rev", "0"}};
+    CHECK(std::get<PutTable>(Control::readControlRequest(put)).baseVersion == 0);
+    const auto start = Control::readControlRequest(request("POST", "/api/Evacuations.Start/z-a"));
+    CHECK(std::get<SetEvacuation>(start).zone == "z-a");
+    CHECK(std::get<SetEvacuation>(start).isEvacuated);
+    const auto end = Control::readControlRequest(request("POST", "/api/Evacuations.End/z-a"));
+    CHECK_FALSE(std::get<SetEvacuation>(end).isEvacuated);
+    const auto find = Control::readControlRequest(request("GET", "/api/resolve?name=a&region=r&zone=z-a"));
+    CHECK(std::get<FindEntryHosts>(find).zone == "z-a");
+    CHECK_FALSE(std::get<UnknownCall>(Control::readControlRequest(request("GET", "/other"))).isKnownPath);
+}
+
+TEST_CASE("answers of control hosts")
+{
+    CHECK(Control::controlAnswer(ControlAnswer::Done, {}).status == 200);
+    CHECK(Control::controlAnswer(ControlAnswer::Conflict, {}).status == 412);
+    CHECK(Control::controlAnswer(ControlAnswer::Invalid, {}).status == 400);
+    CHECK(Control::controlAnswer(ControlAnswer::Unavailable, {}).status == 503);
+    const Answer elsewhere = Control::redirect(request("POST", "/api/Config.Put"), "10.0.0.4:80");
+    CHECK(elsewhere.status == 307);
+    CHECK(headerOf(elsewhere, "Location") == "http://10.0.0.4:80/api/Config.Put");
+    const nlohmann::json hosts = nlohmann::json::parse(Control::entryHosts({"10.0.0.1:80"}, 1500ms).body);
+    CHECK(hosts == nlohmann::json{{"addrs", {"10.0.0.1:80"}}, {"ttlS", 1.5}});
+}
+
+TEST_CASE("a caller's request")
+{
+    HttpRequest it = request("GET", "/p/x?y=1");
+    it.headers = {{"Host", "a.example"}, {"X-Request-Id", "q1"}, {"Cookie", "a=b; X-Affinity-Key=17; c=d"},
+                  {"X-Deadline-Ms", "2500"}};
+    const CallerTerms terms = Clients::readRequest(it);
+    CHECK(terms.requestId == "q1");
+    CHECK(terms.path == "/p/x");
+    CHECK(terms.affinityKey == "17");
+    CHECK(terms.deadline == Duration(2500ms));
+}
+
+TEST_CASE("a target is told who is meant and what time is left, once")
+{
+    const auto headers = Clients::targetHeaders({{"X-Deadline-Ms", "9000"}, {"X-Expect-Instance", "evil"}, {"A", "b"}},
+                                                "i-1", 1234ms);
+    CHECK(headers
+          == std::vector<HeaderField>{{"A", "b"}, {"X-Deadline-Ms", "1234"}, {"X-Expect-Instance", "i-1"}});
+}
+
+TEST_CASE("what an answer says")
+{
+    CHECK(Clients::answersRequest({{"x-request-id", "q1"}}, "q1"));
+    CHECK_FALSE(Clients::answersRequest({{"x-request-id", "q2"}}, "q1"));
+    CHECK_FALSE(Clients::answersRequest({}, "q1"));
+    const AnswerTerms good = Clients::readAnswer({200, {{"X-Upstream-Seal", "s"}, {"X-Upstream-Load", "3,1,8"}}, {}});
+    CHECK(good.isExecuted);
+    CHECK(good.isComplete);
+    CHECK(good.load->waiting == 1);
+    CHECK(good.load->slots == 8);
+    CHECK_FALSE(Clients::readAnswer({503, {{"X-Not-Executed", "full"}}, {}}).isExecuted);
+    CHECK(Clients::readAnswer({421, {}, {}}).isWrongTarget);
+    CHECK_FALSE(Clients::readAnswer({200, {}, {}}).isComplete);
+    CHECK_FALSE(Clients::readAnswer({200, {{"X-Upstream-Load", "3,x,8"}}, {}}).load);
+}
+
+TEST_CASE("only what has not run is refused with a promise")
+{
+    for (const Refusal reason : {Refusal::NoConfiguration, Refusal::NoTarget, Refusal::Overloaded, Refusal::NotReached,
+                                 Refusal::Stopping, Refusal::NoRoute, Refusal::Lost, Refusal::TimedOut}) {
+        const Answer answer = Clients::refusal({"q1", reason, 150ms});
+        const bool promises = answer.status == 503 || answer.status == 404;
+        CHECK(promises == promisesNotRun(reason));
+        CHECK(headerOf(answer, "X-Request-Id") == "q1");
+        CHECK(headerOf(answer, "Retry-After") == "0.150");
+    }
+}
--- /dev/null
+++ b/unittests/Routes/RoutesTest.cpp
@@ -0,0 +1,131 @@
+//===- RoutesTest.cpp - Matching, checks, and what control hosts agree on -===//
+#include "pepperlug/Routes.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+Route route(const std::string &prefix, const std::string &service = "s")
+{
+    Route it;
+    it.name = "r" + prefix;
+    it.host = "a.example";
+    it.prefix = prefix;
+    it.timeout = 2s;
+    it.objective = 400ms;
+    it.services = {{service, 1}};
+    it.attempts = 2;
+    return it;
+}
+
+RouteTable table()
+{
+    RouteTable it;
+    it.version = 3;
+    it.services = {{"s", 10, 3s, 4}};
+    it.routes = {route("/a/"), route("/a/b/")};
+    return it;
+}
+
+RoutingCommand put(std::uint64_t base, std::uint64_t version, const std::string &text = "text")
+{
+    return {RoutingCommandKind::PutTable, base, version, text, {}};
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes is chosen")
+{
+    const RouteTable it = table();
+    CHECK(it.match("a.example", "/a/b/c")->prefix == "/a/b/");
+    CHECK(it.match("a.example", "/a/x")->prefix == "/a/");
+    CHECK(it.match("a.example", "/ab") == nullptr);
+    CHECK(it.match("b.example", "/a/x") == nullptr);
+}
+
+TEST_CASE("each fault of a table is a finding of its own")
+{
+    REQUIRE(checkRouteTable(table(), "f").empty());
+    RouteTable bad = table();
+    SECTION("unknown service")
+    {
+        bad.routes[0].services[0].service = "x";
+    }
+    SECTION("two routes in one place")
+    {
+        bad.routes[1].prefix = bad.routes[0].prefix;
+    }
+    SECTION("weights that sum to 0")
+    {
+        bad.routes[0].services[0].weight = 0;
+    }
+    SECTION("an objective a minute past the time limit")
+    {
+        bad.routes[0].objective = bad.routes[0].timeout + 60s;
+    }
+    SECTION("no attempts")
+    {
+        bad.routes[0].attempts = 0;
+    }
+    SECTION("a prefix without a slash at its end")
+    {
+        bad.routes[0].prefix = "/a";
+    }
+    CHECK(checkRouteTable(bad, "f").size() == 1);
+}
+
+TEST_CASE("a weight below 0 is a finding although the sum is positive")
+{
+    RouteTable bad = table();
+    bad.routes[0].services = {{"s", 2}, {"s", -1}};
+    CHECK(checkRouteTable(bad, "f").size() == 1);
+}
+
+TEST_CASE("of two changes upon the same version one is taken")
+{
+    RoutingState state;
+    CHECK(state.apply(put(0, 4, "one"), 1) == RoutingResult::Done);
+    CHECK(state.apply(put(0, 5, "two"), 2) == RoutingResult::Conflict);
+    CHECK(state.version() == 4);
+    CHECK(state.text() == "one");
+}
+
+TEST_CASE("a change that was taken is acknowledged again, also after others")
+{
+    RoutingState state;
+    state.apply(put(0, 4, "one"), 1);
+    state.apply(put(4, 9, "two"), 2);
+    CHECK(state.apply(put(0, 4, "one"), 3) == RoutingResult::AlreadyDone);
+    CHECK(state.version() == 9);
+    CHECK(state.index() == 2);
+}
+
+TEST_CASE("the same version with another text, or upon another base, is no resend")
+{
+    RoutingState state;
+    state.apply(put(0, 4, "one"), 1);
+    CHECK(state.apply(put(0, 4, "other"), 2) == RoutingResult::Conflict);
+    CHECK(state.apply(put(4, 4, "one"), 3) == RoutingResult::NotNewer);
+    CHECK(state.text() == "one");
+}
+
+TEST_CASE("evacuations are repeated without effect, and survive a snapshot with all else")
+{
+    RoutingState state;
+    state.apply(put(0, 4, "one"), 1);
+    const RoutingCommand evacuate{RoutingCommandKind::EvacuateZone, 0, 0, {}, "z1"};
+    CHECK(state.apply(evacuate, 2) == RoutingResult::Done);
+    CHECK(state.apply(evacuate, 3) == RoutingResult::AlreadyDone);
+    RoutingState copy;
+    copy.restore(state.snapshot());
+    CHECK(copy.index() == 2);
+    CHECK(copy.evacuatedZones() == std::set<std::string>{"z1"});
+    CHECK(copy.apply(put(0, 4, "one"), 4) == RoutingResult::AlreadyDone);
+    CHECK(copy.apply({RoutingCommandKind::ReturnZone, 0, 0, {}, "z1"}, 5) == RoutingResult::Done);
+    CHECK(copy.evacuatedZones().empty());
+}
