--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -106,7 +106,9 @@
         return placement.fill <= FreeFill;
     }
     const double way = isAbroad ? std::chrono::duration<double>(AbroadTime).count() : 0;
-    const double predicted = std::chrono::duration<double>(*work).count() * std::max(1.0, placement.fill) + way;
+    // A target that does not remember the key is late in any case, but learns it; the wait is that of the mean request.
+    const double wait = std::chrono::duration<double>(*work).count() * std::max(0.0, placement.fill - 1);
+    const double predicted = std::chrono::duration<double>(*stats->second.warmWork()).count() + wait + way;
     const double objective = std::chrono::duration<double>(open.route.objective - (m_now - open.arrivedAt)).count();
     return predicted <= objective * (isUrgent ? ObjectivePart : LessUrgentObjectivePart);
 }
--- a/lib/Balance/RouteStats.h
+++ b/lib/Balance/RouteStats.h
@@ -18,9 +18,23 @@
     {
         const double work = std::chrono::duration<double>(took).count() / std::max(1.0, fill);
         m_work = m_count == 0 ? work : m_work + (work - m_work) * Weight;
+        if (m_count == 0) {
+            m_warmWork = work;
+        }
+        // Moves until the wanted part of the times lies below.
+        m_warmWork *= work < m_warmWork ? 1 - Step * (1 - WarmQuantile) : 1 + Step * WarmQuantile;
         ++m_count;
     }
 
+    /// Time at a target that remembers the request's key; nothing while too little was seen.
+    std::optional<Duration> warmWork() const
+    {
+        if (m_count < LeastSeen) {
+            return std::nullopt;
+        }
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_warmWork));
+    }
+
     /// Mean time; nothing while too little was seen.
     std::optional<Duration> work() const
     {
@@ -33,8 +47,11 @@
 private:
     static constexpr double Weight = 0.05;
     static constexpr unsigned LeastSeen = 5;
+    static constexpr double WarmQuantile = 0.3;
+    static constexpr double Step = 0.05;
 
     double m_work = 0;
+    double m_warmWork = 0;
     unsigned m_count = 0;
 };
 
