--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -18,7 +18,7 @@
 {
 
 /// Targets that a key is spread over.
-constexpr std::size_t AffinityWidth = 3;
+constexpr std::size_t AffinityWidth = 2;
 /// The first ranked target with no more than this keeps the key, so that few targets have to learn it.
 constexpr double PreferredFill = 0.7;
 /// What a told load is worth halves in this time.
