--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -20,7 +20,7 @@
 /// Targets that a key is spread over.
 constexpr std::size_t AffinityWidth = 2;
 /// The first ranked target with no more than this keeps the key, so that few targets have to learn it.
-constexpr double PreferredFill = 0.7;
+constexpr double PreferredFill = 1.0;
 /// What a told load is worth halves in this time.
 constexpr std::chrono::duration<double> LoadHalfLife{0.6};
 /// Part of the bound on cold targets that is used, since membership may be believed differently for a moment.
