--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -85,8 +85,7 @@
 struct BalanceTick {
 };
 
-using BalanceEvent =
-    std::variant<RoutesChanged, ReportsChanged, CallerRequest, CallerLeft, AttemptEnded, BalanceTick>;
+using BalanceEvent = std::variant<RoutesChanged, ReportsChanged, CallerRequest, CallerLeft, AttemptEnded, BalanceTick>;
 
 //===-- Effects ---------------------------------------------------------------===//
 
--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -81,8 +81,9 @@
 };
 
 template <typename T>
-concept CallerDialect = requires(const HttpRequest &request, const Answer &answer, const std::vector<HeaderField> &headers,
-                                 const std::string &text, Duration time, const RefusalTerms &refusal)
+concept CallerDialect = requires(const HttpRequest &request, const Answer &answer,
+                                 const std::vector<HeaderField> &headers, const std::string &text, Duration time,
+                                 const RefusalTerms &refusal)
 {
     {
         T::readRequest(request)
@@ -125,7 +126,7 @@
 template <CallerDialect T>
 CallerDialectTable callerDialect()
 {
-    return {&T::readRequest, &T::targetHeaders, &T::answersRequest, &T::readAnswer,
+    return {&T::readRequest, &T::targetHeaders, &T::answersRequest,  &T::readAnswer,
             &T::refusal,     &T::readTable,     &T::isReadinessCheck};
 }
 
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -269,8 +269,8 @@
 void Balancer::Impl::hedgeSilent()
 {
     for (auto &[id, open] : m_open) {
-        const bool mayHedge = open.route.kind == RouteKind::Repeatable && open.attempts.size() == 1
-            && open.started < open.route.attempts;
+        const bool mayHedge =
+            open.route.kind == RouteKind::Repeatable && open.attempts.size() == 1 && open.started < open.route.attempts;
         if (!mayHedge) {
             continue;
         }
--- a/lib/Balance/RegionPlan.cpp
+++ b/lib/Balance/RegionPlan.cpp
@@ -11,7 +11,7 @@
 {
 
 /// Part of a region's slots up to which it serves its own callers before it sends any away.
-constexpr double FullRegion = 0.8;
+constexpr double FullRegion = 0.6;
 /// Below this a region is treated as having no room.
 constexpr double LeastRoom = 0.5;
 
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -2,8 +2,8 @@
 //
 // With an affinity key the choice is the least filled of the few targets that rendezvous hashing ranks first for the
 // key: all entry hosts rank alike without talking, so a target sees the same keys again and stays warm for them. When
-// these are full no other is taken: a target remembers a limited number of keys, so a key that spills over makes another
-// target forget, all become slow, and more spills over. Measured: docs/MEASUREMENTS.md.
+// these are full no other is taken: a target remembers a limited number of keys, so a key that spills over makes
+// another target forget, all become slow, and more spills over. Measured: docs/MEASUREMENTS.md.
 //
 //===----------------------------------------------------------------------===//
 #include "TargetSet.h"
@@ -146,9 +146,8 @@
 
 std::size_t TargetSet::warmers(const TargetState &target) const
 {
-    return static_cast<std::size_t>(std::count_if(m_entryHosts.begin(), m_entryHosts.end(), [&](const auto &it) {
-        return warmsZone(it.second, target);
-    }));
+    return static_cast<std::size_t>(std::count_if(m_entryHosts.begin(), m_entryHosts.end(),
+                                                  [&](const auto &it) { return warmsZone(it.second, target); }));
 }
 
 bool TargetSet::isWarmer(const TargetState &target) const
@@ -167,16 +166,20 @@
 
 TargetState *TargetSet::chooseAmong(std::vector<TargetState *> &candidates, std::uint64_t affinity, TimePoint now)
 {
-    const auto fill = [now](const TargetState *it) { return (it->believedRequests(now) + 1) / it->slots(); };
-    const auto isEmptier = [&](const TargetState *lhs, const TargetState *rhs) { return fill(lhs) < fill(rhs); };
+    const auto fill = [now](const TargetState *it) {
+        return (it->believedRequests(now) + 1) / it->slots();
+    };
+    const auto isEmptier = [&](const TargetState *lhs, const TargetState *rhs) {
+        return fill(lhs) < fill(rhs);
+    };
     if (affinity == 0) {
         return *std::min_element(candidates.begin(), candidates.end(), isEmptier);
     }
     std::vector<std::pair<std::uint64_t, TargetState *>> ranked;
     ranked.reserve(candidates.size());
     for (TargetState *it : candidates) {
-        ranked.emplace_back(hash64(std::string_view(reinterpret_cast<const char *>(&it->hash), sizeof it->hash), affinity),
-                            it);
+        ranked.emplace_back(
+            hash64(std::string_view(reinterpret_cast<const char *>(&it->hash), sizeof it->hash), affinity), it);
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto &lhs, const auto &rhs) { return lhs.first > rhs.first; });
     std::vector<TargetState *> first;
@@ -195,7 +198,8 @@
     std::vector<TargetState *> blocked;
     for (auto &[id, target] : m_targets) {
         const bool isHome = query.homeRegions == nullptr || query.homeRegions->empty()
-            || std::find(query.homeRegions->begin(), query.homeRegions->end(), target.region) != query.homeRegions->end();
+            || std::find(query.homeRegions->begin(), query.homeRegions->end(), target.region)
+                != query.homeRegions->end();
         const bool fits = target.report.service == query.service && isHome
             && (query.region.empty() || query.region == target.region) && !query.excluded.contains(id);
         if (!fits || !isUsable(target, now) || (target.isCold(now) && !mayWarm(target, now))) {
@@ -208,9 +212,10 @@
         return chooseAmong(open, query.affinity, now);
     }
     // All failed lately: the one whose turn to be tried again comes first.
-    const auto it = std::min_element(blocked.begin(), blocked.end(), [](const TargetState *lhs, const TargetState *rhs) {
-        return lhs->blockedUntil < rhs->blockedUntil;
-    });
+    const auto it =
+        std::min_element(blocked.begin(), blocked.end(), [](const TargetState *lhs, const TargetState *rhs) {
+            return lhs->blockedUntil < rhs->blockedUntil;
+        });
     return it == blocked.end() ? nullptr : *it;
 }
 
@@ -226,7 +231,8 @@
     target.awaitingSince = target.awaitingSince.value_or(now);
     const ServiceTraits *traits = m_table ? m_table->service(target.report.service) : nullptr;
     if (target.isCold(now) && traits != nullptr && traits->coldPerSecond > 0) {
-        const double rate = traits->coldPerSecond * ColdMargin / static_cast<double>(std::max<std::size_t>(1, warmers(target)));
+        const double rate =
+            traits->coldPerSecond * ColdMargin / static_cast<double>(std::max<std::size_t>(1, warmers(target)));
         target.coldTokenAt = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
     }
 }
--- a/lib/Consensus/Membership.cpp
+++ b/lib/Consensus/Membership.cpp
@@ -84,7 +84,8 @@
         return;
     }
     const auto isSilent = [this](const ControlMember &member) {
-        return member.name != m_settings.name && m_now > m_progress[member.name].heardAt + *m_settings.replaceSilentAfter;
+        return member.name != m_settings.name
+            && m_now > m_progress[member.name].heardAt + *m_settings.replaceSilentAfter;
     };
     const auto hasSuccessor = [&](const ControlMember &gone) {
         return std::any_of(m_members.begin(), m_members.end(), [&](const ControlMember &it) {
--- a/lib/Fleet/EventLog.cpp
+++ b/lib/Fleet/EventLog.cpp
@@ -59,7 +59,8 @@
     if (untold > 0) {
         line["lines_dropped"] = untold;
     }
-    m_sink.writeLater([line = std::move(line)] { return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace); });
+    m_sink.writeLater(
+        [line = std::move(line)] { return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace); });
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -62,16 +62,21 @@
         const std::lock_guard lock(m_mutex);
         return m_routingIndex;
     };
-    hooks.candidates = [this] { return controlHosts(); };
-    hooks.onReply = [this](const Address &from, const FleetWatchReply &reply) { onControlReply(from, reply); };
+    hooks.candidates = [this] {
+        return controlHosts();
+    };
+    hooks.onReply = [this](const Address &from, const FleetWatchReply &reply) {
+        onControlReply(from, reply);
+    };
     hooks.onLink = [this](const Address &control, bool isLost, const std::string &reason) {
         onLink(control, isLost, reason);
     };
     m_watch = std::make_unique<ControlWatch>(m_net, WatchPatience, std::move(hooks));
     m_callersServer = std::make_unique<HttpServer>(m_settings.callers, 1, callerLimits(m_settings), m_clock,
                                                    [this](const HttpExchangePtr &exchange) { onHttp(exchange); });
-    m_readinessServer = std::make_unique<HttpServer>(m_settings.readiness, 1, HttpLimits{}, m_clock,
-                                                     [this](const HttpExchangePtr &exchange) { onReadiness(exchange); });
+    m_readinessServer =
+        std::make_unique<HttpServer>(m_settings.readiness, 1, HttpLimits{}, m_clock,
+                                     [this](const HttpExchangePtr &exchange) { onReadiness(exchange); });
     m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
 }
 
@@ -142,10 +147,16 @@
 void GatewayDaemon::Impl::onControlReply(const Address &from, const FleetWatchReply &reply)
 {
     for (const AgedReport<TargetReport> &it : reply.changes.targets) {
-        m_events.state("target", {{"target", it.report.id}, {"service", it.report.service},
-                                  {"address", it.report.address}, {"presence", nameOf(it.report.presence)},
-                                  {"silent", it.isSilent}, {"cold_ms", it.report.coldLeft.count()},
-                                  {"sequence", it.report.sequence}, {"age_ms", it.age.count()}, {"from", from.text()}});
+        m_events.state("target",
+                       {{"target", it.report.id},
+                        {"service", it.report.service},
+                        {"address", it.report.address},
+                        {"presence", nameOf(it.report.presence)},
+                        {"silent", it.isSilent},
+                        {"cold_ms", it.report.coldLeft.count()},
+                        {"sequence", it.report.sequence},
+                        {"age_ms", it.age.count()},
+                        {"from", from.text()}});
     }
     std::shared_ptr<RouteTable> table;
     if (reply.hasRouting && !reply.tableText.empty()) {
@@ -179,8 +190,11 @@
         }
         m_routingIndex = reply.routingIndex;
     }
-    m_events.state("routing", {{"index", reply.routingIndex}, {"table", table->version},
-                               {"evacuated", reply.evacuatedZones}, {"from", from.text()}});
+    m_events.state("routing",
+                   {{"index", reply.routingIndex},
+                    {"table", table->version},
+                    {"evacuated", reply.evacuatedZones},
+                    {"from", from.text()}});
     reduce(RoutesChanged{table, {reply.evacuatedZones.begin(), reply.evacuatedZones.end()}});
 }
 
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -89,14 +89,22 @@
     call.body = open.body;
     call.timeout = effect.timeLeft + ClientMargin;
     call.connectTimeout = std::min<Duration>(ConnectTimeout, effect.timeLeft);
-    call.acceptsHead = [accepts = m_dialect.answersRequest, id = open.terms.requestId](
-                           const std::vector<HeaderField> &headers) { return accepts(headers, id); };
+    call.acceptsHead = [accepts = m_dialect.answersRequest,
+                        id = open.terms.requestId](const std::vector<HeaderField> &headers) {
+        return accepts(headers, id);
+    };
     m_metrics.count("pepperlug_attempts");
-    m_events.decision("attempt", {{"request", open.terms.requestId}, {"attempt", effect.attempt},
-                                  {"target", effect.target}, {"address", effect.address}, {"zone", effect.zone},
-                                  {"service", effect.service}, {"key", open.terms.affinityKey}, {"fill", effect.fill},
-                                  {"load_age_ms", effect.loadAge.count()},
-                                  {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
+    m_events.decision("attempt",
+                      {{"request", open.terms.requestId},
+                       {"attempt", effect.attempt},
+                       {"target", effect.target},
+                       {"address", effect.address},
+                       {"zone", effect.zone},
+                       {"service", effect.service},
+                       {"key", open.terms.affinityKey},
+                       {"fill", effect.fill},
+                       {"load_age_ms", effect.loadAge.count()},
+                       {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
     const RequestId id = effect.id;
     const unsigned attempt = effect.attempt;
     open.calls[attempt] =
@@ -154,9 +162,13 @@
             return;
         }
         it->second.calls.erase(attempt);
-        m_events.decision("attempt-ended", {{"request", it->second.terms.requestId}, {"attempt", attempt},
-                                            {"target", target}, {"outcome", nameOf(ended.outcome)},
-                                            {"status", result.answer.status}, {"reason", result.reason}});
+        m_events.decision("attempt-ended",
+                          {{"request", it->second.terms.requestId},
+                           {"attempt", attempt},
+                           {"target", target},
+                           {"outcome", nameOf(ended.outcome)},
+                           {"status", result.answer.status},
+                           {"reason", result.reason}});
         if (ended.outcome == AttemptOutcome::Answered) {
             it->second.answer = std::move(result.answer);
         }
@@ -176,8 +188,11 @@
     answer.headers = endToEndHeaders(answer.headers);
     const Duration took = m_clock.now() - open.arrivedAt;
     m_metrics.latency("pepperlug_request_seconds", took);
-    m_events.decision("answered", {{"request", open.terms.requestId}, {"attempt", effect.attempt},
-                                   {"status", answer.status}, {"took_ms", secondsOf(took) * 1000}});
+    m_events.decision("answered",
+                      {{"request", open.terms.requestId},
+                       {"attempt", effect.attempt},
+                       {"status", answer.status},
+                       {"took_ms", secondsOf(took) * 1000}});
     open.exchange->respond(answer);
     m_open.erase(it);
 }
@@ -191,10 +206,14 @@
     OpenExchange &open = it->second;
     const Duration took = m_clock.now() - open.arrivedAt;
     m_metrics.count(std::string("pepperlug_refusals{reason=\"") + nameOf(effect.reason) + "\"}");
-    m_events.decision("refused", {{"request", open.terms.requestId}, {"reason", nameOf(effect.reason)},
-                                  {"route", effect.route}, {"target", effect.lastTarget},
-                                  {"table", m_balancer->tableVersion()},
-                                  {"retry_after_ms", effect.retryAfter.count()}, {"took_ms", secondsOf(took) * 1000}});
+    m_events.decision("refused",
+                      {{"request", open.terms.requestId},
+                       {"reason", nameOf(effect.reason)},
+                       {"route", effect.route},
+                       {"target", effect.lastTarget},
+                       {"table", m_balancer->tableVersion()},
+                       {"retry_after_ms", effect.retryAfter.count()},
+                       {"took_ms", secondsOf(took) * 1000}});
     open.exchange->respond(m_dialect.refusal({open.terms.requestId, effect.reason, effect.retryAfter}));
     m_open.erase(it);
 }
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -59,15 +59,20 @@
     , m_startedAt(clock.now())
 {
     m_log = std::make_unique<ControlLog>(logSettings(m_settings), m_clock, *this);
-    m_events.state("start", {{"role", "control"}, {"zone", m_settings.zone}, {"disk", m_log->diskId()},
-                             {"first_start", m_settings.isFirstStart}});
+    m_events.state("start",
+                   {{"role", "control"},
+                    {"zone", m_settings.zone},
+                    {"disk", m_log->diskId()},
+                    {"first_start", m_settings.isFirstStart}});
     m_net.listen(m_settings.peer, [this](const IncomingCallPtr &call) { onPeerCall(call); });
     m_log->start();
-    const auto handler = [this](const HttpExchangePtr &exchange) { onHttp(exchange); };
+    const auto handler = [this](const HttpExchangePtr &exchange) {
+        onHttp(exchange);
+    };
     m_operatorsServer = std::make_unique<HttpServer>(m_settings.operators, 1, operatorLimits(), m_clock, handler);
     m_directoryServer = std::make_unique<HttpServer>(m_settings.directory, 1, HttpLimits{}, m_clock, handler);
-    m_metricsServer =
-        std::make_unique<HttpServer>(m_settings.metrics, 1, HttpLimits{}, m_clock, [this](const HttpExchangePtr &exchange) {
+    m_metricsServer = std::make_unique<HttpServer>(
+        m_settings.metrics, 1, HttpLimits{}, m_clock, [this](const HttpExchangePtr &exchange) {
             exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
         });
     m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
@@ -190,8 +195,12 @@
                     const std::lock_guard guard(m_mutex);
                     return m_routing.index();
                 };
-                hooks.candidates = [peer] { return std::vector<Address>{peer}; };
-                hooks.onReply = [this](const Address &from, const FleetWatchReply &reply) { onPeerNews(from, reply); };
+                hooks.candidates = [peer] {
+                    return std::vector<Address>{peer};
+                };
+                hooks.onReply = [this](const Address &from, const FleetWatchReply &reply) {
+                    onPeerNews(from, reply);
+                };
                 hooks.onLink = [this](const Address &to, bool isLost, const std::string &reason) {
                     m_events.state(isLost ? "control-host-lost" : "control-host-regained",
                                    {{"peer", to.text()}, {"reason", reason}});
@@ -216,11 +225,13 @@
         replyWatchers(m_clock.now());
     }
     if (result == RoutingResult::Done) {
-        m_events.state("routing-changed", {{"index", index},
-                                           {"change", decoded.kind == RoutingCommandKind::PutTable
-                                                ? "table " + std::to_string(decoded.version)
-                                                : (decoded.kind == RoutingCommandKind::EvacuateZone ? "evacuate " : "return ")
-                                                    + decoded.zone}});
+        m_events.state(
+            "routing-changed",
+            {{"index", index},
+             {"change",
+              decoded.kind == RoutingCommandKind::PutTable
+                  ? "table " + std::to_string(decoded.version)
+                  : (decoded.kind == RoutingCommandKind::EvacuateZone ? "evacuate " : "return ") + decoded.zone}});
     }
     return std::to_string(static_cast<int>(result));
 }
@@ -244,8 +255,12 @@
     for (const ControlMember &member : status.members) {
         members.push_back(member.name + (member.voter ? "" : " (learner)"));
     }
-    m_events.state("control-group", {{"role", nameOf(status.role)}, {"term", status.term}, {"leader", status.leader},
-                                     {"commit", status.commit}, {"members", members}});
+    m_events.state("control-group",
+                   {{"role", nameOf(status.role)},
+                    {"term", status.term},
+                    {"leader", status.leader},
+                    {"commit", status.commit},
+                    {"members", members}});
 }
 
 void RegistryDaemon::Impl::sendToMember(const std::string &name, const ControlMessage &message)
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -58,9 +58,14 @@
         m_registry.receive(report, now);
         const Registry::TargetEntry *entry = m_registry.target(report.id);
         if (!wasKnown || before != entry->report.presence) {
-            m_events.state("target", {{"target", report.id}, {"service", report.service}, {"address", report.address},
-                                      {"zone", report.zone}, {"presence", nameOf(entry->report.presence)},
-                                      {"cold_ms", report.coldLeft.count()}, {"sequence", report.sequence}});
+            m_events.state("target",
+                           {{"target", report.id},
+                            {"service", report.service},
+                            {"address", report.address},
+                            {"zone", report.zone},
+                            {"presence", nameOf(entry->report.presence)},
+                            {"cold_ms", report.coldLeft.count()},
+                            {"sequence", report.sequence}});
         }
         replyWatchers(now);
         if (isDeparture) {
@@ -101,8 +106,9 @@
         }
         m_events.state(isDone ? "departure-acknowledged" : "departure-not-spread",
                        {{"target", departure.target}, {"registry_version", departure.version}});
-        departure.exchange->respond(m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
-                                                            isDone ? "" : "no majority of control hosts knows of it yet"));
+        departure.exchange->respond(
+            m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
+                                    isDone ? "" : "no majority of control hosts knows of it yet"));
         return true;
     });
 }
@@ -177,7 +183,8 @@
     switch (result) {
     case RoutingResult::Done:
     case RoutingResult::AlreadyDone:
-        m_events.decision("change-acknowledged", {{"change", subject}, {"again", result == RoutingResult::AlreadyDone}});
+        m_events.decision("change-acknowledged",
+                          {{"change", subject}, {"again", result == RoutingResult::AlreadyDone}});
         exchange->respond(m_dialect.controlAnswer(ControlAnswer::Done, {}));
         return;
     case RoutingResult::Conflict:
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -262,8 +262,9 @@
     if (!m_isAlive || !peer) {
         return;
     }
-    // Most answers fit into the socket's buffer; then they are written at once, on this thread. The number of the socket
-    // is taken while the connection is alive, and no other write goes on: Pistache's queue is used only for what is left.
+    // Most answers fit into the socket's buffer; then they are written at once, on this thread. The number of the
+    // socket is taken while the connection is alive, and no other write goes on: Pistache's queue is used only for what
+    // is left.
     const std::size_t written = m_isQueued ? 0 : writeNow(peer->fd(), bytes);
     if (written == bytes.size()) {
         if (closesAfter) {
--- a/lib/Http/SocketLoop.cpp
+++ b/lib/Http/SocketLoop.cpp
@@ -59,8 +59,8 @@
 int SocketLoop::onTimer(CURLM *, long timeoutMs, void *self)
 {
     auto *loop = static_cast<SocketLoop *>(self);
-    loop->m_due = timeoutMs < 0 ? std::nullopt
-                                : std::optional(std::chrono::steady_clock::now() + Milliseconds(timeoutMs));
+    loop->m_due =
+        timeoutMs < 0 ? std::nullopt : std::optional(std::chrono::steady_clock::now() + Milliseconds(timeoutMs));
     return 0;
 }
 
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -39,12 +39,11 @@
 
 bool isAlike(const std::vector<ServiceDemand> &lhs, const std::vector<ServiceDemand> &rhs)
 {
-    return std::equal(lhs.begin(), lhs.end(), rhs.begin(), rhs.end(),
-                      [](const ServiceDemand &before, const ServiceDemand &after) {
-                          const double larger = std::max({before.slots, after.slots, 1.0});
-                          return before.service == after.service
-                              && std::abs(before.slots - after.slots) < DemandTolerance * larger;
-                      });
+    return std::equal(
+        lhs.begin(), lhs.end(), rhs.begin(), rhs.end(), [](const ServiceDemand &before, const ServiceDemand &after) {
+            const double larger = std::max({before.slots, after.slots, 1.0});
+            return before.service == after.service && std::abs(before.slots - after.slots) < DemandTolerance * larger;
+        });
 }
 
 bool isAlike(const Registry::HostEntry &old, const HostReport &report, TimePoint)
@@ -86,8 +85,7 @@
     Entry<Report> &entry = it->second;
     const bool hasEnded = !isNew && entry.report.presence == Presence::Gone;
     // An end is final whatever its number: whoever passed it on may not have known the newest one.
-    const bool isLate =
-        !isNew && report.presence != Presence::Gone && report.sequence <= entry.report.sequence;
+    const bool isLate = !isNew && report.presence != Presence::Gone && report.sequence <= entry.report.sequence;
     if (hasEnded || isLate) {
         return false;
     }
--- a/lib/Routes/RouteTable.cpp
+++ b/lib/Routes/RouteTable.cpp
@@ -63,8 +63,8 @@
 
 const ServiceTraits *RouteTable::service(std::string_view name) const
 {
-    const auto it =
-        std::find_if(services.begin(), services.end(), [&](const ServiceTraits &service) { return service.name == name; });
+    const auto it = std::find_if(services.begin(), services.end(),
+                                 [&](const ServiceTraits &service) { return service.name == name; });
     return it == services.end() ? nullptr : &*it;
 }
 
--- a/unittests/Balance/BalanceFixture.h
+++ b/unittests/Balance/BalanceFixture.h
@@ -50,7 +50,8 @@
 
     static TargetReport targetOf(const std::string &id, const std::string &zone = "z1", unsigned slots = 4)
     {
-        return {id, "s", "10.0.0." + std::to_string(1 + hash64(id) % 250) + ":80", zone, slots, Presence::Ready, 0ms, 1};
+        return {id,  "s", "10.0.0." + std::to_string(1 + hash64(id) % 250) + ":80", zone, slots, Presence::Ready,
+                0ms, 1};
     }
 
     static HostReport entryOf(const std::string &id, const std::string &zone)
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -7,7 +7,6 @@
 using namespace pepperlug;
 using namespace pepperlug::fleet;
 
-
 TEST_CASE("without a configuration a request is refused as not run, with a time to come back")
 {
     Host host;
@@ -295,7 +294,8 @@
                 look();
                 continue;
             }
-            const auto it = std::find_if(open.begin(), open.end(), [](const auto &entry) { return !entry.second.empty(); });
+            const auto it =
+                std::find_if(open.begin(), open.end(), [](const auto &entry) { return !entry.second.empty(); });
             if (it == open.end()) {
                 host.reduce(BalanceTick{});
                 look();
--- a/unittests/Consensus/MembershipTest.cpp
+++ b/unittests/Consensus/MembershipTest.cpp
@@ -181,7 +181,8 @@
     group.add(lost, {}, "disk-new");
     group.run(1s);
     const auto &members = group.leader()->members();
-    const auto it = std::find_if(members.begin(), members.end(), [&](const ControlMember &m) { return m.name == lost; });
+    const auto it =
+        std::find_if(members.begin(), members.end(), [&](const ControlMember &m) { return m.name == lost; });
     REQUIRE(it != members.end());
     CHECK(it->voter);
     CHECK(it->diskId == "disk-new");
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -201,19 +201,26 @@
         return nlohmann::json{
             {"version", version},
             {"services", {{{"name", "s"}, {"coldS", 3}, {"coldPerS", 100}}}},
-            {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1 << 20}, {"headerTimeoutS", 3}, {"idleTimeoutS", 15}}},
+            {"limits",
+             {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1 << 20}, {"headerTimeoutS", 3}, {"idleTimeoutS", 15}}},
             {"hosts",
              {{{"host", "a.example"},
                {"paths",
-                {{{"name", "r"}, {"pathPrefix", prefix}, {"kind", "unsafe"}, {"timeoutS", 4}, {"sloS", 1}, {"prio", 1},
-                  {"service", "s"}, {"attempts", 2}}}}}}}}
+                {{{"name", "r"},
+                  {"pathPrefix", prefix},
+                  {"kind", "unsafe"},
+                  {"timeoutS", 4},
+                  {"sloS", 1},
+                  {"prio", 1},
+                  {"service", "s"},
+                  {"attempts", 2}}}}}}}}
             .dump();
     }
 
     Answer beat(const std::string &id, const FakeTarget &target, int sequence, const std::string &state = "ready")
     {
-        const nlohmann::json body{{"service", "s"}, {"addr", target.address()}, {"zone", "z1"}, {"slots", 4},
-                                  {"state", state}, {"coldLeftS", 0}, {"seq", sequence}};
+        const nlohmann::json body{{"service", "s"}, {"addr", target.address()}, {"zone", "z1"},   {"slots", 4},
+                                  {"state", state}, {"coldLeftS", 0},           {"seq", sequence}};
         return operatorCall("/api/Instances.Heartbeat/" + id, body.dump());
     }
 
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -72,8 +72,8 @@
 {
     const std::string body = R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":3,)"
                              R"("state":"draining","coldLeftS":1.5,"seq":4})";
-    const auto beat = std::get<TargetSays>(
-        Control::readControlRequest(request("POST", "/api/Instances.Heartbeat/i-1", body)));
+    const auto beat =
+        std::get<TargetSays>(Control::readControlRequest(request("POST", "/api/Instances.Heartbeat/i-1", body)));
     CHECK(beat.report.id == "i-1");
     CHECK(beat.report.presence == Presence::Draining);
     CHECK(beat.report.coldLeft == 1500ms);
@@ -117,7 +117,9 @@
 TEST_CASE("a caller's request")
 {
     HttpRequest it = request("GET", "/p/x?y=1");
-    it.headers = {{"Host", "a.example"}, {"X-Request-Id", "q1"}, {"Cookie", "a=b; X-Affinity-Key=17; c=d"},
+    it.headers = {{"Host", "a.example"},
+                  {"X-Request-Id", "q1"},
+                  {"Cookie", "a=b; X-Affinity-Key=17; c=d"},
                   {"X-Deadline-Ms", "2500"}};
     const CallerTerms terms = Clients::readRequest(it);
     CHECK(terms.requestId == "q1");
@@ -128,10 +130,9 @@
 
 TEST_CASE("a target is told who is meant and what time is left, once")
 {
-    const auto headers = Clients::targetHeaders({{"X-Deadline-Ms", "9000"}, {"X-Expect-Instance", "evil"}, {"A", "b"}},
-                                                "i-1", 1234ms);
-    CHECK(headers
-          == std::vector<HeaderField>{{"A", "b"}, {"X-Deadline-Ms", "1234"}, {"X-Expect-Instance", "i-1"}});
+    const auto headers =
+        Clients::targetHeaders({{"X-Deadline-Ms", "9000"}, {"X-Expect-Instance", "evil"}, {"A", "b"}}, "i-1", 1234ms);
+    CHECK(headers == std::vector<HeaderField>{{"A", "b"}, {"X-Deadline-Ms", "1234"}, {"X-Expect-Instance", "i-1"}});
 }
 
 TEST_CASE("what an answer says")
