--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -33,18 +33,18 @@
     std::string zone;
     std::map<std::string, std::string> regionOfZone;
     Address peer; ///< where other hosts connect; its port is the same on all hosts
+    Address metrics; ///< where the figures are served
     std::vector<Address> seeds; ///< operators' addresses of some control hosts
     FleetBounds bounds;
     unsigned logLinesPerSecond = 0;
     // Entry hosts.
     Address callers;
-    Address readiness; ///< also serves the metrics
+    Address readiness;
     std::size_t maxBodyBytes = 0;
     std::size_t maxAnswerBytes = 0;
     // Control hosts.
     Address operators;
     Address directory;
-    Address metrics;
     std::string dataFolder;
     bool isFirstStart = false;
 };
--- a/include/pepperlug/Support.h
+++ b/include/pepperlug/Support.h
@@ -191,7 +191,8 @@
 class LogSink
 {
 public:
-    /// Throws Error if the file can't be opened. "-" is standard output; an empty path gives a sink that drops all without counting.
+    /// Throws Error if the file can't be opened. "-" is standard output; an empty path gives a sink that drops all
+    /// without counting.
     LogSink(const std::string &name, const std::string &file, std::size_t capacity = 65536);
     ~LogSink();
     LogSink(const LogSink &) = delete;
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -1,5 +1,6 @@
 //===- GatewayDaemon.cpp - Life of an entry host --------------------------===//
 #include "GatewayImpl.h"
+#include "MetricsServer.h"
 
 #include <algorithm>
 
@@ -77,6 +78,7 @@
     m_readinessServer =
         std::make_unique<HttpServer>(m_settings.readiness, 1, HttpLimits{}, m_clock,
                                      [this](const HttpExchangePtr &exchange) { onReadiness(exchange); });
+    m_metricsServer = serveMetrics(m_settings.metrics, m_metrics, m_clock);
     m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
 }
 
@@ -85,6 +87,7 @@
     m_ticker.reset();
     m_callersServer->stop();
     m_readinessServer->stop();
+    m_metricsServer->stop();
     m_net.stop();
     m_client->stop();
 }
@@ -206,10 +209,6 @@
 
 void GatewayDaemon::Impl::onReadiness(const HttpExchangePtr &exchange)
 {
-    if (exchange->request().path() == "/metrics") {
-        exchange->respond({Ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
-        return;
-    }
     if (!m_dialect.isReadinessCheck(exchange->request())) {
         exchange->respond(jsonAnswer(404, {{"reason", "no such page"}}));
         return;
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -84,6 +84,7 @@
     std::unique_ptr<HttpClient> m_client;
     std::unique_ptr<HttpServer> m_callersServer;
     std::unique_ptr<HttpServer> m_readinessServer;
+    std::unique_ptr<HttpServer> m_metricsServer;
     std::unique_ptr<Ticker> m_ticker;
 };
 
--- /dev/null
+++ b/lib/Fleet/MetricsServer.h
@@ -0,0 +1,23 @@
+//===- MetricsServer.h - The figures of a process, as text ------*- C++ -*-===//
+#pragma once
+
+#include "pepperlug/Http.h"
+
+namespace pepperlug::fleet
+{
+
+/// Serves /metrics; the metrics must outlive the server.
+inline std::unique_ptr<HttpServer> serveMetrics(const Address &address, const Metrics &metrics, const Clock &clock)
+{
+    constexpr unsigned Ok = 200;
+    constexpr unsigned NotFound = 404;
+    return std::make_unique<HttpServer>(address, 1, HttpLimits{}, clock, [&metrics](const HttpExchangePtr &exchange) {
+        if (exchange->request().path() != "/metrics") {
+            exchange->respond(jsonAnswer(NotFound, {{"reason", "no such page"}}));
+            return;
+        }
+        exchange->respond({Ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.text()});
+    });
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -4,6 +4,7 @@
 // spread from each control host to all others, without agreement: it is renewed all the time.
 //
 //===----------------------------------------------------------------------===//
+#include "MetricsServer.h"
 #include "RegistryImpl.h"
 
 #include <algorithm>
@@ -71,10 +72,7 @@
     };
     m_operatorsServer = std::make_unique<HttpServer>(m_settings.operators, 1, operatorLimits(), m_clock, handler);
     m_directoryServer = std::make_unique<HttpServer>(m_settings.directory, 1, HttpLimits{}, m_clock, handler);
-    m_metricsServer = std::make_unique<HttpServer>(
-        m_settings.metrics, 1, HttpLimits{}, m_clock, [this](const HttpExchangePtr &exchange) {
-            exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
-        });
+    m_metricsServer = serveMetrics(m_settings.metrics, m_metrics, m_clock);
     m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
 }
 
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -75,6 +75,7 @@
     settings.zone = reader.text("zone");
     readZones(reader, settings);
     settings.peer = readAddress(reader, "peer");
+    settings.metrics = readAddress(reader, "metrics");
     readSeeds(reader, settings);
     if (std::optional<ObjectReader> bounds = reader.object("bounds", false)) {
         settings.bounds = readBounds(*bounds);
@@ -90,7 +91,6 @@
     } else {
         settings.operators = readAddress(reader, "operators");
         settings.directory = readAddress(reader, "directory");
-        settings.metrics = readAddress(reader, "metrics");
         settings.dataFolder = reader.text("data_folder");
         settings.isFirstStart = reader.boolean("first_start", false);
     }
--- a/tools/pepperlug-measure/Main.cpp
+++ b/tools/pepperlug-measure/Main.cpp
@@ -57,6 +57,7 @@
                                           {"control", measureControl},
                                           {"recovery", measureRecoveryTimes},
                                           {"capacity", measureCapacity},
+                                          {"platform", measurePlatform},
                                           {"bare", measureBare}};
     return All;
 }
--- a/tools/pepperlug-measure/Measures.h
+++ b/tools/pepperlug-measure/Measures.h
@@ -19,6 +19,7 @@
     std::string other; ///< address to compare with
 };
 
+ExitCode measurePlatform(const MeasureContext &context);
 ExitCode measureSteer(const MeasureContext &context);
 ExitCode measureClients(const MeasureContext &context);
 ExitCode measureLookup(const MeasureContext &context);
--- a/tools/pepperlug/Commands.h
+++ b/tools/pepperlug/Commands.h
@@ -41,5 +41,6 @@
 ExitCode undrainCommand(CommandContext &context);
 ExitCode lookupCommand(CommandContext &context);
 ExitCode replayCommand(CommandContext &context);
+ExitCode explainCommand(CommandContext &context);
 
 } // namespace pepperlug
--- a/tools/pepperlug/Context.cpp
+++ b/tools/pepperlug/Context.cpp
@@ -82,6 +82,8 @@
          drainCommand},
         {"undrain", "undrain target|host NAME", "take a drain back", undrainCommand},
         {"lookup", "lookup SERVICE --entry ADDRESS [--client IP]", "ask an entry host which one to use", lookupCommand},
+        {"explain", "explain ID FILE...", "print a request's way through the log lines of any number of processes",
+         explainCommand},
         {"replay", "replay FILE...", "replay traces and check their stated outcomes", replayCommand},
     };
     return All;
--- a/tools/pepperlug/LocalCommands.cpp
+++ b/tools/pepperlug/LocalCommands.cpp
@@ -1,5 +1,6 @@
 //===- LocalCommands.cpp - Commands that need no control host -------------===//
 #include "Commands.h"
+#include "pepperlug/Explain.h"
 
 #include <fstream>
 #include <iostream>
@@ -105,4 +106,20 @@
     return ExitCode::Success;
 }
 
+ExitCode explainCommand(CommandContext &context)
+{
+    if (context.words.size() < 2) {
+        throw Error("start", "", "the command takes a request's id and log files");
+    }
+    std::vector<std::string> lines;
+    for (std::size_t n = 1; n < context.words.size(); ++n) {
+        std::istringstream text(readFile(context.words[n]));
+        for (std::string line; std::getline(text, line);) {
+            lines.push_back(std::move(line));
+        }
+    }
+    std::cout << textOf(explainRequest(context.words.front(), lines));
+    return ExitCode::Success;
+}
+
 } // namespace pepperlug
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -144,6 +144,7 @@
         entry.peer = {"127.0.0.2", control.peer.port};
         entry.callers = {"127.0.0.1", 0};
         entry.readiness = {"127.0.0.1", 0};
+        entry.metrics = m_metrics = freeAddress();
         entry.seeds = {control.operators};
         gateway = std::make_unique<GatewayDaemon>(entry, m_clock, callerDialect<platform::Clients>());
     }
@@ -229,6 +230,11 @@
         return eventually([&] { return get(gateway->readinessAddress(), "/api/readyz").status == 200; });
     }
 
+    Answer metrics()
+    {
+        return get(m_metrics, "/metrics");
+    }
+
     std::unique_ptr<RegistryDaemon> registry;
     std::unique_ptr<GatewayDaemon> gateway;
 
@@ -241,6 +247,7 @@
     }
 
     std::filesystem::path m_folder;
+    Address m_metrics;
     SteadyClock m_clock;
     HttpClient m_client{1 << 20};
 };
@@ -260,6 +267,10 @@
     const std::string directory = "/api/resolve?name=a.example&region=r1&zone=z1";
     CHECK(System::eventually([&] { return system.get(system.registry->directoryAddress(), directory).status == 200; }));
     CHECK(system.get(system.gateway->callersAddress(), "/other/x").status == 404);
+    const std::string figures = system.metrics().body;
+    CHECK(figures.find("pepperlug_requests 2") != std::string::npos);
+    CHECK(figures.find("pepperlug_attempt_outcomes{outcome=\"answered\"} 1") != std::string::npos);
+    CHECK(figures.find("pepperlug_refusals{reason=\"no-route\"} 1") != std::string::npos);
 }
 
 TEST_CASE("a drain that was acknowledged stops new work")
