--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -86,6 +86,8 @@
     std::string fromIp; ///< local address to call from; empty for any
     bool mayRepeat = false; ///< the library may send it again where a kept connection turns out to be closed
     Duration connectTimeout = std::chrono::seconds(1);
+    /// A request that could not be sent within this time of start() is not sent any more.
+    Duration sendWithin = std::chrono::hours(1);
     /// Whether the head of an answer belongs to this call; if not, its connection is dropped. Empty: any does.
     std::function<bool(const std::vector<HeaderField> &)> acceptsHead;
 };
--- a/lib/Fleet/ControlLog.cpp
+++ b/lib/Fleet/ControlLog.cpp
@@ -13,6 +13,7 @@
 std::vector<ControlMember> foundingMembers(const std::vector<std::string> &founders)
 {
     std::vector<ControlMember> members;
+    members.reserve(founders.size());
     for (const std::string &name : founders) {
         members.push_back({name, FoundingDisk, true});
     }
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -9,6 +9,8 @@
 
 /// A connection that is not made by then is tried elsewhere; the way to the farthest region and back is much shorter.
 constexpr Milliseconds ConnectTimeout{350};
+/// A target that was chosen longer ago than this may have begun to drain; the request is placed anew then.
+constexpr Milliseconds SendTime{600};
 /// The client's own limit, past the time at which the request is given up anyway.
 constexpr Milliseconds ClientMargin{50};
 
@@ -89,6 +91,7 @@
     call.body = open.body;
     call.timeout = effect.timeLeft + ClientMargin;
     call.connectTimeout = std::min<Duration>(ConnectTimeout, effect.timeLeft);
+    call.sendWithin = SendTime;
     call.acceptsHead = [accepts = m_dialect.answersRequest,
                         id = open.terms.requestId](const std::vector<HeaderField> &headers) {
         return accepts(headers, id);
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -57,6 +57,7 @@
     HeaderList headers;
     Answer answer;
     unsigned sendings = 0;
+    std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
     bool isTooLarge = false;
 };
 
@@ -98,6 +99,10 @@
 int onBeforeSending(void *self, char *, char *, int, int)
 {
     auto *transfer = static_cast<Transfer *>(self);
+    // What led to this call may be out of date by now.
+    if (std::chrono::steady_clock::now() - transfer->startedAt > transfer->call.sendWithin) {
+        return CURL_PREREQFUNC_ABORT;
+    }
     ++transfer->sendings;
     const bool isAgain = transfer->sendings > 1;
     return isAgain && !transfer->call.mayRepeat ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
--- a/lib/Http/SocketLoop.cpp
+++ b/lib/Http/SocketLoop.cpp
@@ -15,7 +15,7 @@
 
 constexpr int MaxEvents = 64;
 /// Marks a socket that epoll knows already; any address will do.
-char KnownMark;
+char knownMark;
 
 [[noreturn]] void fail()
 {
@@ -78,7 +78,7 @@
     if (epoll_ctl(m_epoll, isKnown ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket, &event) != 0) {
         epoll_ctl(m_epoll, isKnown ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &event);
     }
-    curl_multi_assign(m_multi, socket, &KnownMark);
+    curl_multi_assign(m_multi, socket, &knownMark);
 }
 
 int SocketLoop::waitTime() const
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -176,3 +176,32 @@
     CHECK(result.answer.body.empty());
     CHECK(result.answer.headers[0].value == "77");
 }
+
+TEST_CASE("a request that could not be sent in time is not sent any more")
+{
+    std::atomic<int> seen{0};
+    const RawServer server({[&seen](RawServer::Socket &socket) {
+        seen += RawServer::readRequest(socket).empty() ? 0 : 1;
+    }});
+    HttpClient client(MaxAnswerBytes);
+    HttpCall late = callTo(server.address(), "POST");
+    late.sendWithin = Duration(0);
+    CHECK(call(client, late).kind == HttpResult::Kind::NotSent);
+    CHECK(seen == 0);
+}
+
+TEST_CASE("an answer whose head is not accepted is no answer, and its connection is not used again")
+{
+    const auto answer = [](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, Answer200);
+    };
+    const RawServer server({answer, answer});
+    HttpClient client(MaxAnswerBytes);
+    HttpCall refused = callTo(server.address());
+    refused.acceptsHead = [](const std::vector<HeaderField> &) {
+        return false;
+    };
+    CHECK(call(client, refused).kind == HttpResult::Kind::Broken);
+    CHECK(call(client, callTo(server.address())).kind == HttpResult::Kind::Answered);
+}
