--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <future>
+#include <unistd.h>
 
 using namespace pepperlug;
 using namespace pepperlug::fleet;
@@ -130,21 +131,20 @@
         settings.maxAnswerBytes = 1 << 20;
         FleetSettings control = settings;
         control.name = "control";
-        control.peer = freeAddress();
-        control.operators = freeAddress();
-        control.directory = freeAddress();
-        control.metrics = freeAddress();
+        control.peer = addressOn(1, 17100);
+        control.operators = addressOn(1, 17101);
+        control.directory = addressOn(1, 17102);
+        control.metrics = addressOn(1, 17103);
         control.seeds = {control.operators};
         control.dataFolder = m_folder / "data";
         control.isFirstStart = true;
         registry = std::make_unique<RegistryDaemon>(control, m_clock, controlDialect<platform::Control>());
         FleetSettings entry = settings;
         entry.name = "entry";
-        // Hosts reach each other at the same port, so the entry host has an address of its own.
-        entry.peer = {"127.0.0.2", control.peer.port};
+        entry.peer = addressOn(2, control.peer.port);
         entry.callers = {"127.0.0.1", 0};
         entry.readiness = {"127.0.0.1", 0};
-        entry.metrics = m_metrics = freeAddress();
+        entry.metrics = m_metrics = addressOn(2, 17103);
         entry.seeds = {control.operators};
         gateway = std::make_unique<GatewayDaemon>(entry, m_clock, callerDialect<platform::Clients>());
     }
@@ -239,11 +239,13 @@
     std::unique_ptr<GatewayDaemon> gateway;
 
 private:
-    /// A port that the kernel has just given and taken back.
-    Address freeAddress()
+    /// An address on a loopback network that no other process of the tests uses, so that no port can be taken.
+    static Address addressOn(unsigned host, std::uint16_t port)
     {
-        HttpServer probe({"127.0.0.1", 0}, 1, HttpLimits{}, m_clock, [](const HttpExchangePtr &) {});
-        return probe.address();
+        constexpr unsigned Octet = 250;
+        const auto pid = static_cast<unsigned>(getpid());
+        const std::string network = std::to_string(1 + pid % Octet) + "." + std::to_string(1 + pid / Octet % Octet);
+        return {"127." + network + "." + std::to_string(host), port};
     }
 
     std::filesystem::path m_folder;
