A leader that lost its majority stops leading

Cause: followers that still hear such a leader took themselves for current, so entry hosts stayed with them. Test: MembershipTest, failed before.

--- a/lib/Consensus/Consensus.cpp
+++ b/lib/Consensus/Consensus.cpp
@@ -53,6 +53,12 @@
 void Consensus::on(const ControlTick &)
 {
     if (m_role == ControlRole::Leader) {
+        // Its heartbeats would keep the few that still hear it from noticing that they are cut off.
+        if (m_now > m_leaseUntil + m_settings.electionTimeout) {
+            resetElectionTimer();
+            becomeFollower(m_hard.term, {});
+            return;
+        }
         if (m_now >= m_nextHeartbeat) {
             removeReplacedMember();
             replicateAll();
--- a/lib/Consensus/Election.cpp
+++ b/lib/Consensus/Election.cpp
@@ -79,7 +79,7 @@
     changeRole(ControlRole::Leader, m_settings.name);
     m_progress.clear();
     m_rounds.clear();
-    m_leaseUntil = {};
+    m_leaseUntil = m_now; // none yet; a majority has to answer within an election timeout
     for (const ControlMember &member : m_members) {
         m_progress[member.name].nextIndex = lastIndex() + 1;
         m_progress[member.name].heardAt = m_now;
--- a/unittests/Consensus/MembershipTest.cpp
+++ b/unittests/Consensus/MembershipTest.cpp
@@ -68,6 +68,11 @@
         return nullptr;
     }
 
+    const Consensus &member(const std::string &name) const
+    {
+        return *m_members.at(name);
+    }
+
     std::vector<std::string> voters()
     {
         std::vector<std::string> names;
@@ -196,3 +201,24 @@
     CHECK(leader->canRead(group.now));
     CHECK_FALSE(leader->canRead(group.now + 5s));
 }
+
+TEST_CASE("followers of a leader that lost its majority do not take themselves for current")
+{
+    Group group;
+    addFounders(group);
+    group.add("d", {}, "disk-d");
+    group.add("e", {}, "disk-e");
+    group.run(2s, {{"d", {"disk-d", "z4"}}, {"e", {"disk-e", "z5"}}});
+    REQUIRE(group.voters().size() == 5);
+    const std::string leader = group.leader()->leader();
+    const std::string follower = leader == "a" ? "b" : "a";
+    std::set<std::string> others{"a", "b", "c", "d", "e"};
+    others.erase(leader);
+    others.erase(follower);
+    for (const std::string &name : others) {
+        group.silence(name);
+    }
+    group.run(5s);
+    CHECK_FALSE(group.member(leader).isCurrent(group.now));
+    CHECK_FALSE(group.member(follower).isCurrent(group.now));
+}
