State the region tests' demands for regions filled to 0.6

Change: demands just below the bound (5.5 of 10) and half above it (12 against 6); the stated shares are the same, so the checks are as strict.

--- a/unittests/Balance/RegionPlanTest.cpp
+++ b/unittests/Balance/RegionPlanTest.cpp
@@ -16,13 +16,13 @@
 
 TEST_CASE("a region that can serve its own callers keeps them")
 {
-    const RegionShares shares = plannedShares("a", {{"a", 10}, {"b", 10}}, {{"a", 7}, {"b", 2}});
+    const RegionShares shares = plannedShares("a", {{"a", 10}, {"b", 10}}, {{"a", 5.5}, {"b", 2}});
     CHECK(shares.at("a") == Approx(1));
 }
 
 TEST_CASE("what a region can't serve goes to the room of the others")
 {
-    const RegionShares shares = plannedShares("a", {{"a", 10}, {"b", 30}, {"c", 10}}, {{"a", 16}, {"b", 4}, {"c", 8}});
+    const RegionShares shares = plannedShares("a", {{"a", 10}, {"b", 30}, {"c", 10}}, {{"a", 12}, {"b", 4}, {"c", 8}});
     CHECK(shares.at("a") == Approx(0.5));
     CHECK(shares.at("b") == Approx(0.5));
     CHECK(shares.count("c") == 0);
