Callers of a region share all its entry hosts, also where zones have many

Cause: a zone with four entry hosts or more kept its callers to itself. On the grown deployment each host has a link of 4 Mbit/s; a crowd in one zone filled the links of that zone's hosts (connections to targets in the same zone were not made within 350 ms) while those of the next zone, 0.9 ms away, had room. The first sites have one or two entry hosts a zone and are not concerned.

--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -17,8 +17,6 @@
 /// Targets turn to another host after a second.
 constexpr Milliseconds DeparturePatience{900};
 constexpr Milliseconds DirectoryTimeToLive{1000};
-/// A zone with so many entry hosts of its own keeps its callers to itself.
-constexpr std::size_t EnoughEntryHosts = 4;
 
 std::string subjectOf(const RoutingCommand &command)
 {
@@ -256,10 +254,7 @@
         std::vector<std::string> &list = host.zone == zone ? inZone : (sharesRegion ? inRegion : elsewhere);
         list.push_back(host.address);
     }
-    if (inZone.size() >= EnoughEntryHosts) {
-        return inZone;
-    }
-    // Zones have few hosts, and not alike many: a region's callers share them all.
+    // Callers of a region share all its entry hosts: zones have not alike many, and crowds come to one zone at a time.
     inZone.insert(inZone.end(), inRegion.begin(), inRegion.end());
     return inZone.empty() ? elsewhere : inZone;
 }
