--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -31,6 +31,7 @@
     RetryTerms retries;
     double maxShift = 0.15; ///< part of a region's requests that may move to other regions from one window to the next
     Duration shiftWindow = std::chrono::seconds(2);
+    std::uint64_t linkBytesPerSecond = 0; ///< of this host's link, each way; 0 if it need not be minded
     std::uint64_t seed = 0;
 };
 
@@ -75,17 +76,25 @@
     unsigned slots = 0;
 };
 
+/// The head of a large, good answer is there; its body is passed on while it arrives.
+struct AnswerBegun {
+    RequestId id{};
+    unsigned attempt = 0;
+};
+
 struct AttemptEnded {
     RequestId id{};
     unsigned attempt = 0;
     AttemptOutcome outcome{};
     std::optional<TargetLoad> load;
+    std::uint64_t answerBytes = 0; ///< length of the body
 };
 
 struct BalanceTick {
 };
 
-using BalanceEvent = std::variant<RoutesChanged, ReportsChanged, CallerRequest, CallerLeft, AttemptEnded, BalanceTick>;
+using BalanceEvent =
+    std::variant<RoutesChanged, ReportsChanged, CallerRequest, CallerLeft, AnswerBegun, AttemptEnded, BalanceTick>;
 
 //===-- Effects ---------------------------------------------------------------===//
 
@@ -106,7 +115,13 @@
     unsigned attempt = 0;
 };
 
-/// Pass on the answer that an attempt got.
+/// Pass on the head of the answer that an attempt gets, and its body as it comes.
+struct PassHead {
+    RequestId id{};
+    unsigned attempt = 0;
+};
+
+/// Pass on the answer that an attempt got, or the end of one that was begun.
 struct PassAnswer {
     RequestId id{};
     unsigned attempt = 0;
@@ -117,6 +132,7 @@
     NoRoute,
     NoTarget, ///< no usable target of the service
     Overloaded, ///< would not be served within the objective
+    LinkFull, ///< this host's link has no room for an answer of this size
     NotReached, ///< no target could be reached in time; not run
     Stopping, ///< this host is about to end; not run
     Lost, ///< may have run
@@ -134,7 +150,13 @@
     std::string lastTarget; ///< of the last attempt; empty if none
 };
 
-using BalanceEffect = std::variant<StartAttempt, CancelAttempt, PassAnswer, RefuseRequest>;
+/// Close the caller's connection: the answer that was begun can't be finished.
+struct AbortAnswer {
+    RequestId id{};
+    Refusal reason{}; ///< Lost or TimedOut
+};
+
+using BalanceEffect = std::variant<StartAttempt, CancelAttempt, PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
 using BalanceEffects = std::vector<BalanceEffect>;
 
 class Balancer
@@ -152,6 +174,8 @@
     std::size_t open() const;
     /// What this host asks of each service, in slots.
     std::vector<ServiceDemand> demand(TimePoint now) const;
+    /// Part of this host's link that the answers which callers ask for would use; 0 if it need not be minded.
+    double linkUse(TimePoint now) const;
     std::uint64_t tableVersion() const;
     /// Targets that may be used now, of all services.
     std::size_t usableTargets(TimePoint now) const;
--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -1,7 +1,7 @@
 //===- pepperlug/Http.h - Callers and targets over HTTP/1.1 ------*- C++ -*-===//
 //
 // The server side over Pistache and the client side over libcurl. Both take and
-// give whole messages.
+// give whole messages, but large answers can be passed on while they arrive.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -47,6 +47,12 @@
     /// Sends the answer, after those of earlier requests of the same connection. The second one is dropped, and so is
     /// one whose caller has left.
     virtual void respond(const Answer &answer) = 0;
+    /// Sends the head of an answer whose body of `length` bytes follows through more().
+    virtual void begin(const Answer &head, std::uint64_t length) = 0;
+    /// Sends the next part of the body. The answer ends with its last byte.
+    virtual void more(std::string_view part) = 0;
+    /// Gives up an answer that was begun: its connection is closed, so that what was sent can't pass for the whole.
+    virtual void abort() = 0;
     /// Called at most once, if the caller leaves before the answer was sent.
     virtual void onDeparture(std::function<void()> handler) = 0;
 };
@@ -90,6 +96,10 @@
     Duration sendWithin = std::chrono::hours(1);
     /// Whether the head of an answer belongs to this call; if not, its connection is dropped. Empty: any does.
     std::function<bool(const std::vector<HeaderField> &)> acceptsHead;
+    /// Called with the head and the length of a large answer. If it returns true, the body goes to onPart as it
+    /// arrives and is left out of the result. Empty: answers come whole.
+    std::function<bool(const Answer &head, std::uint64_t length)> onLargeHead;
+    std::function<void(std::string_view part)> onPart;
 };
 
 struct HttpResult {
@@ -112,7 +122,9 @@
 class HttpClient
 {
 public:
-    explicit HttpClient(std::size_t maxAnswerBytes);
+    /// `bytesPerSecond` bounds large answers, all together, so that they leave room on the host's link for small ones;
+    /// 0 for no bound.
+    explicit HttpClient(std::size_t maxAnswerBytes, std::uint64_t bytesPerSecond = 0);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -52,7 +52,9 @@
     Presence presence = Presence::Ready;
     std::vector<ServiceDemand> demand;
     std::uint64_t sequence = 0;
-    MSGPACK_DEFINE(id, role, zone, address, peer, presence, demand, sequence);
+    double linkUse =
+        0; ///< part of its link that the answers which callers ask for would use; 0 if it need not be minded
+    MSGPACK_DEFINE(id, role, zone, address, peer, presence, demand, sequence, linkUse);
 };
 
 /// A report as one host passes it on to another.
@@ -134,6 +136,32 @@
     std::uint64_t m_changedVersion = 0;
 };
 
+/// Entry hosts of one region, and how much of their links their callers ask for.
+struct RegionLoad {
+    unsigned hosts = 0;
+    double linkUse = 0; ///< mean over the hosts
+};
+
+/// Callers that are sent to entry hosts of a region which is not their own.
+struct GuestShare {
+    std::string region; ///< where they go
+    double part = 0; ///< of the callers of the region that they come from
+};
+
+/// Decides which callers of a region whose entry hosts have full links go to another region's. Moves slowly, since each
+/// region's callers are also served by its own targets first.
+class CallerShares
+{
+public:
+    /// To be called with all regions as they are now.
+    void follow(const std::map<std::string, RegionLoad> &regions, TimePoint now);
+    GuestShare guestsOf(const std::string &region) const;
+
+private:
+    std::map<std::string, GuestShare> m_guests; ///< by the region that they come from
+    std::optional<TimePoint> m_movedAt;
+};
+
 } // namespace pepperlug::fleet
 
 PEPPERLUG_CODEC_ENUM(pepperlug::fleet::Presence);
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -16,6 +16,8 @@
 /// A first attempt at a silent target is doubled after this many work times.
 constexpr int HedgeInWork = 3;
 constexpr Milliseconds LeastHedge{500};
+/// Of an answer's head and the packets around it, about.
+constexpr double HeadBytes = 600;
 /// Time that an answer needs back to its caller.
 constexpr Milliseconds WayBack{20};
 constexpr Milliseconds ShortestRetryAfter{80};
@@ -54,6 +56,8 @@
         return "no-target";
     case Refusal::Overloaded:
         return "overloaded";
+    case Refusal::LinkFull:
+        return "link-full";
     case Refusal::NotReached:
         return "not-reached";
     case Refusal::Stopping:
@@ -75,6 +79,7 @@
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
     , m_targets(m_settings)
+    , m_link(m_settings.linkBytesPerSecond)
 {
     m_region = m_targets.regionOf(m_settings.zone);
 }
@@ -122,7 +127,8 @@
     const Duration deadline = event.deadline ? *event.deadline - WayBack : Duration(route->timeout);
     open.until = m_now + std::min<Duration>(route->timeout, deadline);
     const Duration work = m_stats[route->name].work().value_or(route->objective / 2);
-    m_arrivals[open.service].add(m_now, work);
+    m_arrivals[open.service].add(m_now, std::chrono::duration<double>(work).count());
+    m_askedBytes.add(m_now, m_stats[route->name].answerBytes() + HeadBytes);
     m_overflow[open.service].countRequest(m_now);
     m_budgets.try_emplace(open.service, m_settings.retries).first->second.countRequest(m_now);
     const Placement placement = place(open);
@@ -139,7 +145,9 @@
     TargetState &target = *placement.target;
     m_targets.attemptStarted(target, m_now);
     const unsigned number = ++open.started;
-    open.attempts[number] = {target.report.id, m_now, placement.fill};
+    const double bytes = m_stats[open.route.name].answerBytes() + HeadBytes;
+    m_link.take(bytes, m_now);
+    open.attempts[number] = {target.report.id, m_now, placement.fill, bytes};
     open.tried.insert(target.report.id);
     open.lastTarget = target.report.id;
     StartAttempt effect;
@@ -178,6 +186,16 @@
     m_out->emplace_back(std::move(effect));
 }
 
+// What was passed on can't be taken back, so its caller has to see that it is not whole.
+void Balancer::Impl::giveUp(OpenRequest &open, Refusal reason)
+{
+    if (open.hasBegun) {
+        m_out->emplace_back(AbortAnswer{open.request.id, reason});
+    } else {
+        refuse(open, reason);
+    }
+}
+
 void Balancer::Impl::cancelAttempts(OpenRequest &open)
 {
     for (const auto &[number, attempt] : open.attempts) {
@@ -202,6 +220,9 @@
 {
     const bool isCertainlyNotRun =
         outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Shed || outcome == AttemptOutcome::WrongTarget;
+    if (open.hasBegun) {
+        return false;
+    }
     const bool isSafe = open.route.kind == RouteKind::Repeatable || (isCertainlyNotRun && !open.mayHaveRun);
     if (!isSafe || open.started >= open.route.attempts || m_now >= open.until) {
         return false;
@@ -212,6 +233,20 @@
     return m_budgets.at(open.service).take(m_now, m_targets.entryHosts());
 }
 
+void Balancer::Impl::on(const AnswerBegun &event)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(event.id));
+    if (it == m_open.end() || it->second.hasBegun || !it->second.attempts.contains(event.attempt)) {
+        return;
+    }
+    OpenRequest &open = it->second;
+    open.hasBegun = true;
+    m_out->emplace_back(PassHead{event.id, event.attempt});
+    auto kept = open.attempts.extract(event.attempt);
+    cancelAttempts(open);
+    open.attempts.insert(std::move(kept));
+}
+
 void Balancer::Impl::on(const AttemptEnded &event)
 {
     const auto it = m_open.find(static_cast<std::uint64_t>(event.id));
@@ -227,13 +262,16 @@
     open.attempts.erase(ended);
     m_targets.attemptEnded(attempt.target, event.outcome, event.load, m_now);
     if (event.outcome == AttemptOutcome::Answered) {
+        m_link.take(static_cast<double>(event.answerBytes) + HeadBytes - attempt.expectedBytes, m_now);
+        m_stats[open.route.name].addAnswerBytes(event.answerBytes);
         m_stats[open.route.name].add(m_now - attempt.startedAt, attempt.fill);
         m_out->emplace_back(PassAnswer{open.request.id, event.attempt});
         cancelAttempts(open);
         m_open.erase(it);
         return;
     }
-    open.mayHaveRun |= event.outcome == AttemptOutcome::Lost || event.outcome == AttemptOutcome::TimedOut;
+    open.mayHaveRun |=
+        open.hasBegun || event.outcome == AttemptOutcome::Lost || event.outcome == AttemptOutcome::TimedOut;
     if (!open.attempts.empty()) {
         return; // another attempt is on its way
     }
@@ -248,7 +286,7 @@
     if (open.mayHaveRun) {
         reason = event.outcome == AttemptOutcome::TimedOut || m_now >= open.until ? Refusal::TimedOut : Refusal::Lost;
     }
-    refuse(open, reason);
+    giveUp(open, reason);
     m_open.erase(it);
 }
 
@@ -261,7 +299,7 @@
             continue;
         }
         cancelAttempts(open);
-        refuse(open, Refusal::TimedOut);
+        giveUp(open, Refusal::TimedOut);
         it = m_open.erase(it);
     }
 }
@@ -269,8 +307,8 @@
 void Balancer::Impl::hedgeSilent()
 {
     for (auto &[id, open] : m_open) {
-        const bool mayHedge =
-            open.route.kind == RouteKind::Repeatable && open.attempts.size() == 1 && open.started < open.route.attempts;
+        const bool mayHedge = open.route.kind == RouteKind::Repeatable && open.attempts.size() == 1
+            && open.started < open.route.attempts && !open.hasBegun;
         if (!mayHedge) {
             continue;
         }
@@ -306,11 +344,17 @@
 {
     std::vector<ServiceDemand> demand;
     for (const auto &[service, rate] : m_arrivals) {
-        demand.push_back({service, rate.slots(now)});
+        demand.push_back({service, rate.perSecond(now)});
     }
     return demand;
 }
 
+double Balancer::Impl::linkUse(TimePoint now) const
+{
+    const auto link = static_cast<double>(m_settings.linkBytesPerSecond);
+    return link > 0 ? m_askedBytes.perSecond(now) / link : 0;
+}
+
 std::uint64_t Balancer::Impl::tableVersion() const
 {
     return m_table ? m_table->version : 0;
@@ -343,6 +387,11 @@
     return m_impl->demand(now);
 }
 
+double Balancer::linkUse(TimePoint now) const
+{
+    return m_impl->linkUse(now);
+}
+
 std::uint64_t Balancer::tableVersion() const
 {
     return m_impl->tableVersion();
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -1,6 +1,7 @@
 //===- Impl.h - State of the balancer ---------------------------*- C++ -*-===//
 #pragma once
 
+#include "LinkBudget.h"
 #include "RegionPlan.h"
 #include "RetryBudget.h"
 #include "RouteStats.h"
@@ -19,6 +20,7 @@
     void reduce(const BalanceEvent &event, TimePoint now, BalanceEffects &out);
     std::size_t open() const;
     std::vector<ServiceDemand> demand(TimePoint now) const;
+    double linkUse(TimePoint now) const;
     std::uint64_t tableVersion() const;
     std::size_t usableTargets(TimePoint now) const;
 
@@ -27,6 +29,7 @@
         std::string target;
         TimePoint startedAt{};
         double fill = 0;
+        double expectedBytes = 0; ///< counted for its answer
     };
 
     struct OpenRequest {
@@ -41,6 +44,7 @@
         std::set<std::string> tried;
         std::string lastTarget;
         bool mayHaveRun = false;
+        bool hasBegun = false; ///< a part of an answer was passed on
     };
 
     /// A target that a request may go to, or why there is none.
@@ -55,10 +59,12 @@
     void on(const ReportsChanged &event);
     void on(const CallerRequest &event);
     void on(const CallerLeft &event);
+    void on(const AnswerBegun &event);
     void on(const AttemptEnded &event);
     void on(const BalanceTick &event);
     void startAttempt(OpenRequest &open, const Placement &placement);
     void refuse(OpenRequest &open, Refusal reason);
+    void giveUp(OpenRequest &open, Refusal reason);
     void endOverdue();
     void hedgeSilent();
     void cancelAttempts(OpenRequest &open);
@@ -71,6 +77,7 @@
     bool isAdmissible(const OpenRequest &open, const Placement &placement, bool isAbroad) const;
     std::string pickRegion(const OpenRequest &open);
     std::string pickService(const Route &route);
+    bool fitsLink(const OpenRequest &open);
     bool isMostUrgent(const Route &route) const;
     void followPlans();
 
@@ -83,7 +90,9 @@
     std::map<std::string, RegionPlan> m_plans; ///< by service
     std::map<std::string, RetryBudget> m_budgets; ///< by service
     std::map<std::string, RouteStats> m_stats; ///< by route
-    std::map<std::string, ArrivalRate> m_arrivals; ///< by service
+    LinkBudget m_link;
+    std::map<std::string, ArrivalRate> m_arrivals; ///< by service: slots that requests keep busy
+    ArrivalRate m_askedBytes;
     std::map<std::string, ShiftAllowance> m_overflow; ///< by service
     std::map<std::string, std::vector<double>> m_turns; ///< by route: what each part of a split is owed
     TimePoint m_now{};
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -28,6 +28,8 @@
 constexpr int PatienceInWork = 3;
 constexpr Milliseconds LeastPatience{600};
 constexpr Milliseconds PlanInterval{200};
+/// Bytes from which on a route's answers are minded on the link.
+constexpr double LargeAnswer = 16 * 1024;
 
 } // namespace
 
@@ -113,8 +115,19 @@
     return predicted <= objective * (isUrgent ? ObjectivePart : LessUrgentObjectivePart);
 }
 
+// Small answers are never held back: they are what the bound on large ones leaves room for.
+bool Balancer::Impl::fitsLink(const OpenRequest &open)
+{
+    const auto stats = m_stats.find(open.route.name);
+    const double bytes = stats == m_stats.end() ? 0 : stats->second.answerBytes();
+    return bytes < LargeAnswer || m_link.has(bytes, m_now);
+}
+
 Balancer::Impl::Placement Balancer::Impl::place(const OpenRequest &open)
 {
+    if (!fitsLink(open)) {
+        return {nullptr, 0, Refusal::LinkFull};
+    }
     const std::string region = pickRegion(open);
     Placement planned = placeIn(open, region);
     if (planned.target != nullptr && isAdmissible(open, planned, region != m_region)) {
--- a/lib/Balance/RouteStats.h
+++ b/lib/Balance/RouteStats.h
@@ -26,6 +26,18 @@
         ++m_count;
     }
 
+    void addAnswerBytes(std::uint64_t bytes)
+    {
+        const auto size = static_cast<double>(bytes);
+        m_answerBytes = m_answerBytes <= 0 ? size : m_answerBytes + (size - m_answerBytes) * Weight;
+    }
+
+    /// Mean size of an answer; 0 while none was seen.
+    double answerBytes() const
+    {
+        return m_answerBytes;
+    }
+
     /// Time at a target that remembers the request's key; nothing while too little was seen.
     std::optional<Duration> warmWork() const
     {
@@ -51,27 +63,26 @@
     static constexpr double Step = 0.05;
 
     double m_work = 0;
+    double m_answerBytes = 0;
     double m_warmWork = 0;
     unsigned m_count = 0;
 };
 
-/// Arrivals a second, as a mean that fades.
+/// What arrives a second, as a mean that fades.
 class ArrivalRate
 {
 public:
-    /// `work`: time that the request will take at a target.
-    void add(TimePoint now, Duration work)
+    void add(TimePoint now, double amount)
     {
         fade(now);
-        m_slotSeconds += std::chrono::duration<double>(work).count();
+        m_amount += amount;
     }
 
-    /// Slots that the arrivals keep busy.
-    double slots(TimePoint now) const
+    double perSecond(TimePoint now) const
     {
         ArrivalRate faded = *this;
         faded.fade(now);
-        return faded.m_slotSeconds / TimeConstant.count();
+        return faded.m_amount / TimeConstant.count();
     }
 
 private:
@@ -80,11 +91,11 @@
     void fade(TimePoint now)
     {
         const std::chrono::duration<double> passed = now - m_at;
-        m_slotSeconds *= std::exp(-passed / TimeConstant);
+        m_amount *= std::exp(-passed / TimeConstant);
         m_at = now;
     }
 
-    double m_slotSeconds = 0;
+    double m_amount = 0;
     TimePoint m_at{};
 };
 
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -12,6 +12,8 @@
 
 constexpr Milliseconds TickInterval{25};
 constexpr Milliseconds WatchPatience{500};
+/// Part of the link that large answers may use, so that small ones need not queue behind them.
+constexpr double LargeAnswersPart = 0.7;
 constexpr std::size_t IncarnationBytes = 8;
 constexpr unsigned Ok = 200;
 constexpr unsigned Unavailable = 503;
@@ -30,6 +32,7 @@
     balance.regionOfZone = settings.regionOfZone;
     balance.retries = settings.bounds.retries;
     balance.maxShift = settings.bounds.maxShift;
+    balance.linkBytesPerSecond = settings.linkBytesPerSecond;
     balance.seed = hash64(incarnation);
     return balance;
 }
@@ -53,7 +56,9 @@
     , m_balancer(std::make_unique<Balancer>(balanceSettings(m_settings, m_incarnation)))
 {
     m_events.state("start", {{"role", "entry"}, {"zone", m_settings.zone}});
-    m_client = std::make_unique<HttpClient>(m_settings.maxAnswerBytes);
+    const auto forLarge =
+        static_cast<std::uint64_t>(static_cast<double>(m_settings.linkBytesPerSecond) * LargeAnswersPart);
+    m_client = std::make_unique<HttpClient>(m_settings.maxAnswerBytes, forLarge);
     ControlWatch::Hooks hooks;
     hooks.self = [this] {
         const std::lock_guard lock(m_mutex);
@@ -108,6 +113,7 @@
     report.peer = m_settings.peer.text();
     report.presence = m_isStopping ? Presence::Draining : Presence::Ready;
     report.demand = m_balancer->demand(m_clock.now());
+    report.linkUse = m_balancer->linkUse(m_clock.now());
     report.sequence = ++m_sequence;
     return report;
 }
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -38,7 +38,9 @@
         TimePoint arrivedAt{};
         std::shared_ptr<const std::string> body;
         std::map<unsigned, HttpCallId> calls; ///< by attempt
-        Answer answer; ///< of the attempt that ended last
+        Answer answer; ///< of the attempt that ended last, or the head of the one that is passed on
+        std::uint64_t length = 0; ///< of the body that is passed on
+        unsigned begunAttempt = 0; ///< whose answer is passed on as it comes; 0 for none
     };
 
     // GatewayDaemon.cpp
@@ -54,11 +56,15 @@
 
     // GatewayRequests.cpp
     void onHttp(const HttpExchangePtr &exchange);
+    bool onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, std::uint64_t length);
+    void onAnswerPart(RequestId id, unsigned attempt, std::string_view part);
     void onAttemptEnded(RequestId id, unsigned attempt, const std::string &target, HttpResult result);
     void reduce(const BalanceEvent &event);
     void carryOut(const StartAttempt &effect);
     void carryOut(const CancelAttempt &effect);
+    void carryOut(const PassHead &effect);
     void carryOut(const PassAnswer &effect);
+    void carryOut(const AbortAnswer &effect);
     void carryOut(const RefuseRequest &effect);
     AttemptEnded readResult(RequestId id, unsigned attempt, HttpResult &result);
 
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -96,6 +96,14 @@
                         id = open.terms.requestId](const std::vector<HeaderField> &headers) {
         return accepts(headers, id);
     };
+    const RequestId id = effect.id;
+    const unsigned attempt = effect.attempt;
+    call.onLargeHead = [this, id, attempt](const Answer &head, std::uint64_t length) {
+        return onAnswerBegun(id, attempt, head, length);
+    };
+    call.onPart = [this, id, attempt](std::string_view part) {
+        onAnswerPart(id, attempt, part);
+    };
     m_metrics.count("pepperlug_attempts");
     m_events.decision("attempt",
                       {{"request", open.terms.requestId},
@@ -108,8 +116,6 @@
                        {"fill", effect.fill},
                        {"load_age_ms", effect.loadAge.count()},
                        {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
-    const RequestId id = effect.id;
-    const unsigned attempt = effect.attempt;
     open.calls[attempt] =
         m_client->start(std::move(call), [this, id, attempt, target = effect.target](HttpResult result) {
             onAttemptEnded(id, attempt, target, std::move(result));
@@ -129,9 +135,40 @@
     }
 }
 
+// Only an answer that would be passed on whole is begun; all others come whole first.
+bool GatewayDaemon::Impl::onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, std::uint64_t length)
+{
+    const AnswerTerms terms = m_dialect.readAnswer(head);
+    if (terms.isWrongTarget || !terms.isExecuted || !terms.isComplete) {
+        return false;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_open.find(static_cast<std::uint64_t>(id));
+        if (it == m_open.end() || it->second.begunAttempt != 0) {
+            return false;
+        }
+        it->second.answer = head;
+        it->second.length = length;
+    }
+    reduce(AnswerBegun{id, attempt});
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_open.find(static_cast<std::uint64_t>(id));
+    return it != m_open.end() && it->second.begunAttempt == attempt;
+}
+
+void GatewayDaemon::Impl::onAnswerPart(RequestId id, unsigned attempt, std::string_view part)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_open.find(static_cast<std::uint64_t>(id));
+    if (it != m_open.end() && it->second.begunAttempt == attempt) {
+        it->second.exchange->more(part);
+    }
+}
+
 AttemptEnded GatewayDaemon::Impl::readResult(RequestId id, unsigned attempt, HttpResult &result)
 {
-    AttemptEnded ended{id, attempt, AttemptOutcome::Lost, {}};
+    AttemptEnded ended{id, attempt, AttemptOutcome::Lost, {}, 0};
     if (result.kind == HttpResult::Kind::NotSent) {
         ended.outcome = AttemptOutcome::NotSent;
         return ended;
@@ -157,7 +194,7 @@
 
 void GatewayDaemon::Impl::onAttemptEnded(RequestId id, unsigned attempt, const std::string &target, HttpResult result)
 {
-    const AttemptEnded ended = readResult(id, attempt, result);
+    AttemptEnded ended = readResult(id, attempt, result);
     {
         const std::lock_guard lock(m_mutex);
         const auto it = m_open.find(static_cast<std::uint64_t>(id));
@@ -165,6 +202,7 @@
             return;
         }
         it->second.calls.erase(attempt);
+        ended.answerBytes = it->second.begunAttempt == attempt ? it->second.length : result.answer.body.size();
         m_events.decision("attempt-ended",
                           {{"request", it->second.terms.requestId},
                            {"attempt", attempt},
@@ -180,6 +218,42 @@
     reduce(ended);
 }
 
+void GatewayDaemon::Impl::carryOut(const PassHead &effect)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
+    if (it == m_open.end()) {
+        return;
+    }
+    OpenExchange &open = it->second;
+    open.begunAttempt = effect.attempt;
+    Answer head = open.answer;
+    head.headers = endToEndHeaders(head.headers);
+    m_events.decision("answer-begun",
+                      {{"request", open.terms.requestId},
+                       {"attempt", effect.attempt},
+                       {"status", head.status},
+                       {"bytes", open.length},
+                       {"took_ms", secondsOf(m_clock.now() - open.arrivedAt) * 1000}});
+    open.exchange->begin(head, open.length);
+}
+
+void GatewayDaemon::Impl::carryOut(const AbortAnswer &effect)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
+    if (it == m_open.end()) {
+        return;
+    }
+    OpenExchange &open = it->second;
+    m_metrics.count(std::string("pepperlug_aborts{reason=\"") + nameOf(effect.reason) + "\"}");
+    m_events.decision("aborted",
+                      {{"request", open.terms.requestId},
+                       {"reason", nameOf(effect.reason)},
+                       {"attempt", open.begunAttempt},
+                       {"took_ms", secondsOf(m_clock.now() - open.arrivedAt) * 1000}});
+    open.exchange->abort();
+    m_open.erase(it);
+}
+
 void GatewayDaemon::Impl::carryOut(const PassAnswer &effect)
 {
     const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
@@ -196,7 +270,9 @@
                        {"attempt", effect.attempt},
                        {"status", answer.status},
                        {"took_ms", secondsOf(took) * 1000}});
-    open.exchange->respond(answer);
+    if (open.begunAttempt == 0) {
+        open.exchange->respond(answer);
+    }
     m_open.erase(it);
 }
 
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -95,6 +95,7 @@
         expire(now);
         replyWatchers(now);
         settleDepartures(now);
+        followCallers(now);
     }
     askToJoin(now);
     followPeers(now);
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -61,7 +61,10 @@
     void sendElsewhere(const HttpExchangePtr &exchange, const std::string &leader);
     std::string operatorsAddressOf(const std::string &peer);
     void settleDepartures(TimePoint now);
-    std::vector<std::string> entryHostsFor(const std::string &zone) const;
+    std::vector<std::string> entryHostsFor(const std::string &zone);
+    std::vector<std::string> liveEntryHosts(const std::string &region, const std::string &zone) const;
+    void followCallers(TimePoint now);
+    bool tableHasHomes();
 
     /// A held ask of another host.
     struct Watcher {
@@ -89,6 +92,10 @@
     mutable std::mutex m_mutex; ///< guards what follows, down to m_peers
     Registry m_registry;
     RoutingState m_routing;
+    CallerShares m_shares;
+    TimePoint m_nextShares{};
+    std::uint64_t m_homesIndex = 0; ///< routing for which m_hasHomes holds
+    bool m_hasHomes = false;
     std::uint64_t m_sequence = 0;
     bool m_isLeaving = false;
     std::vector<Watcher> m_watchers;
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -7,6 +7,7 @@
 #include "RegistryImpl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pepperlug::fleet
 {
@@ -17,6 +18,7 @@
 /// Targets turn to another host after a second.
 constexpr Milliseconds DeparturePatience{900};
 constexpr Milliseconds DirectoryTimeToLive{1000};
+constexpr Milliseconds SharesInterval{250};
 
 std::string subjectOf(const RoutingCommand &command)
 {
@@ -236,27 +238,76 @@
     exchange->respond(m_dialect.tableAnswer(text));
 }
 
-std::vector<std::string> RegistryDaemon::Impl::entryHostsFor(const std::string &zone) const
+void RegistryDaemon::Impl::followCallers(TimePoint now)
 {
-    const auto regionOf = [&](const std::string &name) {
-        const auto it = m_settings.regionOfZone.find(name);
-        return it == m_settings.regionOfZone.end() ? std::string() : it->second;
-    };
-    std::vector<std::string> inZone;
-    std::vector<std::string> inRegion;
-    std::vector<std::string> elsewhere;
+    if (now < m_nextShares) {
+        return;
+    }
+    m_nextShares = now + SharesInterval;
+    std::map<std::string, RegionLoad> regions;
     for (const auto &[id, entry] : m_registry.hosts()) {
-        const HostReport &host = entry.report;
-        if (host.role != HostRole::Entry || !Registry::isLive(entry)) {
+        const auto region = m_settings.regionOfZone.find(entry.report.zone);
+        if (entry.report.role != HostRole::Entry || !Registry::isLive(entry)
+            || region == m_settings.regionOfZone.end()) {
             continue;
         }
-        const bool sharesRegion = regionOf(host.zone) == regionOf(zone);
-        std::vector<std::string> &list = host.zone == zone ? inZone : (sharesRegion ? inRegion : elsewhere);
-        list.push_back(host.address);
+        RegionLoad &load = regions[region->second];
+        ++load.hosts;
+        load.linkUse += (entry.report.linkUse - load.linkUse) / load.hosts;
+    }
+    m_shares.follow(regions, now);
+}
+
+// Callers of routes with home regions may not be sent elsewhere.
+bool RegistryDaemon::Impl::tableHasHomes()
+{
+    if (m_homesIndex == m_routing.index() || m_routing.text().empty()) {
+        return m_hasHomes;
+    }
+    m_homesIndex = m_routing.index();
+    const RouteTable table = m_dialect.readTable(m_routing.text());
+    m_hasHomes =
+        std::any_of(table.routes.begin(), table.routes.end(), [](const Route &it) { return !it.homeRegions.empty(); });
+    return m_hasHomes;
+}
+
+// In an order that differs from zone to zone, so that the guests of several zones do not meet at the same few hosts.
+std::vector<std::string> RegistryDaemon::Impl::liveEntryHosts(const std::string &region, const std::string &zone) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto &[id, entry] : m_registry.hosts()) {
+        const auto it = m_settings.regionOfZone.find(entry.report.zone);
+        const bool isThere = it != m_settings.regionOfZone.end() && (region.empty() || it->second == region);
+        if (entry.report.role == HostRole::Entry && Registry::isLive(entry) && isThere) {
+            ranked.emplace_back(hash64(id, hash64(zone)), entry.report.address);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> addresses;
+    for (auto &[rank, address] : ranked) {
+        addresses.push_back(std::move(address));
+    }
+    return addresses;
+}
+
+// Callers of a region share all its entry hosts: zones have not alike many, and crowds come to one zone at a time.
+std::vector<std::string> RegistryDaemon::Impl::entryHostsFor(const std::string &zone)
+{
+    const auto it = m_settings.regionOfZone.find(zone);
+    const std::string region = it == m_settings.regionOfZone.end() ? std::string() : it->second;
+    std::vector<std::string> hosts = liveEntryHosts(region, zone);
+    if (hosts.empty()) {
+        return liveEntryHosts({}, zone);
+    }
+    const GuestShare guests = m_shares.guestsOf(region);
+    if (guests.part <= 0 || tableHasHomes()) {
+        return hosts;
     }
-    // Callers of a region share all its entry hosts: zones have not alike many, and crowds come to one zone at a time.
-    inZone.insert(inZone.end(), inRegion.begin(), inRegion.end());
-    return inZone.empty() ? elsewhere : inZone;
+    const double wanted = static_cast<double>(hosts.size()) * guests.part / (1 - guests.part);
+    std::vector<std::string> others = liveEntryHosts(guests.region, zone);
+    others.resize(std::min(others.size(), static_cast<std::size_t>(std::lround(wanted))));
+    hosts.insert(hosts.end(), others.begin(), others.end());
+    return hosts;
 }
 
 void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const FindEntryHosts &request)
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -12,6 +12,9 @@
 constexpr std::int64_t DefaultMaxAnswer = 32LL << 20;
 constexpr std::int64_t DefaultLogLines = 200;
 constexpr double MaxSeconds = 86400;
+constexpr double MaxLinkMbps = 1e6;
+constexpr double BitsPerMegabit = 1e6;
+constexpr double BitsPerByte = 8;
 
 Address readAddress(ObjectReader &reader, const std::string &key)
 {
@@ -88,6 +91,8 @@
         settings.maxBodyBytes = static_cast<std::size_t>(reader.integer("max_body_bytes", 0, MaxBytes, DefaultMaxBody));
         settings.maxAnswerBytes =
             static_cast<std::size_t>(reader.integer("max_answer_bytes", 1024, MaxBytes, DefaultMaxAnswer));
+        const double linkMbps = reader.number("link_mbps", 0, MaxLinkMbps, 0);
+        settings.linkBytesPerSecond = static_cast<std::uint64_t>(linkMbps * BitsPerMegabit / BitsPerByte);
     } else {
         settings.operators = readAddress(reader, "operators");
         settings.directory = readAddress(reader, "directory");
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -1,13 +1,13 @@
 //===- Connection.cpp - One caller's connection ---------------------------===//
 //
-// Pistache queues a write under the number of its socket, from whichever thread. If the peer goes while the write is
-// queued, the kernel may give the number to a new connection, and the late answer would be written to a stranger. So a
-// connection's writes are queued under its mutex, and only while it is alive; when its peer goes, it is marked dead
-// under the same mutex, and the server flushes the queue while the number is still taken.
+// What a caller is owed is written by the thread that has it, and what the socket does not take then by the write loop;
+// Pistache only reads. The number of a socket may be given to a new connection once its peer has gone, so it is used
+// only under the connection's mutex and while the connection is alive.
 //
 //===----------------------------------------------------------------------===//
 #include "Connection.h"
 
+#include <cerrno>
 #include <sys/socket.h>
 
 namespace pepperlug
@@ -22,12 +22,15 @@
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/// Bytes that the socket took without waiting.
-std::size_t writeNow(int fd, const std::string &bytes)
+/// Bytes that the socket took without waiting; nothing if it has ended.
+std::optional<std::size_t> writeNow(int socket, std::string_view bytes)
 {
     std::size_t done = 0;
     while (done < bytes.size()) {
-        const ssize_t n = ::send(fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
+        const ssize_t n = ::send(socket, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+            return std::nullopt;
+        }
         if (n <= 0) {
             break;
         }
@@ -58,6 +61,22 @@
         m_connection->complete(m_slot, encodeAnswer(answer, m_request.method == "HEAD", keepAlive), !keepAlive);
     }
 
+    void begin(const Answer &head, std::uint64_t length) override
+    {
+        const bool keepAlive = m_keepAlive && !m_connection->isClosing();
+        m_connection->begin(m_slot, encodeHead(head, length, keepAlive), length, !keepAlive);
+    }
+
+    void more(std::string_view part) override
+    {
+        m_connection->add(m_slot, part);
+    }
+
+    void abort() override
+    {
+        m_connection->abort(m_slot);
+    }
+
     void onDeparture(std::function<void()> handler) override
     {
         if (!m_connection->setDeparture(m_slot, handler)) {
@@ -241,16 +260,65 @@
 }
 
 void Connection::complete(const SlotPtr &slot, std::string bytes, bool closesAfter)
+{
+    begin(slot, std::move(bytes), 0, closesAfter);
+}
+
+void Connection::begin(const SlotPtr &slot, std::string bytes, std::uint64_t bytesToCome, bool closesAfter)
 {
     const std::lock_guard lock(m_mutex);
     if (slot->bytes || !m_isAlive) {
         return;
     }
     slot->bytes = std::move(bytes);
+    slot->bytesToCome = bytesToCome;
     slot->closesAfter = closesAfter;
+    if (bytesToCome == 0) {
+        slot->onDeparture = nullptr;
+    }
+    sendReadyLocked();
+}
+
+void Connection::add(const SlotPtr &slot, std::string_view part)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!slot->bytes || !m_isAlive) {
+        return;
+    }
+    part = part.substr(0, slot->bytesToCome);
+    slot->bytes->append(part);
+    slot->bytesToCome -= part.size();
+    if (slot->bytesToCome == 0) {
+        slot->onDeparture = nullptr;
+    }
+    sendReadyLocked();
+}
+
+// Nothing may follow the cut answer, and nothing before it is owed any more to a caller who has to come back anyway.
+void Connection::abort(const SlotPtr &slot)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::shared_ptr<pt::Peer> peer = m_peer.lock();
+    const bool isWhole = slot->bytes && slot->bytesToCome == 0;
+    if (!m_isAlive || !peer || isWhole) {
+        return;
+    }
     slot->onDeparture = nullptr;
+    m_ignoresInput = true;
+    ::shutdown(peer->fd(), SHUT_RDWR);
+}
+
+// Sends what there is of the answers whose turn it is.
+void Connection::sendReadyLocked()
+{
     while (!m_slots.empty() && m_slots.front()->bytes) {
-        sendLocked(*m_slots.front()->bytes, m_slots.front()->closesAfter);
+        Slot &slot = *m_slots.front();
+        const bool isWhole = slot.bytesToCome == 0;
+        sendLocked(*slot.bytes, isWhole && slot.closesAfter);
+        slot.bytes->clear();
+        if (!isWhole) {
+            break;
+        }
         m_slots.pop_front();
     }
     m_lastActive = m_shared.clock.now();
@@ -262,30 +330,42 @@
     if (!m_isAlive || !peer) {
         return;
     }
-    // Most answers fit into the socket's buffer; then they are written at once, on this thread. The number of the
-    // socket is taken while the connection is alive, and no other write goes on: Pistache's queue is used only for what
-    // is left.
-    const std::size_t written = m_isQueued ? 0 : writeNow(peer->fd(), bytes);
-    if (written == bytes.size()) {
-        if (closesAfter) {
-            ::shutdown(peer->fd(), SHUT_RDWR);
-        }
-        return;
+    m_pending += bytes;
+    m_closesWhenSent |= closesAfter;
+    if (m_watch == WatchId{}) {
+        writePendingLocked(peer->fd());
     }
-    m_isQueued = true;
-    auto promise = peer->send(Pistache::RawBuffer(bytes.substr(written), bytes.size() - written));
-    if (!closesAfter) {
+}
+
+void Connection::writePendingLocked(int socket)
+{
+    const std::optional<std::size_t> written = writeNow(socket, m_pending);
+    if (!written) {
+        m_pending.clear(); // whoever reads the socket will see its end
         return;
     }
-    // Runs on the worker that owns the socket, while it is still open.
-    const std::weak_ptr<pt::Peer> weak = m_peer;
-    promise.then(
-        [weak](ssize_t) {
+    m_pending.erase(0, *written);
+    if (!m_pending.empty()) {
+        m_watch = m_shared.writes.watch(socket, [weak = weak_from_this()] {
             if (const auto it = weak.lock()) {
-                ::shutdown(it->fd(), SHUT_RDWR);
+                it->onWritable();
             }
-        },
-        Pistache::Async::IgnoreException);
+        });
+        return;
+    }
+    if (m_closesWhenSent) {
+        ::shutdown(socket, SHUT_RDWR);
+    }
+}
+
+void Connection::onWritable()
+{
+    const std::lock_guard lock(m_mutex);
+    m_watch = {};
+    const std::shared_ptr<pt::Peer> peer = m_peer.lock();
+    if (m_isAlive && peer) {
+        writePendingLocked(peer->fd());
+    }
 }
 
 bool Connection::setDeparture(const SlotPtr &slot, std::function<void()> handler)
@@ -294,7 +374,8 @@
     if (!m_isAlive) {
         return false;
     }
-    if (!slot->bytes) {
+    const bool isWhole = slot->bytes && slot->bytesToCome == 0;
+    if (!isWhole) {
         slot->onDeparture = std::move(handler);
     }
     return true;
@@ -306,6 +387,9 @@
     {
         const std::lock_guard lock(m_mutex);
         m_isAlive = false;
+        m_pending.clear();
+        m_shared.writes.forget(m_watch);
+        m_watch = {};
         slots.swap(m_slots);
     }
     for (const SlotPtr &slot : slots) {
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "Head.h"
+#include "WriteLoop.h"
 
 #include <pistache/http.h>
 #include <pistache/peer.h>
@@ -18,7 +19,8 @@
 
 /// One answer that a connection owes, in order.
 struct Slot {
-    std::optional<std::string> bytes;
+    std::optional<std::string> bytes; ///< what there is to send yet; nothing before the answer has begun
+    std::uint64_t bytesToCome = 0; ///< of the body, not given yet
     bool closesAfter = false;
     std::function<void()> onDeparture;
 };
@@ -31,6 +33,7 @@
     HttpHandler handler;
     std::mutex mutex;
     std::vector<std::weak_ptr<Connection>> connections;
+    WriteLoop writes;
     std::atomic<bool> closesAfterAnswers = false;
 };
 
@@ -52,6 +55,10 @@
     /// Whether the server wants each connection to end after its next answer.
     bool isClosing() const;
     void complete(const SlotPtr &slot, std::string bytes, bool closesAfter);
+    /// Begins an answer of which `bytesToCome` bytes follow through add().
+    void begin(const SlotPtr &slot, std::string bytes, std::uint64_t bytesToCome, bool closesAfter);
+    void add(const SlotPtr &slot, std::string_view part);
+    void abort(const SlotPtr &slot);
     bool setDeparture(const SlotPtr &slot, std::function<void()> handler);
     /// Worker thread: the peer has gone.
     void gone();
@@ -62,7 +69,10 @@
     bool readBodyPart();
     void emitRequest();
     void fault(unsigned status, const std::string &reason);
+    void sendReadyLocked();
     void sendLocked(const std::string &bytes, bool closesAfter);
+    void writePendingLocked(int socket);
+    void onWritable();
     SlotPtr addSlot();
 
     std::weak_ptr<Pistache::Tcp::Peer> m_peer;
@@ -76,7 +86,9 @@
     std::mutex m_mutex; ///< guards what follows
     bool m_isAlive = true;
     bool m_ignoresInput = false; ///< a fault or "close" has been answered
-    bool m_isQueued = false; ///< Pistache has had a part of an answer to write; all that follows goes the same way
+    std::string m_pending; ///< what the socket has not taken yet
+    bool m_closesWhenSent = false; ///< ends the connection once nothing is pending
+    WatchId m_watch{}; ///< of the wait for the socket to take more
     std::deque<SlotPtr> m_slots;
     TimePoint m_lastActive;
     std::optional<TimePoint> m_partSince; ///< when an unfinished request began
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -9,6 +9,7 @@
 #include "pepperlug/Http.h"
 #include "SocketLoop.h"
 
+#include <algorithm>
 #include <charconv>
 #include <unordered_map>
 
@@ -20,6 +21,10 @@
 
 constexpr long KeptConnectionSeconds = 6; ///< a kept connection that was idle for longer is not used again
 constexpr long MaxKeptConnections = 512;
+/// From here on an answer is large: it is passed on while it arrives, and shares the bound on bytes a second.
+constexpr std::uint64_t LargeAnswer = 16 * 1024;
+/// Read at a time where bytes a second are bounded; less makes a smoother stream, and more wake-ups.
+constexpr long BoundedRead = 8 * 1024;
 
 // libcurl's handle types are all void, so each needs a deleter of its own name.
 struct EasyDeleter {
@@ -53,18 +58,25 @@
     HttpCall call;
     HttpResultHandler handler;
     std::size_t maxAnswerBytes = 0;
+    std::uint64_t bytesPerSecond = 0; ///< that a large answer may use now; 0 for no bound
     EasyHandle easy;
     HeaderList headers;
     Answer answer;
     unsigned sendings = 0;
     std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
     bool isTooLarge = false;
+    bool isLarge = false;
+    bool isPassedOn = false; ///< the body goes to the call's handler as it arrives
 };
 
 std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self)
 {
     auto *transfer = static_cast<Transfer *>(self);
     const std::size_t bytes = size * count;
+    if (transfer->isPassedOn) {
+        transfer->call.onPart({data, bytes});
+        return bytes;
+    }
     if (transfer->answer.body.size() + bytes > transfer->maxAnswerBytes) {
         transfer->isTooLarge = true;
         return 0;
@@ -73,6 +85,32 @@
     return bytes;
 }
 
+std::uint64_t lengthIn(const std::vector<HeaderField> &headers)
+{
+    std::uint64_t length = 0;
+    for (const HeaderField &field : headers) {
+        if (sameName(field.name, "content-length")) {
+            std::from_chars(field.value.data(), field.value.data() + field.value.size(), length);
+        }
+    }
+    return length;
+}
+
+// An interim head has no body, and neither has the answer to HEAD, whatever length it tells.
+void onHeadEnd(Transfer &transfer)
+{
+    constexpr long FirstFinalStatus = 200;
+    long status = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    const std::uint64_t length = lengthIn(transfer.answer.headers);
+    transfer.isLarge = status >= FirstFinalStatus && length >= LargeAnswer && transfer.call.method != "HEAD";
+    if (!transfer.isLarge || !transfer.call.onLargeHead || length > transfer.maxAnswerBytes) {
+        return;
+    }
+    transfer.answer.status = static_cast<unsigned>(status);
+    transfer.isPassedOn = transfer.call.onLargeHead(transfer.answer, length);
+}
+
 std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *self)
 {
     auto *transfer = static_cast<Transfer *>(self);
@@ -85,7 +123,11 @@
     }
     if (line.empty()) {
         const bool isAccepted = !transfer->call.acceptsHead || transfer->call.acceptsHead(transfer->answer.headers);
-        return isAccepted ? bytes : 0;
+        if (!isAccepted) {
+            return 0;
+        }
+        onHeadEnd(*transfer);
+        return bytes;
     }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
@@ -153,6 +195,10 @@
     if (!call.fromIp.empty()) {
         curl_easy_setopt(easy, CURLOPT_INTERFACE, call.fromIp.c_str());
     }
+    if (transfer.bytesPerSecond > 0) {
+        curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BoundedRead);
+        curl_easy_setopt(easy, CURLOPT_MAX_RECV_SPEED_LARGE, static_cast<curl_off_t>(transfer.bytesPerSecond));
+    }
     setUpMethod(easy, call);
     bool hasType = false;
     for (const HeaderField &field : call.headers) {
@@ -200,8 +246,9 @@
 class HttpClient::Impl
 {
 public:
-    explicit Impl(std::size_t maxAnswerBytes)
+    Impl(std::size_t maxAnswerBytes, std::uint64_t bytesPerSecond)
         : m_maxAnswerBytes(maxAnswerBytes)
+        , m_bytesPerSecond(bytesPerSecond)
     {
         static const CURLcode Started = curl_global_init(CURL_GLOBAL_DEFAULT);
         if (Started != CURLE_OK) {
@@ -227,6 +274,7 @@
         transfer->call = std::move(call);
         transfer->handler = std::move(handler);
         transfer->maxAnswerBytes = m_maxAnswerBytes;
+        transfer->bytesPerSecond = m_bytesPerSecond;
         HttpCallId id{};
         {
             const std::lock_guard lock(m_mutex);
@@ -283,6 +331,7 @@
             }
             m_loop->runOnce();
             collect();
+            shareRate();
         }
         for (auto &[id, transfer] : m_transfers) {
             curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
@@ -313,6 +362,25 @@
         m_transfers.emplace(order.id, std::move(order.transfer));
     }
 
+    // Large answers on their way share the bound alike.
+    void shareRate()
+    {
+        if (m_bytesPerSecond == 0) {
+            return;
+        }
+        const auto isLarge = [](const auto &it) {
+            return it.second->isLarge;
+        };
+        const auto count = std::count_if(m_transfers.begin(), m_transfers.end(), isLarge);
+        const std::uint64_t share = m_bytesPerSecond / static_cast<std::uint64_t>(std::max<std::ptrdiff_t>(1, count));
+        for (auto &[id, transfer] : m_transfers) {
+            if (transfer->isLarge && transfer->bytesPerSecond != share) {
+                transfer->bytesPerSecond = share;
+                curl_easy_setopt(transfer->easy.get(), CURLOPT_MAX_RECV_SPEED_LARGE, static_cast<curl_off_t>(share));
+            }
+        }
+    }
+
     void collect()
     {
         constexpr std::size_t MaxSpare = 256;
@@ -338,6 +406,7 @@
     }
 
     std::size_t m_maxAnswerBytes;
+    std::uint64_t m_bytesPerSecond;
     MultiHandle m_multi;
     std::unique_ptr<SocketLoop> m_loop;
     std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> m_transfers;
@@ -349,8 +418,8 @@
     std::thread m_thread;
 };
 
-HttpClient::HttpClient(std::size_t maxAnswerBytes)
-    : m_impl(std::make_unique<Impl>(maxAnswerBytes))
+HttpClient::HttpClient(std::size_t maxAnswerBytes, std::uint64_t bytesPerSecond)
+    : m_impl(std::make_unique<Impl>(maxAnswerBytes, bytesPerSecond))
 {
 }
 
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -41,7 +41,6 @@
         if (const auto connection = find(peer)) {
             connection->gone();
         }
-        transport()->flush();
     }
 
 private:
@@ -71,7 +70,7 @@
 {
 public:
     Impl(const Address &address, unsigned threads, HttpLimits limits, const Clock &clock, HttpHandler handler)
-        : m_shared{limits, clock, std::move(handler), {}, {}, false}
+        : m_shared{limits, clock, std::move(handler), {}, {}, {}, false}
         , m_ip(address.ip)
         , m_endpoint(Pistache::Address(address.ip, Pistache::Port(address.port)))
     {
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -17,6 +17,8 @@
 
 /// A cold time that moves by less than this between two reports is the same one.
 constexpr Milliseconds ColdTolerance{600};
+/// Use of a link that moves by less is not worth a message.
+constexpr double LinkUseTolerance = 0.1;
 /// Demand that moves by less than this part is not worth a message.
 constexpr double DemandTolerance = 0.1;
 
@@ -49,7 +51,8 @@
 bool isAlike(const Registry::HostEntry &old, const HostReport &report, TimePoint)
 {
     return old.report.presence == report.presence && old.report.address == report.address
-        && isAlike(old.report.demand, report.demand);
+        && isAlike(old.report.demand, report.demand)
+        && std::abs(old.report.linkUse - report.linkUse) < LinkUseTolerance;
 }
 
 template <typename Report>
--- a/unittests/Balance/BalanceFixture.h
+++ b/unittests/Balance/BalanceFixture.h
@@ -15,7 +15,12 @@
 {
 public:
     explicit Host(const std::string &id = "e1", const std::string &zone = "z1", std::uint64_t seed = 1)
-        : balancer(settingsOf(id, zone, seed))
+        : Host(settingsOf(id, zone, seed))
+    {
+    }
+
+    explicit Host(const BalanceSettings &settings)
+        : balancer(settings)
     {
         table.version = 1;
         table.services = {{"s", 100, 3s, 4}};
@@ -98,7 +103,7 @@
 
     void end(RequestId id, unsigned attempt, AttemptOutcome outcome)
     {
-        reduce(AttemptEnded{id, attempt, outcome, {}});
+        reduce(AttemptEnded{id, attempt, outcome, {}, 0});
     }
 
     template <typename Effect>
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -241,6 +241,101 @@
     CHECK(again <= 0.2 * Requests + 40.0 / 4);
 }
 
+TEST_CASE("once a part of an answer was passed on its request is neither sent again nor refused")
+{
+    for (const AttemptOutcome outcome : {AttemptOutcome::Lost, AttemptOutcome::TimedOut, AttemptOutcome::NotSent}) {
+        Host host;
+        host.useTable();
+        host.report(Host::targetOf("t1"));
+        host.report(Host::targetOf("t2", "z2"));
+        const RequestId id = host.request("/read/x");
+        host.reduce(AnswerBegun{id, 1});
+        REQUIRE(host.find<PassHead>() != nullptr);
+        host.reduce(AnswerBegun{id, 1});
+        CHECK(host.find<PassHead>() == nullptr);
+        host.end(id, 1, outcome);
+        CHECK(host.find<StartAttempt>() == nullptr);
+        CHECK(host.find<RefuseRequest>() == nullptr);
+        REQUIRE(host.find<AbortAnswer>() != nullptr);
+        CHECK_FALSE(promisesNotRun(host.find<AbortAnswer>()->reason));
+        CHECK(host.balancer.open() == 0);
+    }
+}
+
+TEST_CASE("an answer that was begun ends with its last byte, or with the time of its request")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("t1"));
+    const RequestId whole = host.request("/read/x");
+    host.reduce(AnswerBegun{whole, 1});
+    host.end(whole, 1, AttemptOutcome::Answered);
+    CHECK(host.find<PassAnswer>() != nullptr);
+
+    const RequestId late = host.request("/read/x");
+    host.reduce(AnswerBegun{late, 1});
+    host.now += 5s;
+    host.reduce(BalanceTick{});
+    CHECK(host.find<CancelAttempt>() != nullptr);
+    REQUIRE(host.find<AbortAnswer>() != nullptr);
+    CHECK(host.find<AbortAnswer>()->reason == Refusal::TimedOut);
+}
+
+TEST_CASE("the first answer that begins ends the other attempt at its request")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("t1"));
+    host.report(Host::targetOf("t2", "z2"));
+    const RequestId id = host.request("/read/x");
+    host.now += 1500ms;
+    host.reduce(BalanceTick{});
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    REQUIRE(host.find<StartAttempt>()->attempt == 2);
+    host.reduce(AnswerBegun{id, 2});
+    REQUIRE(host.find<CancelAttempt>() != nullptr);
+    CHECK(host.find<CancelAttempt>()->attempt == 1);
+    host.reduce(AnswerBegun{id, 1});
+    CHECK(host.find<PassHead>() == nullptr);
+}
+
+TEST_CASE("large answers are asked for no faster than the link bears, small ones always")
+{
+    constexpr std::uint64_t LinkBytes = 500000;
+    constexpr std::uint64_t LargeBytes = 100000;
+    BalanceSettings settings = Host::settingsOf("e1", "z1", 1);
+    settings.linkBytesPerSecond = LinkBytes;
+    Host host(settings);
+    host.useTable();
+    host.report(Host::targetOf("t1", "z1", 1000));
+    const auto answer = [&](RequestId id, std::uint64_t bytes) {
+        host.reduce(AttemptEnded{id, 1, AttemptOutcome::Answered, {}, bytes});
+    };
+    answer(host.request("/read/x"), LargeBytes);
+    answer(host.request("/once/x"), 100);
+    constexpr int Seconds = 4;
+    int large = 0;
+    for (int n = 0; n < 1000 * Seconds; ++n) {
+        host.now += 1ms;
+        const RequestId id = host.request("/read/x");
+        if (host.find<StartAttempt>() != nullptr) {
+            ++large;
+            answer(id, LargeBytes);
+        } else {
+            REQUIRE(host.find<RefuseRequest>() != nullptr);
+            CHECK(host.find<RefuseRequest>()->reason == Refusal::LinkFull);
+            CHECK(host.find<RefuseRequest>()->retryAfter > 0ms);
+        }
+        if (n % 10 == 0) {
+            const RequestId small = host.request("/once/x");
+            CHECK(host.find<StartAttempt>() != nullptr);
+            answer(small, 100);
+        }
+    }
+    CHECK(large * LargeBytes <= LinkBytes * (Seconds + 1));
+    CHECK(large > Seconds);
+}
+
 TEST_CASE("parts of a split get their weights")
 {
     Host host;
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -80,6 +80,8 @@
     }
 
     std::atomic<bool> answersForAnother{false};
+    std::atomic<std::size_t> bodyBytes{0}; ///< length of answers; 0 for a short one
+    std::atomic<bool> breaksOff{false}; ///< ends its connection in the middle of an answer
 
 private:
     void onRequest(const HttpExchangePtr &exchange)
@@ -102,7 +104,14 @@
     void answer(const HttpExchangePtr &exchange)
     {
         const std::string id = answersForAnother ? "another" : exchange->request().header("X-Request-Id").value_or("");
-        exchange->respond({200, {{"X-Request-Id", id}, {"X-Upstream-Seal", "seal"}}, "body of " + m_id});
+        const Answer head{200, {{"X-Request-Id", id}, {"X-Upstream-Seal", "seal"}}, {}};
+        if (breaksOff) {
+            exchange->begin(head, bodyBytes);
+            exchange->more(std::string(bodyBytes / 2, 'x'));
+            exchange->abort();
+            return;
+        }
+        exchange->respond({200, head.headers, bodyBytes > 0 ? std::string(bodyBytes, 'x') : "body of " + m_id});
     }
 
     std::string m_id;
@@ -315,6 +324,31 @@
     CHECK(system.get(system.gateway->callersAddress(), "/p/x", "q2").status == 200);
 }
 
+TEST_CASE("a large answer comes whole, and one that its target breaks off never looks whole")
+{
+    constexpr std::size_t Large = 300000;
+    System system;
+    FakeTarget target("i-1");
+    system.putTable("r2", "0");
+    system.beat("i-1", target, 1);
+    REQUIRE(system.becomesReady());
+    target.bodyBytes = Large;
+    const Answer whole = system.get(system.gateway->callersAddress(), "/p/x", "q1");
+    CHECK(whole.status == 200);
+    CHECK(whole.body == std::string(Large, 'x'));
+    target.breaksOff = true;
+    HttpCall call;
+    call.to = system.gateway->callersAddress();
+    call.method = "GET";
+    call.resource = "/p/x";
+    call.headers = {{"Host", "a.example"}, {"X-Request-Id", "q2"}};
+    call.timeout = 5s;
+    HttpClient client(1 << 20);
+    CHECK(fetchOnce(client, call).kind == HttpResult::Kind::Broken);
+    target.breaksOff = false;
+    CHECK(system.get(system.gateway->callersAddress(), "/p/x", "q3").body.size() == Large);
+}
+
 TEST_CASE("a planned stop finishes what was passed on, and passes nothing on just before its end")
 {
     System system;
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -205,3 +205,126 @@
     CHECK(call(client, refused).kind == HttpResult::Kind::Broken);
     CHECK(call(client, callTo(server.address())).kind == HttpResult::Kind::Answered);
 }
+
+namespace
+{
+
+/// Collects a large answer while it arrives.
+struct LargeAnswer {
+    void addTo(HttpCall &call)
+    {
+        call.onLargeHead = [this](const Answer &answer, std::uint64_t bytes) {
+            head = answer;
+            length = bytes;
+            return isWanted;
+        };
+        call.onPart = [this](std::string_view part) {
+            body += part;
+        };
+    }
+
+    bool isWanted = true;
+    Answer head;
+    std::uint64_t length = 0;
+    std::string body;
+};
+
+std::string largeAnswer(std::size_t promised, std::size_t sent)
+{
+    return "HTTP/1.1 200 OK\r\nX-Mark: m\r\nContent-Length: " + std::to_string(promised) + "\r\n\r\n"
+        + std::string(sent, 'x');
+}
+
+constexpr std::size_t Large = 100000;
+
+} // namespace
+
+TEST_CASE("a large answer is passed on while it arrives")
+{
+    std::promise<void> mayGoOn;
+    const RawServer server({[&](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, largeAnswer(Large, Large / 2));
+        mayGoOn.get_future().wait();
+        RawServer::send(socket, std::string(Large / 2, 'x'));
+    }});
+    HttpClient client(MaxAnswerBytes);
+    LargeAnswer large;
+    HttpCall get = callTo(server.address());
+    large.addTo(get);
+    // The target sends the second half only once the first part was passed on.
+    get.onPart = [&, isFirst = true](std::string_view part) mutable {
+        large.body += part;
+        if (std::exchange(isFirst, false)) {
+            mayGoOn.set_value();
+        }
+    };
+    const HttpResult result = call(client, std::move(get));
+    CHECK(result.kind == HttpResult::Kind::Answered);
+    CHECK(result.answer.body.empty());
+    CHECK(large.length == Large);
+    CHECK(large.head.status == 200);
+    CHECK(large.body == std::string(Large, 'x'));
+}
+
+TEST_CASE("a large answer that is cut, or not wanted in parts, or whose head is not accepted")
+{
+    const auto whole = [](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, largeAnswer(Large, Large));
+    };
+    const auto cut = [](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, largeAnswer(Large, Large - 1));
+    };
+    const RawServer server({cut, whole, whole});
+    HttpClient client(MaxAnswerBytes);
+    LargeAnswer large;
+    HttpCall get = callTo(server.address());
+    large.addTo(get);
+    CHECK(call(client, get).kind == HttpResult::Kind::Broken);
+
+    large.isWanted = false;
+    large.body.clear();
+    const HttpResult result = call(client, get);
+    CHECK(result.answer.body.size() == Large);
+    CHECK(large.body.empty());
+
+    large = {};
+    get.acceptsHead = [](const std::vector<HeaderField> &) {
+        return false;
+    };
+    CHECK(call(client, get).kind == HttpResult::Kind::Broken);
+    CHECK(large.length == 0);
+}
+
+TEST_CASE("the answer to HEAD is never large")
+{
+    const RawServer server({[](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, largeAnswer(Large, 0));
+    }});
+    HttpClient client(MaxAnswerBytes);
+    LargeAnswer large;
+    HttpCall head = callTo(server.address(), "HEAD");
+    large.addTo(head);
+    CHECK(call(client, head).kind == HttpResult::Kind::Answered);
+    CHECK(large.length == 0);
+}
+
+TEST_CASE("large answers come whole also where their bytes a second are bounded")
+{
+    const auto whole = [](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, largeAnswer(Large, Large));
+    };
+    const RawServer server({whole, whole});
+    HttpClient client(MaxAnswerBytes, 20 * Large);
+    for (int n = 0; n < 2; ++n) {
+        LargeAnswer large;
+        HttpCall get = callTo(server.address());
+        large.addTo(get);
+        CHECK(call(client, get).kind == HttpResult::Kind::Answered);
+        CHECK(large.body.size() == Large);
+    }
+}
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -2,6 +2,7 @@
 #include "pepperlug/Http.h"
 #include "RawSocket.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace pepperlug;
@@ -286,6 +287,75 @@
     CHECK_FALSE(has(all, "second"));
 }
 
+TEST_CASE("an answer that is passed on in parts reaches its caller before it is whole, and in its turn")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold") + get("/hold") + get("/after", "Connection: close\r\n"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(2);
+    held[1]->begin({200, {{"X-Mark", "second"}}, {}}, 4);
+    held[1]->more("wxyz");
+    held[0]->begin({200, {{"X-Mark", "first"}}, {}}, 6);
+    held[0]->more("abc");
+    CHECK_FALSE(has(socket.readUntil("abc"), "second"));
+    held[0]->more("def and more than was promised");
+    const std::string all = socket.readToEnd();
+    CHECK(has(all, "Content-Length: 6"));
+    CHECK(has(all, "abcdefHTTP/1.1 200"));
+    CHECK(has(all, "wxyzHTTP/1.1 200"));
+    CHECK(has(all, "GET /after"));
+}
+
+TEST_CASE("an answer that is given up midway ends its connection")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    held[0]->begin({200, {}, {}}, 100);
+    held[0]->more("only this");
+    socket.readUntil("only this");
+    held[0]->abort();
+    held[0]->more(std::string(91, 'x'));
+    const std::string all = socket.readToEnd();
+    CHECK(has(all, "only this"));
+    CHECK_FALSE(has(all, "x"));
+}
+
+TEST_CASE("a caller that leaves in the middle of an answer is noticed")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    held[0]->begin({200, {}, {}}, 100);
+    socket.readUntil("\r\n\r\n");
+    socket.close();
+    echo.waitDeparted(1);
+    held[0]->more(std::string(100, 'x'));
+}
+
+TEST_CASE("what a socket does not take at once is written later, in order, while others come and go")
+{
+    EchoServer echo;
+    constexpr std::size_t Large = 8UL << 20;
+    constexpr int Parts = 16;
+    RawSocket slow(echo.server.address());
+    slow.send(get("/hold", "Connection: close\r\n"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    held[0]->begin({200, {}, {}}, Large);
+    for (int n = 0; n < Parts; ++n) {
+        held[0]->more(std::string(Large / Parts, static_cast<char>('a' + n)));
+        RawSocket other(echo.server.address());
+        other.send(get("/other", "Connection: close\r\n"));
+        CHECK(has(other.readToEnd(), "/other"));
+    }
+    const std::string all = slow.readToEnd();
+    const std::string body = all.substr(all.find("\r\n\r\n") + 4);
+    CHECK(body.size() == Large);
+    CHECK(std::is_sorted(body.begin(), body.end()));
+}
+
 TEST_CASE("more requests in progress on one connection than allowed are refused")
 {
     HttpLimits limits;
