--- a/lib/Balance/LinkBudget.h
+++ b/lib/Balance/LinkBudget.h
@@ -38,7 +38,7 @@
 private:
     /// Each answer passes the link twice, from its target and to its caller, and both ways share it: so less than half.
     static constexpr double UsedPart = 0.4;
-    static constexpr std::chrono::duration<double> Burst{0.6};
+    static constexpr std::chrono::duration<double> Burst{0.3};
 
     void refill(TimePoint now)
     {
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -14,7 +14,7 @@
 constexpr Milliseconds WatchPatience{500};
 /// Part of the link that large answers may use on their way here, so that small ones need not queue behind them. They
 /// use as much again on their way to callers.
-constexpr double LargeAnswersPart = 0.35;
+constexpr double LargeAnswersPart = 0.5;
 constexpr std::size_t IncarnationBytes = 8;
 constexpr unsigned Ok = 200;
 constexpr unsigned Unavailable = 503;
