--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -284,6 +284,7 @@
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> addresses;
+    addresses.reserve(ranked.size());
     for (auto &[rank, address] : ranked) {
         addresses.push_back(std::move(address));
     }
--- /dev/null
+++ b/test/soak/Actors.cpp
@@ -0,0 +1,339 @@
+//===- Actors.cpp - Callers, targets and an operator of a soak ------------===//
+#include "Actors.h"
+
+#include <future>
+
+namespace pepperlug::soak
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t MaxAnswer = 4UL << 20;
+constexpr unsigned Ok = 200;
+constexpr unsigned Slots = 8;
+constexpr auto BeatInterval = 400ms;
+constexpr auto CallTime = 1s;
+constexpr auto CallerPatience = 3s;
+constexpr auto CallerPause = 15ms;
+constexpr const char *Service = "s";
+
+std::string versionText(unsigned version)
+{
+    return "r" + std::to_string(version);
+}
+
+nlohmann::json routeOf(const std::string &name, const std::string &prefix, const std::string &kind)
+{
+    return {{"name", name}, {"pathPrefix", prefix}, {"kind", kind},  {"timeoutS", 2}, {"sloS", 1},
+            {"prio", 1},    {"service", Service},   {"attempts", 2}, {"sticky", true}};
+}
+
+std::string tableText(unsigned version)
+{
+    const nlohmann::json service{{"name", Service}, {"coldS", 0.5}, {"coldPerS", 1000}};
+    const nlohmann::json limits{
+        {"maxHeaderBytes", 16384}, {"maxBodyBytes", 1 << 20}, {"headerTimeoutS", 3}, {"idleTimeoutS", 15}};
+    const nlohmann::json host{{"host", "a.example"},
+                              {"paths", {routeOf("read", "/read/", "safe"), routeOf("once", "/once/", "unsafe")}}};
+    return nlohmann::json{
+        {"version", versionText(version)}, {"services", {service}}, {"limits", limits}, {"hosts", {host}}}
+        .dump();
+}
+
+} // namespace
+
+HttpResult fetch(HttpClient &client, HttpCall call)
+{
+    auto promise = std::make_shared<std::promise<HttpResult>>();
+    std::future<HttpResult> result = promise->get_future();
+    client.start(std::move(call), [promise](HttpResult it) { promise->set_value(std::move(it)); });
+    return result.get();
+}
+
+//===-- Target ----------------------------------------------------------------===//
+
+Target::Target(std::string id, std::string zone, Ledger &ledger, const ControlHosts &control)
+    : m_id(std::move(id))
+    , m_zone(std::move(zone))
+    , m_ledger(ledger)
+    , m_control(control)
+    , m_server({"127.0.0.1", 0}, 1, HttpLimits{}, m_clock,
+               [this](const HttpExchangePtr &exchange) { onRequest(exchange); })
+    , m_link(m_server.address())
+    , m_client(MaxAnswer)
+    , m_thread([this] { beat(); })
+{
+}
+
+Target::~Target()
+{
+    m_stop = true;
+    m_thread.join();
+    m_client.stop();
+    m_server.stop();
+}
+
+const std::string &Target::id() const
+{
+    return m_id;
+}
+
+FaultProxy &Target::link()
+{
+    return m_link;
+}
+
+unsigned Target::arrivals() const
+{
+    return m_arrivals;
+}
+
+void Target::onRequest(const HttpExchangePtr &exchange)
+{
+    const HttpRequest &request = exchange->request();
+    const std::string id = request.header("X-Request-Id").value_or("");
+    if (request.header("X-Expect-Instance").value_or(m_id) != m_id) {
+        exchange->respond({421, {{"X-Request-Id", id}}, {}});
+        return;
+    }
+    ++m_arrivals;
+    m_ledger.ran(id, m_id, request.body);
+    exchange->respond({Ok, {{"X-Request-Id", id}, {"X-Upstream-Seal", m_id + "." + id}}, Ledger::bodyOf(id)});
+}
+
+bool Target::report(const std::string &state)
+{
+    HttpCall call;
+    {
+        const std::lock_guard lock(m_mutex);
+        call.to = m_control[m_next % m_control.size()];
+        const nlohmann::json body{{"service", Service}, {"addr", m_link.address().text()},
+                                  {"zone", m_zone},     {"slots", Slots},
+                                  {"state", state},     {"coldLeftS", 0},
+                                  {"seq", ++m_sequence}};
+        call.body = std::make_shared<const std::string>(body.dump());
+    }
+    call.method = "POST";
+    call.resource = "/api/Instances.Heartbeat/" + m_id;
+    call.timeout = CallTime;
+    const HttpResult result = fetch(m_client, call);
+    const bool isTaken = result.kind == HttpResult::Kind::Answered && result.answer.status == Ok;
+    if (!isTaken) {
+        const std::lock_guard lock(m_mutex);
+        ++m_next;
+    }
+    return isTaken;
+}
+
+void Target::beat()
+{
+    while (!m_stop) {
+        if (!m_isDraining) {
+            report("ready");
+        }
+        std::this_thread::sleep_for(BeatInterval);
+    }
+}
+
+bool Target::drain(Duration patience)
+{
+    m_isDraining = true;
+    for (const auto end = m_clock.now() + patience; m_clock.now() < end;) {
+        if (report("draining")) {
+            return true;
+        }
+    }
+    return false;
+}
+
+//===-- Callers ---------------------------------------------------------------===//
+
+Callers::Callers(Ledger &ledger, std::vector<Address> entryHosts, unsigned threads, std::uint64_t seed)
+    : m_ledger(ledger)
+    , m_entryHosts(std::move(entryHosts))
+{
+    for (unsigned n = 0; n < threads; ++n) {
+        m_threads.emplace_back([this, seed, n] { run(seed + n); });
+    }
+}
+
+Callers::~Callers()
+{
+    stop();
+}
+
+void Callers::stop()
+{
+    m_stop = true;
+    for (std::thread &it : m_threads) {
+        if (it.joinable()) {
+            it.join();
+        }
+    }
+}
+
+unsigned Callers::call(HttpClient &client, Ledger &ledger, const Address &to, bool mayRepeat)
+{
+    constexpr std::size_t IdBytes = 8;
+    const std::string id = randomHex(IdBytes);
+    SentRequest sent{mayRepeat, mayRepeat ? std::string() : "body of " + id};
+    ledger.sent(id, sent);
+    HttpCall call;
+    call.to = to;
+    call.method = mayRepeat ? "GET" : "POST";
+    call.resource = std::string(mayRepeat ? "/read/" : "/once/") + id;
+    call.headers = {{"Host", "a.example"},
+                    {"X-Request-Id", id},
+                    {"Cookie", "X-Affinity-Key=" + id.substr(0, 1)},
+                    {"X-Deadline-Ms", std::to_string(Milliseconds(CallerPatience).count())}};
+    if (!mayRepeat) {
+        call.body = std::make_shared<const std::string>(sent.body);
+    }
+    call.timeout = CallerPatience;
+    const HttpResult result = fetch(client, call);
+    const unsigned status = result.kind == HttpResult::Kind::Answered ? result.answer.status : 0;
+    const bool isWhole = result.answer.body == Ledger::bodyOf(id);
+    ledger.answered(id, status, isWhole);
+    return status;
+}
+
+// A caller stays with a host until that fails it, also while the host is being stopped.
+void Callers::run(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    HttpClient client(MaxAnswer);
+    std::size_t host = random() % m_entryHosts.size();
+    while (!m_stop) {
+        const unsigned status = call(client, m_ledger, m_entryHosts[host], random() % 2 == 0);
+        if (status == 0 || random() % 200 == 0) {
+            host = random() % m_entryHosts.size();
+        }
+        std::this_thread::sleep_for(CallerPause);
+    }
+}
+
+//===-- Operator --------------------------------------------------------------===//
+
+Operator::Operator(Ledger &ledger, const ControlHosts &control)
+    : m_ledger(ledger)
+    , m_control(control)
+    , m_client(MaxAnswer)
+{
+}
+
+// Follows one redirect, as an operator's tool does.
+HttpResult Operator::send(std::size_t host, const std::string &method, const std::string &path, const std::string &body,
+                          const std::string &base)
+{
+    HttpCall call;
+    call.to = m_control[host % m_control.size()];
+    call.method = method;
+    call.resource = path;
+    call.timeout = CallTime;
+    if (!base.empty()) {
+        call.headers.push_back({"X-If-Rev", base});
+    }
+    if (!body.empty()) {
+        call.body = std::make_shared<const std::string>(body);
+    }
+    HttpResult result = fetch(m_client, call);
+    for (const HeaderField &field : result.answer.headers) {
+        constexpr std::string_view Scheme = "http://";
+        if (!sameName(field.name, "Location") || !field.value.starts_with(Scheme)) {
+            continue;
+        }
+        const std::string rest = field.value.substr(Scheme.size());
+        if (const std::optional<Address> to = Address::parse(rest.substr(0, rest.find('/')))) {
+            call.to = *to;
+            return fetch(m_client, call);
+        }
+    }
+    return result;
+}
+
+bool Operator::putNext(Duration patience)
+{
+    const unsigned version = ++m_sent;
+    const SteadyClock clock;
+    std::size_t host = 0;
+    for (const auto end = clock.now() + patience; clock.now() < end; ++host) {
+        const std::string base = m_acknowledged == 0 ? "0" : versionText(m_acknowledged);
+        const HttpResult result = send(host, "POST", "/api/Config.Put", tableText(version), base);
+        if (result.kind == HttpResult::Kind::Answered && result.answer.status == Ok) {
+            m_acknowledged = version;
+            return true;
+        }
+        // One that got no clear answer may be in force: what comes next is built upon it.
+        m_acknowledged = std::max(m_acknowledged, versionAt(host));
+        std::this_thread::sleep_for(50ms);
+    }
+    return false;
+}
+
+void Operator::putInvalid()
+{
+    const std::string text = tableText(m_sent + 1);
+    const HttpResult result =
+        send(m_sent, "POST", "/api/Config.Put", text.substr(0, text.size() / 2), versionText(m_acknowledged));
+    if (result.kind == HttpResult::Kind::Answered && result.answer.status == Ok) {
+        m_ledger.fail("configuration", "one that is cut short was acknowledged");
+    }
+}
+
+bool Operator::setEvacuated(const std::string &zone, bool isEvacuated, Duration patience)
+{
+    const std::string path = std::string("/api/Evacuations.") + (isEvacuated ? "Start/" : "End/") + zone;
+    const SteadyClock clock;
+    std::size_t host = 0;
+    for (const auto end = clock.now() + patience; clock.now() < end; ++host) {
+        const HttpResult result = send(host, "POST", path, {}, {});
+        if (result.kind == HttpResult::Kind::Answered && result.answer.status == Ok) {
+            return true;
+        }
+        std::this_thread::sleep_for(50ms);
+    }
+    return false;
+}
+
+unsigned Operator::versionAt(std::size_t host)
+{
+    const HttpResult result = send(host, "GET", "/api/Config.Get", {}, {});
+    if (result.kind != HttpResult::Kind::Answered || result.answer.status != Ok) {
+        return 0;
+    }
+    const auto json = nlohmann::json::parse(result.answer.body, nullptr, false);
+    const std::string text = json.is_object() ? json.value("version", "") : "";
+    return text.size() > 1 ? static_cast<unsigned>(std::stoul(text.substr(1))) : 0;
+}
+
+bool Operator::read(std::size_t host)
+{
+    const unsigned version = versionAt(host);
+    if (version == 0) {
+        return false;
+    }
+    if (version < m_acknowledged || version > m_sent) {
+        m_ledger.fail("configuration",
+                      "read " + versionText(version) + " after " + versionText(m_acknowledged)
+                          + " was acknowledged and " + versionText(m_sent) + " sent");
+    }
+    return true;
+}
+
+bool Operator::isKept(Duration patience)
+{
+    const SteadyClock clock;
+    std::size_t host = 0;
+    for (const auto end = clock.now() + patience; clock.now() < end; ++host) {
+        if (read(host)) {
+            return true;
+        }
+        std::this_thread::sleep_for(50ms);
+    }
+    return false;
+}
+
+} // namespace pepperlug::soak
--- /dev/null
+++ b/test/soak/Actors.h
@@ -0,0 +1,109 @@
+//===- Actors.h - Callers, targets and an operator of a soak ----*- C++ -*-===//
+#pragma once
+
+#include "FaultProxy.h"
+#include "Ledger.h"
+#include "pepperlug/Http.h"
+
+#include <random>
+
+namespace pepperlug::soak
+{
+
+/// Waits for the answer of a call.
+HttpResult fetch(HttpClient &client, HttpCall call);
+
+/// Where control hosts take reports and orders.
+using ControlHosts = std::vector<Address>;
+
+/// One incarnation of a target: runs requests, and reports itself through a thread of its own.
+class Target
+{
+public:
+    Target(std::string id, std::string zone, Ledger &ledger, const ControlHosts &control);
+    ~Target();
+    Target(const Target &) = delete;
+    Target &operator=(const Target &) = delete;
+
+    const std::string &id() const;
+    FaultProxy &link();
+    /// Says that it drains, until that is acknowledged or the time is over. Returns whether it was.
+    bool drain(Duration patience);
+    /// Requests that came since.
+    unsigned arrivals() const;
+
+private:
+    void onRequest(const HttpExchangePtr &exchange);
+    void beat();
+    bool report(const std::string &state);
+
+    std::string m_id;
+    std::string m_zone;
+    Ledger &m_ledger;
+    const ControlHosts &m_control;
+    SteadyClock m_clock;
+    HttpServer m_server;
+    FaultProxy m_link;
+    HttpClient m_client;
+    std::mutex m_mutex; ///< guards what follows
+    std::uint64_t m_sequence = 0;
+    std::size_t m_next = 0;
+    std::atomic<unsigned> m_arrivals{0};
+    std::atomic<bool> m_isDraining{false};
+    std::atomic<bool> m_stop{false};
+    std::thread m_thread;
+};
+
+/// Callers that keep their connections and go on until they are stopped.
+class Callers
+{
+public:
+    Callers(Ledger &ledger, std::vector<Address> entryHosts, unsigned threads, std::uint64_t seed);
+    ~Callers();
+    Callers(const Callers &) = delete;
+    Callers &operator=(const Callers &) = delete;
+
+    void stop();
+    /// Sends one request; returns its status, 0 for no answer.
+    static unsigned call(HttpClient &client, Ledger &ledger, const Address &to, bool mayRepeat);
+
+private:
+    void run(std::uint64_t seed);
+
+    Ledger &m_ledger;
+    std::vector<Address> m_entryHosts;
+    std::atomic<bool> m_stop{false};
+    std::vector<std::thread> m_threads;
+};
+
+/// Puts configurations and evacuations, remembers what was acknowledged, and looks whether it is kept.
+class Operator
+{
+public:
+    Operator(Ledger &ledger, const ControlHosts &control);
+
+    /// Puts a new configuration, sending it again until it is acknowledged or the time is over.
+    bool putNext(Duration patience);
+    /// Sends one that is not valid, which must not be taken.
+    void putInvalid();
+    /// Evacuates or gives back a zone.
+    bool setEvacuated(const std::string &zone, bool isEvacuated, Duration patience);
+    /// Reads at one host: an answer may not be older than what was acknowledged before. Returns whether there was one.
+    bool read(std::size_t host);
+    /// Whether the newest acknowledged configuration is read back within the time.
+    bool isKept(Duration patience);
+
+private:
+    /// 0 if it could not be read.
+    unsigned versionAt(std::size_t host);
+    HttpResult send(std::size_t host, const std::string &method, const std::string &path, const std::string &body,
+                    const std::string &base);
+
+    Ledger &m_ledger;
+    const ControlHosts &m_control;
+    HttpClient m_client;
+    unsigned m_acknowledged = 0; ///< newest version that was
+    unsigned m_sent = 0; ///< newest version that was sent
+};
+
+} // namespace pepperlug::soak
--- /dev/null
+++ b/test/soak/FaultProxy.h
@@ -0,0 +1,53 @@
+//===- FaultProxy.h - A bad network between hosts and targets ---*- C++ -*-===//
+#pragma once
+
+#include "pepperlug/Support.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <thread>
+
+namespace pepperlug::soak
+{
+
+enum class LinkFault : std::uint8_t {
+    None,
+    Delay, ///< bytes pass late
+    Reset, ///< open connections are reset, new ones too
+    CutToTarget, ///< what callers send is lost, what the target sends passes
+    CutFromTarget, ///< the other way round
+    Silent, ///< nothing passes either way
+};
+
+/// Passes connections on to one target, and spoils them as told.
+class FaultProxy
+{
+public:
+    explicit FaultProxy(Address target);
+    ~FaultProxy();
+    FaultProxy(const FaultProxy &) = delete;
+    FaultProxy &operator=(const FaultProxy &) = delete;
+
+    Address address() const;
+    void set(LinkFault fault);
+
+private:
+    struct Session;
+    using Socket = boost::asio::ip::tcp::socket;
+
+    void accept();
+    void pump(const std::shared_ptr<Session> &session, bool isToTarget);
+    void pass(const std::shared_ptr<Session> &session, bool isToTarget, std::size_t size);
+    void write(const std::shared_ptr<Session> &session, bool isToTarget, std::size_t size);
+    static void end(const std::shared_ptr<Session> &session, bool isReset);
+    bool isCut(bool isToTarget) const;
+
+    Address m_target;
+    std::atomic<LinkFault> m_fault{LinkFault::None};
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::weak_ptr<Session>> m_sessions; ///< used on the proxy's thread only
+    std::thread m_thread;
+};
+
+} // namespace pepperlug::soak
--- /dev/null
+++ b/test/soak/Ledger.cpp
@@ -0,0 +1,119 @@
+//===- Ledger.cpp - What callers and targets saw, and what may not be -----===//
+#include "Ledger.h"
+
+namespace pepperlug::soak
+{
+
+namespace
+{
+
+/// Statuses that promise that the request has not run and never will.
+bool promisesNotRun(unsigned status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+void Ledger::sent(const std::string &id, const SentRequest &request)
+{
+    const std::lock_guard lock(m_mutex);
+    m_entries[id].request = request;
+}
+
+void Ledger::ran(const std::string &id, const std::string &target, const std::string &body)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end()) {
+        failLocked("asked", "target " + target + " ran " + id + ", which nobody sent");
+        return;
+    }
+    Entry &entry = it->second;
+    ++entry.runs;
+    if (entry.request.body != body) {
+        failLocked("asked", "target " + target + " got another body for " + id);
+    }
+    if (entry.runs > 1 && !entry.request.mayRepeat) {
+        failLocked("once", id + " ran again at " + target);
+    }
+}
+
+void Ledger::answered(const std::string &id, unsigned status, bool isWhole)
+{
+    const std::lock_guard lock(m_mutex);
+    Entry &entry = m_entries[id];
+    entry.status = status;
+    if (isSuccess(status)) {
+        ++m_served;
+        if (!isWhole) {
+            failLocked("whole", id + " got a success that is not the whole answer of its target");
+        }
+    } else if (status == 0) {
+        ++m_unanswered;
+    } else {
+        ++(promisesNotRun(status) ? m_refused : m_failed);
+    }
+}
+
+void Ledger::fail(const std::string &rule, const std::string &what)
+{
+    const std::lock_guard lock(m_mutex);
+    failLocked(rule, what);
+}
+
+void Ledger::failLocked(const std::string &rule, const std::string &what)
+{
+    m_failures.push_back(rule + ": " + what);
+}
+
+void Ledger::close()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[id, entry] : m_entries) {
+        if (promisesNotRun(entry.status) && entry.runs > 0 && !entry.request.mayRepeat) {
+            failLocked("not run", id + " was told " + std::to_string(entry.status) + " and has run");
+        }
+    }
+}
+
+std::vector<std::string> Ledger::failures() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_failures;
+}
+
+std::string Ledger::summary() const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::to_string(m_entries.size()) + " requests, " + std::to_string(m_served) + " served, "
+        + std::to_string(m_refused) + " told not run, " + std::to_string(m_failed) + " failed, "
+        + std::to_string(m_unanswered) + " without an answer";
+}
+
+unsigned Ledger::served() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_served;
+}
+
+// One in eight is large, so that it is passed on in parts.
+std::string Ledger::bodyOf(const std::string &id)
+{
+    constexpr std::size_t Small = 300;
+    constexpr std::size_t Large = 120000;
+    const std::uint64_t hash = hash64(id);
+    std::string body;
+    const std::size_t size = hash % 8 == 0 ? Large : Small;
+    while (body.size() < size) {
+        body += id + ";";
+    }
+    return body;
+}
+
+} // namespace pepperlug::soak
--- /dev/null
+++ b/test/soak/Ledger.h
@@ -0,0 +1,53 @@
+//===- Ledger.h - What callers and targets saw, and what may not be ---*- C++ -*-===//
+#pragma once
+
+#include "pepperlug/Support.h"
+
+namespace pepperlug::soak
+{
+
+/// What one caller sent.
+struct SentRequest {
+    bool mayRepeat = false;
+    std::string body;
+};
+
+/// Collects what happened at all sockets and finds what must never happen. Safe to use from all threads.
+class Ledger
+{
+public:
+    void sent(const std::string &id, const SentRequest &request);
+    /// A target runs a request.
+    void ran(const std::string &id, const std::string &target, const std::string &body);
+    /// A caller got an answer, or with status 0 none.
+    void answered(const std::string &id, unsigned status, bool isWhole);
+    void fail(const std::string &rule, const std::string &what);
+
+    /// What can only be said at the end: nothing that was told "not run" has run.
+    void close();
+    std::vector<std::string> failures() const;
+    std::string summary() const;
+    unsigned served() const;
+
+    /// The whole body that a target answers to a request with.
+    static std::string bodyOf(const std::string &id);
+
+private:
+    struct Entry {
+        SentRequest request;
+        unsigned runs = 0;
+        unsigned status = 0;
+    };
+
+    void failLocked(const std::string &rule, const std::string &what);
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, Entry> m_entries;
+    std::vector<std::string> m_failures;
+    unsigned m_served = 0;
+    unsigned m_refused = 0;
+    unsigned m_failed = 0;
+    unsigned m_unanswered = 0;
+};
+
+} // namespace pepperlug::soak
--- /dev/null
+++ b/test/soak/Processes.cpp
@@ -0,0 +1,95 @@
+//===- Processes.cpp - The real programs, started and disturbed -----------===//
+#include "Processes.h"
+
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+namespace pepperlug::soak
+{
+
+Process::Process(std::string name, std::vector<std::string> arguments, std::filesystem::path output)
+    : m_name(std::move(name))
+    , m_arguments(std::move(arguments))
+    , m_output(std::move(output))
+{
+    start();
+}
+
+Process::~Process()
+{
+    kill();
+}
+
+const std::string &Process::name() const
+{
+    return m_name;
+}
+
+void Process::start()
+{
+    std::vector<char *> words;
+    for (std::string &it : m_arguments) {
+        words.push_back(it.data());
+    }
+    words.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    constexpr mode_t Mode = 0644;
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_output.c_str(), O_WRONLY | O_CREAT | O_APPEND, Mode);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const int code = posix_spawn(&m_id, words[0], &actions, nullptr, words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (code != 0) {
+        m_id = 0;
+        throw Error("start process", m_name, std::strerror(code));
+    }
+}
+
+void Process::signal(int number)
+{
+    if (m_id != 0) {
+        ::kill(m_id, number);
+    }
+}
+
+void Process::kill()
+{
+    signal(SIGKILL);
+    if (m_id != 0) {
+        waitpid(m_id, nullptr, 0);
+        m_id = 0;
+    }
+    m_isKeptDown = true;
+    m_isStopping = false;
+}
+
+void Process::stop()
+{
+    m_isStopping = true;
+    signal(SIGTERM);
+}
+
+void Process::release()
+{
+    m_isKeptDown = false;
+}
+
+bool Process::keepUp()
+{
+    const bool wasRunning = m_id != 0;
+    if (wasRunning && waitpid(m_id, nullptr, WNOHANG) == 0) {
+        return true;
+    }
+    m_id = 0;
+    const bool wasAsked = !wasRunning || m_isStopping;
+    if (!m_isKeptDown) {
+        m_isStopping = false;
+        start();
+    }
+    return wasAsked;
+}
+
+} // namespace pepperlug::soak
--- /dev/null
+++ b/test/soak/Processes.h
@@ -0,0 +1,44 @@
+//===- Processes.h - The real programs, started and disturbed ---*- C++ -*-===//
+#pragma once
+
+#include "pepperlug/Support.h"
+
+#include <filesystem>
+#include <sys/types.h>
+
+namespace pepperlug::soak
+{
+
+/// One program that a soak started. It is disturbed by signals to its id alone, and ended with the object.
+class Process
+{
+public:
+    /// `output` gets what it writes. Throws Error with step "start process".
+    Process(std::string name, std::vector<std::string> arguments, std::filesystem::path output);
+    ~Process();
+    Process(const Process &) = delete;
+    Process &operator=(const Process &) = delete;
+
+    const std::string &name() const;
+    void signal(int number);
+    /// Ends it at once, and keeps it down until release().
+    void kill();
+    /// Asks it to end as planned.
+    void stop();
+    /// Lets it be started again.
+    void release();
+    /// Starts it if it has ended and is not kept down. Returns false if it had ended although nobody asked it to.
+    bool keepUp();
+
+private:
+    void start();
+
+    std::string m_name;
+    std::vector<std::string> m_arguments;
+    std::filesystem::path m_output;
+    pid_t m_id = 0; ///< 0 while it does not run
+    bool m_isKeptDown = false;
+    bool m_isStopping = false; ///< its end was asked for
+};
+
+} // namespace pepperlug::soak
--- /dev/null
+++ b/test/soak/Soak.cpp
@@ -0,0 +1,383 @@
+//===- Soak.cpp - Random faults over the real programs --------------------===//
+//
+// One seed is one run: hosts as separate processes, stand-ins for callers, targets and the operator, and a series of
+// faults from outside that the seed alone decides. While it runs and at its end, what callers and targets saw is held
+// against what is promised.
+//
+//===----------------------------------------------------------------------===//
+#include "Actors.h"
+#include "Cluster.h"
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace
+{
+
+using namespace pepperlug;
+using namespace pepperlug::soak;
+using namespace std::chrono_literals;
+
+constexpr unsigned Targets = 6;
+constexpr unsigned CallerThreads = 6;
+constexpr unsigned ManyEntryHosts = 20;
+/// A promise with a time holds where nothing was disturbed for so long.
+constexpr auto CalmTime = 5s;
+constexpr auto DrainTime = 2500ms;
+constexpr auto StartTime = 20s;
+constexpr auto RecoveryTime = 20s;
+/// A control host that lost its disk is a voter again by then.
+constexpr auto DiskInterval = 12s;
+
+class Soak
+{
+public:
+    Soak(std::uint64_t seed, const ClusterSettings &settings)
+        : m_random(seed)
+        , m_cluster(settings)
+        , m_control(m_cluster.controlAddresses())
+        , m_operator(m_ledger, m_control)
+        , m_client(1UL << 22)
+    {
+        for (unsigned n = 0; n < Targets; ++n) {
+            addTarget(Cluster::zoneOf(n));
+        }
+    }
+
+    /// Returns what was broken.
+    std::vector<std::string> run(Duration length)
+    {
+        if (!m_operator.putNext(StartTime) || !servesEverywhere(StartTime)) {
+            m_ledger.fail("start", "no service in time");
+            return m_ledger.failures();
+        }
+        Callers callers(m_ledger, m_cluster.entryAddresses(), CallerThreads, m_random());
+        for (const auto end = m_clock.now() + length; m_clock.now() < end;) {
+            disturb();
+            pass(Milliseconds(50 + m_random() % 700));
+        }
+        calmDown();
+        checkDrain();
+        callers.stop();
+        keepUp();
+        if (!servesEverywhere(RecoveryTime)) {
+            m_ledger.fail("recovery", "an entry host does not serve although nothing is disturbed");
+        }
+        if (!m_operator.isKept(RecoveryTime)) {
+            m_ledger.fail("configuration", "the newest one can't be read although nothing is disturbed");
+        }
+        m_ledger.close();
+        return m_ledger.failures();
+    }
+
+    std::string summary() const
+    {
+        return m_ledger.summary() + "; " + m_steps;
+    }
+
+private:
+    using Step = void (Soak::*)();
+
+    struct NamedStep {
+        const char *name;
+        Step step;
+    };
+
+    void disturb()
+    {
+        static constexpr std::array Steps{NamedStep{"kill-entry", &Soak::killEntry},
+                                          NamedStep{"kill-control", &Soak::killControl},
+                                          NamedStep{"freeze-entry", &Soak::freezeEntry},
+                                          NamedStep{"freeze-control", &Soak::freezeControl},
+                                          NamedStep{"stop-entry", &Soak::stopEntry},
+                                          NamedStep{"stop-control", &Soak::stopControl},
+                                          NamedStep{"reload", &Soak::reload},
+                                          NamedStep{"lose-disk", &Soak::loseDisk},
+                                          NamedStep{"kill-all-control", &Soak::killAllControl},
+                                          NamedStep{"link", &Soak::spoilLink},
+                                          NamedStep{"mend-links", &Soak::mendLinks},
+                                          NamedStep{"replace-target", &Soak::replaceTarget},
+                                          NamedStep{"kill-target", &Soak::killTarget},
+                                          NamedStep{"configure", &Soak::configure},
+                                          NamedStep{"evacuate", &Soak::evacuate},
+                                          NamedStep{"invalid", &Soak::sendInvalid}};
+        const NamedStep &it = Steps[m_random() % Steps.size()];
+        m_steps += std::string(it.name) + " ";
+        (this->*it.step)();
+    }
+
+    Process &anyOf(const std::vector<Process *> &hosts)
+    {
+        return *hosts[m_random() % hosts.size()];
+    }
+
+    /// Lets time pass, in which disturbances end that are due to.
+    void pass(Duration time)
+    {
+        constexpr auto Step = 10ms;
+        for (const auto end = m_clock.now() + time; m_clock.now() < end;) {
+            std::this_thread::sleep_for(Step);
+            endDue(m_clock.now());
+            keepUp();
+        }
+    }
+
+    void endDue(TimePoint now)
+    {
+        while (!m_later.empty() && m_later.begin()->first <= now) {
+            const std::function<void()> end = std::move(m_later.begin()->second);
+            m_later.erase(m_later.begin());
+            end();
+        }
+    }
+
+    /// Ends a disturbance after a while; others begin meanwhile.
+    void later(std::uint64_t mostMilliseconds, std::function<void()> end)
+    {
+        m_later.emplace(m_clock.now() + Milliseconds(m_random() % mostMilliseconds), std::move(end));
+    }
+
+    void kill(Process &host, std::uint64_t mostMilliseconds)
+    {
+        host.kill();
+        later(mostMilliseconds, [&host] { host.release(); });
+    }
+
+    void killEntry()
+    {
+        kill(anyOf(m_cluster.entryHosts()), 800);
+    }
+
+    void killControl()
+    {
+        kill(anyOf(m_cluster.controlHosts()), 2500);
+    }
+
+    void killAllControl()
+    {
+        for (Process *it : m_cluster.controlHosts()) {
+            kill(*it, 800);
+        }
+    }
+
+    void freeze(Process &host)
+    {
+        host.signal(SIGSTOP);
+        later(3000, [&host] { host.signal(SIGCONT); });
+    }
+
+    void freezeEntry()
+    {
+        freeze(anyOf(m_cluster.entryHosts()));
+    }
+
+    void freezeControl()
+    {
+        freeze(anyOf(m_cluster.controlHosts()));
+    }
+
+    // Callers go on using its connections until it is gone.
+    void stopEntry()
+    {
+        anyOf(m_cluster.entryHosts()).stop();
+    }
+
+    void stopControl()
+    {
+        anyOf(m_cluster.controlHosts()).stop();
+    }
+
+    void reload()
+    {
+        anyOf(m_cluster.entryHosts()).signal(SIGHUP);
+        anyOf(m_cluster.controlHosts()).signal(SIGHUP);
+    }
+
+    // One disk at a time: the others have to have what it had, and the emptied one has to vote again.
+    void loseDisk()
+    {
+        if (m_clock.now() < m_diskLostAt + DiskInterval || !m_operator.isKept(1s)) {
+            return;
+        }
+        m_cluster.replaceDisk(static_cast<unsigned>(m_random() % m_control.size()));
+        m_diskLostAt = m_clock.now();
+    }
+
+    void spoilLink()
+    {
+        constexpr std::array Faults{LinkFault::Delay, LinkFault::Reset, LinkFault::CutToTarget,
+                                    LinkFault::CutFromTarget, LinkFault::Silent};
+        m_targets[m_random() % m_targets.size()]->link().set(Faults[m_random() % Faults.size()]);
+    }
+
+    void mendLinks()
+    {
+        for (const auto &it : m_targets) {
+            it->link().set(LinkFault::None);
+        }
+    }
+
+    void addTarget(const std::string &zone)
+    {
+        const std::string id = "i-" + std::to_string(++m_lastTarget);
+        m_targets.push_back(std::make_unique<Target>(id, zone, m_ledger, m_control));
+    }
+
+    // A target that leaves as planned, and a new incarnation in its place.
+    void replaceTarget()
+    {
+        const std::size_t n = m_random() % m_targets.size();
+        const std::unique_ptr<Target> leaving = std::move(m_targets[n]);
+        m_targets.erase(m_targets.begin() + static_cast<std::ptrdiff_t>(n));
+        addTarget(Cluster::zoneOf(static_cast<unsigned>(n)));
+        leaving->drain(1s);
+    }
+
+    void killTarget()
+    {
+        const std::size_t n = m_random() % m_targets.size();
+        m_targets.erase(m_targets.begin() + static_cast<std::ptrdiff_t>(n));
+        addTarget(Cluster::zoneOf(static_cast<unsigned>(n)));
+    }
+
+    void configure()
+    {
+        m_operator.putNext(2s);
+        m_operator.read(m_random());
+    }
+
+    void evacuate()
+    {
+        const std::string zone = Cluster::zoneOf(static_cast<unsigned>(m_random() % 3));
+        m_operator.setEvacuated(zone, true, 1s);
+        later(2000, [this, zone] { m_operator.setEvacuated(zone, false, 1s); });
+    }
+
+    void sendInvalid()
+    {
+        m_operator.putInvalid();
+    }
+
+    void keepUp()
+    {
+        for (const std::string &name : m_cluster.keepUp()) {
+            m_ledger.fail("processes", name + " ended by itself");
+        }
+    }
+
+    // All zones are given back, all links mended, and everything was left alone for a while.
+    void calmDown()
+    {
+        mendLinks();
+        endDue(TimePoint::max());
+        keepUp();
+        for (unsigned n = 0; n < 3; ++n) {
+            if (!m_operator.setEvacuated(Cluster::zoneOf(n), false, RecoveryTime)) {
+                m_ledger.fail("recovery", "an order is not acknowledged although nothing is disturbed");
+            }
+        }
+        pass(CalmTime);
+    }
+
+    void checkDrain()
+    {
+        Target &leaving = *m_targets.front();
+        if (!leaving.drain(RecoveryTime)) {
+            m_ledger.fail("drain", "not acknowledged although nothing is disturbed");
+            return;
+        }
+        std::this_thread::sleep_for(DrainTime);
+        const unsigned before = leaving.arrivals();
+        std::this_thread::sleep_for(1s);
+        if (leaving.arrivals() != before) {
+            m_ledger.fail("drain",
+                          leaving.id() + " gets requests after its drain was acknowledged and the time is over");
+        }
+    }
+
+    bool servesEverywhere(Duration patience)
+    {
+        constexpr unsigned InARow = 10;
+        const auto end = m_clock.now() + patience;
+        for (const Address &host : m_cluster.entryAddresses()) {
+            unsigned served = 0;
+            while (served < InARow) {
+                if (m_clock.now() > end) {
+                    return false;
+                }
+                served = Callers::call(m_client, m_ledger, host, true) == 200 ? served + 1 : 0;
+                std::this_thread::sleep_for(served > 0 ? 1ms : 50ms);
+            }
+        }
+        return true;
+    }
+
+    std::mt19937_64 m_random;
+    SteadyClock m_clock;
+    Ledger m_ledger;
+    Cluster m_cluster;
+    ControlHosts m_control;
+    Operator m_operator;
+    HttpClient m_client;
+    std::vector<std::unique_ptr<Target>> m_targets;
+    unsigned m_lastTarget = 0;
+    TimePoint m_diskLostAt{};
+    std::multimap<TimePoint, std::function<void()>> m_later; ///< ends of disturbances
+    std::string m_steps;
+};
+
+/// Plays one seed; keeps its folder if something was broken. Returns whether all promises were kept.
+bool play(std::uint64_t seed, Duration length, ClusterSettings settings, const std::filesystem::path &folder)
+{
+    // One run in eight has as many hosts as a small machine bears.
+    settings.entryHosts = seed % 8 == 7 ? ManyEntryHosts : 2 + static_cast<unsigned>(seed % 5);
+    settings.folder = folder / ("seed-" + std::to_string(seed));
+    std::filesystem::remove_all(settings.folder);
+    std::filesystem::create_directories(settings.folder);
+    std::vector<std::string> failures;
+    std::string summary;
+    {
+        Soak soak(seed, settings);
+        failures = soak.run(length);
+        summary = soak.summary();
+    }
+    std::cout << "seed " << seed << ": " << (failures.empty() ? "kept" : "BROKEN") << "; " << summary << std::endl;
+    for (const std::string &it : failures) {
+        std::cout << "  " << it << "\n";
+    }
+    if (failures.empty()) {
+        std::filesystem::remove_all(settings.folder);
+    } else {
+        std::cout << "  logs are kept in " << settings.folder.string() << std::endl;
+    }
+    return failures.empty();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("fleet-soak", "Random faults over real hosts on loopback");
+    options.add_options()("program", "pepperlug-platform", cxxopts::value<std::string>())(
+        "folder", "for logs of seeds that break something", cxxopts::value<std::string>()->default_value("soak"))(
+        "seed", "the first seed", cxxopts::value<std::uint64_t>())("seeds", "how many, one after the other",
+                                                                   cxxopts::value<unsigned>()->default_value("1"))(
+        "seconds", "of disturbance for each", cxxopts::value<unsigned>()->default_value("25"))("help", "this text");
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0 || arguments.count("program") == 0) {
+        std::cout << options.help();
+        return arguments.count("help") > 0 ? 0 : 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::uint64_t first =
+        arguments.count("seed") > 0 ? arguments["seed"].as<std::uint64_t>() : std::random_device{}() % 1000000;
+    ClusterSettings settings;
+    settings.program = arguments["program"].as<std::string>();
+    bool allKept = true;
+    for (unsigned n = 0; n < arguments["seeds"].as<unsigned>(); ++n) {
+        const auto length = std::chrono::seconds(arguments["seconds"].as<unsigned>());
+        allKept &= play(first + n, length, settings, arguments["folder"].as<std::string>());
+    }
+    return allKept ? 0 : 1;
+}
