A target that ended while no control host was there to notice is left out after a while

The restarted ones had never heard of it, so none could say that it was silent, and entry hosts went on with their old belief (last told at 99.774, chosen until 136.6). Ruled out: links (mended), the target's own stand-in (gone), the group (a majority from 111.4 on). Now a reply that holds all a control host knows says so; what is missing in it is doubted, and left out unless it is reported within 6 s. Test: BalancerTest (written with the change; without the mark the target is chosen for ever).

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -44,6 +44,7 @@
 
 struct ReportsChanged {
     RegistryChanges changes;
+    bool isWhole = false; ///< all that the telling host knows, not only what changed
 };
 
 struct CallerRequest {
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -104,6 +104,9 @@
 void Balancer::Impl::on(const ReportsChanged &event)
 {
     m_targets.apply(event.changes, m_now);
+    if (event.isWhole) {
+        m_targets.doubtOthers(event.changes, m_now);
+    }
     followPlans();
 }
 
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::duration<double> LoadHalfLife{0.6};
 /// Part of the bound on cold targets that is used, since membership may be believed differently for a moment.
 constexpr double ColdMargin = 0.8;
+/// A target reports itself several times within it.
+constexpr std::chrono::seconds DoubtTime{6};
 constexpr Milliseconds FirstBlock{700};
 constexpr Milliseconds LongestBlock{4000};
 constexpr unsigned FailuresToBlock = 3;
@@ -89,6 +91,7 @@
         target.region = regionOf(it.report.zone);
         target.hash = hash64(it.report.id);
         target.isSilent = it.isSilent;
+        target.doubtedSince.reset();
         if (isEvidence) {
             target.coldUntil = heardAt + it.report.coldLeft;
             target.presumedCold.reset();
@@ -107,6 +110,21 @@
     }
 }
 
+// A control host that has just started knows nobody. Whoever lives reports to one soon; whoever ended while no control
+// host was there to notice it is never heard of again, so nobody would say that it is gone.
+void TargetSet::doubtOthers(const RegistryChanges &known, TimePoint now)
+{
+    std::set<std::string_view> ids;
+    for (const AgedReport<TargetReport> &it : known.targets) {
+        ids.insert(it.report.id);
+    }
+    for (auto &[id, target] : m_targets) {
+        if (!ids.contains(id)) {
+            target.doubtedSince = target.doubtedSince.value_or(now);
+        }
+    }
+}
+
 void TargetSet::setTable(std::shared_ptr<const RouteTable> table)
 {
     m_table = std::move(table);
@@ -126,8 +144,11 @@
     m_evacuated = zones;
 }
 
-bool TargetSet::isUsable(const TargetState &target, TimePoint) const
+bool TargetSet::isUsable(const TargetState &target, TimePoint now) const
 {
+    if (target.doubtedSince && now - *target.doubtedSince > DoubtTime) {
+        return false;
+    }
     return target.report.presence == Presence::Ready && !target.isSilent && !target.isRetired
         && !m_evacuated.contains(target.report.zone);
 }
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -18,6 +18,7 @@
     std::string region;
     std::uint64_t hash = 0;
     bool isSilent = false;
+    std::optional<TimePoint> doubtedSince; ///< a control host that told all it knows did not know of it
     bool isRetired = false; ///< another incarnation answered at its address
     unsigned inFlight = 0; ///< of this host
     TimePoint coldUntil{};
@@ -54,6 +55,8 @@
     explicit TargetSet(const BalanceSettings &settings);
 
     void apply(const RegistryChanges &changes, TimePoint now);
+    /// Doubts all targets that are not among what a control host knows; they are left out unless one reports them soon.
+    void doubtOthers(const RegistryChanges &known, TimePoint now);
     void setTable(std::shared_ptr<const RouteTable> table);
     void setEvacuatedZones(const std::set<std::string> &zones, TimePoint now);
 
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -187,8 +187,8 @@
             }
         }
     }
-    if (!reply.changes.empty()) {
-        reduce(ReportsChanged{reply.changes});
+    if (!reply.changes.empty() || reply.isWhole) {
+        reduce(ReportsChanged{reply.changes, reply.isWhole});
     }
     if (!table) {
         return;
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -74,6 +74,7 @@
     reply.isCurrent = !m_isLeaving && m_log->status().isCurrent(now);
     const bool isControl = call.self.role == HostRole::Control;
     reply.changes = isControl ? m_registry.heardSince(call.since, now) : m_registry.changedSince(call.since, now);
+    reply.isWhole = call.since == 0;
     if (!isControl && m_routing.index() > call.routingIndex) {
         reply.hasRouting = true;
         reply.routingIndex = m_routing.index();
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -84,6 +84,37 @@
     CHECK(host.find<RefuseRequest>()->reason == Refusal::NoTarget);
 }
 
+TEST_CASE("a target that ended while no control host was there to notice is left out after a while")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("t1"));
+    host.report(Host::targetOf("t2", "z2"));
+    // All control hosts were restarted; only one of the two targets reports itself again.
+    host.reduce(ReportsChanged{{}, true});
+    TargetReport living = Host::targetOf("t2", "z2");
+    living.sequence = 2;
+    host.report(living);
+    const auto used = [&] {
+        std::set<std::string> targets;
+        for (int n = 0; n < 16; ++n) {
+            const RequestId id = host.request("/read/x", std::to_string(n));
+            REQUIRE(host.find<StartAttempt>() != nullptr);
+            targets.insert(host.find<StartAttempt>()->target);
+            host.end(id, 1, AttemptOutcome::Answered);
+        }
+        return targets;
+    };
+    host.now += 1s;
+    CHECK(used() == std::set<std::string>{"t1", "t2"});
+    host.now += 10s;
+    CHECK(used() == std::set<std::string>{"t2"});
+    TargetReport back = Host::targetOf("t1");
+    back.sequence = 2;
+    host.report(back);
+    CHECK(used() == std::set<std::string>{"t1", "t2"});
+}
+
 TEST_CASE("the time left is passed on, and a request past it ends as maybe run")
 {
     Host host;
