What was asked of the link for an answer that can't come is given back

Cause, found by reading: an attempt that was not sent, shed, or met another target kept its part of the link's budget, so that large requests were refused just when targets failed.

--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -52,8 +52,7 @@
     Presence presence = Presence::Ready;
     std::vector<ServiceDemand> demand;
     std::uint64_t sequence = 0;
-    double linkUse =
-        0; ///< part of its link that the answers which callers ask for would use; 0 if it need not be minded
+    double linkUse = 0; ///< part of its link that its callers ask for, one way; 0 if it need not be minded
     MSGPACK_DEFINE(id, role, zone, address, peer, presence, demand, sequence, linkUse);
 };
 
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -24,6 +24,12 @@
 constexpr Milliseconds LongestRetryAfter{400};
 constexpr Milliseconds StartRetryAfter{300};
 
+bool isCertainlyNotRun(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Shed
+        || outcome == AttemptOutcome::WrongTarget;
+}
+
 } // namespace
 
 const char *nameOf(AttemptOutcome outcome)
@@ -221,12 +227,10 @@
 // Each retry that may arrive at a target is taken from the budget that all entry hosts share.
 bool Balancer::Impl::maySendAgain(const OpenRequest &open, AttemptOutcome outcome)
 {
-    const bool isCertainlyNotRun =
-        outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Shed || outcome == AttemptOutcome::WrongTarget;
     if (open.hasBegun) {
         return false;
     }
-    const bool isSafe = open.route.kind == RouteKind::Repeatable || (isCertainlyNotRun && !open.mayHaveRun);
+    const bool isSafe = open.route.kind == RouteKind::Repeatable || (isCertainlyNotRun(outcome) && !open.mayHaveRun);
     if (!isSafe || open.started >= open.route.attempts || m_now >= open.until) {
         return false;
     }
@@ -264,6 +268,9 @@
     const Attempt attempt = ended->second;
     open.attempts.erase(ended);
     m_targets.attemptEnded(attempt.target, event.outcome, event.load, m_now);
+    if (isCertainlyNotRun(event.outcome)) {
+        m_link.take(-attempt.expectedBytes, m_now);
+    }
     if (event.outcome == AttemptOutcome::Answered) {
         m_link.take(static_cast<double>(event.answerBytes) + HeadBytes - attempt.expectedBytes, m_now);
         m_stats[open.route.name].addAnswerBytes(event.answerBytes);
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -368,6 +368,23 @@
     CHECK(large > Seconds);
 }
 
+TEST_CASE("an answer that was asked for and can't come is given back to the link")
+{
+    BalanceSettings settings = Host::settingsOf("z1", 1);
+    settings.linkBytesPerSecond = 500000;
+    Host host(settings);
+    host.useTable();
+    host.report(Host::targetOf("t1", "z1", 1000));
+    const RequestId first = host.request("/read/x");
+    host.reduce(AttemptEnded{first, 1, AttemptOutcome::Answered, {}, 20000});
+    host.now += 10s;
+    for (int n = 0; n < 100; ++n) {
+        const RequestId id = host.request("/read/x");
+        REQUIRE(host.find<StartAttempt>() != nullptr);
+        host.end(id, 1, AttemptOutcome::Shed);
+    }
+}
+
 TEST_CASE("parts of a split get their weights")
 {
     Host host;
