--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -82,6 +82,7 @@
     for (const AgedReport<TargetReport> &it : changes.targets) {
         const auto [place, isNew] = m_targets.try_emplace(it.report.id);
         TargetState &target = place->second;
+        target.doubtedSince.reset(); // whoever tells of it knows it, even by an older report
         if (!isNew && it.report.sequence < target.report.sequence && it.report.presence != Presence::Gone) {
             continue;
         }
@@ -91,7 +92,6 @@
         target.region = regionOf(it.report.zone);
         target.hash = hash64(it.report.id);
         target.isSilent = it.isSilent;
-        target.doubtedSince.reset();
         if (isEvidence) {
             target.coldUntil = heardAt + it.report.coldLeft;
             target.presumedCold.reset();
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -115,6 +115,23 @@
     CHECK(used() == std::set<std::string>{"t1", "t2"});
 }
 
+TEST_CASE("a target that another control host knows by an older report is not doubted any more")
+{
+    Host host;
+    host.useTable();
+    TargetReport newest = Host::targetOf("t1");
+    newest.sequence = 5;
+    host.report(newest);
+    // The next control host learns of the target late, and its reports do not change from then on.
+    host.reduce(ReportsChanged{{}, true});
+    TargetReport older = newest;
+    older.sequence = 4;
+    host.report(older);
+    host.now += 20s;
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
 TEST_CASE("the time left is passed on, and a request past it ends as maybe run")
 {
     Host host;
