One piece of code for what stood twice; less work for each request and look-up

Found by reading the change as a whole; behaviour stays as it is. - The size from which an answer is large stood in Http and in Balance: Support has it now. - An address in settings was read in three places: ObjectReader::address. (The fleet's message now says 'and port', as the others.) - GatewayRequests looked an open exchange up in ten places: findOpen. - FleetTest's four equal set-ups: ServingSystem; its demand that the system becomes ready is kept. - LeaveRequested was reduced and never sent by anybody: taken out. - Admission walked all routes for each request: only where the target is fuller than any route admits freely. - Each look-up ranked all entry hosts of the region: only guests are ranked now.

--- a/include/pepperlug/Consensus.h
+++ b/include/pepperlug/Consensus.h
@@ -138,14 +138,7 @@
     std::string diskId;
     std::string zone;
 };
-
-/// A member is about to end for good and gives its place up.
-struct LeaveRequested {
-    std::string name;
-};
-
-using ControlEvent =
-    std::variant<ControlTick, MessageReceived, CommandProposed, SnapshotTaken, JoinRequested, LeaveRequested>;
+using ControlEvent = std::variant<ControlTick, MessageReceived, CommandProposed, SnapshotTaken, JoinRequested>;
 
 /// To be on the disk, synced, before any later effect of the same list is carried out.
 struct PersistLog {
@@ -254,7 +247,6 @@
     void on(const CommandProposed &event);
     void on(const SnapshotTaken &event);
     void on(const JoinRequested &event);
-    void on(const LeaveRequested &event);
     void on(const VoteRequest &message);
     void on(const VoteReply &message);
     void on(const AppendRequest &message);
--- a/include/pepperlug/Support.h
+++ b/include/pepperlug/Support.h
@@ -125,6 +125,18 @@
 /// Reads a whole file; throws Error with step "read file".
 std::string readFile(const std::string &file);
 
+/// An IP address and port. Names are not resolved anywhere in the system.
+struct Address {
+    std::string ip;
+    std::uint16_t port = 0;
+
+    /// Parses "1.2.3.4:80" or "[::1]:80"; nothing if it is not that.
+    static std::optional<Address> parse(const std::string &text);
+    std::string text() const;
+    bool operator==(const Address &) const = default;
+    auto operator<=>(const Address &) const = default; // NOLINT(modernize-use-nullptr): the check misreads this line
+};
+
 /// Reads one JSON object member by member and notes each fault instead of stopping at the first.
 class ObjectReader
 {
@@ -144,6 +156,8 @@
     /// Readers for the objects of an array; a missing array is a finding unless optional.
     std::vector<ObjectReader> objects(const std::string &key, bool required = true);
     std::vector<std::string> texts(const std::string &key, bool required = true);
+    /// Required; the empty address, and a finding, where there is none.
+    Address address(const std::string &key);
     /// Notes every key that no call above has asked for.
     void finish();
     void fault(const std::string &key, const std::string &reason);
@@ -160,18 +174,6 @@
     std::vector<std::string> m_seen;
 };
 
-/// An IP address and port. Names are not resolved anywhere in the system.
-struct Address {
-    std::string ip;
-    std::uint16_t port = 0;
-
-    /// Parses "1.2.3.4:80" or "[::1]:80"; nothing if it is not that.
-    static std::optional<Address> parse(const std::string &text);
-    std::string text() const;
-    bool operator==(const Address &) const = default;
-    auto operator<=>(const Address &) const = default; // NOLINT(modernize-use-nullptr): the check misreads this line
-};
-
 struct HeaderField {
     std::string name;
     std::string value;
@@ -186,6 +188,9 @@
 };
 using AnswerPtr = std::shared_ptr<const Answer>;
 
+/// From here on an answer is large: it is passed on while it arrives, and minded on the host's link.
+constexpr std::uint64_t LargeAnswerBytes = 16 * 1024;
+
 /// Writes lines to one file through easylogging++ from a thread of its own. When the queue is full the line is
 /// dropped and counted, so that a slow disk never holds up a request.
 class LogSink
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -28,8 +28,6 @@
 constexpr int PatienceInWork = 3;
 constexpr Milliseconds LeastPatience{600};
 constexpr Milliseconds PlanInterval{200};
-/// Bytes from which on a route's answers are minded on the link.
-constexpr double LargeAnswer = 16 * 1024;
 
 } // namespace
 
@@ -98,8 +96,12 @@
 
 bool Balancer::Impl::isAdmissible(const OpenRequest &open, const Placement &placement, bool isAbroad) const
 {
+    static_assert(LessUrgentFreeFill <= FreeFill);
+    if (placement.fill <= LessUrgentFreeFill) {
+        return true; // for most requests; the walk over all routes below is not needed then
+    }
     const bool isUrgent = isMostUrgent(open.route);
-    if (placement.fill <= (isUrgent ? FreeFill : LessUrgentFreeFill)) {
+    if (isUrgent && placement.fill <= FreeFill) {
         return true;
     }
     const auto stats = m_stats.find(open.route.name);
@@ -120,7 +122,7 @@
 {
     const auto stats = m_stats.find(open.route.name);
     const double bytes = stats == m_stats.end() ? 0 : stats->second.answerBytes();
-    return bytes < LargeAnswer || m_link.has(bytes, m_now);
+    return bytes < static_cast<double>(LargeAnswerBytes) || m_link.has(bytes, m_now);
 }
 
 Balancer::Impl::Placement Balancer::Impl::place(const OpenRequest &open)
--- a/lib/Bundle/Parse.cpp
+++ b/lib/Bundle/Parse.cpp
@@ -75,18 +75,11 @@
 
     Address address(ObjectReader &reader, const std::string &key)
     {
-        const std::string text = reader.text(key);
-        const std::optional<Address> parsed = Address::parse(text);
-        if (!parsed) {
-            if (!text.empty()) {
-                reader.fault(key, "\"" + text + "\" is not an IP address and port");
-            }
-            return {};
-        }
-        if (!m_addresses.insert(*parsed).second) {
-            reader.fault(key, "address " + text + " is given twice");
+        Address address = reader.address(key);
+        if (address != Address{} && !m_addresses.insert(address).second) {
+            reader.fault(key, "address " + address.text() + " is given twice");
         }
-        return *parsed;
+        return address;
     }
 
     ZoneId zoneRef(ObjectReader &reader, const std::string &key)
--- a/lib/Consensus/Membership.cpp
+++ b/lib/Consensus/Membership.cpp
@@ -43,16 +43,6 @@
     changeMembers(members);
 }
 
-void Consensus::on(const LeaveRequested &event)
-{
-    if (!canChangeMembers() || findMember(event.name) == nullptr || event.name == m_settings.name) {
-        return;
-    }
-    std::vector<ControlMember> members = m_members;
-    std::erase_if(members, [&](const ControlMember &it) { return it.name == event.name; });
-    changeMembers(members);
-}
-
 // A member that answers under another disk id than the log knows has lost its disk. Once it has caught up it becomes a
 // voter again in two changes, each of which overlaps with the one before: first its old vote is taken away, then the
 // new one is given.
--- a/lib/Daemon/Settings.cpp
+++ b/lib/Daemon/Settings.cpp
@@ -11,16 +11,6 @@
 
 constexpr std::int64_t MaxBytes = 1LL << 30;
 
-Address readAddress(ObjectReader &reader, const std::string &key)
-{
-    const std::string text = reader.text(key);
-    const std::optional<Address> parsed = Address::parse(text);
-    if (!parsed && !text.empty()) {
-        reader.fault(key, "\"" + text + "\" is not an IP address and port");
-    }
-    return parsed.value_or(Address{});
-}
-
 std::vector<Address> readAddresses(ObjectReader &reader, const std::string &key, bool required)
 {
     std::vector<Address> addresses;
@@ -54,8 +44,8 @@
     EntrySettings settings;
     settings.name = root.text("name");
     settings.zone = root.text("zone");
-    settings.http = readAddress(root, "http");
-    settings.peer = readAddress(root, "peer");
+    settings.http = root.address("http");
+    settings.peer = root.address("peer");
     settings.control = readAddresses(root, "control", true);
     settings.zonePeers = readAddresses(root, "zone_peers", false);
     settings.httpThreads = static_cast<unsigned>(root.integer("http_threads", 1, 64, 2));
@@ -95,7 +85,7 @@
     settings.electionTimeout = readMilliseconds(root, "election_timeout_ms", 50, 60000, 500);
     bool namesItself = false;
     for (ObjectReader &reader : root.objects("members")) {
-        ControlPeer member{reader.text("name"), readAddress(reader, "peer"), readAddress(reader, "admin")};
+        ControlPeer member{reader.text("name"), reader.address("peer"), reader.address("admin")};
         for (const ControlPeer &other : settings.members) {
             if (other.name == member.name) {
                 reader.fault("name", "\"" + member.name + "\" is given twice");
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -60,6 +60,8 @@
     void onAnswerPart(RequestId id, unsigned attempt, std::string_view part);
     void onAttemptEnded(RequestId id, unsigned attempt, const std::string &target, HttpResult result);
     void reduce(const BalanceEvent &event);
+    /// Null if it has ended; the mutex is held.
+    OpenExchange *findOpen(RequestId id);
     void carryOut(const StartAttempt &effect);
     void carryOut(const CancelAttempt &effect);
     void carryOut(const PassHead &effect);
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -64,6 +64,12 @@
     open.exchange->respond(m_dialect.refusal({open.terms.requestId, Refusal::Stopping, StoppingRetryAfter}));
 }
 
+GatewayDaemon::Impl::OpenExchange *GatewayDaemon::Impl::findOpen(RequestId id)
+{
+    const auto it = m_open.find(static_cast<std::uint64_t>(id));
+    return it == m_open.end() ? nullptr : &it->second;
+}
+
 void GatewayDaemon::Impl::reduce(const BalanceEvent &event)
 {
     const std::lock_guard lock(m_mutex);
@@ -76,12 +82,12 @@
 
 void GatewayDaemon::Impl::carryOut(const StartAttempt &effect)
 {
-    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
+    OpenExchange *const found = findOpen(effect.id);
     const std::optional<Address> to = Address::parse(effect.address);
-    if (it == m_open.end() || !to) {
+    if (found == nullptr || !to) {
         return;
     }
-    OpenExchange &open = it->second;
+    OpenExchange &open = *found;
     const HttpRequest &http = open.exchange->request();
     HttpCall call;
     call.to = *to;
@@ -124,14 +130,14 @@
 
 void GatewayDaemon::Impl::carryOut(const CancelAttempt &effect)
 {
-    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
-    if (it == m_open.end()) {
+    OpenExchange *const open = findOpen(effect.id);
+    if (open == nullptr) {
         return;
     }
-    const auto call = it->second.calls.find(effect.attempt);
-    if (call != it->second.calls.end()) {
+    const auto call = open->calls.find(effect.attempt);
+    if (call != open->calls.end()) {
         m_client->cancel(call->second);
-        it->second.calls.erase(call);
+        open->calls.erase(call);
     }
 }
 
@@ -144,25 +150,25 @@
     }
     {
         const std::lock_guard lock(m_mutex);
-        const auto it = m_open.find(static_cast<std::uint64_t>(id));
-        if (it == m_open.end() || it->second.begunAttempt != 0) {
+        OpenExchange *const open = findOpen(id);
+        if (open == nullptr || open->begunAttempt != 0) {
             return false;
         }
-        it->second.answer = head;
-        it->second.length = length;
+        open->answer = head;
+        open->length = length;
     }
     reduce(AnswerBegun{id, attempt});
     const std::lock_guard lock(m_mutex);
-    const auto it = m_open.find(static_cast<std::uint64_t>(id));
-    return it != m_open.end() && it->second.begunAttempt == attempt;
+    const OpenExchange *const open = findOpen(id);
+    return open != nullptr && open->begunAttempt == attempt;
 }
 
 void GatewayDaemon::Impl::onAnswerPart(RequestId id, unsigned attempt, std::string_view part)
 {
     const std::lock_guard lock(m_mutex);
-    const auto it = m_open.find(static_cast<std::uint64_t>(id));
-    if (it != m_open.end() && it->second.begunAttempt == attempt) {
-        it->second.exchange->more(part);
+    OpenExchange *const open = findOpen(id);
+    if (open != nullptr && open->begunAttempt == attempt) {
+        open->exchange->more(part);
     }
 }
 
@@ -197,21 +203,21 @@
     AttemptEnded ended = readResult(id, attempt, result);
     {
         const std::lock_guard lock(m_mutex);
-        const auto it = m_open.find(static_cast<std::uint64_t>(id));
-        if (it == m_open.end()) {
+        OpenExchange *const open = findOpen(id);
+        if (open == nullptr) {
             return;
         }
-        it->second.calls.erase(attempt);
-        ended.answerBytes = it->second.begunAttempt == attempt ? it->second.length : result.answer.body.size();
+        open->calls.erase(attempt);
+        ended.answerBytes = open->begunAttempt == attempt ? open->length : result.answer.body.size();
         m_events.decision("attempt-ended",
-                          {{"request", it->second.terms.requestId},
+                          {{"request", open->terms.requestId},
                            {"attempt", attempt},
                            {"target", target},
                            {"outcome", nameOf(ended.outcome)},
                            {"status", result.answer.status},
                            {"reason", result.reason}});
         if (ended.outcome == AttemptOutcome::Answered) {
-            it->second.answer = std::move(result.answer);
+            open->answer = std::move(result.answer);
         }
     }
     m_metrics.count(std::string("pepperlug_attempt_outcomes{outcome=\"") + nameOf(ended.outcome) + "\"}");
@@ -220,81 +226,77 @@
 
 void GatewayDaemon::Impl::carryOut(const PassHead &effect)
 {
-    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
-    if (it == m_open.end()) {
+    OpenExchange *const open = findOpen(effect.id);
+    if (open == nullptr) {
         return;
     }
-    OpenExchange &open = it->second;
-    open.begunAttempt = effect.attempt;
-    Answer head = open.answer;
+    open->begunAttempt = effect.attempt;
+    Answer head = open->answer;
     head.headers = endToEndHeaders(head.headers);
     m_events.decision("answer-begun",
-                      {{"request", open.terms.requestId},
+                      {{"request", open->terms.requestId},
                        {"attempt", effect.attempt},
                        {"status", head.status},
-                       {"bytes", open.length},
-                       {"took_ms", secondsOf(m_clock.now() - open.arrivedAt) * 1000}});
-    open.exchange->begin(head, open.length);
+                       {"bytes", open->length},
+                       {"took_ms", secondsOf(m_clock.now() - open->arrivedAt) * 1000}});
+    open->exchange->begin(head, open->length);
 }
 
 void GatewayDaemon::Impl::carryOut(const AbortAnswer &effect)
 {
-    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
-    if (it == m_open.end()) {
+    OpenExchange *const open = findOpen(effect.id);
+    if (open == nullptr) {
         return;
     }
-    OpenExchange &open = it->second;
     m_metrics.count(std::string("pepperlug_aborts{reason=\"") + nameOf(effect.reason) + "\"}");
     m_events.decision("aborted",
-                      {{"request", open.terms.requestId},
+                      {{"request", open->terms.requestId},
                        {"reason", nameOf(effect.reason)},
-                       {"attempt", open.begunAttempt},
-                       {"took_ms", secondsOf(m_clock.now() - open.arrivedAt) * 1000}});
-    open.exchange->abort();
-    m_open.erase(it);
+                       {"attempt", open->begunAttempt},
+                       {"took_ms", secondsOf(m_clock.now() - open->arrivedAt) * 1000}});
+    open->exchange->abort();
+    m_open.erase(static_cast<std::uint64_t>(effect.id));
 }
 
 void GatewayDaemon::Impl::carryOut(const PassAnswer &effect)
 {
-    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
-    if (it == m_open.end()) {
+    OpenExchange *const open = findOpen(effect.id);
+    if (open == nullptr) {
         return;
     }
-    OpenExchange &open = it->second;
-    Answer answer = std::move(open.answer);
+    Answer answer = std::move(open->answer);
     answer.headers = endToEndHeaders(answer.headers);
-    const Duration took = m_clock.now() - open.arrivedAt;
+    const Duration took = m_clock.now() - open->arrivedAt;
     m_metrics.latency("pepperlug_request_seconds", took);
     m_events.decision("answered",
-                      {{"request", open.terms.requestId},
+                      {{"request", open->terms.requestId},
                        {"attempt", effect.attempt},
                        {"status", answer.status},
                        {"took_ms", secondsOf(took) * 1000}});
-    if (open.begunAttempt == 0) {
-        open.exchange->respond(answer);
+    if (open->begunAttempt == 0) {
+        open->exchange->respond(answer);
     }
-    m_open.erase(it);
+    m_open.erase(static_cast<std::uint64_t>(effect.id));
 }
 
 void GatewayDaemon::Impl::carryOut(const RefuseRequest &effect)
 {
-    const auto it = m_open.find(static_cast<std::uint64_t>(effect.id));
-    if (it == m_open.end()) {
+    OpenExchange *const open = findOpen(effect.id);
+    if (open == nullptr) {
         return;
     }
-    OpenExchange &open = it->second;
-    const Duration took = m_clock.now() - open.arrivedAt;
+    const Duration took = m_clock.now() - open->arrivedAt;
     m_metrics.count(std::string("pepperlug_refusals{reason=\"") + nameOf(effect.reason) + "\"}");
     m_events.decision("refused",
-                      {{"request", open.terms.requestId},
+                      {{"request", open->terms.requestId},
                        {"reason", nameOf(effect.reason)},
                        {"route", effect.route},
                        {"target", effect.lastTarget},
                        {"table", m_balancer->tableVersion()},
                        {"retry_after_ms", effect.retryAfter.count()},
                        {"took_ms", secondsOf(took) * 1000}});
-    open.exchange->respond(m_dialect.refusal({open.terms.requestId, effect.reason, effect.retryAfter}));
-    m_open.erase(it);
+    open->exchange->respond(m_dialect.refusal({open->terms.requestId, effect.reason, effect.retryAfter}));
+    m_open.erase(static_cast<std::uint64_t>(effect.id));
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -62,7 +62,7 @@
     std::string operatorsAddressOf(const std::string &peer);
     void settleDepartures(TimePoint now);
     std::vector<std::string> entryHostsFor(const std::string &zone);
-    std::vector<std::string> liveEntryHosts(const std::string &region, const std::string &zone) const;
+    std::vector<std::string> liveEntryHosts(const std::string &region) const;
     void followCallers(TimePoint now);
     bool tableHasHomes();
 
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -271,23 +271,16 @@
     return m_hasHomes;
 }
 
-// In an order that differs from zone to zone, so that the guests of several zones do not meet at the same few hosts.
-std::vector<std::string> RegistryDaemon::Impl::liveEntryHosts(const std::string &region, const std::string &zone) const
+std::vector<std::string> RegistryDaemon::Impl::liveEntryHosts(const std::string &region) const
 {
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    std::vector<std::string> addresses;
     for (const auto &[id, entry] : m_registry.hosts()) {
         const auto it = m_settings.regionOfZone.find(entry.report.zone);
         const bool isThere = it != m_settings.regionOfZone.end() && (region.empty() || it->second == region);
         if (entry.report.role == HostRole::Entry && Registry::isLive(entry) && isThere) {
-            ranked.emplace_back(hash64(id, hash64(zone)), entry.report.address);
+            addresses.push_back(entry.report.address);
         }
     }
-    std::sort(ranked.begin(), ranked.end());
-    std::vector<std::string> addresses;
-    addresses.reserve(ranked.size());
-    for (auto &[rank, address] : ranked) {
-        addresses.push_back(std::move(address));
-    }
     return addresses;
 }
 
@@ -296,16 +289,19 @@
 {
     const auto it = m_settings.regionOfZone.find(zone);
     const std::string region = it == m_settings.regionOfZone.end() ? std::string() : it->second;
-    std::vector<std::string> hosts = liveEntryHosts(region, zone);
+    std::vector<std::string> hosts = liveEntryHosts(region);
     if (hosts.empty()) {
-        return liveEntryHosts({}, zone);
+        return liveEntryHosts({});
     }
     const GuestShare guests = m_shares.guestsOf(region);
     if (guests.part <= 0 || tableHasHomes()) {
         return hosts;
     }
     const double wanted = static_cast<double>(hosts.size()) * guests.part / (1 - guests.part);
-    std::vector<std::string> others = liveEntryHosts(guests.region, zone);
+    std::vector<std::string> others = liveEntryHosts(guests.region);
+    // In an order that differs from zone to zone, so that the guests of several zones do not meet at the same few
+    // hosts.
+    std::ranges::sort(others, {}, [seed = hash64(zone)](const std::string &it) { return hash64(it, seed); });
     others.resize(std::min(others.size(), static_cast<std::size_t>(std::lround(wanted))));
     hosts.insert(hosts.end(), others.begin(), others.end());
     return hosts;
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -16,16 +16,6 @@
 constexpr double BitsPerMegabit = 1e6;
 constexpr double BitsPerByte = 8;
 
-Address readAddress(ObjectReader &reader, const std::string &key)
-{
-    const std::string text = reader.text(key);
-    const std::optional<Address> address = Address::parse(text);
-    if (!address && !text.empty()) {
-        reader.fault(key, "\"" + text + "\" is not an IP address with a port");
-    }
-    return address.value_or(Address{});
-}
-
 Duration readSeconds(ObjectReader &reader, const std::string &key, double fallback)
 {
     const std::chrono::duration<double> value(reader.number(key, 0, MaxSeconds, fallback));
@@ -61,7 +51,7 @@
         if (address) {
             settings.seeds.push_back(*address);
         } else {
-            reader.fault("seeds", "\"" + text + "\" is not an IP address with a port");
+            reader.fault("seeds", "\"" + text + "\" is not an IP address and port");
         }
     }
 }
@@ -77,8 +67,8 @@
     settings.name = reader.text("name");
     settings.zone = reader.text("zone");
     readZones(reader, settings);
-    settings.peer = readAddress(reader, "peer");
-    settings.metrics = readAddress(reader, "metrics");
+    settings.peer = reader.address("peer");
+    settings.metrics = reader.address("metrics");
     readSeeds(reader, settings);
     if (std::optional<ObjectReader> bounds = reader.object("bounds", false)) {
         settings.bounds = readBounds(*bounds);
@@ -86,16 +76,16 @@
     }
     settings.logLinesPerSecond = static_cast<unsigned>(reader.integer("log_lines_per_s", 0, 1000000, DefaultLogLines));
     if (role == FleetRole::Entry) {
-        settings.callers = readAddress(reader, "callers");
-        settings.readiness = readAddress(reader, "readiness");
+        settings.callers = reader.address("callers");
+        settings.readiness = reader.address("readiness");
         settings.maxBodyBytes = static_cast<std::size_t>(reader.integer("max_body_bytes", 0, MaxBytes, DefaultMaxBody));
         settings.maxAnswerBytes =
             static_cast<std::size_t>(reader.integer("max_answer_bytes", 1024, MaxBytes, DefaultMaxAnswer));
         const double linkMbps = reader.number("link_mbps", 0, MaxLinkMbps, 0);
         settings.linkBytesPerSecond = static_cast<std::uint64_t>(linkMbps * BitsPerMegabit / BitsPerByte);
     } else {
-        settings.operators = readAddress(reader, "operators");
-        settings.directory = readAddress(reader, "directory");
+        settings.operators = reader.address("operators");
+        settings.directory = reader.address("directory");
         settings.dataFolder = reader.text("data_folder");
         settings.isFirstStart = reader.boolean("first_start", false);
     }
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -21,8 +21,6 @@
 
 constexpr long KeptConnectionSeconds = 6; ///< a kept connection that was idle for longer is not used again
 constexpr long MaxKeptConnections = 512;
-/// From here on an answer is large: it is passed on while it arrives, and shares the bound on bytes a second.
-constexpr std::uint64_t LargeAnswer = 16 * 1024;
 /// Read at a time where bytes a second are bounded; less makes a smoother stream, and more wake-ups.
 constexpr long BoundedRead = 8 * 1024;
 
@@ -103,7 +101,7 @@
     long status = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
     const std::uint64_t length = lengthIn(transfer.answer.headers);
-    transfer.isLarge = status >= FirstFinalStatus && length >= LargeAnswer && transfer.call.method != "HEAD";
+    transfer.isLarge = status >= FirstFinalStatus && length >= LargeAnswerBytes && transfer.call.method != "HEAD";
     if (!transfer.isLarge || !transfer.call.onLargeHead || length > transfer.maxAnswerBytes) {
         return;
     }
--- a/lib/Support/Json.cpp
+++ b/lib/Support/Json.cpp
@@ -116,6 +116,16 @@
     return value->get<std::string>();
 }
 
+Address ObjectReader::address(const std::string &key)
+{
+    const std::string given = text(key);
+    const std::optional<Address> parsed = Address::parse(given);
+    if (!parsed && !given.empty()) {
+        fault(key, "\"" + given + "\" is not an IP address and port");
+    }
+    return parsed.value_or(Address{});
+}
+
 std::string ObjectReader::textOr(const std::string &key, const std::string &fallback)
 {
     if (!has(key)) {
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -263,6 +263,19 @@
     HttpClient m_client{1 << 20};
 };
 
+/// A system with a configuration and one target, once it serves.
+struct ServingSystem {
+    ServingSystem()
+    {
+        system.putTable("r2", "0");
+        system.beat("i-1", target, 1);
+        REQUIRE(system.becomesReady());
+    }
+
+    System system;
+    FakeTarget target{"i-1"};
+};
+
 } // namespace
 
 TEST_CASE("a request goes its whole way, and the entry host is found through the directory")
@@ -286,11 +299,9 @@
 
 TEST_CASE("a drain that was acknowledged stops new work")
 {
-    System system;
-    FakeTarget target("i-1");
-    system.putTable("r2", "0");
-    system.beat("i-1", target, 1);
-    REQUIRE(system.becomesReady());
+    ServingSystem serving;
+    System &system = serving.system;
+    FakeTarget &target = serving.target;
     REQUIRE(system.beat("i-1", target, 2, "draining").status == 200);
     REQUIRE(System::eventually([&] { return system.get(system.gateway->callersAddress(), "/p/x").status == 503; }));
     const int runs = target.runs();
@@ -313,11 +324,9 @@
 
 TEST_CASE("an answer under another request's id reaches nobody")
 {
-    System system;
-    FakeTarget target("i-1");
-    system.putTable("r2", "0");
-    system.beat("i-1", target, 1);
-    REQUIRE(system.becomesReady());
+    ServingSystem serving;
+    System &system = serving.system;
+    FakeTarget &target = serving.target;
     target.answersForAnother = true;
     CHECK(system.get(system.gateway->callersAddress(), "/p/x", "q1").status == 502);
     target.answersForAnother = false;
@@ -327,11 +336,9 @@
 TEST_CASE("a large answer comes whole, and one that its target breaks off never looks whole")
 {
     constexpr std::size_t Large = 300000;
-    System system;
-    FakeTarget target("i-1");
-    system.putTable("r2", "0");
-    system.beat("i-1", target, 1);
-    REQUIRE(system.becomesReady());
+    ServingSystem serving;
+    System &system = serving.system;
+    FakeTarget &target = serving.target;
     target.bodyBytes = Large;
     const Answer whole = system.get(system.gateway->callersAddress(), "/p/x", "q1");
     CHECK(whole.status == 200);
@@ -351,11 +358,9 @@
 
 TEST_CASE("a planned stop finishes what was passed on, and passes nothing on just before its end")
 {
-    System system;
-    FakeTarget target("i-1");
-    system.putTable("r2", "0");
-    system.beat("i-1", target, 1);
-    REQUIRE(system.becomesReady());
+    ServingSystem serving;
+    System &system = serving.system;
+    FakeTarget &target = serving.target;
     const Address callers = system.gateway->callersAddress();
     target.hold();
     std::future<Answer> held = std::async(std::launch::async, [&] { return system.get(callers, "/p/x", "q1"); });
