Reports that say nothing new travel as renewals, and load is never a reason to send

Each change of an entry host's load counted as news: every control host answered every other one at once, up to 40 times a second, with all reports that it had heard, and passed the load of 89 hosts on to 89 entry hosts.

Now three kinds: what changes decisions (presence, address, cold) is sent at once; load goes with the next answer, to entry hosts as sums by region; a report that says nothing new is a renewal of a few bytes. A renewal bears a digest of the report, so that one that reaches a host before the change it follows is not mistaken (a drain would be lost: test). What was told of load stays until it differs by a tenth; a slow rise was never told before (test).

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -59,6 +59,7 @@
 struct ReportsChanged {
     RegistryChanges changes;
     bool isWhole = false; ///< all that the telling host knows, not only what changed
+    std::vector<RegionDemand> demand{}; ///< of all regions; empty if nothing is told of it
 };
 
 struct CallerRequest {
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -65,16 +65,35 @@
     MSGPACK_DEFINE(report, age, isSilent);
 };
 
+/// A new report that says nothing new: its author lives.
+struct Renewal {
+    std::string id;
+    std::uint64_t sequence = 0;
+    Milliseconds age{}; ///< since it was heard from its author
+    std::uint32_t digest = 0; ///< of what the report says; a reader that knows the author otherwise missed a change
+    bool isCold = false;
+    MSGPACK_DEFINE(id, sequence, age, digest, isCold);
+};
+
 struct RegistryChanges {
     std::vector<AgedReport<TargetReport>> targets;
     std::vector<AgedReport<HostReport>> hosts;
-    MSGPACK_DEFINE(targets, hosts);
+    std::vector<Renewal> renewals; ///< of targets and hosts that the reader was told of before
+    MSGPACK_DEFINE(targets, hosts, renewals);
     bool empty() const
     {
-        return targets.empty() && hosts.empty();
+        return targets.empty() && hosts.empty() && renewals.empty();
     }
 };
 
+/// What the entry hosts of one region ask of one service, all together.
+struct RegionDemand {
+    std::string region;
+    std::string service;
+    double slots = 0;
+    MSGPACK_DEFINE(region, service, slots);
+};
+
 struct RegistrySettings {
     Duration targetExpiry = std::chrono::seconds(6); ///< a target that was not heard for so long is silent
     Duration hostExpiry = Milliseconds(1800); ///< the same for hosts
@@ -94,6 +113,7 @@
         bool isSilent = false;
         std::uint64_t heardVersion = 0; ///< table version at the last report
         std::uint64_t changedVersion = 0; ///< table version at the last change that matters
+        std::uint64_t loadVersion = 0; ///< table version at the last change of a host's load
     };
     using TargetEntry = Entry<TargetReport>;
     using HostEntry = Entry<HostReport>;
@@ -101,13 +121,14 @@
     /// Takes a report from its author. Returns false if it is late or its incarnation has ended.
     bool receive(const TargetReport &report, TimePoint now);
     bool receive(const HostReport &report, TimePoint now);
-    /// Takes what another host passed on.
-    void merge(const RegistryChanges &changes, TimePoint now);
+    /// Takes what another host passed on. Returns false if it renews a report that is not known here, so that all that
+    /// the other host knows has to be asked for.
+    bool merge(const RegistryChanges &changes, TimePoint now);
     /// Marks what was not heard for too long as silent and forgets what has been gone for long. `mayExpire` is false
     /// while this host can't know whether it is itself that is cut off.
     void expire(TimePoint now, bool mayExpire);
 
-    /// All that was heard directly after a version; with 0 all there is.
+    /// All that was heard directly after a version, as a renewal where it says nothing new; with 0 all there is.
     RegistryChanges heardSince(std::uint64_t version, TimePoint now) const;
     /// All that changed in a way that matters after a version.
     RegistryChanges changedSince(std::uint64_t version, TimePoint now) const;
@@ -115,6 +136,9 @@
     /// Version of the newest change that matters.
     std::uint64_t changedVersion() const;
 
+    /// Load that live entry hosts report, summed by region.
+    std::vector<RegionDemand> demand(const std::map<std::string, std::string> &regionOfZone) const;
+
     const std::map<std::string, TargetEntry> &targets() const;
     const std::map<std::string, HostEntry> &hosts() const;
     const TargetEntry *target(const std::string &id) const;
@@ -125,6 +149,8 @@
     template <typename Report>
     bool take(std::map<std::string, Entry<Report>> &table, const Report &report, TimePoint heardAt, bool isDirect);
     template <typename Report>
+    bool renew(std::map<std::string, Entry<Report>> &table, const Renewal &renewal, TimePoint now);
+    template <typename Report>
     void expireIn(std::map<std::string, Entry<Report>> &table, TimePoint now, Duration expiry, bool mayExpire);
     void retireOthersAt(const TargetReport &report);
 
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -108,6 +108,9 @@
 void Balancer::Impl::on(const ReportsChanged &event)
 {
     m_targets.apply(event.changes, m_now);
+    if (!event.demand.empty()) {
+        m_targets.setDemand(event.demand);
+    }
     if (event.isWhole) {
         m_targets.doubtOthers(event.changes, m_now);
     }
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -312,14 +312,19 @@
     return slots;
 }
 
+void TargetSet::setDemand(std::vector<RegionDemand> demand)
+{
+    m_demand = std::move(demand);
+}
+
 std::map<std::string, double> TargetSet::demand(std::string_view service) const
 {
     std::map<std::string, double> slots;
     for (const auto &[id, host] : m_entryHosts) {
-        double &region = slots[regionOf(host.zone)];
-        for (const ServiceDemand &it : host.demand) {
-            region += it.service == service ? it.slots : 0;
-        }
+        slots[regionOf(host.zone)]; // a region with entry hosts may have no demand
+    }
+    for (const RegionDemand &it : m_demand) {
+        slots[it.region] += it.service == service ? it.slots : 0;
     }
     return slots;
 }
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -58,6 +58,7 @@
     void apply(const RegistryChanges &changes, TimePoint now);
     /// Doubts all targets that are not among what a control host knows; they are left out unless one reports them soon.
     void doubtOthers(const RegistryChanges &known, TimePoint now);
+    void setDemand(std::vector<RegionDemand> demand);
     void setTable(std::shared_ptr<const RouteTable> table);
     void setEvacuatedZones(const std::set<std::string> &zones, TimePoint now);
 
@@ -91,6 +92,7 @@
     std::set<std::string> m_evacuated;
     std::unordered_map<std::string, TargetState> m_targets;
     std::map<std::string, HostReport> m_entryHosts; ///< live ones, by id
+    std::vector<RegionDemand> m_demand;
 };
 
 } // namespace pepperlug::fleet
--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -137,4 +137,10 @@
     m_net.cancel(id);
 }
 
+void ControlWatch::askForAll()
+{
+    const std::lock_guard lock(m_mutex);
+    m_since = 0;
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -32,6 +32,8 @@
     void poll(TimePoint now);
     /// Ends the ask that is on its way, so that the next poll tells the newest report.
     void hurry();
+    /// Asks for all that the followed host knows next time.
+    void askForAll();
 
 private:
     void ask(const Address &to);
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -29,11 +29,12 @@
     bool isCurrent = false; ///< the replying host is in touch with a majority
     RegistryChanges changes;
     bool isWhole = false; ///< `changes` holds all that the replying host knows
+    std::vector<RegionDemand> demand; ///< for entry hosts: load of all regions
     bool hasRouting = false; ///< the following fields are set
     std::uint64_t routingIndex = 0;
     std::string tableText; ///< empty: none was ever put
     std::vector<std::string> evacuatedZones;
-    MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, hasRouting, routingIndex, tableText, evacuatedZones);
+    MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, hasRouting, routingIndex, tableText, evacuatedZones);
 };
 
 /// Body of path::FleetJoin: a control host asks to be a member.
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -187,8 +187,8 @@
             }
         }
     }
-    if (!reply.changes.empty() || reply.isWhole) {
-        reduce(ReportsChanged{reply.changes, reply.isWhole});
+    if (!reply.changes.empty() || reply.isWhole || !reply.demand.empty()) {
+        reduce(ReportsChanged{reply.changes, reply.isWhole, reply.demand});
     }
     if (!table) {
         return;
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -75,6 +75,9 @@
     const bool isControl = call.self.role == HostRole::Control;
     reply.changes = isControl ? m_registry.heardSince(call.since, now) : m_registry.changedSince(call.since, now);
     reply.isWhole = call.since == 0;
+    if (!isControl) {
+        reply.demand = m_registry.demand(m_settings.regionOfZone);
+    }
     if (!isControl && m_routing.index() > call.routingIndex) {
         reply.hasRouting = true;
         reply.routingIndex = m_routing.index();
@@ -98,12 +101,22 @@
     });
 }
 
-void RegistryDaemon::Impl::onPeerNews(const Address &, const FleetWatchReply &reply)
+void RegistryDaemon::Impl::onPeerNews(const Address &from, const FleetWatchReply &reply)
 {
     const TimePoint now = m_clock.now();
-    const std::lock_guard lock(m_mutex);
-    m_registry.merge(reply.changes, now);
-    replyWatchers(now);
+    bool isAllKnown = false;
+    ControlWatch *watch = nullptr;
+    {
+        const std::lock_guard lock(m_mutex);
+        isAllKnown = m_registry.merge(reply.changes, now);
+        replyWatchers(now);
+        const auto it = m_peers.find(from);
+        watch = it == m_peers.end() ? nullptr : it->second.get();
+    }
+    if (!isAllKnown && watch != nullptr) {
+        m_events.state("reports-unknown", {{"peer", from.text()}, {"renewals", reply.changes.renewals.size()}});
+        watch->askForAll();
+    }
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -69,7 +69,7 @@
         }
         replyWatchers(now);
         if (isDeparture) {
-            m_departures.push_back({exchange, report.id, entry->heardVersion, now + DeparturePatience});
+            m_departures.push_back({exchange, report.id, entry->changedVersion, now + DeparturePatience});
             settleDepartures(now);
         }
     }
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -1,7 +1,8 @@
 //===- Registry.cpp - Reports of targets and hosts ------------------------===//
 //
-// Refreshes that say nothing new only matter to other control hosts, which must know that a reporter is alive; entry
-// hosts are told of changes alone. Hence two versions for each entry.
+// Refreshes that say nothing new only matter to other control hosts, which must know that a reporter is alive; they are
+// passed on as renewals, a few bytes each. Entry hosts are told of changes alone. The load of a host changes all the
+// time; it travels with whatever is sent next and is never a reason to send. Hence three versions for each entry.
 //
 //===----------------------------------------------------------------------===//
 #include "pepperlug/Registry.h"
@@ -50,9 +51,60 @@
 
 bool isAlike(const Registry::HostEntry &old, const HostReport &report, TimePoint)
 {
-    return old.report.presence == report.presence && old.report.address == report.address
-        && isAlike(old.report.demand, report.demand)
-        && std::abs(old.report.linkUse - report.linkUse) < LinkUseTolerance;
+    return old.report.presence == report.presence && old.report.address == report.address;
+}
+
+bool hasLoadOf(const TargetReport &, const TargetReport &)
+{
+    return true; // a target tells its load with its answers
+}
+
+bool hasLoadOf(const HostReport &old, const HostReport &report)
+{
+    return isAlike(old.demand, report.demand) && std::abs(old.linkUse - report.linkUse) < LinkUseTolerance;
+}
+
+// What was told stays until it differs enough to be told again; otherwise a slow rise would never be told.
+void keepLoadOf(const TargetReport &, TargetReport &)
+{
+}
+
+void keepLoadOf(const HostReport &old, HostReport &report)
+{
+    report.demand = old.demand;
+    report.linkUse = old.linkUse;
+}
+
+bool isCold(const TargetReport &report)
+{
+    return report.coldLeft > Milliseconds(0);
+}
+
+bool isCold(const HostReport &)
+{
+    return false;
+}
+
+// Of all that isAlike() compares, but for the cold time, which runs down by itself.
+std::uint32_t digestOf(const TargetReport &report)
+{
+    const std::string text = std::string(nameOf(report.presence)) + "|" + std::to_string(report.slots) + "|"
+        + report.address + "|" + report.service + "|" + report.zone;
+    return static_cast<std::uint32_t>(hash64(text));
+}
+
+std::uint32_t digestOf(const HostReport &report)
+{
+    return static_cast<std::uint32_t>(hash64(std::string(nameOf(report.presence)) + "|" + report.address));
+}
+
+void shorten(TargetReport &report, Duration passed)
+{
+    report.coldLeft = std::max(Milliseconds(0), report.coldLeft - std::chrono::duration_cast<Milliseconds>(passed));
+}
+
+void shorten(HostReport &, Duration)
+{
 }
 
 template <typename Report>
@@ -93,11 +145,19 @@
         return false;
     }
     const bool matters = isNew || entry.isSilent || !isAlike(entry, report, heardAt);
-    entry.report = report;
+    const bool isLoadKept = !isNew && hasLoadOf(entry.report, report);
+    Report kept = report;
+    if (isLoadKept) {
+        keepLoadOf(entry.report, kept);
+    }
+    entry.report = std::move(kept);
     entry.heardAt = heardAt;
     entry.isDirect = isDirect;
     entry.isSilent = false;
     entry.heardVersion = ++m_version;
+    if (!isLoadKept) {
+        entry.loadVersion = m_version;
+    }
     if (matters) {
         entry.changedVersion = m_version;
         m_changedVersion = m_version;
@@ -136,7 +196,30 @@
     }
 }
 
-void Registry::merge(const RegistryChanges &changes, TimePoint now)
+template <typename Report>
+bool Registry::renew(std::map<std::string, Entry<Report>> &table, const Renewal &renewal, TimePoint now)
+{
+    const auto it = table.find(renewal.id);
+    if (it == table.end()) {
+        return false;
+    }
+    const TimePoint heardAt = now - renewal.age;
+    Report report = it->second.report;
+    const bool isOlder = renewal.sequence <= report.sequence || report.presence == Presence::Gone;
+    if (isOlder) {
+        return true;
+    }
+    if (renewal.digest != digestOf(report) || (renewal.isCold && !isCold(report))) {
+        return false;
+    }
+    report.sequence = renewal.sequence;
+    // What the last report said of its future is counted from the renewal now.
+    shorten(report, heardAt - it->second.heardAt);
+    take(table, report, heardAt, false);
+    return true;
+}
+
+bool Registry::merge(const RegistryChanges &changes, TimePoint now)
 {
     for (const AgedReport<TargetReport> &it : changes.targets) {
         if (take(m_targets, it.report, now - it.age, false)) {
@@ -146,6 +229,11 @@
     for (const AgedReport<HostReport> &it : changes.hosts) {
         take(m_hosts, it.report, now - it.age, false);
     }
+    bool isAllKnown = true;
+    for (const Renewal &it : changes.renewals) {
+        isAllKnown &= renew(m_targets, it, now) || renew(m_hosts, it, now);
+    }
+    return isAllKnown;
 }
 
 template <typename Report>
@@ -177,20 +265,43 @@
 RegistryChanges Registry::heardSince(std::uint64_t version, TimePoint now) const
 {
     RegistryChanges changes;
-    const auto isWanted = [&](const auto &entry) {
-        return version == 0 || (entry.isDirect && entry.heardVersion > version);
-    };
-    for (const auto &[id, entry] : m_targets) {
-        if (isWanted(entry)) {
-            changes.targets.push_back(aged(entry, now));
+    const auto add = [&](const auto &table, auto &whole) {
+        for (const auto &[id, entry] : table) {
+            const bool isNew = version == 0 || std::max(entry.changedVersion, entry.loadVersion) > version;
+            if (version != 0 && (!entry.isDirect || entry.heardVersion <= version)) {
+                continue;
+            }
+            if (isNew) {
+                whole.push_back(aged(entry, now));
+            } else {
+                const auto age = std::chrono::duration_cast<Milliseconds>(now - entry.heardAt);
+                changes.renewals.push_back(
+                    {id, entry.report.sequence, age, digestOf(entry.report), isCold(entry.report)});
+            }
         }
-    }
+    };
+    add(m_targets, changes.targets);
+    add(m_hosts, changes.hosts);
+    return changes;
+}
+
+std::vector<RegionDemand> Registry::demand(const std::map<std::string, std::string> &regionOfZone) const
+{
+    std::map<std::pair<std::string, std::string>, double> slots;
     for (const auto &[id, entry] : m_hosts) {
-        if (isWanted(entry)) {
-            changes.hosts.push_back(aged(entry, now));
+        const auto region = regionOfZone.find(entry.report.zone);
+        if (entry.report.role != HostRole::Entry || !isLive(entry) || region == regionOfZone.end()) {
+            continue;
+        }
+        for (const ServiceDemand &it : entry.report.demand) {
+            slots[{region->second, it.service}] += it.slots;
         }
     }
-    return changes;
+    std::vector<RegionDemand> demand;
+    for (const auto &[place, sum] : slots) {
+        demand.push_back({place.first, place.second, sum});
+    }
+    return demand;
 }
 
 RegistryChanges Registry::changedSince(std::uint64_t version, TimePoint now) const
