Hosts of a zone begin to warm a cold target at moments of their own

Cause: some 15 entry hosts share the zone of a target; each keeps to its part of the rate, but the first request of all of them was due at the same moment. Ruled out: a wrong number of hosts (the rate after the first second is right). Each host now begins within its interval at a moment drawn from the target's id.

--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -89,7 +89,7 @@
         target.hash = hash64(it.report.id);
         target.isSilent = it.isSilent;
         if (isEvidence) {
-            target.coldUntil = heardAt + it.report.coldLeft;
+            becomeCold(target, heardAt + it.report.coldLeft, now);
             target.presumedCold.reset();
         }
         if (it.report.presence == Presence::Gone && target.inFlight == 0) {
@@ -134,7 +134,7 @@
         const ServiceTraits *traits = m_table ? m_table->service(target.report.service) : nullptr;
         if (isBack && traits != nullptr) {
             target.presumedCold = now;
-            target.coldUntil = std::max(target.coldUntil, now + traits->coldTime);
+            becomeCold(target, std::max(target.coldUntil, now + traits->coldTime), now);
         }
     }
     m_evacuated = zones;
@@ -174,6 +174,31 @@
     return warmsZone(self, target);
 }
 
+std::optional<Duration> TargetSet::warmInterval(const TargetState &target) const
+{
+    const ServiceTraits *traits = m_table ? m_table->service(target.report.service) : nullptr;
+    if (traits == nullptr || traits->coldPerSecond <= 0) {
+        return std::nullopt;
+    }
+    const double rate =
+        traits->coldPerSecond * ColdMargin / static_cast<double>(std::max<std::size_t>(1, warmers(target)));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+}
+
+// All hosts of its zone hear of it at the same moment. Each begins at a moment of its own within the interval, or they
+// would all send at once; with many hosts that alone is more than it bears.
+void TargetSet::becomeCold(TargetState &target, TimePoint until, TimePoint now)
+{
+    const bool wasCold = target.isCold(now);
+    target.coldUntil = until;
+    const std::optional<Duration> interval = warmInterval(target);
+    if (wasCold || !target.isCold(now) || !interval) {
+        return;
+    }
+    const double phase = static_cast<double>(hash64(target.report.id, m_settings.seed) >> 11) * 0x1p-53;
+    target.coldTokenAt = now + std::chrono::duration_cast<Duration>(*interval * phase);
+}
+
 // Only the entry hosts of a cold target's own zone send to it, each its part of what the target bears; so the sum over
 // all hosts stays bounded without a word between them.
 bool TargetSet::mayWarm(const TargetState &target, TimePoint now) const
@@ -246,11 +271,9 @@
 {
     ++target.inFlight;
     target.awaitingSince = target.awaitingSince.value_or(now);
-    const ServiceTraits *traits = m_table ? m_table->service(target.report.service) : nullptr;
-    if (target.isCold(now) && traits != nullptr && traits->coldPerSecond > 0) {
-        const double rate =
-            traits->coldPerSecond * ColdMargin / static_cast<double>(std::max<std::size_t>(1, warmers(target)));
-        target.coldTokenAt = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+    const std::optional<Duration> interval = target.isCold(now) ? warmInterval(target) : std::nullopt;
+    if (interval) {
+        target.coldTokenAt = now + *interval;
     }
 }
 
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -295,6 +295,38 @@
     CHECK(sent >= PerSecond * 4 / 2);
 }
 
+TEST_CASE("many hosts of a zone do not all send to a target at once when it becomes cold")
+{
+    constexpr int Hosts = 20;
+    constexpr double PerSecond = 4;
+    std::vector<std::unique_ptr<Host>> hosts;
+    for (int n = 0; n < Hosts; ++n) {
+        hosts.push_back(std::make_unique<Host>("z1", static_cast<std::uint64_t>(n)));
+        hosts.back()->useTable();
+        for (int other = 0; other < Hosts; ++other) {
+            hosts.back()->report(Host::entryOf("e" + std::to_string(other), "z1"));
+        }
+        TargetReport cold = Host::targetOf("t1");
+        cold.coldLeft = 3500ms;
+        hosts.back()->report(cold);
+    }
+    std::vector<int> sent(3);
+    for (int step = 0; step < 300; ++step) { // 3 s, a request every 10 ms at each host
+        for (auto &host : hosts) {
+            host->now += 10ms;
+            const RequestId id = host->request("/read/x");
+            if (host->find<StartAttempt>() != nullptr) {
+                ++sent[static_cast<std::size_t>(step / 100)];
+                host->end(id, 1, AttemptOutcome::Answered);
+            }
+        }
+    }
+    for (const int count : sent) {
+        CHECK(count <= 2 * PerSecond);
+        CHECK(count > 0);
+    }
+}
+
 TEST_CASE("targets of a zone that is taken back count as cold until they say otherwise")
 {
     Host host("z2");
