Less memory for each connection and each call

The client library takes 80 KiB of buffers for a call, and each caller's connection kept a parser for bodies though most requests have none.

--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -150,9 +150,10 @@
         emitRequest();
         return true;
     }
-    m_parser.reset();
+    const HttpLimits &limits = m_shared.limits;
+    m_parser = std::make_unique<ph::RequestParser>(limits.headBytes + limits.bodyBytes * 2);
     const std::string framing = framingHead(*m_head);
-    m_parser.feed(framing.data(), framing.size());
+    m_parser->feed(framing.data(), framing.size());
     if (m_head->expectsContinue && m_buf.empty()) {
         const std::lock_guard lock(m_mutex);
         if (m_slots.empty()) {
@@ -170,17 +171,17 @@
     // With a length we know where the next request starts. With chunks only the parser knows, and it does not tell;
     // such a connection is closed after its answer, so that bytes of a next request are never taken for something else.
     const std::size_t n = m_head->isChunked ? m_buf.size() : std::min(m_bodyLeft, m_buf.size());
-    bool fits = m_parser.feed(m_buf.data(), n);
+    bool fits = m_parser->feed(m_buf.data(), n);
     m_buf.erase(0, n);
     m_bodyLeft -= m_head->isChunked ? 0 : n;
     ph::Private::State state = ph::Private::State::Again;
     try {
-        state = fits ? m_parser.parse() : state;
+        state = fits ? m_parser->parse() : state;
     } catch (const std::exception &ex) {
         fault(400, std::string("the body is garbled: ") + ex.what());
         return false;
     }
-    fits = fits && m_parser.request.body().size() <= m_shared.limits.bodyBytes;
+    fits = fits && m_parser->request.body().size() <= m_shared.limits.bodyBytes;
     if (!fits) {
         fault(413, "the body is longer than " + std::to_string(m_shared.limits.bodyBytes) + " bytes");
         return false;
@@ -218,7 +219,8 @@
     request.peerIp = m_ip;
     const bool hasBody = m_head->isChunked || m_head->contentLength > 0;
     if (hasBody) {
-        request.body = m_parser.request.body();
+        request.body = m_parser->request.body();
+        m_parser.reset();
     }
     const bool keepAlive = m_head->keepAlive;
     m_head.reset();
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -43,7 +43,6 @@
     Connection(const std::shared_ptr<Pistache::Tcp::Peer> &peer, ServerShared &shared)
         : m_peer(peer)
         , m_ip(peer->address().host())
-        , m_parser(shared.limits.headBytes + shared.limits.bodyBytes * 2)
         , m_shared(shared)
         , m_lastActive(shared.clock.now())
     {
@@ -80,7 +79,7 @@
     std::string m_buf;
     std::optional<RequestHead> m_head;
     std::size_t m_bodyLeft = 0;
-    Pistache::Http::RequestParser m_parser;
+    std::unique_ptr<Pistache::Http::RequestParser> m_parser; ///< only while a body comes: it takes several KiB
     ServerShared &m_shared;
 
     std::mutex m_mutex; ///< guards what follows
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -23,6 +23,10 @@
 constexpr long MaxKeptConnections = 512;
 /// Read at a time where bytes a second are bounded; less makes a smoother stream, and more wake-ups.
 constexpr long BoundedRead = 8 * 1024;
+/// The library takes a buffer of its own for each call on its way, of 16 KiB to read and 64 KiB to send unless told
+/// otherwise. Most answers are shorter than this; longer ones are read in parts.
+constexpr long ReadBuffer = 4 * 1024;
+constexpr long SendBuffer = 16 * 1024; ///< the least that the library takes
 
 // libcurl's handle types are all void, so each needs a deleter of its own name.
 struct EasyDeleter {
@@ -193,6 +197,8 @@
     if (!call.fromIp.empty()) {
         curl_easy_setopt(easy, CURLOPT_INTERFACE, call.fromIp.c_str());
     }
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, ReadBuffer);
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, SendBuffer);
     if (transfer.bytesPerSecond > 0) {
         curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BoundedRead);
         curl_easy_setopt(easy, CURLOPT_MAX_RECV_SPEED_LARGE, static_cast<curl_off_t>(transfer.bytesPerSecond));
