Failed answers are repeated elsewhere; control hosts remember what they knew before a restart

Second, after a loss of power of all hosts the entry hosts refused everything for 1.1 s after they were back: no leader, so no routing, and targets only as each reports itself (1.5 s). Now each control host keeps a file of the agreed routing and the warm, ready targets, written at most twice a second on a thread of its own, not synced, and gives it to entry hosts that know nothing for the first 2.5 s. It is a hint: an entry host in touch never gets it, any report or newer routing goes before it, cold targets are left out.

Ruled out for the pause: the start of the processes (0.1 s), the network (12 ms); a shorter time without votes would break the lease.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -34,6 +34,8 @@
     double planTolerance = 0;
     /// Callers that were refused and waited are served late rather than never.
     bool servesReturningLate = true;
+    /// A request that may be repeated is sent to another target where the first one answers that it failed.
+    bool repeatsFailed = true;
     /// Refused callers are told to come back when the queue that they met will have drained.
     bool advisesByQueue = true;
 };
@@ -60,6 +62,7 @@
     RegistryChanges changes;
     bool isWhole = false; ///< all that the telling host knows, not only what changed
     std::vector<RegionDemand> demand{}; ///< of all regions; empty if nothing is told of it
+    std::vector<TargetReport> remembered{}; ///< targets that nobody has confirmed since the control hosts' restart
 };
 
 struct CallerRequest {
@@ -104,6 +107,7 @@
     AttemptOutcome outcome{};
     std::optional<TargetLoad> load;
     std::uint64_t answerBytes = 0; ///< length of the body
+    bool isFailure = false; ///< the answer says that the target failed (a status of 5xx); with Answered only
 };
 
 struct BalanceTick {
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -23,6 +23,9 @@
 constexpr double ColdMargin = 0.8;
 /// A target reports itself several times within it.
 constexpr std::chrono::seconds DoubtTime{6};
+/// The same for a target that is known from before a restart only: it may have begun to drain since, and a host that
+/// has been in touch for some seconds must not send to it.
+constexpr Milliseconds RememberedTime{2500};
 constexpr Milliseconds FirstBlock{700};
 constexpr Milliseconds LongestBlock{4000};
 constexpr unsigned FailuresToBlock = 3;
@@ -335,6 +338,21 @@
     return slots;
 }
 
+void TargetSet::remember(const std::vector<TargetReport> &targets, TimePoint now)
+{
+    for (const TargetReport &it : targets) {
+        const auto [place, isNew] = m_targets.try_emplace(it.id);
+        if (!isNew) {
+            continue;
+        }
+        TargetState &target = place->second;
+        target.report = it;
+        target.region = regionOf(it.zone);
+        target.hash = hash64(it.id);
+        target.doubtedSince = now - (DoubtTime - RememberedTime);
+    }
+}
+
 void TargetSet::setDemand(std::vector<RegionDemand> demand)
 {
     m_demand = std::move(demand);
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -30,11 +30,13 @@
     RegistryChanges changes;
     bool isWhole = false; ///< `changes` holds all that the replying host knows
     std::vector<RegionDemand> demand; ///< for entry hosts: load of all regions
+    std::vector<TargetReport> remembered; ///< for entry hosts that know nothing: from before the told host's restart
     bool hasRouting = false; ///< the following fields are set
     std::uint64_t routingIndex = 0;
     std::string tableText; ///< empty: none was ever put
     std::vector<std::string> evacuatedZones;
-    MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, hasRouting, routingIndex, tableText, evacuatedZones);
+    MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, remembered, hasRouting, routingIndex, tableText,
+                   evacuatedZones);
 };
 
 /// Body of path::FleetJoin: a control host asks to be a member.
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -188,7 +188,7 @@
         }
     }
     if (!reply.changes.empty() || reply.isWhole || !reply.demand.empty()) {
-        reduce(ReportsChanged{reply.changes, reply.isWhole, reply.demand});
+        reduce(ReportsChanged{reply.changes, reply.isWhole, reply.demand, reply.remembered});
     }
     if (!table) {
         return;
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -24,6 +24,11 @@
 constexpr std::size_t IncarnationBytes = 8;
 /// Silence is judged only by a host that has itself been in touch for so long.
 constexpr auto TimeToJudge = std::chrono::seconds(3);
+/// How often at most the file of what is known is written.
+constexpr Milliseconds RememberInterval{500};
+/// Targets report themselves at least once in this time, so what none has confirmed by then is not told any more.
+constexpr Milliseconds RememberedFor{2500};
+constexpr const char *RememberedFile = "remembered";
 constexpr std::size_t MaxTableBytes = 4UL << 20;
 constexpr Milliseconds LastAnswers{300};
 
@@ -65,6 +70,7 @@
                     {"zone", m_settings.zone},
                     {"disk", m_log->diskId()},
                     {"first_start", m_settings.isFirstStart}});
+    recallRemembered();
     m_net.listen(m_settings.peer, [this](const IncomingCallPtr &call) { onPeerCall(call); });
     m_log->start();
     const auto handler = [this](const HttpExchangePtr &exchange) {
@@ -73,12 +79,14 @@
     m_operatorsServer = std::make_unique<HttpServer>(m_settings.operators, 1, operatorLimits(), m_clock, handler);
     m_directoryServer = std::make_unique<HttpServer>(m_settings.directory, 1, HttpLimits{}, m_clock, handler);
     m_metricsServer = serveMetrics(m_settings.metrics, m_metrics, m_clock);
+    m_writer = std::make_unique<TaskThread>();
     m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
 }
 
 RegistryDaemon::Impl::~Impl()
 {
     m_ticker.reset();
+    m_writer.reset();
     m_log->stop();
     m_operatorsServer->stop();
     m_directoryServer->stop();
@@ -96,11 +104,48 @@
         replyWatchers(now);
         settleDepartures(now);
         followCallers(now);
+        remember(now);
     }
     askToJoin(now);
     followPeers(now);
 }
 
+void RegistryDaemon::Impl::recallRemembered()
+{
+    try {
+        m_remembered = readRemembered(m_settings.dataFolder + "/" + RememberedFile);
+    } catch (const Error &ex) {
+        // Only the time until everybody has reported is lost.
+        m_events.state("remembered-unreadable", {{"reason", ex.what()}});
+    }
+    if (m_remembered) {
+        m_events.state("remembered",
+                       {{"routing", m_remembered->routingIndex}, {"targets", m_remembered->targets.size()}});
+    }
+}
+
+void RegistryDaemon::Impl::remember(TimePoint now)
+{
+    if (m_remembered && now - m_startedAt > RememberedFor) {
+        m_remembered.reset();
+    }
+    const bool isNew = m_registry.changedVersion() != m_rememberedVersion || m_routing.index() != m_rememberedIndex;
+    // Until this host knows more than the file does, the file stays.
+    if (m_remembered || m_routing.index() == 0 || !isNew || now < m_nextRemember) {
+        return;
+    }
+    m_nextRemember = now + RememberInterval;
+    m_rememberedVersion = m_registry.changedVersion();
+    m_rememberedIndex = m_routing.index();
+    m_writer->post([this, remembered = rememberedOf(m_routing, m_registry)] {
+        try {
+            writeRemembered(m_settings.dataFolder + "/" + RememberedFile, remembered);
+        } catch (const Error &ex) {
+            m_events.state("remember-failed", {{"reason", ex.what()}});
+        }
+    });
+}
+
 HostReport RegistryDaemon::Impl::selfReport()
 {
     HostReport report;
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -6,6 +6,7 @@
 #include "ControlWatch.h"
 #include "EventLog.h"
 #include "pepperlug/Fleet.h"
+#include "Remembered.h"
 
 namespace pepperlug::fleet
 {
@@ -40,6 +41,9 @@
     std::vector<Address> knownControlHosts();
     void followPeers(TimePoint now);
 
+    void remember(TimePoint now);
+    void recallRemembered();
+
     // RegistryPeers.cpp
     void onPeerCall(const IncomingCallPtr &call);
     void onWatch(const IncomingCallPtr &call);
@@ -106,6 +110,10 @@
     bool m_wasCurrent = false;
     TimePoint m_nextSelfReport{};
     TimePoint m_nextJoin{};
+    std::optional<Remembered> m_remembered; ///< from before the restart, for a while
+    TimePoint m_nextRemember{};
+    std::uint64_t m_rememberedVersion = 0; ///< of the registry, when the file was written last
+    std::uint64_t m_rememberedIndex = 0; ///< of the routing, likewise
     std::map<Address, std::unique_ptr<ControlWatch>> m_peers;
 
     PeerNet m_net;
@@ -113,6 +121,7 @@
     std::unique_ptr<HttpServer> m_operatorsServer;
     std::unique_ptr<HttpServer> m_directoryServer;
     std::unique_ptr<HttpServer> m_metricsServer;
+    std::unique_ptr<TaskThread> m_writer; ///< a slow disk must not hold up the ticker
     std::unique_ptr<Ticker> m_ticker;
 };
 
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -84,6 +84,10 @@
         reply.tableText = m_routing.text();
         reply.evacuatedZones.assign(m_routing.evacuatedZones().begin(), m_routing.evacuatedZones().end());
     }
+    const bool knowsNothing = !isControl && call.routingIndex == 0 && call.since == 0;
+    if (knowsNothing && m_remembered) {
+        addRemembered(reply, *m_remembered, m_registry);
+    }
     return reply;
 }
 
--- /dev/null
+++ b/lib/Fleet/Remembered.cpp
@@ -0,0 +1,72 @@
+//===- Remembered.cpp - What a control host knew before a restart ---------===//
+#include "Remembered.h"
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+namespace pepperlug::fleet
+{
+
+Remembered rememberedOf(const RoutingState &routing, const Registry &registry)
+{
+    Remembered remembered;
+    remembered.routingIndex = routing.index();
+    remembered.tableText = routing.text();
+    remembered.evacuatedZones.assign(routing.evacuatedZones().begin(), routing.evacuatedZones().end());
+    for (const auto &[id, entry] : registry.targets()) {
+        // How many hosts share a cold target is not known right after a restart, so none sends to it.
+        const bool isWarm = entry.report.coldLeft <= Milliseconds(0);
+        if (entry.report.presence == Presence::Ready && !entry.isSilent && isWarm) {
+            remembered.targets.push_back(entry.report);
+        }
+    }
+    return remembered;
+}
+
+void writeRemembered(const std::string &path, const Remembered &remembered)
+{
+    const std::string temporary = path + ".new";
+    {
+        std::ofstream file(temporary, std::ios::binary | std::ios::trunc);
+        const std::string bytes = encode(remembered);
+        file.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+        file.close();
+        if (!file) {
+            throw Error("write", temporary, std::strerror(errno));
+        }
+    }
+    if (std::rename(temporary.c_str(), path.c_str()) != 0) {
+        throw Error("rename", path, std::strerror(errno));
+    }
+}
+
+std::optional<Remembered> readRemembered(const std::string &path)
+{
+    if (!std::filesystem::exists(path)) {
+        return std::nullopt;
+    }
+    std::ifstream file(path, std::ios::binary);
+    const std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    return decode<Remembered>(bytes, path);
+}
+
+void addRemembered(FleetWatchReply &reply, const Remembered &remembered, const Registry &registry)
+{
+    for (const TargetReport &it : remembered.targets) {
+        if (registry.target(it.id) == nullptr) {
+            reply.remembered.push_back(it);
+        }
+    }
+    if (reply.routingIndex < remembered.routingIndex && !remembered.tableText.empty()) {
+        reply.hasRouting = true;
+        reply.routingIndex = remembered.routingIndex;
+        reply.tableText = remembered.tableText;
+        reply.evacuatedZones = remembered.evacuatedZones;
+    }
+}
+
+} // namespace pepperlug::fleet
--- a/unittests/Balance/BalanceFixture.h
+++ b/unittests/Balance/BalanceFixture.h
@@ -102,7 +102,13 @@
 
     void end(RequestId id, unsigned attempt, AttemptOutcome outcome)
     {
-        reduce(AttemptEnded{id, attempt, outcome, {}, 0});
+        reduce(AttemptEnded{id, attempt, outcome, {}, 0, false});
+    }
+
+    /// The target answers that it failed.
+    void fail(RequestId id, unsigned attempt)
+    {
+        reduce(AttemptEnded{id, attempt, AttemptOutcome::Answered, {}, 0, true});
     }
 
     template <typename Effect>
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -50,6 +50,55 @@
     }
 }
 
+TEST_CASE("a request that may be repeated is sent to another target after a failed answer, within its attempts")
+{
+    Host host;
+    host.useTable();
+    for (int n = 0; n < 3; ++n) {
+        host.report(Host::targetOf("t" + std::to_string(n)));
+    }
+    const RequestId id = host.request("/read/x");
+    const std::string first = host.find<StartAttempt>()->target;
+    host.fail(id, 1);
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->target != first);
+    CHECK(host.find<PassAnswer>() == nullptr);
+    host.fail(id, 2);
+    CHECK(host.find<StartAttempt>() == nullptr); // two attempts are all that the route allows
+    REQUIRE(host.find<PassAnswer>() != nullptr);
+    CHECK(host.find<PassAnswer>()->attempt == 2);
+
+    const RequestId once = host.request("/once/x");
+    host.fail(once, 1);
+    CHECK(host.find<StartAttempt>() == nullptr);
+    CHECK(host.find<PassAnswer>() != nullptr);
+}
+
+TEST_CASE("a failed answer is passed on where no better one comes")
+{
+    for (const AttemptOutcome outcome : {AttemptOutcome::Shed, AttemptOutcome::Lost, AttemptOutcome::NotSent}) {
+        Host host;
+        host.useTable();
+        host.report(Host::targetOf("t1"));
+        host.report(Host::targetOf("t2"));
+        const RequestId id = host.request("/read/x");
+        host.fail(id, 1);
+        REQUIRE(host.find<StartAttempt>() != nullptr);
+        host.end(id, 2, outcome);
+        CHECK(host.find<RefuseRequest>() == nullptr);
+        REQUIRE(host.find<PassAnswer>() != nullptr);
+        CHECK(host.find<PassAnswer>()->attempt == 1);
+        CHECK(host.balancer.open() == 0);
+    }
+    Host alone;
+    alone.useTable();
+    alone.report(Host::targetOf("t1"));
+    const RequestId id = alone.request("/read/x");
+    alone.fail(id, 1);
+    CHECK(alone.find<StartAttempt>() == nullptr);
+    CHECK(alone.find<PassAnswer>() != nullptr);
+}
+
 TEST_CASE("a target whose address answers for another is not used until it reports again under a new id")
 {
     Host host;
@@ -115,6 +164,40 @@
     CHECK(used() == std::set<std::string>{"t1", "t2"});
 }
 
+TEST_CASE("a target known from before a restart only is used for a while, and on once it reports itself")
+{
+    Host host;
+    host.useTable();
+    ReportsChanged news;
+    news.remembered = {Host::targetOf("t1"), Host::targetOf("t2")};
+    host.reduce(news);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() != nullptr);
+    host.now += 1s;
+    host.report(Host::targetOf("t2"));
+    host.now += 2s;
+    for (int n = 0; n < 4; ++n) {
+        const RequestId id = host.request("/read/x", std::to_string(n));
+        REQUIRE(host.find<StartAttempt>() != nullptr);
+        CHECK(host.find<StartAttempt>()->target == "t2");
+        host.end(id, 1, AttemptOutcome::Answered);
+    }
+}
+
+TEST_CASE("what is remembered never goes before what was reported")
+{
+    Host host;
+    host.useTable();
+    TargetReport draining = Host::targetOf("t1");
+    draining.presence = Presence::Draining;
+    host.report(draining);
+    ReportsChanged news;
+    news.remembered = {Host::targetOf("t1")};
+    host.reduce(news);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() == nullptr);
+}
+
 TEST_CASE("a target that another control host knows by an older report is not doubted any more")
 {
     Host host;
@@ -438,7 +521,7 @@
     host.useTable();
     host.report(Host::targetOf("t1", "z1", 1000));
     const auto answer = [&](RequestId id, std::uint64_t bytes) {
-        host.reduce(AttemptEnded{id, 1, AttemptOutcome::Answered, {}, bytes});
+        host.reduce(AttemptEnded{id, 1, AttemptOutcome::Answered, {}, bytes, false});
     };
     answer(host.request("/read/x"), LargeBytes);
     answer(host.request("/once/x"), 100);
@@ -474,7 +557,7 @@
     host.useTable();
     host.report(Host::targetOf("t1", "z1", 1000));
     const RequestId first = host.request("/read/x");
-    host.reduce(AttemptEnded{first, 1, AttemptOutcome::Answered, {}, 20000});
+    host.reduce(AttemptEnded{first, 1, AttemptOutcome::Answered, {}, 20000, false});
     host.now += 10s;
     for (int n = 0; n < 100; ++n) {
         const RequestId id = host.request("/read/x");
