Failed answers are passed on again, as before

The second target does not remember the key, so its answer is late and makes it forget another; the caller's own next try meets the target that does, and is often in time.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -34,8 +34,6 @@
     double planTolerance = 0;
     /// Callers that were refused and waited are served late rather than never.
     bool servesReturningLate = true;
-    /// A request that may be repeated is sent to another target where the first one answers that it failed.
-    bool repeatsFailed = true;
     /// Refused callers are told to come back when the queue that they met will have drained.
     bool advisesByQueue = true;
 };
@@ -107,7 +105,6 @@
     AttemptOutcome outcome{};
     std::optional<TargetLoad> load;
     std::uint64_t answerBytes = 0; ///< length of the body
-    bool isFailure = false; ///< the answer says that the target failed (a status of 5xx); with Answered only
 };
 
 struct BalanceTick {
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -209,8 +209,6 @@
 {
     if (open.hasBegun) {
         m_out->emplace_back(AbortAnswer{open.request.id, reason});
-    } else if (open.failedAttempt != 0) {
-        m_out->emplace_back(PassAnswer{open.request.id, open.failedAttempt});
     } else {
         refuse(open, reason);
     }
@@ -265,23 +263,6 @@
     open.attempts.insert(std::move(kept));
 }
 
-// The failed answer is kept by whoever carries the effects out, and is passed on if no better one comes.
-bool Balancer::Impl::repeatFailed(OpenRequest &open, const AttemptEnded &event)
-{
-    if (!m_settings.policy.repeatsFailed || !event.isFailure || open.route.kind != RouteKind::Repeatable
-        || !open.attempts.empty() || !maySendAgain(open, event.outcome)) {
-        return false;
-    }
-    const Placement placement = place(open);
-    if (placement.target == nullptr) {
-        return false;
-    }
-    open.mayHaveRun = true;
-    open.failedAttempt = event.attempt;
-    startAttempt(open, placement);
-    return true;
-}
-
 void Balancer::Impl::on(const AttemptEnded &event)
 {
     const auto it = m_open.find(static_cast<std::uint64_t>(event.id));
@@ -299,9 +280,6 @@
     if (isCertainlyNotRun(event.outcome)) {
         m_link.take(-attempt.expectedBytes, m_now);
     }
-    if (event.outcome == AttemptOutcome::Answered && repeatFailed(open, event)) {
-        return;
-    }
     if (event.outcome == AttemptOutcome::Answered) {
         m_link.take(static_cast<double>(event.answerBytes) + HeadBytes - attempt.expectedBytes, m_now);
         m_stats[open.route.name].addAnswerBytes(event.answerBytes);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -46,7 +46,6 @@
         bool mayHaveRun = false;
         bool isReturning = false; ///< its caller was refused before, and waited
         bool hasBegun = false; ///< a part of an answer was passed on
-        unsigned failedAttempt = 0; ///< whose answer is passed on unless a better one comes; 0 for none
     };
 
     /// A target that a request may go to, or why there is none.
@@ -67,7 +66,6 @@
     void on(const BalanceTick &event);
     void startAttempt(OpenRequest &open, const Placement &placement);
     void refuse(OpenRequest &open, Refusal reason, Duration drainTime = {});
-    bool repeatFailed(OpenRequest &open, const AttemptEnded &event);
     void giveUp(OpenRequest &open, Refusal reason);
     void endOverdue();
     void hedgeSilent();
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -14,8 +14,6 @@
 /// The client's own limit, past the time at which the request is given up anyway.
 constexpr Milliseconds ClientMargin{50};
 
-/// The lowest status by which a target says that it failed.
-constexpr unsigned FirstServerError = 500;
 /// Another host serves at once.
 constexpr Milliseconds StoppingRetryAfter{20};
 
@@ -176,7 +174,7 @@
 
 AttemptEnded GatewayDaemon::Impl::readResult(RequestId id, unsigned attempt, HttpResult &result)
 {
-    AttemptEnded ended{id, attempt, AttemptOutcome::Lost, {}, 0, false};
+    AttemptEnded ended{id, attempt, AttemptOutcome::Lost, {}, 0};
     if (result.kind == HttpResult::Kind::NotSent) {
         ended.outcome = AttemptOutcome::NotSent;
         return ended;
@@ -196,7 +194,6 @@
         ended.outcome = AttemptOutcome::Lost;
     } else {
         ended.outcome = AttemptOutcome::Answered;
-        ended.isFailure = result.answer.status >= FirstServerError;
     }
     return ended;
 }
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -44,7 +44,6 @@
     policy.hasSteadyRegions = reader.boolean("steady_regions", policy.hasSteadyRegions);
     policy.planTolerance = reader.number("plan_tolerance", 0, 1, policy.planTolerance);
     policy.servesReturningLate = reader.boolean("serve_returning_late", policy.servesReturningLate);
-    policy.repeatsFailed = reader.boolean("repeat_failed", policy.repeatsFailed);
     policy.advisesByQueue = reader.boolean("advise_by_queue", policy.advisesByQueue);
     return policy;
 }
