--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -115,6 +115,40 @@
     CHECK(used() == std::set<std::string>{"t1", "t2"});
 }
 
+TEST_CASE("a target known from before a restart only is used for a while, and on once it reports itself")
+{
+    Host host;
+    host.useTable();
+    ReportsChanged news;
+    news.remembered = {Host::targetOf("t1"), Host::targetOf("t2")};
+    host.reduce(news);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() != nullptr);
+    host.now += 1s;
+    host.report(Host::targetOf("t2"));
+    host.now += 2s;
+    for (int n = 0; n < 4; ++n) {
+        const RequestId id = host.request("/read/x", std::to_string(n));
+        REQUIRE(host.find<StartAttempt>() != nullptr);
+        CHECK(host.find<StartAttempt>()->target == "t2");
+        host.end(id, 1, AttemptOutcome::Answered);
+    }
+}
+
+TEST_CASE("what is remembered never goes before what was reported")
+{
+    Host host;
+    host.useTable();
+    TargetReport draining = Host::targetOf("t1");
+    draining.presence = Presence::Draining;
+    host.report(draining);
+    ReportsChanged news;
+    news.remembered = {Host::targetOf("t1")};
+    host.reduce(news);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() == nullptr);
+}
+
 TEST_CASE("a target that another control host knows by an older report is not doubted any more")
 {
     Host host;
