--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -32,8 +32,9 @@
     bool hasSteadyRegions = true;
     /// A plan that differs by less from the shares in use is not followed.
     double planTolerance = 0;
-    /// Callers that were refused and waited are served late rather than never.
-    bool servesReturningLate = true;
+    /// Callers that were refused and waited are served late rather than never, where the answer is predicted to need no
+    /// more than this part of the time they have left; 0: only in time. Measured: docs/POLICY.md.
+    double latePart = 0.35;
     /// Refused callers are told to come back when the queue that they met will have drained.
     bool advisesByQueue = true;
 };
--- a/lib/Balance/Admission.cpp
+++ b/lib/Balance/Admission.cpp
@@ -12,10 +12,6 @@
 /// Part of the objective that a request may be predicted to use; less urgent ones leave room for urgent ones.
 constexpr double ObjectivePart = 0.9;
 constexpr double LessUrgentObjectivePart = 0.75;
-/// Part of all its time that a request of a returning caller may be predicted to use. With 0.8 the queues of a heavy
-/// day made others late (mean worth of its day 0.518, of all five 0.610), without any late service 0.538 and 0.607,
-/// with this part 0.547 and 0.613 (trials on dala-archive).
-constexpr double TimePart = 0.35;
 /// Fill up to which a request is let in whatever the prediction says: it gets a slot at once.
 constexpr double FreeFill = 1.0;
 constexpr double LessUrgentFreeFill = 0.9;
@@ -35,7 +31,7 @@
         return FreeFill;
     }
     const double inTime = seconds(query.objectiveLeft) * (query.isUrgent ? ObjectivePart : LessUrgentObjectivePart);
-    const double late = query.isReturning ? seconds(query.timeLeft) * TimePart : 0;
+    const double late = seconds(query.timeLeft) * query.latePart;
     const double wait = std::max(inTime, late) - seconds(*query.warmWork) - seconds(query.way);
     return std::max(free, 1 + wait / std::max(seconds(*query.work), 1e-6));
 }
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -108,7 +108,7 @@
     query.timeLeft = open.until - m_now;
     query.way = isAbroad ? AbroadTime : Milliseconds(0);
     query.isUrgent = isMostUrgent(open.route);
-    query.isReturning = open.isReturning;
+    query.latePart = open.isReturning ? m_settings.policy.latePart : 0;
     return pepperlug::fleet::admissibleFill(query);
 }
 
@@ -116,7 +116,7 @@
 // was told gets no precedence.
 bool Balancer::Impl::isReturning(const OpenRequest &open)
 {
-    if (!m_settings.policy.servesReturningLate || !open.request.deadline) {
+    if (m_settings.policy.latePart <= 0 || !open.request.deadline) {
         return false;
     }
     const std::optional<Duration> whole = m_stats[open.route.name].wholeDeadline();
