--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -298,6 +298,7 @@
         }
     }
     std::vector<RegionDemand> demand;
+    demand.reserve(slots.size());
     for (const auto &[place, sum] : slots) {
         demand.push_back({place.first, place.second, sum});
     }
