--- a/lib/Fleet/Remembered.cpp
+++ b/lib/Fleet/Remembered.cpp
@@ -1,12 +1,8 @@
 //===- Remembered.cpp - What a control host knew before a restart ---------===//
 #include "Remembered.h"
+#include "pepperlug/Storage.h"
 
-#include <cerrno>
-#include <cstdio>
-#include <cstring>
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 
 namespace pepperlug::fleet
 {
@@ -29,19 +25,7 @@
 
 void writeRemembered(const std::string &path, const Remembered &remembered)
 {
-    const std::string temporary = path + ".new";
-    {
-        std::ofstream file(temporary, std::ios::binary | std::ios::trunc);
-        const std::string bytes = encode(remembered);
-        file.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-        file.close();
-        if (!file) {
-            throw Error("write", temporary, std::strerror(errno));
-        }
-    }
-    if (std::rename(temporary.c_str(), path.c_str()) != 0) {
-        throw Error("rename", path, std::strerror(errno));
-    }
+    replaceFile(path, encode(remembered));
 }
 
 std::optional<Remembered> readRemembered(const std::string &path)
@@ -49,9 +33,7 @@
     if (!std::filesystem::exists(path)) {
         return std::nullopt;
     }
-    std::ifstream file(path, std::ios::binary);
-    const std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-    return decode<Remembered>(bytes, path);
+    return decode<Remembered>(readFile(path), path);
 }
 
 void addRemembered(FleetWatchReply &reply, const Remembered &remembered, const Registry &registry)
--- a/lib/Fleet/Remembered.h
+++ b/lib/Fleet/Remembered.h
@@ -4,8 +4,8 @@
 // reported itself, and nobody knows the routing until a leader is elected again.
 // Entry hosts that start at the same time would refuse everything meanwhile. So
 // each control host keeps a file of what it knew last, and gives it to entry
-// hosts that know nothing yet. It is a hint: nothing is promised upon it, it is
-// not synced to the disk, and any later news goes before it.
+// hosts that know nothing yet. It is a hint: nothing is promised upon it, and any later
+// news goes before it.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -27,7 +27,7 @@
 
 Remembered rememberedOf(const RoutingState &routing, const Registry &registry);
 
-/// Replaces the file in one step, without a sync: it outlives the process, and often a loss of power too. Throws Error.
+/// Replaces the file in one step and syncs it. Throws Error.
 void writeRemembered(const std::string &path, const Remembered &remembered);
 
 /// Nothing if there is no file. Throws Error if it can't be read.
