Reading the diff: what was worth nothing goes, the most urgent route of a service is kept

Since every request asks for its admissible fill, the walk over all routes for the most urgent one came with every request; it is found once a table now. Names and constants that needed a second look.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -30,8 +30,6 @@
     unsigned targetsPerKey = 1;
     /// Regions are chosen by weighted rendezvous hashing, so that a changed share moves no other key.
     bool hasSteadyRegions = true;
-    /// A plan that differs by less from the shares in use is not followed.
-    double planTolerance = 0;
     /// Callers that were refused and waited are served late rather than never, where the answer is predicted to need no
     /// more than this part of the time they have left; 0: only in time. Measured: docs/POLICY.md.
     double latePart = 0.35;
--- a/lib/Balance/Admission.cpp
+++ b/lib/Balance/Admission.cpp
@@ -15,6 +15,8 @@
 /// Fill up to which a request is let in whatever the prediction says: it gets a slot at once.
 constexpr double FreeFill = 1.0;
 constexpr double LessUrgentFreeFill = 0.9;
+/// A work time below it, in seconds, counts as this: it only keeps the division defined.
+constexpr double LeastWork = 1e-6;
 
 double seconds(Duration time)
 {
@@ -26,14 +28,14 @@
 // A target that does not remember the key is late in any case, but learns it; the wait is that of the mean request.
 double admissibleFill(const AdmissionQuery &query)
 {
-    const double free = query.isUrgent ? FreeFill : LessUrgentFreeFill;
+    const double freeFill = query.isUrgent ? FreeFill : LessUrgentFreeFill;
     if (!query.work || !query.warmWork) {
         return FreeFill;
     }
     const double inTime = seconds(query.objectiveLeft) * (query.isUrgent ? ObjectivePart : LessUrgentObjectivePart);
     const double late = seconds(query.timeLeft) * query.latePart;
     const double wait = std::max(inTime, late) - seconds(*query.warmWork) - seconds(query.way);
-    return std::max(free, 1 + wait / std::max(seconds(*query.work), 1e-6));
+    return std::max(freeFill, 1 + wait / std::max(seconds(*query.work), LeastWork));
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -99,6 +99,7 @@
 void Balancer::Impl::on(const RoutesChanged &event)
 {
     m_table = event.table;
+    findUrgentPriorities();
     m_targets.setTable(m_table);
     m_targets.setEvacuatedZones(event.evacuatedZones, m_now);
     m_planDue = {};
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -86,14 +86,22 @@
     return placement;
 }
 
+// Asked with every request, and a table may have hundreds of routes.
+void Balancer::Impl::findUrgentPriorities()
+{
+    m_urgentPriority.clear();
+    for (const Route &route : m_table->routes) {
+        for (const WeightedService &it : route.services) {
+            const auto [place, isNew] = m_urgentPriority.try_emplace(it.service, route.priority);
+            place->second = std::min(place->second, route.priority);
+        }
+    }
+}
+
 bool Balancer::Impl::isMostUrgent(const Route &route) const
 {
-    return std::none_of(m_table->routes.begin(), m_table->routes.end(), [&](const Route &other) {
-        const bool sharesService = std::any_of(other.services.begin(), other.services.end(), [&](const auto &it) {
-            return it.service == route.services.front().service;
-        });
-        return sharesService && other.priority < route.priority;
-    });
+    const auto it = m_urgentPriority.find(route.services.front().service);
+    return it == m_urgentPriority.end() || route.priority <= it->second;
 }
 
 double Balancer::Impl::admissibleFill(const OpenRequest &open, bool isAbroad) const
@@ -191,7 +199,7 @@
                 demand[region] = total / static_cast<double>(regions.size());
             }
         }
-        const auto [plan, isNew] = m_plans.try_emplace(service.name, step, m_settings.policy.planTolerance);
+        const auto [plan, isNew] = m_plans.try_emplace(service.name, step);
         plan->second.follow(plannedShares(m_region, capacity, demand), capacity, m_now);
     }
 }
--- a/lib/Balance/RegionPlan.cpp
+++ b/lib/Balance/RegionPlan.cpp
@@ -78,9 +78,8 @@
     return normalized(shares);
 }
 
-RegionPlan::RegionPlan(double maxStep, double tolerance)
+RegionPlan::RegionPlan(double maxStep)
     : m_maxStep(maxStep)
-    , m_tolerance(tolerance)
 {
 }
 
@@ -104,12 +103,10 @@
     }
     const double allowed = m_maxStep * std::chrono::duration<double>(now - m_movedAt).count();
     m_movedAt = now;
-    m_isMoving = moved > 0 && (m_isMoving || moved > m_tolerance);
-    if (!m_isMoving) {
+    if (moved <= 0) {
         return;
     }
     const double part = std::min(1.0, allowed / moved);
-    m_isMoving = part < 1;
     RegionShares next;
     for (const auto &[region, share] : m_shares) {
         next[region] = share * (1 - part);
--- a/lib/Balance/RegionPlan.h
+++ b/lib/Balance/RegionPlan.h
@@ -24,9 +24,8 @@
 class RegionPlan
 {
 public:
-    /// `maxStep`: part of the requests that may move to other regions in a second. `tolerance`: the plan is followed
-    /// once it differs by more from the shares in use.
-    explicit RegionPlan(double maxStep, double tolerance = 0);
+    /// `maxStep`: part of the requests that may move to other regions in a second.
+    explicit RegionPlan(double maxStep);
 
     void follow(const RegionShares &planned, const std::map<std::string, double> &capacity, TimePoint now);
     /// Region for a point in [0, 1); empty while there is no plan.
@@ -37,8 +36,6 @@
 
 private:
     double m_maxStep;
-    double m_tolerance;
-    bool m_isMoving = false; ///< the plan was left by more than the tolerance and is not reached again yet
     RegionShares m_shares;
     TimePoint m_movedAt{};
 };
--- a/lib/Fleet/Remembered.cpp
+++ b/lib/Fleet/Remembered.cpp
@@ -30,7 +30,8 @@
 
 std::optional<Remembered> readRemembered(const std::string &path)
 {
-    if (!std::filesystem::exists(path)) {
+    std::error_code ec; // whatever else keeps the file from being read is told by readFile()
+    if (std::filesystem::status(path, ec).type() == std::filesystem::file_type::not_found) {
         return std::nullopt;
     }
     return decode<Remembered>(readFile(path), path);
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -42,7 +42,6 @@
     policy.targetsPerKey =
         static_cast<unsigned>(reader.integer("targets_per_key", 1, MaxTargetsPerKey, policy.targetsPerKey));
     policy.hasSteadyRegions = reader.boolean("steady_regions", policy.hasSteadyRegions);
-    policy.planTolerance = reader.number("plan_tolerance", 0, 1, policy.planTolerance);
     policy.latePart = reader.number("late_part", 0, 1, policy.latePart);
     policy.advisesByQueue = reader.boolean("advise_by_queue", policy.advisesByQueue);
     return policy;
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -54,12 +54,12 @@
     return old.report.presence == report.presence && old.report.address == report.address;
 }
 
-bool hasLoadOf(const TargetReport &, const TargetReport &)
+bool isLoadAlike(const TargetReport &, const TargetReport &)
 {
     return true; // a target tells its load with its answers
 }
 
-bool hasLoadOf(const HostReport &old, const HostReport &report)
+bool isLoadAlike(const HostReport &old, const HostReport &report)
 {
     return isAlike(old.demand, report.demand) && std::abs(old.linkUse - report.linkUse) < LinkUseTolerance;
 }
@@ -145,7 +145,7 @@
         return false;
     }
     const bool matters = isNew || entry.isSilent || !isAlike(entry, report, heardAt);
-    const bool isLoadKept = !isNew && hasLoadOf(entry.report, report);
+    const bool isLoadKept = !isNew && isLoadAlike(entry.report, report);
     Report kept = report;
     if (isLoadKept) {
         keepLoadOf(entry.report, kept);
