A host that has just started paces a cold target by what it knows when it first sends there

Cause, found by reading: the moment at which a host begins to warm a cold target was drawn when it heard of the target. A host that has just started hears of targets before the routing and before the other hosts, so it drew within the interval of a host that is alone, or none at all: 20 hosts of a zone that start together sent 20 requests in the first second where 4 a second are borne (test, fails first; at most 8 now). It is drawn now when it is first asked for. Ruled out: passing hosts on before targets, since the routing comes later still.

--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -182,23 +182,28 @@
 
 void TargetSet::setColdUntil(TargetState &target, TimePoint until, TimePoint now)
 {
-    const bool wasCold = target.isCold(now);
-    target.coldUntil = until;
-    const std::optional<Duration> interval = warmInterval(target);
-    if (wasCold || !target.isCold(now) || !interval) {
-        return;
+    if (!target.isCold(now)) {
+        target.coldTokenAt.reset();
     }
-    const double phase = unitInterval(hash64(target.report.id, m_settings.seed));
-    target.coldTokenAt = now + std::chrono::duration_cast<Duration>(*interval * phase);
+    target.coldUntil = until;
 }
 
 // Only the entry hosts of a cold target's own zone send to it, each its part of what the target bears; so the sum over
 // all hosts stays bounded without a word between them. All of them hear of it at the same moment, so each begins at a
 // moment of its own within the interval, or they would all send at once; with many hosts that alone is more than it
-// bears.
-bool TargetSet::mayWarm(const TargetState &target, TimePoint now) const
+// bears. The moment is drawn when it is first asked for: a host that has just started hears of targets before it knows
+// the routing and the other hosts, upon which the interval depends.
+bool TargetSet::mayWarm(TargetState &target, TimePoint now) const
 {
-    return isWarmer(target) && now >= target.coldTokenAt;
+    if (!isWarmer(target)) {
+        return false;
+    }
+    if (!target.coldTokenAt) {
+        const Duration interval = warmInterval(target).value_or(Duration(0));
+        const double phase = unitInterval(hash64(target.report.id, m_settings.seed));
+        target.coldTokenAt = now + std::chrono::duration_cast<Duration>(interval * phase);
+    }
+    return now >= *target.coldTokenAt;
 }
 
 TargetState *TargetSet::chooseAmong(std::vector<TargetState *> &candidates, const TargetQuery &query, TimePoint now)
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -23,7 +23,8 @@
     unsigned inFlight = 0; ///< of this host
     TimePoint coldUntil{};
     std::optional<TimePoint> presumedCold; ///< an evacuation ended then; a later report decides
-    TimePoint coldTokenAt{}; ///< when the next request may go there while it is cold
+    /// When the next request may go there while it is cold; nothing until one was considered.
+    std::optional<TimePoint> coldTokenAt;
     std::optional<TargetLoad> load;
     unsigned inFlightAtLoad = 0;
     TimePoint loadAt{};
@@ -85,8 +86,8 @@
     bool isUsable(const TargetState &target, TimePoint now) const;
     /// Time between two requests of this host to a cold target; nothing if it bears any number.
     std::optional<Duration> warmInterval(const TargetState &target) const;
-    void setColdUntil(TargetState &target, TimePoint until, TimePoint now);
-    bool mayWarm(const TargetState &target, TimePoint now) const;
+    static void setColdUntil(TargetState &target, TimePoint until, TimePoint now);
+    bool mayWarm(TargetState &target, TimePoint now) const;
     std::size_t warmers(const TargetState &target) const;
     bool isWarmer(const TargetState &target) const;
     bool warmsZone(const HostReport &host, const TargetState &target) const;
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -329,23 +329,15 @@
     CHECK(sent >= PerSecond * 4 / 2);
 }
 
-TEST_CASE("many hosts of a zone do not all send to a target at once when it becomes cold")
+namespace
+{
+
+/// What many entry hosts of one zone send in each of three seconds to a target that is cold for longer, with a request
+/// every 10 ms at each host.
+std::vector<int> sentWhileCold(std::vector<std::unique_ptr<Host>> &hosts)
 {
-    constexpr int Hosts = 20;
-    constexpr double PerSecond = 4;
-    std::vector<std::unique_ptr<Host>> hosts;
-    for (int n = 0; n < Hosts; ++n) {
-        hosts.push_back(std::make_unique<Host>("z1", static_cast<std::uint64_t>(n)));
-        hosts.back()->useTable();
-        for (int other = 0; other < Hosts; ++other) {
-            hosts.back()->report(Host::entryOf("e" + std::to_string(other), "z1"));
-        }
-        TargetReport cold = Host::targetOf("t1");
-        cold.coldLeft = 3500ms;
-        hosts.back()->report(cold);
-    }
     std::vector<int> sent(3);
-    for (int step = 0; step < 300; ++step) { // 3 s, a request every 10 ms at each host
+    for (int step = 0; step < 300; ++step) {
         for (auto &host : hosts) {
             host->now += 10ms;
             const RequestId id = host->request("/read/x");
@@ -355,9 +347,42 @@
             }
         }
     }
-    for (const int count : sent) {
-        CHECK(count <= 2 * PerSecond);
-        CHECK(count > 0);
+    return sent;
+}
+
+} // namespace
+
+TEST_CASE("many hosts of a zone do not all send to a target at once when it becomes cold")
+{
+    constexpr int Hosts = 20;
+    constexpr double PerSecond = 4;
+    TargetReport cold = Host::targetOf("t1");
+    cold.coldLeft = 3500ms;
+    ReportsChanged all;
+    all.changes.targets.push_back({cold, 0ms, false});
+    for (int n = 0; n < Hosts; ++n) {
+        all.changes.hosts.push_back({Host::entryOf("e" + std::to_string(n), "z1"), 0ms, false});
+    }
+    for (const bool hasJustStarted : {false, true}) {
+        std::vector<std::unique_ptr<Host>> hosts;
+        for (int n = 0; n < Hosts; ++n) {
+            hosts.push_back(std::make_unique<Host>("z1", static_cast<std::uint64_t>(n)));
+            Host &host = *hosts.back();
+            if (hasJustStarted) { // hears of everything at once, and of the routing last
+                host.reduce(all);
+                host.useTable();
+                continue;
+            }
+            host.useTable();
+            for (const AgedReport<HostReport> &it : all.changes.hosts) {
+                host.report(it.report);
+            }
+            host.report(cold);
+        }
+        for (const int count : sentWhileCold(hosts)) {
+            CHECK(count <= 2 * PerSecond);
+            CHECK(count > 0);
+        }
     }
 }
 
