Sight: how old a host's view is, and what its news cost

Figures: age of the view, index of the routing, bytes and times of news, lost asks, time to the acknowledgement of a departure. A reply is taken over before the next ask can tell so.

--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-ControlWatch::ControlWatch(PeerNet &net, Milliseconds patience, Hooks hooks)
+ControlWatch::ControlWatch(PeerNet &net, const Clock &clock, Milliseconds patience, Hooks hooks)
     : m_net(net)
+    , m_clock(clock)
     , m_patience(patience)
     , m_hooks(std::move(hooks))
 {
@@ -75,6 +76,7 @@
         // What was lost may have been lost for a while: it is asked for without waiting.
         call.patience = m_isLost ? Milliseconds(0) : m_patience;
         number = ++m_askNumber;
+        m_askedAt = m_clock.now();
     }
     const CallId id = m_net.call(to, path::FleetWatch, encode(call), m_patience + ReplyTime,
                                  [this, to, number](const PeerReply &reply) { onReply(to, number, reply); });
@@ -97,12 +99,14 @@
         }
     }
     bool linkChanged = false;
+    NewsReceipt receipt{from, {}, {}, reply.body.size()};
     {
         const std::lock_guard lock(m_mutex);
         if (number != m_askNumber) {
             return;
         }
-        m_isAsking = false;
+        receipt.askedAt = m_askedAt;
+        receipt.took = m_clock.now() - m_askedAt;
         const bool wasHurried = !news && reason == "cancelled";
         if (!wasHurried) {
             linkChanged = m_isLost != !news;
@@ -120,8 +124,10 @@
         m_hooks.onLink(from, !news, reason);
     }
     if (news) {
-        m_hooks.onReply(from, *news);
+        m_hooks.onReply(receipt, *news);
     }
+    const std::lock_guard lock(m_mutex);
+    m_isAsking = false;
 }
 
 void ControlWatch::hurry()
--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -14,6 +14,14 @@
 namespace pepperlug::fleet
 {
 
+/// How a reply came in.
+struct NewsReceipt {
+    Address from;
+    TimePoint askedAt{}; ///< what it does not tell may have happened since then
+    Duration took{}; ///< from the ask to the reply, the time for which it was held back included
+    std::size_t bytes = 0; ///< of its body
+};
+
 class ControlWatch
 {
 public:
@@ -21,12 +29,13 @@
         std::function<HostReport()> self; ///< report of this host, with a new sequence number
         std::function<std::uint64_t()> routingIndex;
         std::function<std::vector<Address>()> candidates; ///< control hosts in the order of preference
-        std::function<void(const Address &from, const FleetWatchReply &reply)> onReply;
+        /// Called before the next ask, which tells that the reply was taken over.
+        std::function<void(const NewsReceipt &receipt, const FleetWatchReply &reply)> onReply;
         std::function<void(const Address &peer, bool isLost, const std::string &reason)> onLink;
     };
 
     /// `patience`: how long a reply may be held back.
-    ControlWatch(PeerNet &net, Milliseconds patience, Hooks hooks);
+    ControlWatch(PeerNet &net, const Clock &clock, Milliseconds patience, Hooks hooks);
 
     /// Asks now if no ask is on its way and the pause after a failure is over; to be called regularly.
     void poll(TimePoint now);
@@ -41,6 +50,7 @@
     Address next(const std::vector<Address> &candidates) const;
 
     PeerNet &m_net;
+    const Clock &m_clock;
     Milliseconds m_patience;
     Hooks m_hooks;
     mutable std::mutex m_mutex;
@@ -51,6 +61,7 @@
     bool m_isLost = true;
     bool m_moveOn = true; ///< another control host is to be asked next
     std::uint64_t m_askNumber = 0;
+    TimePoint m_askedAt{};
     CallId m_call{};
     TimePoint m_notBefore{};
     TimePoint m_now{};
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -12,6 +12,9 @@
 
 constexpr Milliseconds TickInterval{25};
 constexpr Milliseconds WatchPatience{500};
+/// A reply that is told by a line of its own: it took longer than it may be held back by as much, or is as long.
+constexpr Milliseconds SlowReply = WatchPatience + Milliseconds(300);
+constexpr std::size_t LongReply = 16 * 1024;
 /// Part of the link that large answers may use on their way here, so that small ones need not queue behind them. They
 /// use as much again on their way to callers.
 constexpr double LargeAnswersPart = 0.5;
@@ -72,13 +75,13 @@
     hooks.candidates = [this] {
         return controlHosts();
     };
-    hooks.onReply = [this](const Address &from, const FleetWatchReply &reply) {
-        onControlReply(from, reply);
+    hooks.onReply = [this](const NewsReceipt &receipt, const FleetWatchReply &reply) {
+        onControlReply(receipt, reply);
     };
     hooks.onLink = [this](const Address &control, bool isLost, const std::string &reason) {
         onLink(control, isLost, reason);
     };
-    m_watch = std::make_unique<ControlWatch>(m_net, WatchPatience, std::move(hooks));
+    m_watch = std::make_unique<ControlWatch>(m_net, m_clock, WatchPatience, std::move(hooks));
     m_callersServer = std::make_unique<HttpServer>(m_settings.callers, 1, callerLimits(m_settings), m_clock,
                                                    [this](const HttpExchangePtr &exchange) { onHttp(exchange); });
     m_readinessServer =
@@ -102,6 +105,8 @@
 {
     reduce(BalanceTick{});
     m_watch->poll(m_clock.now());
+    const std::lock_guard lock(m_mutex);
+    m_metrics.gauge("pepperlug_view_age_seconds", secondsOf(viewAge()));
 }
 
 HostReport GatewayDaemon::Impl::selfReport()
@@ -152,11 +157,35 @@
 void GatewayDaemon::Impl::onLink(const Address &control, bool isLost, const std::string &reason)
 {
     m_events.state(isLost ? "control-lost" : "control-regained", {{"peer", control.text()}, {"reason", reason}});
+    if (isLost) {
+        m_metrics.count("pepperlug_control_losses");
+    }
+}
+
+// Age of what this host knows, by its own clock; -1 ms if it was never told anything. The mutex is held.
+Milliseconds GatewayDaemon::Impl::viewAge() const
+{
+    return m_viewAsOf ? std::chrono::duration_cast<Milliseconds>(m_clock.now() - *m_viewAsOf) : Milliseconds(-1);
 }
 
-void GatewayDaemon::Impl::onControlReply(const Address &from, const FleetWatchReply &reply)
+void GatewayDaemon::Impl::logReply(const NewsReceipt &receipt, const FleetWatchReply &reply)
 {
+    m_metrics.count("pepperlug_news_bytes{to=\"entry\"}", receipt.bytes);
+    m_metrics.latency("pepperlug_news_seconds", receipt.took);
+    if (receipt.took >= SlowReply || receipt.bytes >= LongReply) {
+        m_events.state("news",
+                       {{"from", receipt.from.text()},
+                        {"took_ms", std::chrono::duration_cast<Milliseconds>(receipt.took).count()},
+                        {"bytes", receipt.bytes},
+                        {"targets", reply.changes.targets.size()},
+                        {"whole", reply.isWhole},
+                        {"routing", reply.hasRouting ? reply.routingIndex : 0}});
+    }
     for (const AgedReport<TargetReport> &it : reply.changes.targets) {
+        // A line for each of some hundred targets that are as they should be would push the decisions out.
+        if (reply.isWhole && it.report.presence == Presence::Ready && !it.isSilent) {
+            continue;
+        }
         m_events.state("target",
                        {{"target", it.report.id},
                         {"service", it.report.service},
@@ -166,8 +195,13 @@
                         {"cold_ms", it.report.coldLeft.count()},
                         {"sequence", it.report.sequence},
                         {"age_ms", it.age.count()},
-                        {"from", from.text()}});
+                        {"from", receipt.from.text()}});
     }
+}
+
+void GatewayDaemon::Impl::onControlReply(const NewsReceipt &receipt, const FleetWatchReply &reply)
+{
+    logReply(receipt, reply);
     std::shared_ptr<RouteTable> table;
     if (reply.hasRouting && !reply.tableText.empty()) {
         try {
@@ -179,6 +213,9 @@
     }
     {
         const std::lock_guard lock(m_mutex);
+        if (reply.isCurrent) {
+            m_viewAsOf = receipt.askedAt;
+        }
         for (const AgedReport<HostReport> &it : reply.changes.hosts) {
             if (it.report.role == HostRole::Control && it.report.presence == Presence::Ready && !it.isSilent) {
                 m_controlHosts[it.report.id] = it.report;
@@ -204,7 +241,8 @@
                    {{"index", reply.routingIndex},
                     {"table", table->version},
                     {"evacuated", reply.evacuatedZones},
-                    {"from", from.text()}});
+                    {"from", receipt.from.text()}});
+    m_metrics.gauge("pepperlug_routing_index", static_cast<double>(reply.routingIndex));
     reduce(RoutesChanged{table, {reply.evacuatedZones.begin(), reply.evacuatedZones.end()}});
 }
 
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -47,7 +47,9 @@
     void tick();
     HostReport selfReport();
     std::vector<Address> controlHosts();
-    void onControlReply(const Address &from, const FleetWatchReply &reply);
+    void onControlReply(const NewsReceipt &receipt, const FleetWatchReply &reply);
+    void logReply(const NewsReceipt &receipt, const FleetWatchReply &reply);
+    Milliseconds viewAge() const;
     void onLink(const Address &control, bool isLost, const std::string &reason);
     void onReadiness(const HttpExchangePtr &exchange);
     bool isReady();
@@ -84,6 +86,7 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_routingIndex = 0;
     std::map<std::string, HostReport> m_controlHosts; ///< live ones, by id
+    std::optional<TimePoint> m_viewAsOf; ///< all that a control host in touch with a majority knew then is known here
     bool m_isStopping = false; ///< no caller is sent here any more
     bool m_isClosed = false; ///< no request is passed on any more
 
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -116,6 +116,8 @@
                        {"key", open.terms.affinityKey},
                        {"fill", effect.fill},
                        {"load_age_ms", effect.loadAge.count()},
+                       {"table", m_balancer->tableVersion()},
+                       {"view_age_ms", viewAge().count()},
                        {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
     open.calls[attempt] =
         m_client->start(std::move(call), [this, id, attempt, target = effect.target](HttpResult result) {
@@ -288,6 +290,7 @@
                        {"route", effect.route},
                        {"target", effect.lastTarget},
                        {"table", m_balancer->tableVersion()},
+                       {"view_age_ms", viewAge().count()},
                        {"retry_after_ms", effect.retryAfter.count()},
                        {"took_ms", secondsOf(took) * 1000}});
     open->exchange->respond(m_dialect.refusal({open->terms.requestId, effect.reason, effect.retryAfter}));
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -240,14 +240,14 @@
                 hooks.candidates = [peer] {
                     return std::vector<Address>{peer};
                 };
-                hooks.onReply = [this](const Address &from, const FleetWatchReply &reply) {
-                    onPeerNews(from, reply);
+                hooks.onReply = [this](const NewsReceipt &receipt, const FleetWatchReply &reply) {
+                    onPeerNews(receipt, reply);
                 };
                 hooks.onLink = [this](const Address &to, bool isLost, const std::string &reason) {
                     m_events.state(isLost ? "control-host-lost" : "control-host-regained",
                                    {{"peer", to.text()}, {"reason", reason}});
                 };
-                watch = std::make_unique<ControlWatch>(m_net, PeerPatience, std::move(hooks));
+                watch = std::make_unique<ControlWatch>(m_net, m_clock, PeerPatience, std::move(hooks));
             }
             watches.push_back(watch.get());
         }
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -50,7 +50,7 @@
     bool hasNews(const FleetWatchCall &call) const;
     FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now) const;
     void replyWatchers(TimePoint now);
-    void onPeerNews(const Address &from, const FleetWatchReply &reply);
+    void onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply);
 
     // RegistryRequests.cpp
     void onHttp(const HttpExchangePtr &exchange);
@@ -82,6 +82,7 @@
         HttpExchangePtr exchange;
         std::string target;
         std::uint64_t version = 0;
+        TimePoint since{};
         TimePoint until{};
     };
 
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -103,12 +103,15 @@
         if (now < watcher.until && !hasNews(watcher.ask) && (isCurrent || !isEntry)) {
             return false;
         }
-        watcher.call->reply(Ok, encode(makeReply(watcher.ask, now)));
+        std::string reply = encode(makeReply(watcher.ask, now));
+        m_metrics.count(isEntry ? "pepperlug_news_bytes{to=\"entry\"}" : "pepperlug_news_bytes{to=\"control\"}",
+                        reply.size());
+        watcher.call->reply(Ok, std::move(reply));
         return true;
     });
 }
 
-void RegistryDaemon::Impl::onPeerNews(const Address &from, const FleetWatchReply &reply)
+void RegistryDaemon::Impl::onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply)
 {
     const TimePoint now = m_clock.now();
     bool isAllKnown = false;
@@ -117,11 +120,11 @@
         const std::lock_guard lock(m_mutex);
         isAllKnown = m_registry.merge(reply.changes, now);
         replyWatchers(now);
-        const auto it = m_peers.find(from);
+        const auto it = m_peers.find(receipt.from);
         watch = it == m_peers.end() ? nullptr : it->second.get();
     }
     if (!isAllKnown && watch != nullptr) {
-        m_events.state("reports-unknown", {{"peer", from.text()}, {"renewals", reply.changes.renewals.size()}});
+        m_events.state("reports-unknown", {{"peer", receipt.from.text()}, {"renewals", reply.changes.renewals.size()}});
         watch->askForAll();
     }
 }
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -69,7 +69,7 @@
         }
         replyWatchers(now);
         if (isDeparture) {
-            m_departures.push_back({exchange, report.id, entry->changedVersion, now + DeparturePatience});
+            m_departures.push_back({exchange, report.id, entry->changedVersion, now, now + DeparturePatience});
             settleDepartures(now);
         }
     }
@@ -105,7 +105,10 @@
             return false;
         }
         m_events.state(isDone ? "departure-acknowledged" : "departure-not-spread",
-                       {{"target", departure.target}, {"registry_version", departure.version}});
+                       {{"target", departure.target},
+                        {"registry_version", departure.version},
+                        {"took_ms", std::chrono::duration_cast<Milliseconds>(now - departure.since).count()}});
+        m_metrics.latency("pepperlug_departure_seconds", now - departure.since);
         departure.exchange->respond(
             m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
                                     isDone ? "" : "no majority of control hosts knows of it yet"));
