--- /dev/null
+++ b/unittests/Fleet/System.h
@@ -0,0 +1,318 @@
+//===- System.h - One control and one entry host over loopback --*- C++ -*-===//
+//
+// Real daemons with a stand-in for the platform's clients, targets and operator,
+// at the sockets. Everything that is waited for is an event: a request is repeated
+// until the answer is the one that must come.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "Fleet/Remembered.h"
+#include "LinkRelay.h"
+#include "platform/Dialect.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+#include <unistd.h>
+
+namespace pepperlug::fleet::test
+{
+
+using namespace std::chrono_literals;
+
+/// Upper bound for what must come; no test is judged by its time.
+constexpr auto Patience = 30s;
+constexpr auto Pause = 10ms;
+
+inline HttpResult fetchOnce(HttpClient &client, HttpCall call)
+{
+    auto promise = std::make_shared<std::promise<HttpResult>>();
+    std::future<HttpResult> result = promise->get_future();
+    client.start(std::move(call), [promise](HttpResult it) { promise->set_value(std::move(it)); });
+    return result.get();
+}
+
+/// A target that counts what it ran, and answers as it is told to.
+class FakeTarget
+{
+public:
+    explicit FakeTarget(std::string id)
+        : m_id(std::move(id))
+        , m_server({"127.0.0.1", 0}, 1, HttpLimits{}, m_clock,
+                   [this](const HttpExchangePtr &exchange) { onRequest(exchange); })
+    {
+    }
+
+    ~FakeTarget()
+    {
+        release();
+        m_server.stop();
+    }
+
+    std::string address() const
+    {
+        return m_server.address().text();
+    }
+
+    int runs() const
+    {
+        return m_runs;
+    }
+
+    /// Requests are kept unanswered until release().
+    void hold()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_holds = true;
+    }
+
+    void release()
+    {
+        std::vector<HttpExchangePtr> held;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_holds = false;
+            held.swap(m_held);
+        }
+        for (const HttpExchangePtr &exchange : held) {
+            answer(exchange);
+        }
+    }
+
+    std::atomic<bool> answersForAnother{false};
+    std::atomic<std::size_t> bodyBytes{0}; ///< length of answers; 0 for a short one
+    std::atomic<bool> breaksOff{false}; ///< ends its connection in the middle of an answer
+
+private:
+    void onRequest(const HttpExchangePtr &exchange)
+    {
+        if (exchange->request().header("X-Expect-Instance") != m_id) {
+            exchange->respond({421, {{"X-Request-Id", *exchange->request().header("X-Request-Id")}}, {}});
+            return;
+        }
+        ++m_runs;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_holds) {
+                m_held.push_back(exchange);
+                return;
+            }
+        }
+        answer(exchange);
+    }
+
+    void answer(const HttpExchangePtr &exchange)
+    {
+        const std::string id = answersForAnother ? "another" : exchange->request().header("X-Request-Id").value_or("");
+        const Answer head{200, {{"X-Request-Id", id}, {"X-Upstream-Seal", "seal"}}, {}};
+        if (breaksOff) {
+            exchange->begin(head, bodyBytes);
+            exchange->more(std::string(bodyBytes / 2, 'x'));
+            exchange->abort();
+            return;
+        }
+        exchange->respond({200, head.headers, bodyBytes > 0 ? std::string(bodyBytes, 'x') : "body of " + m_id});
+    }
+
+    std::string m_id;
+    SteadyClock m_clock;
+    std::atomic<int> m_runs{0};
+    std::mutex m_mutex;
+    bool m_holds = false;
+    std::vector<HttpExchangePtr> m_held;
+    HttpServer m_server;
+};
+
+/// How the entry host reaches the control host.
+enum class ControlLink : std::uint8_t { Direct, Relayed };
+
+/// One control and one entry host in a folder of their own.
+class System
+{
+public:
+    explicit System(ControlLink link = ControlLink::Direct)
+        : m_folder(std::filesystem::temp_directory_path() / ("pepperlug-fleet-" + randomHex(8)))
+    {
+        std::filesystem::create_directories(m_folder);
+        FleetSettings settings;
+        settings.zone = "z1";
+        settings.regionOfZone = {{"z1", "r1"}};
+        settings.bounds.grace = 5s;
+        settings.bounds.retries = {0.2, 10s, 40};
+        settings.maxBodyBytes = 1 << 20;
+        settings.maxAnswerBytes = 1 << 20;
+        FleetSettings &control = m_control;
+        control = settings;
+        control.name = "control";
+        control.peer = addressOn(1, 17100);
+        control.operators = addressOn(1, 17101);
+        control.directory = addressOn(1, 17102);
+        control.metrics = addressOn(1, 17103);
+        control.seeds = {control.operators};
+        control.dataFolder = m_folder / "data";
+        control.isFirstStart = true;
+        FleetSettings &entry = m_entry;
+        entry = settings;
+        entry.name = "entry";
+        entry.peer = addressOn(2, control.peer.port);
+        entry.callers = {"127.0.0.1", 0};
+        entry.readiness = {"127.0.0.1", 0};
+        entry.metrics = m_metrics = addressOn(2, 17103);
+        entry.seeds = {control.operators};
+        if (link == ControlLink::Relayed) {
+            const Address relayed = addressOn(3, control.peer.port);
+            relay = std::make_unique<LinkRelay>(relayed, control.peer);
+            entry.seeds = {{relayed.ip, control.operators.port}};
+        }
+        start();
+        m_control.isFirstStart = false;
+    }
+
+    ~System()
+    {
+        gateway.reset();
+        registry.reset();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    /// Both hosts end without notice and start again; the disk remains.
+    void restartAll()
+    {
+        gateway.reset();
+        registry.reset();
+        start();
+    }
+
+    std::size_t rememberedTargets() const
+    {
+        const std::optional<Remembered> remembered = readRemembered(m_control.dataFolder + "/remembered");
+        return remembered ? remembered->targets.size() : 0;
+    }
+
+    Answer operatorCall(const std::string &path, const std::string &body, const std::string &base = {})
+    {
+        HttpCall call;
+        call.to = registry->operatorsAddress();
+        call.method = "POST";
+        call.resource = path;
+        call.headers = {{"X-If-Rev", base}};
+        call.body = std::make_shared<const std::string>(body);
+        call.timeout = 5s;
+        return fetchOnce(m_client, call).answer;
+    }
+
+    Answer get(const Address &to, const std::string &path, const std::string &id = "q")
+    {
+        HttpCall call;
+        call.to = to;
+        call.method = "GET";
+        call.resource = path;
+        call.headers = {{"Host", "a.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "5000"}};
+        call.timeout = 10s;
+        return fetchOnce(m_client, call).answer;
+    }
+
+    /// Repeats a step until it returns true.
+    static bool eventually(const std::function<bool()> &step)
+    {
+        for (const auto end = std::chrono::steady_clock::now() + Patience; std::chrono::steady_clock::now() < end;) {
+            if (step()) {
+                return true;
+            }
+            std::this_thread::sleep_for(Pause);
+        }
+        return false;
+    }
+
+    void putTable(const std::string &version, const std::string &base,
+                  const std::vector<std::string> &prefixes = {"/p/"})
+    {
+        const std::string text = tableText(version, prefixes);
+        REQUIRE(eventually([&] { return operatorCall("/api/Config.Put", text, base).status == 200; }));
+    }
+
+    static nlohmann::json route(const std::string &name, const std::string &prefix)
+    {
+        return {{"name", name}, {"pathPrefix", prefix}, {"kind", "unsafe"}, {"timeoutS", 4}, {"sloS", 1},
+                {"prio", 1},    {"service", "s"},       {"attempts", 2}};
+    }
+
+    /// A table with a route for each prefix.
+    static std::string tableText(const std::string &version, const std::vector<std::string> &prefixes)
+    {
+        nlohmann::json paths = nlohmann::json::array();
+        for (const std::string &it : prefixes) {
+            paths.push_back(route("r" + std::to_string(paths.size()), it));
+        }
+        return nlohmann::json{
+            {"version", version},
+            {"services", {{{"name", "s"}, {"coldS", 3}, {"coldPerS", 100}}}},
+            {"limits",
+             {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1 << 20}, {"headerTimeoutS", 3}, {"idleTimeoutS", 15}}},
+            {"hosts", {{{"host", "a.example"}, {"paths", paths}}}}}
+            .dump();
+    }
+
+    Answer beat(const std::string &id, const FakeTarget &target, int sequence, const std::string &state = "ready")
+    {
+        const nlohmann::json body{{"service", "s"}, {"addr", target.address()}, {"zone", "z1"},   {"slots", 4},
+                                  {"state", state}, {"coldLeftS", 0},           {"seq", sequence}};
+        return operatorCall("/api/Instances.Heartbeat/" + id, body.dump());
+    }
+
+    bool becomesReady()
+    {
+        return eventually([&] { return get(gateway->readinessAddress(), "/api/readyz").status == 200; });
+    }
+
+    Answer metrics()
+    {
+        return get(m_metrics, "/metrics");
+    }
+
+    std::unique_ptr<LinkRelay> relay; ///< null unless the link is relayed
+    std::unique_ptr<RegistryDaemon> registry;
+    std::unique_ptr<GatewayDaemon> gateway;
+
+private:
+    /// An address on a loopback network that no other process of the tests uses, so that no port can be taken.
+    static Address addressOn(unsigned host, std::uint16_t port)
+    {
+        constexpr unsigned Octet = 250;
+        const auto pid = static_cast<unsigned>(getpid());
+        const std::string network = std::to_string(1 + pid % Octet) + "." + std::to_string(1 + pid / Octet % Octet);
+        return {"127." + network + "." + std::to_string(host), port};
+    }
+
+    void start()
+    {
+        registry = std::make_unique<RegistryDaemon>(m_control, m_clock, controlDialect<platform::Control>());
+        gateway = std::make_unique<GatewayDaemon>(m_entry, m_clock, callerDialect<platform::Clients>());
+    }
+
+    std::filesystem::path m_folder;
+    FleetSettings m_control;
+    FleetSettings m_entry;
+    Address m_metrics;
+    SteadyClock m_clock;
+    HttpClient m_client{1 << 20};
+};
+
+/// A system with a configuration and one target, once it serves.
+struct ServingSystem {
+    explicit ServingSystem(ControlLink link = ControlLink::Direct)
+        : system(link)
+    {
+        system.putTable("r2", "0");
+        system.beat("i-1", target, 1);
+        REQUIRE(system.becomesReady());
+    }
+
+    System system;
+    FakeTarget target{"i-1"};
+};
+
+} // namespace pepperlug::fleet::test
