Routing news are told as compressed differences

The whole routing document is 0.9 MB with 4,000 routes and does not pass a host's link of 4 Mbit/s in time. RoutingHistory keeps the newest view parsed and the recent changes encoded; applyRoutingChanges builds the newest view from any view that a reader has. Nothing calls them yet.

Weighed: the changes are dropped, oldest first, once they are together longer than the whole, so that no reader is ever told more than the whole. The whole is encoded with each append and not when it is first asked for: its length decides what is dropped, and reading stays free of hidden writes. Routes of a chain of changes are copied once; an evacuation alone keeps the reader's table object. MessagePack's reader sets memory aside for as many elements as a list claims, so a message is walked through before it is decoded; it may expand to 64 MiB at most.

zlib joins the packages.

--- a/include/pepperlug/Routes.h
+++ b/include/pepperlug/Routes.h
@@ -2,7 +2,8 @@
 //
 // The routing configuration of a deployment whose targets report themselves: a
 // versioned document of routes, services and limits. Pure: reading a format is
-// left to whoever speaks it; here are the types, the checks and the matching.
+// left to whoever speaks it; here are the types, the checks, the matching, and
+// the news of it that hosts are told: what changed since what they know.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -24,6 +25,8 @@
 struct WeightedService {
     std::string service;
     double weight = 1;
+    bool operator==(const WeightedService &) const = default;
+    MSGPACK_DEFINE(service, weight);
 };
 
 struct Route {
@@ -38,6 +41,8 @@
     unsigned attempts = 1; ///< targets that one request may be sent to
     bool sticky = false; ///< targets that lately saw the same affinity key are faster
     std::vector<std::string> homeRegions; ///< empty: any
+    bool operator==(const Route &) const = default;
+    MSGPACK_DEFINE(name, host, prefix, kind, timeout, objective, priority, services, attempts, sticky, homeRegions);
 };
 
 /// How the targets of a service behave.
@@ -46,6 +51,8 @@
     unsigned maxConnections = 0; ///< of one target, from all callers together
     Milliseconds coldTime{}; ///< how long a target stays cold after a start
     double coldPerSecond = 0; ///< requests that a cold target bears; 0: no limit
+    bool operator==(const ServiceTraits &) const = default;
+    MSGPACK_DEFINE(name, maxConnections, coldTime, coldPerSecond);
 };
 
 /// What callers may send.
@@ -54,6 +61,8 @@
     std::size_t bodyBytes = 0;
     Milliseconds headTimeout{};
     Milliseconds idleTimeout{};
+    bool operator==(const CallerLimits &) const = default;
+    MSGPACK_DEFINE(headBytes, bodyBytes, headTimeout, idleTimeout);
 };
 
 /// One version of the routing configuration.
@@ -119,6 +128,48 @@
     std::map<std::uint64_t, std::string> m_taken; ///< digest of each table that was ever in force, by version
 };
 
+//===-- How hosts are told of it ----------------------------------------------===//
+
+/// Routing as of a log index.
+struct RoutingView {
+    std::uint64_t index = 0;
+    std::shared_ptr<const RouteTable> table; ///< null: none was put
+    std::set<std::string> evacuatedZones;
+};
+
+/// The newest routing, and how it came about, as it is told to hosts that know an older one.
+class RoutingHistory
+{
+public:
+    /// Takes a newer view; one that is not newer than the last is ignored.
+    void append(RoutingView view);
+    /// Log index of the newest view; 0 for none.
+    std::uint64_t index() const;
+    const RoutingView &view() const;
+    /// Encoded changes that lead from the view of the index to the newest, to be applied one after the other; empty if
+    /// the asker has the newest, or a newer one.
+    std::vector<std::string> since(std::uint64_t index) const;
+
+private:
+    struct EncodedChange {
+        std::uint64_t fromIndex = 0;
+        std::string data;
+    };
+
+    void keep(EncodedChange change);
+
+    RoutingView m_newest;
+    std::string m_whole; ///< the newest view, encoded as a change that applies to anything
+    std::deque<EncodedChange> m_recent; ///< oldest first; each follows on the one before it
+    std::size_t m_recentBytes = 0;
+};
+
+/// The view that the encoded changes lead to. Throws Error with step, peer and reason if one of them can't be decoded
+/// or does not follow on what it is applied to.
+RoutingView applyRoutingChanges(const RoutingView &from, const std::vector<std::string> &changes,
+                                const std::string &peer);
+
 } // namespace pepperlug::fleet
 
+PEPPERLUG_CODEC_ENUM(pepperlug::fleet::RouteKind);
 PEPPERLUG_CODEC_ENUM(pepperlug::fleet::RoutingCommandKind);
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -4,7 +4,7 @@
 
 PACKAGES="g++ cmake ninja-build pkg-config ccache clang-format clang-tidy libpistache-dev libnghttp2-dev
 libcurl4-openssl-dev libboost-dev libcxxopts-dev libeasyloggingpp-dev libtrompeloeil-cpp-dev catch2
-nlohmann-json3-dev libmsgpack-cxx-dev libxxhash-dev libsodium-dev librapidcheck-dev libbenchmark-dev rapidjson-dev"
+nlohmann-json3-dev libmsgpack-cxx-dev libxxhash-dev libsodium-dev librapidcheck-dev libbenchmark-dev rapidjson-dev zlib1g-dev"
 
 # Installs what is missing, as root on Debian; says what is needed elsewhere.
 install_packages() {
--- /dev/null
+++ b/unittests/Routes/RoutingNewsTest.cpp
@@ -0,0 +1,535 @@
+//===- RoutingNewsTest.cpp - Routing told as differences ------------------===//
+#include "pepperlug/Routes.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <zlib.h>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string Peer = "control-2";
+/// Routes of the largest table that is to be told in time.
+constexpr unsigned ManyRoutes = 4000;
+
+Route routeAt(unsigned n)
+{
+    Route it;
+    it.name = "route-" + std::to_string(n);
+    it.host = "host" + std::to_string(n % 40) + ".shop.example";
+    // A part of the text follows from nothing else, as names that people give.
+    it.prefix = "/area/" + std::to_string(hash64(it.name) % 1'000'000) + "/" + std::to_string(n) + "/";
+    it.kind = n % 3 == 0 ? RouteKind::OnceOnly : RouteKind::Repeatable;
+    it.timeout = Milliseconds(1000 + n % 7 * 500);
+    it.objective = Milliseconds(200 + n % 5 * 100);
+    it.priority = n % 4;
+    it.services = {{"service-" + std::to_string(n % 60), 90}, {"service-" + std::to_string(n % 60) + "-next", 10}};
+    it.attempts = 1 + n % 3;
+    it.sticky = n % 11 == 0;
+    if (n % 6 == 0) {
+        it.homeRegions = {"north"};
+    }
+    return it;
+}
+
+RouteTable tableOf(unsigned routes, std::uint64_t version = 1, unsigned services = 60)
+{
+    RouteTable it;
+    it.version = version;
+    for (unsigned n = 0; n < services; ++n) {
+        it.services.push_back({"service-" + std::to_string(n), 10 + n % 5, 3s, 4});
+        it.services.push_back({"service-" + std::to_string(n) + "-next", 10, 5s, 2.5});
+    }
+    it.limits = {16384, 1048576, 5s, 30s};
+    for (unsigned n = 0; n < routes; ++n) {
+        it.routes.push_back(routeAt(n));
+    }
+    return it;
+}
+
+RoutingView viewOf(std::uint64_t index, RouteTable table, std::set<std::string> evacuated = {})
+{
+    return {index, std::make_shared<RouteTable>(std::move(table)), std::move(evacuated)};
+}
+
+/// Of another table, so that a change of the first is seen.
+RoutingView copyOf(const RoutingView &view)
+{
+    RoutingView copy = view;
+    if (view.table) {
+        copy.table = std::make_shared<RouteTable>(*view.table);
+    }
+    return copy;
+}
+
+bool hasSameRoutes(const RouteTable &a, const RouteTable &b)
+{
+    const auto sorted = [](const RouteTable &table) {
+        std::map<std::pair<std::string, std::string>, Route> routes;
+        for (const Route &it : table.routes) {
+            routes.emplace(std::make_pair(it.host, it.prefix), it);
+        }
+        return routes;
+    };
+    return a.routes.size() == b.routes.size() && sorted(a) == sorted(b);
+}
+
+bool isSame(const RoutingView &a, const RoutingView &b)
+{
+    if (a.index != b.index || a.evacuatedZones != b.evacuatedZones || !a.table != !b.table) {
+        return false;
+    }
+    return !a.table
+        || (a.table->version == b.table->version && a.table->services == b.table->services
+            && a.table->limits == b.table->limits && hasSameRoutes(*a.table, *b.table));
+}
+
+std::size_t bytesIn(const std::vector<std::string> &changes)
+{
+    std::size_t bytes = 0;
+    for (const std::string &it : changes) {
+        bytes += it.size();
+    }
+    return bytes;
+}
+
+std::string compressed(const std::string &text)
+{
+    uLongf size = compressBound(text.size());
+    std::string data(size, '\0');
+    const int ec = compress(reinterpret_cast<Bytef *>(data.data()), &size, reinterpret_cast<const Bytef *>(text.data()),
+                            text.size());
+    REQUIRE(ec == Z_OK);
+    data.resize(size);
+    return data;
+}
+
+std::string expanded(const std::string &data)
+{
+    uLongf size = 1024 * 1024;
+    std::string text(size, '\0');
+    const int ec = uncompress(reinterpret_cast<Bytef *>(text.data()), &size,
+                              reinterpret_cast<const Bytef *>(data.data()), data.size());
+    REQUIRE(ec == Z_OK);
+    text.resize(size);
+    return text;
+}
+
+/// Routing that changes at random: mostly a little, now and then altogether.
+class Author
+{
+public:
+    /// Few, so that changes are short against the whole and readers further behind are told them too.
+    static constexpr unsigned FewServices = 3;
+
+    RoutingView next()
+    {
+        m_index += *rc::gen::inRange<std::uint64_t>(1, 4);
+        change(*rc::gen::inRange(0, 12));
+        RoutingView view{m_index, nullptr, m_evacuated};
+        if (m_hasTable) {
+            view.table = std::make_shared<RouteTable>(m_table);
+        }
+        return view;
+    }
+
+private:
+    void change(int what)
+    {
+        if (what < 3) {
+            toggleZone("z" + std::to_string(what));
+            return;
+        }
+        ++m_table.version;
+        m_hasTable = what != 11;
+        switch (what) {
+        case 3:
+            m_table = tableOf(*rc::gen::inRange(0U, 60U), m_table.version, FewServices);
+            break;
+        case 4:
+            std::reverse(m_table.routes.begin(), m_table.routes.end());
+            break;
+        case 5:
+            m_table.limits.bodyBytes += 1;
+            break;
+        case 6:
+            m_table.services.push_back({"s" + std::to_string(m_table.version), 1, 1s, 0.5});
+            break;
+        case 7:
+            addRoute();
+            break;
+        default:
+            changeRoute(what);
+        }
+    }
+
+    void toggleZone(const std::string &zone)
+    {
+        if (m_evacuated.erase(zone) == 0) {
+            m_evacuated.insert(zone);
+        }
+    }
+
+    void addRoute()
+    {
+        m_table.routes.push_back(routeAt(1000 + m_added));
+        ++m_added;
+    }
+
+    void changeRoute(int what)
+    {
+        if (m_table.routes.empty()) {
+            return;
+        }
+        const auto n = *rc::gen::inRange<std::size_t>(0, m_table.routes.size());
+        if (what == 8) {
+            m_table.routes.erase(m_table.routes.begin() + static_cast<std::ptrdiff_t>(n));
+            return;
+        }
+        Route &route = m_table.routes[n];
+        route.services[0].weight += 0.25;
+        route.sticky = !route.sticky;
+    }
+
+    std::uint64_t m_index = 0;
+    bool m_hasTable = false;
+    RouteTable m_table = tableOf(40, 0, FewServices);
+    std::set<std::string> m_evacuated;
+    unsigned m_added = 0;
+};
+
+} // namespace
+
+TEST_CASE("a reader of any earlier view that applies what is told has exactly the newest")
+{
+    CHECK(rc::check([] {
+        Author author;
+        RoutingHistory history;
+        std::vector<RoutingView> views{{}};
+        const auto steps = *rc::gen::inRange(1, 25);
+        std::size_t longest = 0;
+        for (int n = 0; n < steps; ++n) {
+            views.push_back(author.next());
+            history.append(views.back());
+            for (const RoutingView &it : views) {
+                const RoutingView before = copyOf(it);
+                const std::vector<std::string> changes = history.since(it.index);
+                RC_ASSERT(isSame(applyRoutingChanges(it, changes, Peer), views.back()));
+                RC_ASSERT(isSame(it, before));
+                RC_ASSERT(changes.empty() == (it.index == views.back().index));
+                RC_ASSERT(bytesIn(changes) <= bytesIn(history.since(0)));
+                longest = std::max(longest, changes.size());
+            }
+        }
+        RC_CLASSIFY(longest > 3, "told in more than three changes");
+    }));
+}
+
+TEST_CASE("a reader that follows step by step, each time upon what it was told, has the newest")
+{
+    CHECK(rc::check([] {
+        Author author;
+        RoutingHistory history;
+        RoutingView reader;
+        for (int n = 0; n < 30; ++n) {
+            history.append(author.next());
+            if (*rc::gen::inRange(0, 3) == 0) {
+                reader = applyRoutingChanges(reader, history.since(reader.index), Peer);
+                RC_ASSERT(isSame(reader, history.view()));
+            }
+        }
+    }));
+}
+
+TEST_CASE("nothing is told to a reader that has the newest or a newer one")
+{
+    RoutingHistory history;
+    CHECK(history.index() == 0);
+    CHECK(history.since(0).empty());
+    history.append(viewOf(7, tableOf(5)));
+    CHECK(history.index() == 7);
+    CHECK(history.since(7).empty());
+    CHECK(history.since(8).empty());
+    CHECK(history.since(6).size() == 1);
+}
+
+TEST_CASE("a view that is not newer than the last is ignored")
+{
+    RoutingHistory history;
+    history.append(viewOf(7, tableOf(5, 2)));
+    history.append(viewOf(7, tableOf(6, 3)));
+    history.append(viewOf(6, tableOf(4, 1)));
+    CHECK(history.index() == 7);
+    CHECK(history.view().table->version == 2);
+    const RoutingView reader = applyRoutingChanges({}, history.since(0), Peer);
+    CHECK(isSame(reader, history.view()));
+}
+
+TEST_CASE("an index between two views is known to none: its reader gets the whole")
+{
+    RoutingHistory history;
+    history.append(viewOf(3, tableOf(40)));
+    history.append(viewOf(6, tableOf(40), {"z1"}));
+    history.append(viewOf(9, tableOf(40), {"z2"}));
+    CHECK(history.since(6).size() == 1);
+    CHECK(history.since(3).size() == 2);
+    CHECK(history.since(5) == history.since(0));
+}
+
+TEST_CASE("an evacuation carries no routes, and the reader keeps its table")
+{
+    RoutingHistory history;
+    history.append(viewOf(1, tableOf(ManyRoutes)));
+    const RoutingView reader = applyRoutingChanges({}, history.since(0), Peer);
+    history.append({2, history.view().table, {"z1"}});
+    const std::vector<std::string> changes = history.since(1);
+    CHECK(expanded(changes.at(0)).find("/area/") == std::string::npos);
+    const RoutingView after = applyRoutingChanges(reader, changes, Peer);
+    CHECK(isSame(after, history.view()));
+    CHECK(after.table == reader.table);
+}
+
+TEST_CASE("a change of weights in a table of 4,000 routes is told in less than 1 KB")
+{
+    RouteTable table = tableOf(ManyRoutes);
+    RoutingHistory history;
+    history.append(viewOf(1, table));
+    ++table.version;
+    for (std::size_t n = 100; n < 110; ++n) {
+        table.routes[n].services[0].weight = 50;
+        table.routes[n].services[1].weight = 50;
+    }
+    history.append(viewOf(2, table));
+    REQUIRE(history.since(1).size() == 1);
+    INFO("bytes: " << bytesIn(history.since(1)) << ", of the whole: " << bytesIn(history.since(0)));
+    CHECK(bytesIn(history.since(1)) < 1024);
+}
+
+TEST_CASE("1,400 added routes are told in less than 60 KB")
+{
+    RoutingHistory history;
+    history.append(viewOf(1, tableOf(ManyRoutes - 1400, 1)));
+    history.append(viewOf(2, tableOf(ManyRoutes, 2)));
+    REQUIRE(history.since(1).size() == 1);
+    INFO("bytes: " << bytesIn(history.since(1)) << ", of the whole: " << bytesIn(history.since(0)));
+    CHECK(bytesIn(history.since(1)) < 60 * 1024);
+}
+
+TEST_CASE("a reader too far behind gets the whole, in one change that applies to anything")
+{
+    RoutingHistory history;
+    std::vector<RoutingView> views;
+    for (std::uint64_t n = 1; n <= 300; ++n) {
+        RouteTable table = tableOf(40, n);
+        table.routes[n % 40].services[0].weight = static_cast<double>(n);
+        views.push_back(viewOf(n, std::move(table)));
+        history.append(views.back());
+    }
+    const std::vector<std::string> whole = history.since(0);
+    REQUIRE(whole.size() == 1);
+    CHECK(history.since(1) == whole);
+    CHECK(history.since(299) != whole);
+    CHECK(isSame(applyRoutingChanges({}, whole, Peer), views.back()));
+    CHECK(isSame(applyRoutingChanges(views.front(), whole, Peer), views.back()));
+    // Those that are not far behind get no more than the whole together.
+    const auto behind = [&](std::uint64_t n) {
+        return bytesIn(history.since(300 - n));
+    };
+    CHECK(behind(2) > behind(1));
+    CHECK(behind(2) < bytesIn(whole));
+}
+
+TEST_CASE("a change that replaces nearly all routes is told as the whole")
+{
+    RoutingHistory history;
+    history.append(viewOf(1, tableOf(200, 1)));
+    RouteTable other = tableOf(0, 2);
+    for (unsigned n = 0; n < 20; ++n) {
+        other.routes.push_back(routeAt(5000 + n));
+    }
+    history.append(viewOf(2, std::move(other)));
+    CHECK(history.since(1) == history.since(0));
+    CHECK(isSame(applyRoutingChanges({}, history.since(1), Peer), history.view()));
+}
+
+TEST_CASE("a change upon another index than the reader's is an error that names the peer")
+{
+    RoutingHistory history;
+    history.append(viewOf(3, tableOf(40)));
+    history.append(viewOf(5, tableOf(40), {"z1"}));
+    history.append(viewOf(9, tableOf(41, 2), {"z1"}));
+    const std::vector<std::string> changes = history.since(3);
+    REQUIRE(changes.size() == 2);
+    const RoutingView first = viewOf(3, tableOf(40));
+    const auto failsOn = [&](const RoutingView &from, const std::vector<std::string> &told) {
+        const RoutingView before = copyOf(from);
+        try {
+            applyRoutingChanges(from, told, Peer);
+        } catch (const Error &ex) {
+            CHECK(ex.peer() == Peer);
+            CHECK_FALSE(ex.step().empty());
+            CHECK(ex.reason().find("follows on index") != std::string::npos);
+            CHECK(isSame(from, before));
+            return true;
+        }
+        return false;
+    };
+    CHECK(failsOn(first, {changes[1]}));
+    CHECK(failsOn(first, {changes[0], changes[0]}));
+    CHECK(failsOn(first, {changes[1], changes[0]}));
+    CHECK(failsOn({}, changes));
+    CHECK(failsOn(viewOf(9, tableOf(40)), changes));
+    CHECK_FALSE(failsOn(first, changes));
+}
+
+TEST_CASE("a change that removes a route that is not there is an error that names the peer")
+{
+    RoutingHistory history;
+    history.append(viewOf(3, tableOf(40, 1)));
+    history.append(viewOf(4, tableOf(39, 2)));
+    // The reader says that it knows index 3, but knows another table.
+    const RoutingView reader = viewOf(3, tableOf(20, 1));
+    try {
+        applyRoutingChanges(reader, history.since(3), Peer);
+        FAIL("it was applied");
+    } catch (const Error &ex) {
+        CHECK(ex.peer() == Peer);
+        CHECK(ex.reason().find(routeAt(39).prefix) != std::string::npos);
+    }
+    CHECK(reader.table->routes.size() == 20);
+}
+
+namespace
+{
+
+/// What a reader of index 1 is told, as a difference and as the whole.
+class Told
+{
+public:
+    Told()
+    {
+        reader = viewOf(1, tableOf(40, 1));
+        RoutingHistory history;
+        history.append(reader);
+        history.append(viewOf(2, tableOf(42, 2), {"z1"}));
+        newest = history.view();
+        change = history.since(1).at(0);
+        whole = history.since(0).at(0);
+    }
+
+    /// One of the two.
+    std::string any() const
+    {
+        return *rc::gen::arbitrary<bool>() ? change : whole;
+    }
+
+    /// Nothing if it can't be applied; such an error must name the peer.
+    std::optional<RoutingView> apply(const std::string &data) const
+    {
+        try {
+            return applyRoutingChanges(reader, {data}, Peer);
+        } catch (const Error &ex) {
+            RC_ASSERT(ex.peer() == Peer);
+            return std::nullopt;
+        }
+    }
+
+    RoutingView reader;
+    RoutingView newest;
+    std::string change;
+    std::string whole;
+};
+
+void flipOne(std::string &data)
+{
+    const auto place = *rc::gen::inRange<std::size_t>(0, data.size());
+    const auto mask = *rc::gen::inRange(1, 256);
+    data[place] = static_cast<char>(static_cast<unsigned char>(data[place]) ^ mask);
+}
+
+} // namespace
+
+TEST_CASE("a change that was cut short, or that something follows, is an error that names the peer")
+{
+    const Told told;
+    CHECK(rc::check([&] {
+        std::string data = told.any();
+        const auto size = *rc::gen::inRange<std::size_t>(0, data.size());
+        RC_ASSERT_FALSE(told.apply(data.substr(0, size)).has_value());
+        data += *rc::gen::nonEmpty<std::string>();
+        RC_ASSERT_FALSE(told.apply(data).has_value());
+    }));
+}
+
+TEST_CASE("a change with flipped bits is an error, or one that flips nothing of what it says")
+{
+    const Told told;
+    CHECK(rc::check([&] {
+        std::string data = told.any();
+        const auto flips = *rc::gen::inRange(1, 4);
+        for (int n = 0; n < flips; ++n) {
+            flipOne(data);
+        }
+        const std::optional<RoutingView> view = told.apply(data);
+        RC_ASSERT(!view || isSame(*view, told.newest));
+    }));
+}
+
+TEST_CASE("bytes that were never a change are an error")
+{
+    const Told told;
+    CHECK(rc::check([&] {
+        const auto data = *rc::gen::arbitrary<std::string>();
+        RC_ASSERT_FALSE(told.apply(data).has_value());
+    }));
+}
+
+TEST_CASE("a change that was damaged before it was compressed never does harm")
+{
+    const Told told;
+    CHECK(rc::check([&] {
+        std::string text = expanded(told.any());
+        const auto size = *rc::gen::inRange<std::size_t>(0, text.size());
+        RC_ASSERT_FALSE(told.apply(compressed(text.substr(0, size))).has_value());
+        const auto flips = *rc::gen::inRange(1, 4);
+        for (int n = 0; n < flips; ++n) {
+            flipOne(text);
+        }
+        const std::optional<RoutingView> view = told.apply(compressed(text));
+        RC_ASSERT(!view || view->index > 0);
+        RC_ASSERT(isSame(told.reader, viewOf(1, tableOf(40, 1))));
+    }));
+}
+
+TEST_CASE("a change that says it has more than it holds takes no memory for it")
+{
+    const Told told;
+    // MessagePack: a list, and a map, of 2^32 - 1 elements that don't follow.
+    CHECK_FALSE(told.apply(compressed("\xdd\xff\xff\xff\xff")).has_value());
+    CHECK_FALSE(told.apply(compressed("\xdf\xff\xff\xff\xff")).has_value());
+}
+
+TEST_CASE("a change that expands to more than the longest message is an error that names the peer")
+{
+    constexpr std::size_t LongestMessage = 64 * 1024 * 1024;
+    const std::string data = compressed(std::string(LongestMessage + 1, '\0'));
+    REQUIRE(data.size() < 1024 * 1024);
+    try {
+        applyRoutingChanges({}, {data}, Peer);
+        FAIL("it was applied");
+    } catch (const Error &ex) {
+        CHECK(ex.peer() == Peer);
+        CHECK(ex.reason().find("more than a message") != std::string::npos);
+    }
+}
+
+TEST_CASE("a change that leads to no newer index is an error")
+{
+    const Told told;
+    // MessagePack: a list without elements, of which all members keep their defaults.
+    CHECK_FALSE(told.apply(compressed("\x90")).has_value());
+}
