Registry: who has confirmed what news of a control host

A departure is to be acknowledged when every entry host that was heard within a lease has it, and a control host only hears its own followers. NewsConfirmations keeps how far followers have come, translates that into the versions of each other control host's registry, and says who is missing for a position of this host's own news. It is pure and not wired into Fleet yet.

Weighed: pairs of versions are kept where both numbers rise; a pair that changes nothing here replaces those before it. A hard bound of 256 pairs drops the last but the newest, which only confirms less for a while; followers that go on asking free room from the front, so it can't starve. Whether forget() and collapse see a follower out of lease changes no answer beyond confirming less.

The property's claim: nobody missing means that every entry host has the news that asked any control host within the lease before and not after the news' position arose. It holds by cause, not by clocks: a confirmation of a position is made after the position arose. What the caller must do besides is listed at the model.

--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -2,8 +2,8 @@
 //
 // A table of what targets, entry hosts and control hosts said of themselves
 // last, as every control host keeps it. Tables are merged by incarnation and
-// sequence number, so reports may be late, repeated and out of order. Pure: time
-// is passed in.
+// sequence number, so reports may be late, repeated and out of order. And who
+// has confirmed what of a control host's news. Pure: time is passed in.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -197,6 +197,72 @@
     std::optional<TimePoint> m_movedAt;
 };
 
+/// How far a host has taken over the news of one control host.
+struct NewsPosition {
+    std::uint64_t reports = 0; ///< version of the control host's registry
+    std::uint64_t routing = 0; ///< log index
+    bool operator==(const NewsPosition &) const = default;
+    MSGPACK_DEFINE(reports, routing);
+};
+
+/// What one control host knows of who has taken over which news: of its own followers by their asks, of those of other
+/// control hosts by what these confirm. One object lives as long as the registry whose versions it speaks of.
+class NewsConfirmations
+{
+public:
+    /// A follower is waited for until `lease` after its last ask.
+    explicit NewsConfirmations(Duration lease);
+
+    /// An entry host asked; it acts upon all of this host's news up to a position. The newest call counts.
+    void followerHas(const std::string &id, NewsPosition has, TimePoint now);
+    /// An entry host has ended, or follows another control host, and each control host that relies on this one's
+    /// confirmations has one of the new control host that was made with this follower.
+    void followerLeft(const std::string &id);
+    /// All that another control host told up to `theirs` has been taken over; this host's own registry version is then
+    /// `own`. `epoch` names the other host's life: its versions begin anew with each.
+    void merged(const std::string &peer, const std::string &epoch, std::uint64_t theirs, std::uint64_t own);
+    /// Up to which position of the other host's news this host and all its followers in lease have come. `reports` is 0
+    /// if the epoch is not the one of merged(); `routing` is the lowest of `ownRouting`, the log index applied here,
+    /// and of the followers'.
+    NewsPosition confirmedTo(const std::string &peer, const std::string &epoch, std::uint64_t ownRouting,
+                             TimePoint now) const;
+    /// Another control host confirmed this host's news, for itself and its followers. The caller has checked that the
+    /// epoch is this host's, and that it took no later ask of that host before: the newest call counts.
+    void peerConfirmed(const std::string &peer, NewsPosition upTo);
+    /// Who has not confirmed a position of this host's own news yet: followers in lease, and those of `peers` (the
+    /// control hosts that live); empty if it holds everywhere. A 0 in the position asks for nothing.
+    std::vector<std::string> missing(NewsPosition position, const std::vector<std::string> &peers, TimePoint now) const;
+    /// Forgets followers whose lease has been over for long and peers that are not among the known ones; to be called
+    /// now and then.
+    void forget(const std::vector<std::string> &peers, TimePoint now);
+
+private:
+    struct Follower {
+        NewsPosition has;
+        TimePoint askedAt{};
+    };
+
+    /// Whoever has come to `own` of this host's versions has all of the other host's news up to `theirs`.
+    struct VersionPair {
+        std::uint64_t theirs = 0;
+        std::uint64_t own = 0;
+    };
+
+    struct MergedNews {
+        std::string epoch;
+        std::vector<VersionPair> pairs; ///< both numbers rise
+    };
+
+    bool isInLease(const Follower &follower, TimePoint now) const;
+    NewsPosition lowestOfFollowers(TimePoint now) const;
+    void collapse(TimePoint now);
+
+    Duration m_lease;
+    std::map<std::string, Follower> m_followers; ///< by id
+    std::map<std::string, MergedNews> m_merged; ///< by peer
+    std::map<std::string, NewsPosition> m_confirmed; ///< by peer
+};
+
 } // namespace pepperlug::fleet
 
 PEPPERLUG_CODEC_ENUM(pepperlug::fleet::Presence);
--- /dev/null
+++ b/lib/Registry/NewsConfirmations.cpp
@@ -0,0 +1,169 @@
+//===- NewsConfirmations.cpp - Who has confirmed what news ----------------===//
+//
+// A control host only hears from its own followers. Of all others it knows by the confirmations of the other control
+// hosts, each of which speaks for those that follow it in the moment in which it confirms. What a host confirms may
+// therefore go back, as when an entry host comes to it that knows less; it is never wrong to confirm too little.
+//
+// A confirmation of a position is made after the position has come to be. So if nothing is missing at a time T, each
+// entry host has the news that asked a control host within the lease before T and before the news arose, wherever it
+// went since: the control host that it asked then counts it until T. That holds only as long as nobody forgets a
+// follower before its lease is over, which is why a host that has moved is left to its lease.
+//
+//===----------------------------------------------------------------------===//
+#include "pepperlug/Registry.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// Pairs of versions kept for each control host. Several replies arrive in each tick of 25 ms at most, and followers
+/// answer within about a second: some hundred pairs tell all that is of use.
+constexpr std::size_t MostPairs = 256;
+/// Leases after which a silent follower is forgotten. Beyond the first it is not waited for; the second leaves room for
+/// callers whose times were read in another order.
+constexpr int LeasesUntilForgotten = 2;
+
+bool reaches(const NewsPosition &has, const NewsPosition &wanted)
+{
+    return has.reports >= wanted.reports && has.routing >= wanted.routing;
+}
+
+// The first pair that a host at an own version has not come to.
+template <typename Pairs>
+auto firstBeyond(Pairs &pairs, std::uint64_t own)
+{
+    return std::partition_point(pairs.begin(), pairs.end(), [&](const auto &pair) { return pair.own <= own; });
+}
+
+} // namespace
+
+NewsConfirmations::NewsConfirmations(Duration lease)
+    : m_lease(lease)
+{
+}
+
+bool NewsConfirmations::isInLease(const Follower &follower, TimePoint now) const
+{
+    return now - follower.askedAt <= m_lease;
+}
+
+NewsPosition NewsConfirmations::lowestOfFollowers(TimePoint now) const
+{
+    constexpr std::uint64_t Unlimited = std::numeric_limits<std::uint64_t>::max();
+    NewsPosition lowest{Unlimited, Unlimited};
+    for (const auto &[id, follower] : m_followers) {
+        if (!isInLease(follower, now)) {
+            continue;
+        }
+        lowest.reports = std::min(lowest.reports, follower.has.reports);
+        lowest.routing = std::min(lowest.routing, follower.has.routing);
+    }
+    return lowest;
+}
+
+void NewsConfirmations::followerHas(const std::string &id, NewsPosition has, TimePoint now)
+{
+    m_followers[id] = {has, now};
+    collapse(now);
+}
+
+void NewsConfirmations::followerLeft(const std::string &id)
+{
+    m_followers.erase(id);
+}
+
+void NewsConfirmations::merged(const std::string &peer, const std::string &epoch, std::uint64_t theirs,
+                               std::uint64_t own)
+{
+    MergedNews &news = m_merged[peer];
+    if (news.epoch != epoch) {
+        news = {epoch, {}};
+    }
+    std::vector<VersionPair> &pairs = news.pairs;
+    const bool saysNothingNew = !pairs.empty() && theirs <= pairs.back().theirs;
+    if (saysNothingNew) {
+        return;
+    }
+    // Nothing changed here since, so whoever has come as far as before has the later news too.
+    while (!pairs.empty() && pairs.back().own >= own) {
+        pairs.pop_back();
+    }
+    // To drop a pair only means to confirm less for a while. The old ones are what a slow follower comes to first.
+    if (pairs.size() == MostPairs) {
+        pairs.pop_back();
+    }
+    pairs.push_back({theirs, own});
+}
+
+// A follower that goes back below the pair that is left makes this host confirm nothing until it has caught up.
+void NewsConfirmations::collapse(TimePoint now)
+{
+    const std::uint64_t reached = lowestOfFollowers(now).reports;
+    for (auto &[peer, news] : m_merged) {
+        const auto beyond = firstBeyond(news.pairs, reached);
+        if (beyond != news.pairs.begin()) {
+            news.pairs.erase(news.pairs.begin(), std::prev(beyond));
+        }
+    }
+}
+
+NewsPosition NewsConfirmations::confirmedTo(const std::string &peer, const std::string &epoch, std::uint64_t ownRouting,
+                                            TimePoint now) const
+{
+    const NewsPosition lowest = lowestOfFollowers(now);
+    // Routing is agreed on, so its index means the same everywhere, whoever told it.
+    NewsPosition upTo{0, std::min(ownRouting, lowest.routing)};
+    const auto it = m_merged.find(peer);
+    if (it == m_merged.end() || it->second.epoch != epoch) {
+        return upTo;
+    }
+    const std::vector<VersionPair> &pairs = it->second.pairs;
+    const auto beyond = firstBeyond(pairs, lowest.reports);
+    if (beyond != pairs.begin()) {
+        upTo.reports = std::prev(beyond)->theirs;
+    }
+    return upTo;
+}
+
+void NewsConfirmations::peerConfirmed(const std::string &peer, NewsPosition upTo)
+{
+    m_confirmed[peer] = upTo;
+}
+
+std::vector<std::string> NewsConfirmations::missing(NewsPosition position, const std::vector<std::string> &peers,
+                                                    TimePoint now) const
+{
+    std::vector<std::string> names;
+    for (const auto &[id, follower] : m_followers) {
+        if (isInLease(follower, now) && !reaches(follower.has, position)) {
+            names.push_back(id);
+        }
+    }
+    for (const std::string &peer : peers) {
+        const auto it = m_confirmed.find(peer);
+        const NewsPosition upTo = it == m_confirmed.end() ? NewsPosition{} : it->second;
+        if (!reaches(upTo, position)) {
+            names.push_back(peer);
+        }
+    }
+    return names;
+}
+
+void NewsConfirmations::forget(const std::vector<std::string> &peers, TimePoint now)
+{
+    const auto isUnknown = [&](const auto &it) {
+        return std::find(peers.begin(), peers.end(), it.first) == peers.end();
+    };
+    std::erase_if(m_merged, isUnknown);
+    std::erase_if(m_confirmed, isUnknown);
+    std::erase_if(m_followers,
+                  [&](const auto &it) { return now - it.second.askedAt > LeasesUntilForgotten * m_lease; });
+    collapse(now);
+}
+
+} // namespace pepperlug::fleet
