--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -45,6 +45,8 @@
     Duration shiftWindow = std::chrono::seconds(2);
     std::uint64_t linkBytesPerSecond = 0; ///< of this host's link, both ways together; 0 if it need not be minded
     std::uint64_t seed = 0;
+    /// Age from which on this host must take it that routes were added of which it has not heard.
+    Duration newsLease = NewsLease;
     BalancePolicy policy;
 };
 
@@ -62,6 +64,12 @@
     std::vector<TargetReport> remembered{}; ///< targets that nobody has confirmed since the control hosts' restart
 };
 
+/// A control host in touch with a majority told what was new.
+struct NewsReceived {
+    TimePoint askedAt{}; ///< all that it knew then is known here
+    bool isRoutingBehind = false; ///< but for newer routing, which is still on its way
+};
+
 struct CallerRequest {
     RequestId id{};
     std::string host;
@@ -109,8 +117,8 @@
 struct BalanceTick {
 };
 
-using BalanceEvent =
-    std::variant<RoutesChanged, ReportsChanged, CallerRequest, CallerLeft, AnswerBegun, AttemptEnded, BalanceTick>;
+using BalanceEvent = std::variant<RoutesChanged, ReportsChanged, NewsReceived, CallerRequest, CallerLeft, AnswerBegun,
+                                  AttemptEnded, BalanceTick>;
 
 //===-- Effects ---------------------------------------------------------------===//
 
@@ -146,6 +154,7 @@
 enum class Refusal : std::uint8_t {
     NoConfiguration, ///< none is known yet
     NoRoute,
+    RoutingLate, ///< no route that is known here, but there may be newer ones
     NoTarget, ///< no usable target of the service
     Overloaded, ///< would not be served within the objective
     LinkFull, ///< this host's link has no room for an answer of this size
@@ -193,6 +202,8 @@
     /// Part of this host's link that the answers which callers ask for would use; 0 if it need not be minded.
     double linkUse(TimePoint now) const;
     std::uint64_t tableVersion() const;
+    /// Whether a target that was chosen may still be sent a request that has not left yet.
+    bool maySendTo(const std::string &target) const;
     /// Targets that may be used now, of all services.
     std::size_t usableTargets(TimePoint now) const;
 
--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -36,6 +36,7 @@
     Address metrics; ///< where the figures are served
     std::vector<Address> seeds; ///< operators' addresses of some control hosts
     FleetBounds bounds;
+    Duration newsLease = NewsLease;
     unsigned logLinesPerSecond = 0;
     // Entry hosts.
     Address callers;
@@ -102,9 +103,6 @@
     {
         T::refusal(refusal)
         } -> std::same_as<Answer>;
-    {
-        T::readTable(text)
-        } -> std::same_as<RouteTable>;
     {
         T::isReadinessCheck(request)
         } -> std::same_as<bool>;
@@ -120,16 +118,13 @@
     bool (*answersRequest)(const std::vector<HeaderField> &headers, const std::string &requestId);
     AnswerTerms (*readAnswer)(const Answer &answer);
     Answer (*refusal)(const RefusalTerms &terms);
-    /// Throws Error or InvalidInput.
-    RouteTable (*readTable)(const std::string &text);
     bool (*isReadinessCheck)(const HttpRequest &request);
 };
 
 template <CallerDialect T>
 CallerDialectTable callerDialect()
 {
-    return {&T::readRequest, &T::targetHeaders, &T::answersRequest,  &T::readAnswer,
-            &T::refusal,     &T::readTable,     &T::isReadinessCheck};
+    return {&T::readRequest, &T::targetHeaders, &T::answersRequest, &T::readAnswer, &T::refusal, &T::isReadinessCheck};
 }
 
 //===-- What targets and operators say to control hosts ------------------------===//
@@ -203,6 +198,7 @@
     Answer (*redirect)(const HttpRequest &request, const std::string &address);
     Answer (*tableAnswer)(const std::string &text);
     Answer (*entryHosts)(const std::vector<std::string> &addresses, Milliseconds timeToLive);
+    /// Throws Error or InvalidInput.
     RouteTable (*readTable)(const std::string &text);
 };
 
--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -94,6 +94,8 @@
     Duration connectTimeout = std::chrono::seconds(1);
     /// A request that could not be sent within this time of start() is not sent any more.
     Duration sendWithin = std::chrono::hours(1);
+    /// Asked when the request is about to be sent, on the client's thread; false: it is not sent. Empty: always.
+    std::function<bool()> maySend;
     /// Whether the head of an answer belongs to this call; if not, its connection is dropped. Empty: any does.
     std::function<bool(const std::vector<HeaderField> &)> acceptsHead;
     /// Called with the head and the length of a large answer. If it returns true, the body goes to onPart as it
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -98,9 +98,14 @@
 /// one that did not may have begun to drain, and a host that has been in touch for some seconds must not send to it.
 constexpr Milliseconds RememberedTime{2500};
 
+/// An entry host that asked no control host for so long is not waited for when something is acknowledged, and by its
+/// own clock knows it. It asks twice a second, so that two asks in a row may fail; it ends well before what is promised
+/// of acknowledged departures and changes, 2 s and more.
+constexpr Milliseconds NewsLease{1800};
+
 struct RegistrySettings {
     Duration targetExpiry = std::chrono::seconds(6); ///< a target that was not heard for so long is silent
-    Duration hostExpiry = Milliseconds(1800); ///< the same for hosts
+    Duration hostExpiry = NewsLease; ///< the same for hosts
     Duration forgetAfter = std::chrono::seconds(60); ///< silent or gone reports are kept so long
 };
 
@@ -163,6 +168,7 @@
     template <typename Report>
     void expireIn(std::map<std::string, Entry<Report>> &table, TimePoint now, Duration expiry, bool mayExpire);
     void retireOthersAt(const TargetReport &report);
+    void hearAgain(const std::string &id);
 
     RegistrySettings m_settings;
     std::map<std::string, TargetEntry> m_targets;
--- a/include/pepperlug/Wire.h
+++ b/include/pepperlug/Wire.h
@@ -45,6 +45,12 @@
 
 enum class CallId : std::uint64_t {};
 
+/// What the time limit of a call bounds.
+enum class CallLimit : std::uint8_t {
+    Whole, ///< the time until the reply is there
+    Silence, ///< the time in which nothing comes from the peer, so that a long reply over a slow link arrives
+};
+
 /// Counters of all connections of one PeerNet.
 struct PeerTraffic {
     std::uint64_t bytesSent = 0;
@@ -65,7 +71,8 @@
     /// Listens; port 0 lets the kernel choose. Returns the address. Throws Error with step "listen".
     Address listen(const Address &address, CallHandler handler);
     /// Calls `path` at the peer. The handler is called exactly once unless stop() comes first.
-    CallId call(const Address &to, std::string path, std::string body, Duration timeout, ReplyHandler handler);
+    CallId call(const Address &to, std::string path, std::string body, Duration timeout, ReplyHandler handler,
+                CallLimit limit = CallLimit::Whole);
     /// Gives up on a call; the peer is told. The handler is called with a reply that was not delivered.
     void cancel(CallId id);
     /// Ends all connections and the thread. Handlers of open calls are dropped.
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -56,6 +56,8 @@
         return "no-configuration";
     case Refusal::NoRoute:
         return "no-route";
+    case Refusal::RoutingLate:
+        return "routing-late";
     case Refusal::NoTarget:
         return "no-target";
     case Refusal::Overloaded:
@@ -119,6 +121,18 @@
     followPlans();
 }
 
+void Balancer::Impl::on(const NewsReceived &event)
+{
+    m_lastNews = event;
+}
+
+// A caller that is told "no such route" does not ask again, so only a host may say it that would know of the route.
+// Routes that are known are served whatever the age of the view: a zone that is cut off serves on.
+bool Balancer::Impl::mayHaveMissedRoutes() const
+{
+    return !m_lastNews || m_lastNews->isRoutingBehind || m_now - m_lastNews->askedAt > m_settings.newsLease;
+}
+
 void Balancer::Impl::on(const CallerRequest &event)
 {
     OpenRequest open;
@@ -130,7 +144,7 @@
     }
     const Route *route = m_table->match(event.host, event.path);
     if (route == nullptr) {
-        refuse(open, Refusal::NoRoute);
+        refuse(open, mayHaveMissedRoutes() ? Refusal::RoutingLate : Refusal::NoRoute);
         return;
     }
     open.route = *route;
@@ -380,6 +394,11 @@
     return m_table ? m_table->version : 0;
 }
 
+bool Balancer::Impl::maySendTo(const std::string &target) const
+{
+    return m_targets.mayGetWork(target);
+}
+
 std::size_t Balancer::Impl::usableTargets(TimePoint now) const
 {
     return m_targets.usable(now);
@@ -417,6 +436,11 @@
     return m_impl->tableVersion();
 }
 
+bool Balancer::maySendTo(const std::string &target) const
+{
+    return m_impl->maySendTo(target);
+}
+
 std::size_t Balancer::usableTargets(TimePoint now) const
 {
     return m_impl->usableTargets(now);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -22,6 +22,7 @@
     std::vector<ServiceDemand> demand(TimePoint now) const;
     double linkUse(TimePoint now) const;
     std::uint64_t tableVersion() const;
+    bool maySendTo(const std::string &target) const;
     std::size_t usableTargets(TimePoint now) const;
 
 private:
@@ -59,6 +60,7 @@
     // Balancer.cpp
     void on(const RoutesChanged &event);
     void on(const ReportsChanged &event);
+    void on(const NewsReceived &event);
     void on(const CallerRequest &event);
     void on(const CallerLeft &event);
     void on(const AnswerBegun &event);
@@ -70,6 +72,7 @@
     void endOverdue();
     void hedgeSilent();
     void cancelAttempts(OpenRequest &open);
+    bool mayHaveMissedRoutes() const;
     bool maySendAgain(const OpenRequest &open, AttemptOutcome outcome);
     Milliseconds retryAfter(const OpenRequest &open, Duration drainTime);
 
@@ -90,6 +93,7 @@
     std::mt19937_64 m_random;
     TargetSet m_targets;
     std::shared_ptr<const RouteTable> m_table;
+    std::optional<NewsReceived> m_lastNews;
     std::map<std::string, unsigned> m_urgentPriority; ///< by service: the most urgent one among its routes
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
     std::map<std::string, RegionPlan> m_plans; ///< by service
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -267,6 +267,13 @@
     return it == m_targets.end() ? nullptr : &it->second;
 }
 
+bool TargetSet::mayGetWork(const std::string &id) const
+{
+    const auto it = m_targets.find(id);
+    return it != m_targets.end() && it->second.report.presence == Presence::Ready
+        && !m_evacuated.contains(it->second.report.zone);
+}
+
 void TargetSet::attemptStarted(TargetState &target, TimePoint now)
 {
     ++target.inFlight;
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -68,6 +68,8 @@
     /// Best target for a request; null if none is usable.
     TargetState *choose(const TargetQuery &query, TimePoint now);
     TargetState *find(const std::string &id);
+    /// Whether it has neither left nor begun to, and its zone is not evacuated.
+    bool mayGetWork(const std::string &id) const;
 
     void attemptStarted(TargetState &target, TimePoint now);
     void attemptEnded(const std::string &id, AttemptOutcome outcome, const std::optional<TargetLoad> &load,
--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-/// What a reply may take besides the time for which it is held back.
+/// How long nothing may come from the asked host besides the time for which it holds the reply back.
 constexpr Milliseconds ReplyTime{700};
 constexpr Milliseconds PauseAfterFailure{150};
 
@@ -67,7 +67,9 @@
 {
     FleetWatchCall call;
     call.self = m_hooks.self();
-    call.routingIndex = m_hooks.routingIndex();
+    const RoutingPosition routing = m_hooks.routing();
+    call.routingIndex = routing.has;
+    call.routingHeard = routing.heard;
     std::uint64_t number = 0;
     {
         const std::lock_guard lock(m_mutex);
@@ -78,8 +80,12 @@
         number = ++m_askNumber;
         m_askedAt = m_clock.now();
     }
-    const CallId id = m_net.call(to, path::FleetWatch, encode(call), m_patience + ReplyTime,
-                                 [this, to, number](const PeerReply &reply) { onReply(to, number, reply); });
+    if (m_hooks.confirmed) {
+        call.confirmed = m_hooks.confirmed(to, call.epoch);
+    }
+    const CallId id = m_net.call(
+        to, path::FleetWatch, encode(call), m_patience + ReplyTime,
+        [this, to, number](const PeerReply &reply) { onReply(to, number, reply); }, CallLimit::Silence);
     const std::lock_guard lock(m_mutex);
     if (number == m_askNumber) {
         m_call = id;
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "pepperlug/Registry.h"
+#include "pepperlug/Routes.h"
 
 namespace pepperlug::fleet::path
 {
 constexpr const char *FleetWatch = "/fleet/watch";
+constexpr const char *FleetRouting = "/fleet/routing";
 constexpr const char *FleetJoin = "/fleet/join";
 } // namespace pepperlug::fleet::path
 
@@ -18,8 +20,12 @@
     std::string epoch; ///< of the asked host's registry, as known to the asker; empty at first
     std::uint64_t since = 0; ///< registry version that the asker has
     std::uint64_t routingIndex = 0; ///< log index of the routing that the asker has
+    std::uint64_t routingHeard =
+        0; ///< of the newest routing that it has heard of, and is fetching if it has not got it
     Milliseconds patience{}; ///< how long the reply may be held back
-    MSGPACK_DEFINE(self, epoch, since, routingIndex, patience);
+    NewsPosition
+        confirmed; ///< of a control host: up to which news of the asked host it and all its followers have come
+    MSGPACK_DEFINE(self, epoch, since, routingIndex, routingHeard, patience, confirmed);
 };
 
 /// Reply to path::FleetWatch.
@@ -31,12 +37,23 @@
     bool isWhole = false; ///< `changes` holds all that the replying host knows
     std::vector<RegionDemand> demand; ///< for entry hosts: load of all regions
     std::vector<TargetReport> remembered; ///< for entry hosts that know nothing: from before the told host's restart
-    bool hasRouting = false; ///< the following fields are set
-    std::uint64_t routingIndex = 0;
-    std::string tableText; ///< empty: none was ever put
-    std::vector<std::string> evacuatedZones;
-    MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, remembered, hasRouting, routingIndex, tableText,
-                   evacuatedZones);
+    std::uint64_t routingIndex = 0; ///< for entry hosts: log index of the newest routing
+    /// For entry hosts that have an older one: what changed since, where it is short; a long one is asked for apart, so
+    /// that nothing else queues behind it.
+    std::vector<std::string> routingChanges;
+    MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, remembered, routingIndex, routingChanges);
+};
+
+/// Body of path::FleetRouting: an entry host asks for what changed in the routing.
+struct FleetRoutingCall {
+    std::uint64_t index = 0; ///< log index of the routing that it has
+    MSGPACK_DEFINE(index);
+};
+
+/// Reply to path::FleetRouting.
+struct FleetRoutingReply {
+    std::vector<std::string> changes; ///< RoutingHistory::since()
+    MSGPACK_DEFINE(changes);
 };
 
 /// Body of path::FleetJoin: a control host asks to be a member.
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -37,6 +37,7 @@
     balance.maxShift = settings.bounds.maxShift;
     balance.linkBytesPerSecond = settings.linkBytesPerSecond;
     balance.seed = hash64(incarnation);
+    balance.newsLease = settings.newsLease;
     balance.policy = settings.policy;
     return balance;
 }
@@ -68,9 +69,9 @@
         const std::lock_guard lock(m_mutex);
         return selfReport();
     };
-    hooks.routingIndex = [this] {
+    hooks.routing = [this] {
         const std::lock_guard lock(m_mutex);
-        return m_routingIndex;
+        return RoutingPosition{m_routing.index, m_routingHeard};
     };
     hooks.candidates = [this] {
         return controlHosts();
@@ -118,6 +119,9 @@
     report.address = m_settings.callers.text();
     report.peer = m_settings.peer.text();
     report.presence = m_isStopping ? Presence::Draining : Presence::Ready;
+    if (m_isGone) {
+        report.presence = Presence::Gone;
+    }
     report.demand = m_balancer->demand(m_clock.now());
     report.linkUse = m_balancer->linkUse(m_clock.now());
     report.sequence = ++m_sequence;
@@ -178,8 +182,7 @@
                         {"took_ms", std::chrono::duration_cast<Milliseconds>(receipt.took).count()},
                         {"bytes", receipt.bytes},
                         {"targets", reply.changes.targets.size()},
-                        {"whole", reply.isWhole},
-                        {"routing", reply.hasRouting ? reply.routingIndex : 0}});
+                        {"whole", reply.isWhole}});
     }
     for (const AgedReport<TargetReport> &it : reply.changes.targets) {
         // A line for each of some hundred targets that are as they should be would push the decisions out.
@@ -202,15 +205,6 @@
 void GatewayDaemon::Impl::onControlReply(const NewsReceipt &receipt, const FleetWatchReply &reply)
 {
     logReply(receipt, reply);
-    std::shared_ptr<RouteTable> table;
-    if (reply.hasRouting && !reply.tableText.empty()) {
-        try {
-            table = std::make_shared<RouteTable>(m_dialect.readTable(reply.tableText));
-        } catch (const Error &ex) {
-            // It was checked before it was agreed on, so this host speaks another version of the dialect.
-            m_events.state("table-unreadable", {{"index", reply.routingIndex}, {"reason", ex.what()}});
-        }
-    }
     {
         const std::lock_guard lock(m_mutex);
         if (reply.isCurrent) {
@@ -227,23 +221,8 @@
     if (!reply.changes.empty() || reply.isWhole || !reply.demand.empty()) {
         reduce(ReportsChanged{reply.changes, reply.isWhole, reply.demand, reply.remembered});
     }
-    if (!table) {
-        return;
-    }
-    {
-        const std::lock_guard lock(m_mutex);
-        if (reply.routingIndex <= m_routingIndex) {
-            return;
-        }
-        m_routingIndex = reply.routingIndex;
-    }
-    m_events.state("routing",
-                   {{"index", reply.routingIndex},
-                    {"table", table->version},
-                    {"evacuated", reply.evacuatedZones},
-                    {"from", receipt.from.text()}});
-    m_metrics.gauge("pepperlug_routing_index", static_cast<double>(reply.routingIndex));
-    reduce(RoutesChanged{table, {reply.evacuatedZones.begin(), reply.evacuatedZones.end()}});
+    followRouting(receipt.from, reply);
+    tellAgeOfNews();
 }
 
 bool GatewayDaemon::Impl::isReady()
@@ -296,8 +275,10 @@
     {
         const std::lock_guard lock(m_mutex);
         m_isClosed = true;
+        m_isGone = true;
         open = m_open.size();
     }
+    m_watch->hurry();
     m_events.state("stopped", {{"open_requests", open}});
     std::this_thread::sleep_for(LastAnswers);
 }
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -49,6 +49,11 @@
     std::vector<Address> controlHosts();
     void onControlReply(const NewsReceipt &receipt, const FleetWatchReply &reply);
     void logReply(const NewsReceipt &receipt, const FleetWatchReply &reply);
+    void followRouting(const Address &from, const FleetWatchReply &reply);
+    void fetchRouting(const Address &from);
+    void onRoutingFetched(const Address &from, TimePoint askedAt, const PeerReply &reply);
+    void adoptRouting(const Address &from, const std::vector<std::string> &changes);
+    void tellAgeOfNews();
     Milliseconds viewAge() const;
     void onLink(const Address &control, bool isLost, const std::string &reason);
     void onReadiness(const HttpExchangePtr &exchange);
@@ -84,11 +89,15 @@
     std::unordered_map<std::uint64_t, OpenExchange> m_open;
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_sequence = 0;
-    std::uint64_t m_routingIndex = 0;
+    RoutingView m_routing; ///< what the balancer decides by
+    std::uint64_t m_routingHeard = 0; ///< log index of the newest routing that a control host told of
+    bool m_isFetchingRouting = false;
+    bool m_wantsWholeRouting = false; ///< the last changes did not fit what is known here
     std::map<std::string, HostReport> m_controlHosts; ///< live ones, by id
     std::optional<TimePoint> m_viewAsOf; ///< all that a control host in touch with a majority knew then is known here
     bool m_isStopping = false; ///< no caller is sent here any more
     bool m_isClosed = false; ///< no request is passed on any more
+    bool m_isGone = false; ///< nothing that is acknowledged from now on needs this host
 
     PeerNet m_net;
     std::unique_ptr<ControlWatch> m_watch;
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -93,6 +93,11 @@
     call.timeout = effect.timeLeft + ClientMargin;
     call.connectTimeout = std::min<Duration>(ConnectTimeout, effect.timeLeft);
     call.sendWithin = SendTime;
+    // What this host has confirmed to have taken over must hold for requests that still wait for a connection.
+    call.maySend = [this, target = effect.target] {
+        const std::lock_guard lock(m_mutex);
+        return m_balancer->maySendTo(target);
+    };
     call.acceptsHead = [accepts = m_dialect.answersRequest,
                         id = open.terms.requestId](const std::vector<HeaderField> &headers) {
         return accepts(headers, id);
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -16,7 +16,6 @@
 {
 
 constexpr Milliseconds TickInterval{25};
-constexpr Milliseconds SelfReportInterval{500};
 constexpr Milliseconds JoinInterval{300};
 constexpr Milliseconds PeerPatience{300};
 constexpr auto MessageTimeout = std::chrono::seconds(1);
@@ -60,6 +59,7 @@
     , m_events(m_settings.name, clock, m_settings.logLinesPerSecond)
     , m_epoch(randomHex(IncarnationBytes))
     , m_incarnation(m_settings.name + "#" + m_epoch)
+    , m_confirmations(m_settings.newsLease)
     , m_startedAt(clock.now())
 {
     m_log = std::make_unique<ControlLog>(logSettings(m_settings), m_clock, *this);
@@ -100,7 +100,7 @@
         reportSelf(now);
         expire(now);
         replyWatchers(now);
-        settleDepartures(now);
+        settle(now);
         followCallers(now);
         remember(now);
     }
@@ -117,6 +117,7 @@
         m_events.state("remembered-unreadable", {{"reason", ex.what()}});
     }
     if (m_remembered) {
+        m_rememberedHistory.append(viewOf(m_remembered->routing));
         m_events.state("remembered",
                        {{"routing", m_remembered->routing.index()}, {"targets", m_remembered->targets.size()}});
     }
@@ -164,6 +165,7 @@
     }
     m_nextSelfReport = now + SelfReportInterval;
     m_registry.receive(selfReport(), now);
+    m_confirmations.forget(followedControlHosts(now), now);
 }
 
 void RegistryDaemon::Impl::expire(TimePoint now)
@@ -233,9 +235,13 @@
                     const std::lock_guard guard(m_mutex);
                     return selfReport();
                 };
-                hooks.routingIndex = [this] {
+                hooks.routing = [this] {
                     const std::lock_guard guard(m_mutex);
-                    return m_routing.index();
+                    return RoutingPosition{m_routing.index(), m_routing.index()};
+                };
+                hooks.confirmed = [this](const Address &to, const std::string &epoch) {
+                    const std::lock_guard guard(m_mutex);
+                    return confirmedTo(to, epoch);
                 };
                 hooks.candidates = [peer] {
                     return std::vector<Address>{peer};
@@ -264,7 +270,10 @@
     {
         const std::lock_guard lock(m_mutex);
         result = m_routing.apply(decoded, index);
-        replyWatchers(m_clock.now());
+        if (result == RoutingResult::Done) {
+            publishRouting();
+            replyWatchers(m_clock.now());
+        }
     }
     if (result == RoutingResult::Done) {
         m_events.state(
@@ -288,9 +297,35 @@
 {
     const std::lock_guard lock(m_mutex);
     m_routing.restore(data);
+    publishRouting();
     replyWatchers(m_clock.now());
 }
 
+RoutingView RegistryDaemon::Impl::viewOf(const RoutingState &routing) const
+{
+    RoutingView view{routing.index(), nullptr, routing.evacuatedZones()};
+    if (!routing.text().empty()) {
+        view.table = std::make_shared<const RouteTable>(m_dialect.readTable(routing.text()));
+    }
+    return view;
+}
+
+void RegistryDaemon::Impl::publishRouting()
+{
+    m_routingChangedAt = m_clock.now();
+    try {
+        m_history.append(viewOf(m_routing));
+    } catch (const Error &ex) {
+        // It was checked before it was agreed on, so this host speaks another version of the dialect.
+        m_events.state("table-unreadable", {{"index", m_routing.index()}, {"reason", ex.what()}});
+        return;
+    }
+    const RoutingView &view = m_history.view();
+    m_hasHomes = view.table && std::any_of(view.table->routes.begin(), view.table->routes.end(), [](const Route &it) {
+                     return !it.homeRegions.empty();
+                 });
+}
+
 void RegistryDaemon::Impl::statusChanged(const ControlLogStatus &status)
 {
     nlohmann::json members = nlohmann::json::array();
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -11,6 +11,9 @@
 namespace pepperlug::fleet
 {
 
+/// How often a control host renews what it says of itself.
+constexpr Milliseconds SelfReportInterval{500};
+
 class RegistryDaemon::Impl final : public ControlLogClient
 {
 public:
@@ -47,6 +50,13 @@
     // RegistryPeers.cpp
     void onPeerCall(const IncomingCallPtr &call);
     void onWatch(const IncomingCallPtr &call);
+    void onRouting(const IncomingCallPtr &call);
+    void noteConfirmations(const FleetWatchCall &ask, bool isSameEpoch, TimePoint now);
+    std::vector<std::string> followedControlHosts(TimePoint now) const;
+    bool mayConfirm(TimePoint now) const;
+    NewsPosition confirmedTo(const Address &to, const std::string &epoch) const;
+    std::vector<std::string> unconfirmed(NewsPosition position, TimePoint now) const;
+    const RoutingHistory &historyFor(bool knowsNothing) const;
     bool hasNews(const FleetWatchCall &call) const;
     FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now) const;
     void replyWatchers(TimePoint now);
@@ -64,11 +74,15 @@
     void respondDecided(const HttpExchangePtr &exchange, RoutingResult result, const std::string &subject);
     void sendElsewhere(const HttpExchangePtr &exchange, const std::string &leader);
     std::string operatorsAddressOf(const std::string &peer);
+    void settle(TimePoint now);
     void settleDepartures(TimePoint now);
+    void awaitConfirmation(const HttpExchangePtr &exchange, const std::string &subject, bool isAgain);
+    void settleChanges(TimePoint now);
     std::vector<std::string> entryHostsFor(const std::string &zone);
     std::vector<std::string> liveEntryHosts(const std::string &region) const;
     void followCallers(TimePoint now);
-    bool tableHasHomes();
+    void publishRouting();
+    RoutingView viewOf(const RoutingState &routing) const;
 
     /// A held ask of another host.
     struct Watcher {
@@ -77,7 +91,18 @@
         TimePoint until{};
     };
 
-    /// A target's departure that is acknowledged once a majority of the control hosts knows of it.
+    /// A change of the routing that is acknowledged once it is in force at all entry hosts in touch.
+    struct Change {
+        HttpExchangePtr exchange;
+        std::string subject;
+        bool isAgain = false; ///< it was taken before
+        std::uint64_t index = 0;
+        TimePoint since{};
+        TimePoint until{};
+    };
+
+    /// A target's departure that is acknowledged once a majority of the control hosts and all entry hosts in touch know
+    /// of it.
     struct Departure {
         HttpExchangePtr exchange;
         std::string target;
@@ -97,14 +122,17 @@
     mutable std::mutex m_mutex; ///< guards what follows, down to m_peers
     Registry m_registry;
     RoutingState m_routing;
+    RoutingHistory m_history; ///< of m_routing, as entry hosts are told of it
+    TimePoint m_routingChangedAt{};
+    NewsConfirmations m_confirmations;
     CallerShares m_shares;
     TimePoint m_nextShares{};
-    std::uint64_t m_homesIndex = 0; ///< routing for which m_hasHomes holds
-    bool m_hasHomes = false;
+    bool m_hasHomes = false; ///< some route of the table has home regions
     std::uint64_t m_sequence = 0;
     bool m_isLeaving = false;
     std::vector<Watcher> m_watchers;
     std::vector<Departure> m_departures;
+    std::vector<Change> m_changes;
     std::map<std::string, std::uint64_t> m_seenBy; ///< registry version that each control host has, by peer address
     TimePoint m_startedAt{};
     TimePoint m_currentSince{};
@@ -112,6 +140,7 @@
     TimePoint m_nextSelfReport{};
     TimePoint m_nextJoin{};
     std::optional<Remembered> m_remembered; ///< from before the restart, for a while
+    RoutingHistory m_rememberedHistory;
     TimePoint m_nextRemember{};
     std::uint64_t m_rememberedVersion = 0; ///< of the registry, when the file was written last
     std::uint64_t m_rememberedIndex = 0; ///< of the routing, likewise
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -1,6 +1,8 @@
 //===- RegistryPeers.cpp - What other hosts ask of a control host ---------===//
 #include "RegistryImpl.h"
 
+#include <numeric>
+
 namespace pepperlug::fleet
 {
 
@@ -10,6 +12,9 @@
 constexpr unsigned Ok = 200;
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
+/// Changes of the routing that are no longer than this come with the reply. On a link of 4 Mbit/s, the narrowest that
+/// was met, departures of targets wait 16 ms behind them, less than for the next tick of their host.
+constexpr std::size_t ShortChanges = 8 * 1024;
 
 } // namespace
 
@@ -20,6 +25,10 @@
             onWatch(call);
             return;
         }
+        if (call->path() == path::FleetRouting) {
+            onRouting(call);
+            return;
+        }
         if (call->path() == path::FleetJoin) {
             const auto join = decode<MembershipCall>(call->body(), call->peer());
             m_log->post(JoinRequested{join.name, join.diskId, join.zone});
@@ -47,23 +56,93 @@
     const TimePoint now = m_clock.now();
     watcher.until = now + watcher.ask.patience;
     const std::lock_guard lock(m_mutex);
-    if (watcher.ask.epoch != m_epoch) {
+    const bool isSameEpoch = watcher.ask.epoch == m_epoch;
+    if (!isSameEpoch) {
         watcher.ask.since = 0;
     }
-    const HostReport &self = watcher.ask.self;
-    m_registry.receive(self, now);
-    if (self.role == HostRole::Control) {
-        std::uint64_t &seen = m_seenBy[self.peer];
-        seen = watcher.ask.since;
+    // An ask that comes after a later one, over a connection that was slow, says nothing of what the host has now.
+    if (m_registry.receive(watcher.ask.self, now)) {
+        noteConfirmations(watcher.ask, isSameEpoch, now);
     }
     m_watchers.push_back(std::move(watcher));
     replyWatchers(now);
-    settleDepartures(now);
+    settle(now);
+}
+
+void RegistryDaemon::Impl::noteConfirmations(const FleetWatchCall &ask, bool isSameEpoch, TimePoint now)
+{
+    const HostReport &self = ask.self;
+    if (self.role == HostRole::Control) {
+        m_seenBy[self.peer] = ask.since;
+        // Positions of an earlier life of this host mean nothing now.
+        m_confirmations.peerConfirmed(self.peer, isSameEpoch ? ask.confirmed : NewsPosition{});
+        return;
+    }
+    if (self.presence == Presence::Gone) {
+        m_confirmations.followerLeft(self.id);
+        return;
+    }
+    m_confirmations.followerHas(self.id, {ask.since, ask.routingIndex}, now);
+}
+
+// Entry hosts may follow a control host that has ended for as long as their lease goes on.
+std::vector<std::string> RegistryDaemon::Impl::followedControlHosts(TimePoint now) const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[id, entry] : m_registry.hosts()) {
+        const HostReport &host = entry.report;
+        const bool mayBeFollowed = now - entry.heardAt <= m_settings.newsLease + SelfReportInterval;
+        if (host.role == HostRole::Control && host.id != m_incarnation && mayBeFollowed) {
+            hosts.push_back(host.peer);
+        }
+    }
+    return hosts;
+}
+
+// The followers of this host's former life may not have asked it again yet.
+bool RegistryDaemon::Impl::mayConfirm(TimePoint now) const
+{
+    return m_settings.isFirstStart || now - m_startedAt > m_settings.newsLease;
+}
+
+NewsPosition RegistryDaemon::Impl::confirmedTo(const Address &to, const std::string &epoch) const
+{
+    const TimePoint now = m_clock.now();
+    return mayConfirm(now) ? m_confirmations.confirmedTo(to.text(), epoch, m_routing.index(), now) : NewsPosition{};
+}
+
+// Names of hosts that may still act upon older news; empty if a position holds everywhere.
+std::vector<std::string> RegistryDaemon::Impl::unconfirmed(NewsPosition position, TimePoint now) const
+{
+    if (!mayConfirm(now)) {
+        return {m_settings.name};
+    }
+    return m_confirmations.missing(position, followedControlHosts(now), now);
+}
+
+// A host that knows nothing may have what is remembered from before a restart.
+const RoutingHistory &RegistryDaemon::Impl::historyFor(bool knowsNothing) const
+{
+    const bool isRemembered = knowsNothing && m_remembered && m_rememberedHistory.index() > m_history.index();
+    return isRemembered ? m_rememberedHistory : m_history;
+}
+
+void RegistryDaemon::Impl::onRouting(const IncomingCallPtr &call)
+{
+    const auto ask = decode<FleetRoutingCall>(call->body(), call->peer());
+    FleetRoutingReply reply;
+    {
+        const std::lock_guard lock(m_mutex);
+        reply.changes = historyFor(ask.index == 0).since(ask.index);
+    }
+    std::string body = encode(reply);
+    m_metrics.count("pepperlug_news_bytes{to=\"entry\"}", body.size());
+    call->reply(Ok, std::move(body));
 }
 
 bool RegistryDaemon::Impl::hasNews(const FleetWatchCall &call) const
 {
-    return call.since == 0 || m_registry.changedVersion() > call.since || m_routing.index() > call.routingIndex;
+    return call.since == 0 || m_registry.changedVersion() > call.since || m_history.index() > call.routingHeard;
 }
 
 FleetWatchReply RegistryDaemon::Impl::makeReply(const FleetWatchCall &call, TimePoint now) const
@@ -79,17 +158,18 @@
         return reply;
     }
     reply.demand = m_registry.demand(m_settings.regionOfZone);
-    const RoutingState *routing = &m_routing;
     const bool knowsNothing = call.routingIndex == 0 && call.since == 0;
     if (knowsNothing && m_remembered) {
         reply.remembered = unheardOf(m_remembered->targets, m_registry);
-        routing = m_remembered->routing.index() > m_routing.index() ? &m_remembered->routing : &m_routing;
     }
-    if (routing->index() > call.routingIndex) {
-        reply.hasRouting = true;
-        reply.routingIndex = routing->index();
-        reply.tableText = routing->text();
-        reply.evacuatedZones.assign(routing->evacuatedZones().begin(), routing->evacuatedZones().end());
+    const RoutingHistory &history = historyFor(knowsNothing);
+    reply.routingIndex = history.index();
+    std::vector<std::string> changes = history.since(call.routingIndex);
+    const auto addSize = [](std::size_t sum, const std::string &it) {
+        return sum + it.size();
+    };
+    if (std::accumulate(changes.begin(), changes.end(), std::size_t{0}, addSize) <= ShortChanges) {
+        reply.routingChanges = std::move(changes);
     }
     return reply;
 }
@@ -119,6 +199,9 @@
     {
         const std::lock_guard lock(m_mutex);
         isAllKnown = m_registry.merge(reply.changes, now);
+        if (isAllKnown) {
+            m_confirmations.merged(receipt.from.text(), reply.epoch, reply.version, m_registry.version());
+        }
         replyWatchers(now);
         const auto it = m_peers.find(receipt.from);
         watch = it == m_peers.end() ? nullptr : it->second.get();
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -1,7 +1,9 @@
 //===- RegistryRequests.cpp - Targets, operators and callers at control ---===//
 //
-// A target's departure is acknowledged only when a majority of the control hosts knows of it: every entry host that is
-// in touch follows one that hears from that majority. A change of the routing is acknowledged when it is agreed on.
+// What is acknowledged holds. A target's departure is acknowledged when a majority of the control hosts knows of it, so
+// that it is not forgotten, and when all entry hosts that were heard within their lease have confirmed it, since only
+// they could break it. A change of the routing is acknowledged when it is agreed on and the entry hosts have confirmed
+// it likewise.
 //
 //===----------------------------------------------------------------------===//
 #include "RegistryImpl.h"
@@ -17,6 +19,12 @@
 
 /// Targets turn to another host after a second.
 constexpr Milliseconds DeparturePatience{900};
+/// Part of the time in which operators expect an answer, for which a change waits for confirmations. The rest is for
+/// agreeing on it and for the ways. After it the change is acknowledged all the same: it is decided, and one host that
+/// hangs must not hold up all operators.
+constexpr double ConfirmPart = 0.75;
+/// Hosts that a line names.
+constexpr std::size_t NamedHosts = 5;
 constexpr Milliseconds DirectoryTimeToLive{1000};
 constexpr Milliseconds SharesInterval{250};
 
@@ -26,6 +34,12 @@
                                                         : "zone " + command.zone;
 }
 
+std::vector<std::string> firstOf(std::vector<std::string> names)
+{
+    names.resize(std::min(names.size(), NamedHosts));
+    return names;
+}
+
 } // namespace
 
 void RegistryDaemon::Impl::onHttp(const HttpExchangePtr &exchange)
@@ -69,7 +83,8 @@
         }
         replyWatchers(now);
         if (isDeparture) {
-            m_departures.push_back({exchange, report.id, entry->changedVersion, now, now + DeparturePatience});
+            // Not the version at which it became known: others may have told of it, and may have ended since.
+            m_departures.push_back({exchange, report.id, m_registry.version(), now, now + DeparturePatience});
             settleDepartures(now);
         }
     }
@@ -78,6 +93,12 @@
     }
 }
 
+void RegistryDaemon::Impl::settle(TimePoint now)
+{
+    settleDepartures(now);
+    settleChanges(now);
+}
+
 void RegistryDaemon::Impl::settleDepartures(TimePoint now)
 {
     if (m_departures.empty()) {
@@ -100,18 +121,19 @@
         return knowing * 2 > voters;
     };
     std::erase_if(m_departures, [&](const Departure &departure) {
-        const bool isDone = isSpread(departure);
+        const std::vector<std::string> missing = unconfirmed({departure.version, 0}, now);
+        const bool isDone = missing.empty() && isSpread(departure);
         if (!isDone && now < departure.until) {
             return false;
         }
         m_events.state(isDone ? "departure-acknowledged" : "departure-not-spread",
                        {{"target", departure.target},
                         {"registry_version", departure.version},
+                        {"missing", firstOf(missing)},
                         {"took_ms", std::chrono::duration_cast<Milliseconds>(now - departure.since).count()}});
         m_metrics.latency("pepperlug_departure_seconds", now - departure.since);
-        departure.exchange->respond(
-            m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
-                                    isDone ? "" : "no majority of control hosts knows of it yet"));
+        departure.exchange->respond(m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
+                                                            isDone ? "" : "not all hosts know of it yet"));
         return true;
     });
 }
@@ -180,15 +202,43 @@
     });
 }
 
+void RegistryDaemon::Impl::awaitConfirmation(const HttpExchangePtr &exchange, const std::string &subject, bool isAgain)
+{
+    const TimePoint now = m_clock.now();
+    const std::lock_guard lock(m_mutex);
+    const auto patience = std::chrono::duration_cast<Duration>(m_settings.bounds.acknowledge * ConfirmPart);
+    m_changes.push_back({exchange, subject, isAgain, m_routing.index(), now, m_routingChangedAt + patience});
+    settleChanges(now);
+}
+
+void RegistryDaemon::Impl::settleChanges(TimePoint now)
+{
+    std::erase_if(m_changes, [&](const Change &change) {
+        const std::vector<std::string> missing = unconfirmed({0, change.index}, now);
+        if (!missing.empty() && now < change.until) {
+            return false;
+        }
+        if (!missing.empty()) {
+            m_events.state("change-not-confirmed",
+                           {{"change", change.subject}, {"hosts", missing.size()}, {"missing", firstOf(missing)}});
+        }
+        m_events.decision("change-acknowledged",
+                          {{"change", change.subject},
+                           {"again", change.isAgain},
+                           {"took_ms", std::chrono::duration_cast<Milliseconds>(now - change.since).count()}});
+        m_metrics.latency("pepperlug_change_seconds", now - change.since);
+        change.exchange->respond(m_dialect.controlAnswer(ControlAnswer::Done, {}));
+        return true;
+    });
+}
+
 void RegistryDaemon::Impl::respondDecided(const HttpExchangePtr &exchange, RoutingResult result,
                                           const std::string &subject)
 {
     switch (result) {
     case RoutingResult::Done:
     case RoutingResult::AlreadyDone:
-        m_events.decision("change-acknowledged",
-                          {{"change", subject}, {"again", result == RoutingResult::AlreadyDone}});
-        exchange->respond(m_dialect.controlAnswer(ControlAnswer::Done, {}));
+        awaitConfirmation(exchange, subject, result == RoutingResult::AlreadyDone);
         return;
     case RoutingResult::Conflict:
         m_events.decision("change-conflicts", {{"change", subject}});
@@ -256,19 +306,6 @@
     m_shares.follow(regions, now);
 }
 
-// Callers of routes with home regions may not be sent elsewhere.
-bool RegistryDaemon::Impl::tableHasHomes()
-{
-    if (m_homesIndex == m_routing.index() || m_routing.text().empty()) {
-        return m_hasHomes;
-    }
-    m_homesIndex = m_routing.index();
-    const RouteTable table = m_dialect.readTable(m_routing.text());
-    m_hasHomes =
-        std::any_of(table.routes.begin(), table.routes.end(), [](const Route &it) { return !it.homeRegions.empty(); });
-    return m_hasHomes;
-}
-
 std::vector<std::string> RegistryDaemon::Impl::liveEntryHosts(const std::string &region) const
 {
     std::vector<std::string> addresses;
@@ -290,7 +327,8 @@
         return liveEntryHosts({});
     }
     const GuestShare guests = m_shares.guestsOf(region);
-    if (guests.part <= 0 || tableHasHomes()) {
+    // Callers of routes with home regions may not be sent elsewhere.
+    if (guests.part <= 0 || m_hasHomes) {
         return hosts;
     }
     const double wanted = static_cast<double>(hosts.size()) * guests.part / (1 - guests.part);
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -67,6 +67,7 @@
     unsigned sendings = 0;
     std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
     bool isTooLarge = false;
+    bool isWithdrawn = false; ///< what led to it had changed before it was sent
     bool isLarge = false;
     bool isPassedOn = false; ///< the body goes to the call's handler as it arrives
 };
@@ -144,7 +145,9 @@
 {
     auto *transfer = static_cast<Transfer *>(self);
     // What led to this call may be out of date by now.
-    if (std::chrono::steady_clock::now() - transfer->startedAt > transfer->call.sendWithin) {
+    const bool isLate = std::chrono::steady_clock::now() - transfer->startedAt > transfer->call.sendWithin;
+    transfer->isWithdrawn = isLate || (transfer->call.maySend && !transfer->call.maySend());
+    if (transfer->isWithdrawn) {
         return CURL_PREREQFUNC_ABORT;
     }
     ++transfer->sendings;
@@ -235,7 +238,7 @@
         result.answer.status = static_cast<unsigned>(status);
         return result;
     }
-    result.reason = curl_easy_strerror(code);
+    result.reason = transfer.isWithdrawn ? "not sent any more" : curl_easy_strerror(code);
     result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
     if (transfer.isTooLarge) {
         result.kind = HttpResult::Kind::TooLarge;
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -170,10 +170,21 @@
     const bool isTaken = take(m_targets, report, now, true);
     if (isTaken) {
         retireOthersAt(report);
+    } else if (report.presence != Presence::Ready) {
+        hearAgain(report.id);
     }
     return isTaken;
 }
 
+// A target that repeats its departure was not acknowledged. Whoever told of it first may have ended, so this host, which is
+// asked for the promise now, passes it on itself.
+void Registry::hearAgain(const std::string &id)
+{
+    TargetEntry &entry = m_targets[id];
+    entry.isDirect = true;
+    entry.heardVersion = ++m_version;
+}
+
 bool Registry::receive(const HostReport &report, TimePoint now)
 {
     return take(m_hosts, report, now, true);
--- a/lib/Wire/PeerNet.cpp
+++ b/lib/Wire/PeerNet.cpp
@@ -16,6 +16,9 @@
 {
 
 constexpr auto ConnectTimeout = std::chrono::seconds(2);
+/// A call whose limit is on silence ends after so many limits in any case: other calls of the same connection may keep
+/// it from being silent while the peer has forgotten this one.
+constexpr int MostLimits = 8;
 
 tcp::endpoint endpointOf(const Address &address)
 {
@@ -67,7 +70,8 @@
         return {address.ip, port};
     }
 
-    CallId call(const Address &to, std::string path, std::string body, Duration timeout, ReplyHandler handler)
+    CallId call(const Address &to, std::string path, std::string body, Duration timeout, ReplyHandler handler,
+                CallLimit limit)
     {
         const auto id = static_cast<CallId>(++m_lastCall);
         auto open = std::make_shared<OpenCall>();
@@ -75,6 +79,7 @@
         open->body = std::move(body);
         open->handler = std::move(handler);
         open->timeout = timeout;
+        open->limit = limit;
         asio::post(m_context, [this, id, to, open] { start(id, to, open); });
         return id;
     }
@@ -126,6 +131,7 @@
         std::string body;
         ReplyHandler handler;
         Duration timeout{};
+        CallLimit limit{};
         std::chrono::steady_clock::time_point startedAt;
         Address to;
         std::unique_ptr<asio::steady_timer> timer;
@@ -166,14 +172,9 @@
     {
         open->to = to;
         open->startedAt = std::chrono::steady_clock::now();
-        open->timer = std::make_unique<asio::steady_timer>(
-            m_context, std::chrono::duration_cast<asio::steady_timer::duration>(open->timeout));
-        open->timer->async_wait([this, id](const boost::system::error_code &ec) {
-            if (!ec) {
-                giveUp(id, "timed out");
-            }
-        });
+        open->timer = std::make_unique<asio::steady_timer>(m_context);
         m_calls[id] = open;
+        limitUntil(id, *open, open->startedAt + open->timeout);
         Peer &peer = m_peers[to];
         if (peer.connection && peer.connection->isOpen()) {
             submit(id, *open, peer.connection);
@@ -185,6 +186,36 @@
         }
     }
 
+    void limitUntil(CallId id, OpenCall &open, std::chrono::steady_clock::time_point end)
+    {
+        open.timer->expires_at(end);
+        open.timer->async_wait([this, id](const boost::system::error_code &ec) {
+            if (!ec) {
+                onLimit(id);
+            }
+        });
+    }
+
+    // Whoever gives up a reply that is on its way, and asks for it anew, fills a slow link with replies that nobody
+    // reads.
+    void onLimit(CallId id)
+    {
+        const auto it = m_calls.find(id);
+        if (it == m_calls.end()) {
+            return;
+        }
+        OpenCall &open = *it->second;
+        const std::shared_ptr<Http2Connection> connection = open.connection.lock();
+        const auto now = std::chrono::steady_clock::now();
+        const bool isBounded = open.limit == CallLimit::Silence && now < open.startedAt + open.timeout * MostLimits;
+        if (isBounded && connection && connection->lastReceived() + open.timeout > now
+            && connection->lastReceived() > open.startedAt) {
+            limitUntil(id, open, connection->lastReceived() + open.timeout);
+            return;
+        }
+        giveUp(id, "timed out");
+    }
+
     void submit(CallId id, OpenCall &open, const std::shared_ptr<Http2Connection> &connection)
     {
         open.connection = connection;
@@ -283,9 +314,10 @@
     return m_impl->listen(address, std::move(handler));
 }
 
-CallId PeerNet::call(const Address &to, std::string path, std::string body, Duration timeout, ReplyHandler handler)
+CallId PeerNet::call(const Address &to, std::string path, std::string body, Duration timeout, ReplyHandler handler,
+                     CallLimit limit)
 {
-    return m_impl->call(to, std::move(path), std::move(body), timeout, std::move(handler));
+    return m_impl->call(to, std::move(path), std::move(body), timeout, std::move(handler), limit);
 }
 
 void PeerNet::cancel(CallId id)
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -84,6 +84,48 @@
     CHECK(host.find<RefuseRequest>()->reason == Refusal::NoTarget);
 }
 
+TEST_CASE(
+    "a route is denied only by a host that would know of it; what is known is served whatever the age of the news")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("t1"));
+    const auto refusalOf = [&](const std::string &path) {
+        host.request(path);
+        const auto *refusal = host.find<RefuseRequest>();
+        REQUIRE(refusal != nullptr);
+        return refusal->reason;
+    };
+    CHECK(refusalOf("/new/x") == Refusal::RoutingLate); // nobody in touch has told it anything
+    host.reduce(NewsReceived{host.now, false});
+    CHECK(refusalOf("/new/x") == Refusal::NoRoute);
+    host.reduce(NewsReceived{host.now, true});
+    CHECK(refusalOf("/new/x") == Refusal::RoutingLate);
+    host.reduce(NewsReceived{host.now, false});
+    host.now += NewsLease + 1ms;
+    CHECK(refusalOf("/new/x") == Refusal::RoutingLate);
+    CHECK(host.find<RefuseRequest>()->retryAfter > 0ms);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
+TEST_CASE("a request that waits to be sent is withdrawn once its target leaves or its zone is evacuated")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("t1"));
+    host.report(Host::targetOf("t2", "z2"));
+    CHECK(host.balancer.maySendTo("t1"));
+    CHECK(host.balancer.maySendTo("t2"));
+    TargetReport draining = Host::targetOf("t1");
+    draining.presence = Presence::Draining;
+    host.report(draining);
+    CHECK_FALSE(host.balancer.maySendTo("t1"));
+    host.useTable({"z2"});
+    CHECK_FALSE(host.balancer.maySendTo("t2"));
+    CHECK_FALSE(host.balancer.maySendTo("unknown"));
+}
+
 TEST_CASE("a target that ended while no control host was there to notice is left out after a while")
 {
     Host host;
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -133,7 +133,7 @@
 class System
 {
 public:
-    explicit System(ControlLink link = ControlLink::Direct)
+    explicit System(ControlLink link = ControlLink::Direct, Duration newsLease = 2 * Patience)
         : m_folder(std::filesystem::temp_directory_path() / ("pepperlug-fleet-" + randomHex(8)))
     {
         std::filesystem::create_directories(m_folder);
@@ -142,6 +142,9 @@
         settings.regionOfZone = {{"z1", "r1"}};
         settings.bounds.grace = 5s;
         settings.bounds.retries = {0.2, 10s, 40};
+        // A machine that is busy may hold a host up; what is tested must not depend on it.
+        settings.bounds.acknowledge = 2 * Patience;
+        settings.newsLease = newsLease;
         settings.maxBodyBytes = 1 << 20;
         settings.maxAnswerBytes = 1 << 20;
         FleetSettings &control = m_control;
@@ -303,8 +306,8 @@
 
 /// A system with a configuration and one target, once it serves.
 struct ServingSystem {
-    explicit ServingSystem(ControlLink link = ControlLink::Direct)
-        : system(link)
+    explicit ServingSystem(ControlLink link = ControlLink::Direct, Duration newsLease = 2 * Patience)
+        : system(link, newsLease)
     {
         system.putTable("r2", "0");
         system.beat("i-1", target, 1);
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -190,6 +190,21 @@
     CHECK(seen == 0);
 }
 
+TEST_CASE("a request that is withdrawn before it was sent is not sent")
+{
+    std::atomic<int> seen{0};
+    const RawServer server({[&seen](RawServer::Socket &socket) {
+        seen += RawServer::readRequest(socket).empty() ? 0 : 1;
+    }});
+    HttpClient client(MaxAnswerBytes);
+    HttpCall withdrawn = callTo(server.address(), "POST");
+    withdrawn.maySend = [] {
+        return false;
+    };
+    CHECK(call(client, withdrawn).kind == HttpResult::Kind::NotSent);
+    CHECK(seen == 0);
+}
+
 TEST_CASE("an answer whose head is not accepted is no answer, and its connection is not used again")
 {
     const auto answer = [](RawServer::Socket &socket) {
--- a/unittests/LateNews/LateNewsTest.cpp
+++ b/unittests/LateNews/LateNewsTest.cpp
@@ -99,7 +99,7 @@
 
 TEST_CASE("a host that is cut off serves on, and does not deny routes that it may have missed")
 {
-    ServingSystem serving(ControlLink::Relayed);
+    ServingSystem serving(ControlLink::Relayed, NewsLease);
     const Address callers = serving.system.gateway->callersAddress();
     CHECK(serving.system.get(callers, "/new/x").status == 404);
     serving.system.relay->cut();
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -155,7 +155,7 @@
 {
     for (const Refusal reason :
          {Refusal::NoConfiguration, Refusal::NoTarget, Refusal::Overloaded, Refusal::LinkFull, Refusal::NotReached,
-          Refusal::Stopping, Refusal::NoRoute, Refusal::Lost, Refusal::TimedOut}) {
+          Refusal::Stopping, Refusal::NoRoute, Refusal::RoutingLate, Refusal::Lost, Refusal::TimedOut}) {
         const Answer answer = Clients::refusal({"q1", reason, 150ms});
         const bool promises = answer.status == 503 || answer.status == 404;
         CHECK(promises == promisesNotRun(reason));
--- a/unittests/Registry/RegistryTest.cpp
+++ b/unittests/Registry/RegistryTest.cpp
@@ -214,6 +214,23 @@
     CHECK(other.heardSince(0, Start).targets.size() == 2);
 }
 
+TEST_CASE("a departure that its target repeats is passed on by the host that hears it again")
+{
+    Registry first;
+    first.receive(report("a", 2, Presence::Draining), Start);
+    Registry second;
+    second.merge(first.heardSince(0, Start), Start);
+    const std::uint64_t before = second.version();
+    // The first host has ended before it told others; the target asks the second one for the promise.
+    second.receive(report("a", 2, Presence::Draining), Start);
+    const RegistryChanges news = second.heardSince(before, Start);
+    CHECK(news.targets.size() + news.renewals.size() == 1);
+    Registry third;
+    CHECK_FALSE(third.merge(news, Start)); // it does not know the target, so it asks for all
+    third.merge(second.heardSince(0, Start), Start);
+    CHECK(third.target("a")->report.presence == Presence::Draining);
+}
+
 TEST_CASE("an age travels with a report")
 {
     Registry author;
--- a/unittests/Wire/PeerNetTest.cpp
+++ b/unittests/Wire/PeerNetTest.cpp
@@ -14,13 +14,68 @@
 const Address AnyPort{"127.0.0.1", 0};
 
 PeerReply callNow(PeerNet &net, const Address &to, const std::string &path, const std::string &body,
-                  Duration timeout = std::chrono::seconds(10))
+                  Duration timeout = std::chrono::seconds(10), CallLimit limit = CallLimit::Whole)
 {
     std::promise<PeerReply> promise;
-    net.call(to, path, body, timeout, [&promise](PeerReply reply) { promise.set_value(std::move(reply)); });
+    net.call(
+        to, path, body, timeout, [&promise](PeerReply reply) { promise.set_value(std::move(reply)); }, limit);
     return promise.get_future().get();
 }
 
+/// Passes one connection on; what comes back passes in small parts with a pause after each.
+class SlowLink
+{
+public:
+    SlowLink(const Address &to, std::size_t partBytes, Milliseconds pause)
+        : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , m_near(m_context)
+        , m_far(m_context)
+    {
+        m_thread = std::thread([this, to, partBytes, pause] {
+            m_acceptor.accept(m_near);
+            m_far.connect({boost::asio::ip::make_address(to.ip), to.port});
+            std::thread onward([this] { pass(m_near, m_far, std::size_t{64} * 1024, Milliseconds(0)); });
+            pass(m_far, m_near, partBytes, pause);
+            onward.join();
+        });
+    }
+
+    ~SlowLink()
+    {
+        boost::system::error_code ec;
+        m_near.shutdown(Socket::shutdown_both, ec);
+        m_far.shutdown(Socket::shutdown_both, ec);
+        m_thread.join();
+    }
+
+    Address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    static void pass(Socket &from, Socket &to, std::size_t partBytes, Milliseconds pause)
+    {
+        std::vector<char> buf(partBytes);
+        boost::system::error_code ec;
+        while (!ec) {
+            const std::size_t n = from.read_some(boost::asio::buffer(buf), ec);
+            if (!ec) {
+                boost::asio::write(to, boost::asio::buffer(buf.data(), n), ec);
+                std::this_thread::sleep_for(pause);
+            }
+        }
+    }
+
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    Socket m_near;
+    Socket m_far;
+    std::thread m_thread;
+};
+
 void echo(const IncomingCallPtr &call)
 {
     call->reply(200, call->path() + ":" + call->body());
@@ -130,6 +185,31 @@
     CHECK(reply.maybeSent);
 }
 
+TEST_CASE("a long reply over a slow link arrives where the limit is on silence")
+{
+    constexpr std::size_t Bytes = 1 << 20;
+    constexpr std::size_t PartBytes = 16 * 1024;
+    // 64 parts with a pause after each: longer than the limit in all, and far shorter than it between two of them.
+    constexpr Milliseconds PartPause{50};
+    constexpr Milliseconds Limit{1500};
+    PeerNet server;
+    const Address address =
+        server.listen(AnyPort, [&](const IncomingCallPtr &call) { call->reply(200, std::string(Bytes, 'x')); });
+    const SlowLink link(address, PartBytes, PartPause);
+    PeerNet client;
+    CHECK(callNow(client, link.address(), "/long", "", Limit, CallLimit::Silence).body.size() == Bytes);
+}
+
+TEST_CASE("a peer that falls silent ends a call whose limit is on silence")
+{
+    PeerNet server;
+    std::vector<IncomingCallPtr> held;
+    const Address address = server.listen(AnyPort, [&](const IncomingCallPtr &call) { held.push_back(call); });
+    PeerNet client;
+    CHECK(callNow(client, address, "/held", "", Milliseconds(100), CallLimit::Silence).reason == "timed out");
+    server.stop();
+}
+
 TEST_CASE("garbage at the port closes that connection only")
 {
     PeerNet server;
