--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -176,8 +176,8 @@
     return isTaken;
 }
 
-// A target that repeats its departure was not acknowledged. Whoever told of it first may have ended, so this host, which is
-// asked for the promise now, passes it on itself.
+// A target that repeats its departure was not acknowledged. Whoever told of it first may have ended, so this host,
+// which is asked for the promise now, passes it on itself.
 void Registry::hearAgain(const std::string &id)
 {
     TargetEntry &entry = m_targets[id];
