Routing news: a table that is gone lists no routes; an unknown kind of route is tested

Trials on scratch copies of RoutingNews.cpp, each with one guard or step taken out, showed two that no test missed: the check of a route's kind, and the dropping of a table that is gone. The first has a test now. The second was never reached, since a change that listed all routes as removed was longer than the whole and was not kept; such a change now leaves them out, and the property over random histories reaches it.

--- a/lib/Routes/RoutingNews.cpp
+++ b/lib/Routes/RoutingNews.cpp
@@ -196,9 +196,10 @@
     return places;
 }
 
+// Where there is no table any more, all its routes are gone without being listed.
 void compareRoutes(RoutingChange &change, const RouteTable *from, const RouteTable *to)
 {
-    if (from == to) {
+    if (from == to || to == nullptr) {
         return;
     }
     const RoutesByPlace before = routesByPlace(from);
--- a/unittests/Routes/RoutingNewsTest.cpp
+++ b/unittests/Routes/RoutingNewsTest.cpp
@@ -533,3 +533,18 @@
     // MessagePack: a list without elements, of which all members keep their defaults.
     CHECK_FALSE(told.apply(compressed("\x90")).has_value());
 }
+
+TEST_CASE("a route of a kind that is not known is an error that names the peer")
+{
+    RouteTable table = tableOf(3);
+    table.routes[1].kind = static_cast<RouteKind>(7);
+    RoutingHistory history;
+    history.append(viewOf(1, std::move(table)));
+    try {
+        applyRoutingChanges({}, history.since(0), Peer);
+        FAIL("it was applied");
+    } catch (const Error &ex) {
+        CHECK(ex.peer() == Peer);
+        CHECK(ex.reason().find("route-1") != std::string::npos);
+    }
+}
