An index finds a request's route without walking all routes

RouteTable::match walks all routes for each request, 4,000 of them in the largest table. Its routes are a public list that tests fill and change by hand, so an index kept inside of the table could fall out of step with them unseen. RouteIndex is a type of its own instead, made from a table that no longer changes; match stays the plain walk and says what is right.

It searches the host's sorted prefixes for the last one that is not after the path, and goes on with what both share if that one does not fit. It needs no slash at the ends of prefixes, and of routes in one place it keeps the first, as the walk does.

How much time it saves was not measured.

--- a/include/pepperlug/Routes.h
+++ b/include/pepperlug/Routes.h
@@ -77,6 +77,19 @@
     const ServiceTraits *service(std::string_view name) const;
 };
 
+/// Finds the routes of a table that no longer changes, without walking all of them.
+class RouteIndex
+{
+public:
+    explicit RouteIndex(std::shared_ptr<const RouteTable> table);
+    /// The same as RouteTable::match.
+    const Route *match(std::string_view host, std::string_view path) const;
+
+private:
+    std::shared_ptr<const RouteTable> m_table; ///< owns all that is pointed to below
+    std::map<std::string_view, std::vector<const Route *>> m_hosts; ///< routes of each host, sorted by prefix
+};
+
 /// Every fault of a table; `file` names its source in the findings.
 Findings checkRouteTable(const RouteTable &table, const std::string &file);
 
--- a/lib/Routes/RouteTable.cpp
+++ b/lib/Routes/RouteTable.cpp
@@ -47,6 +47,13 @@
     }
 }
 
+/// Bytes that two texts have in common at their beginning.
+std::size_t sharedLength(std::string_view a, std::string_view b)
+{
+    const auto ends = std::mismatch(a.begin(), a.end(), b.begin(), b.end());
+    return static_cast<std::size_t>(ends.first - a.begin());
+}
+
 } // namespace
 
 const Route *RouteTable::match(std::string_view host, std::string_view path) const
@@ -68,6 +75,51 @@
     return it == services.end() ? nullptr : &*it;
 }
 
+RouteIndex::RouteIndex(std::shared_ptr<const RouteTable> table)
+    : m_table(std::move(table))
+{
+    for (const Route &route : m_table->routes) {
+        m_hosts[route.host].push_back(&route);
+    }
+    const auto isBefore = [](const Route *a, const Route *b) {
+        return a->prefix < b->prefix;
+    };
+    const auto isSame = [](const Route *a, const Route *b) {
+        return a->prefix == b->prefix;
+    };
+    for (auto &[host, routes] : m_hosts) {
+        // Of routes in the same place the first in the table matches.
+        std::stable_sort(routes.begin(), routes.end(), isBefore);
+        routes.erase(std::unique(routes.begin(), routes.end(), isSame), routes.end());
+    }
+}
+
+// What stands in order between a prefix of the path and the path begins with that prefix too. So the last route that is
+// not after the path either is the longest prefix, or has all prefixes of the path within what it shares with the path.
+const Route *RouteIndex::match(std::string_view host, std::string_view path) const
+{
+    const auto it = m_hosts.find(host);
+    if (it == m_hosts.end()) {
+        return nullptr;
+    }
+    const std::vector<const Route *> &routes = it->second;
+    const auto isBefore = [](std::string_view text, const Route *route) {
+        return text < route->prefix;
+    };
+    auto end = routes.end();
+    while (true) {
+        end = std::upper_bound(routes.begin(), end, path, isBefore);
+        if (end == routes.begin()) {
+            return nullptr;
+        }
+        const Route *route = *std::prev(end);
+        if (path.starts_with(route->prefix)) {
+            return route;
+        }
+        path = path.substr(0, sharedLength(path, route->prefix));
+    }
+}
+
 Findings checkRouteTable(const RouteTable &table, const std::string &file)
 {
     Findings findings;
--- a/unittests/Routes/RoutesTest.cpp
+++ b/unittests/Routes/RoutesTest.cpp
@@ -2,6 +2,7 @@
 #include "pepperlug/Routes.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace pepperlug;
 using namespace pepperlug::fleet;
@@ -48,6 +49,51 @@
     CHECK(it.match("b.example", "/a/x") == nullptr);
 }
 
+TEST_CASE("an index finds the route that a walk over all routes finds")
+{
+    // Few letters, so that prefixes of each other, near misses and routes in the same place come up; and prefixes that
+    // don't begin or end with a slash, as a table that was not checked may have.
+    const auto text = rc::gen::container<std::string>(rc::gen::elementOf(std::string("//ab\xff")));
+    CHECK(rc::check([&] {
+        auto it = std::make_shared<RouteTable>();
+        const auto routes = *rc::gen::inRange(0, 40);
+        for (int n = 0; n < routes; ++n) {
+            it->routes.push_back(route(*text));
+            it->routes.back().host = *rc::gen::elementOf(std::vector<std::string>{"", "a", "b"});
+        }
+        const RouteIndex index(it);
+        std::size_t found = 0;
+        for (int n = 0; n < 40; ++n) {
+            const std::string host = *rc::gen::elementOf(std::vector<std::string>{"", "a", "b", "c"});
+            std::string path = *text;
+            if (n % 2 == 0 && !it->routes.empty()) {
+                path.insert(0, (*rc::gen::elementOf(it->routes)).prefix);
+            }
+            RC_ASSERT(index.match(host, path) == it->match(host, path));
+            found += index.match(host, path) == nullptr ? 0 : 1;
+        }
+        RC_CLASSIFY(found > 10, "more than 10 of 40 found");
+    }));
+}
+
+TEST_CASE("an index finds each of many routes, and the shorter one where a longer one does not fit")
+{
+    auto it = std::make_shared<RouteTable>();
+    for (int n = 0; n < 4000; ++n) {
+        it->routes.push_back(route("/a/" + std::to_string(n) + "/"));
+        it->routes.back().host = "host" + std::to_string(n % 40);
+    }
+    it->routes.push_back(route("/a/"));
+    it->routes.back().host = "host7";
+    const RouteIndex index(it);
+    for (const Route &each : it->routes) {
+        CHECK(index.match(each.host, each.prefix + "x") == &each);
+    }
+    CHECK(index.match("host7", "/a/7x/")->prefix == "/a/");
+    CHECK(index.match("host8", "/a/7x/") == nullptr);
+    CHECK(index.match("host40", "/a/7/") == nullptr);
+}
+
 TEST_CASE("each fault of a table is a finding of its own")
 {
     REQUIRE(checkRouteTable(table(), "f").empty());
