The balancer finds a request's route by the index

Tables come to the balancer whole and unchanging, with each change of the routing; the index is made there, once a change.

The time saved was not measured.

--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -99,6 +99,7 @@
 void Balancer::Impl::on(const RoutesChanged &event)
 {
     m_table = event.table;
+    m_routeIndex.emplace(m_table);
     findUrgentPriorities();
     m_targets.setTable(m_table);
     m_targets.setEvacuatedZones(event.evacuatedZones, m_now);
@@ -128,7 +129,7 @@
         refuse(open, Refusal::NoConfiguration);
         return;
     }
-    const Route *route = m_table->match(event.host, event.path);
+    const Route *route = m_routeIndex->match(event.host, event.path);
     if (route == nullptr) {
         refuse(open, Refusal::NoRoute);
         return;
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -90,6 +90,7 @@
     std::mt19937_64 m_random;
     TargetSet m_targets;
     std::shared_ptr<const RouteTable> m_table;
+    std::optional<RouteIndex> m_routeIndex; ///< of the table
     std::map<std::string, unsigned> m_urgentPriority; ///< by service: the most urgent one among its routes
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
     std::map<std::string, RegionPlan> m_plans; ///< by service
