Registry: confirmations that arrive late are in the model too

The model dropped an ask that came after a later one of the same host, and named that as a duty of the caller. So late asks are now taken in the model, which demands more of the class, and the header no longer asks for an order.

All control hosts that rely on its confirmations must have one of the new host first.

--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -215,8 +215,8 @@
 
     /// An entry host asked; it acts upon all of this host's news up to a position. The newest call counts.
     void followerHas(const std::string &id, NewsPosition has, TimePoint now);
-    /// An entry host has ended, or follows another control host, and each control host that relies on this one's
-    /// confirmations has one of the new control host that was made with this follower.
+    /// An entry host has ended, or follows another control host and each control host that relies on this one's
+    /// confirmations has one of the other that counts it. Until then its lease goes on here.
     void followerLeft(const std::string &id);
     /// All that another control host told up to `theirs` has been taken over; this host's own registry version is then
     /// `own`. `epoch` names the other host's life: its versions begin anew with each.
@@ -227,7 +227,7 @@
     NewsPosition confirmedTo(const std::string &peer, const std::string &epoch, std::uint64_t ownRouting,
                              TimePoint now) const;
     /// Another control host confirmed this host's news, for itself and its followers. The caller has checked that the
-    /// epoch is this host's, and that it took no later ask of that host before: the newest call counts.
+    /// epoch is this host's. The newest call counts.
     void peerConfirmed(const std::string &peer, NewsPosition upTo);
     /// Who has not confirmed a position of this host's own news yet: followers in lease, and those of `peers` (the
     /// control hosts that live); empty if it holds everywhere. A 0 in the position asks for nothing.
--- a/unittests/Registry/NewsConfirmationsTest.cpp
+++ b/unittests/Registry/NewsConfirmationsTest.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace pepperlug;
@@ -316,7 +317,6 @@
     Departures known; ///< from targets and other control hosts
     std::vector<News> news;
     std::map<std::size_t, ModelWatch> watches; ///< of other control hosts
-    std::map<std::size_t, std::pair<std::uint64_t, std::uint64_t>> newestAsk; ///< life and number, by asker
 };
 
 /// One life of an entry host.
@@ -330,14 +330,15 @@
 };
 
 /// Control hosts have the numbers below `controls`, entry hosts those from there on. Messages are delivered in any
-/// order. What the model does beside the class is what its user has to do:
-///  - Asks of one host are numbered, and an ask is not taken after a later one.
+/// order, also an ask after a later one. What the model does beside the class is what its user has to do:
 ///  - A host that follows another one's registry from the start, in a new life of either, asks with since 0.
 ///  - A control host that started less than a lease ago confirms nothing and acknowledges nothing: the followers of its
 ///    former life may not have asked it again.
 ///  - A control host that is down is waited for, by what it confirmed last, until a lease after its end: by then its
 ///    followers have asked elsewhere, or are out of lease.
-///  - followerLeft() is called for entry hosts that have ended, and never for one that has moved.
+///  - followerLeft() is called for entry hosts that have ended, and never for one that has moved: the control host that
+///    it left goes on counting it, also in what it confirms to third ones, which may not have heard yet that another
+///    one counts it.
 class Model
 {
 public:
@@ -635,12 +636,9 @@
     void onAsk(const ModelAsk &ask)
     {
         ModelControl &control = m_controls[ask.to];
-        auto &newest = control.newestAsk[ask.from];
-        const bool isLate = std::pair(ask.fromLife, ask.number) <= newest;
-        if (!control.isUp || isLate) {
+        if (!control.isUp) {
             return;
         }
-        newest = {ask.fromLife, ask.number};
         const bool isThisLife = ask.epoch == control.life;
         const std::uint64_t since = isThisLife ? ask.has.reports : 0;
         if (isControl(ask.from)) {
