A host may listen elsewhere than where others connect

Behind a port mapping, or behind something that disturbs its links in a soak, a host is known by one address and listens at another. `peer` stays the name under which it is known and by which the others call it; `peer_listen` says where the process listens, and is `peer` where it is not given. Both roles take the setting; only control hosts take calls from hosts today, so at an entry host it is checked and not used.

An optional member rather than a copy of `peer`, so that settings built in code go on working without it.

--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -33,6 +33,7 @@
     std::string zone;
     std::map<std::string, std::string> regionOfZone;
     Address peer; ///< where other hosts connect; its port is the same on all hosts
+    std::optional<Address> peerListen; ///< where this host listens for them, if not at `peer`
     Address metrics; ///< where the figures are served
     std::vector<Address> seeds; ///< operators' addresses of some control hosts
     FleetBounds bounds;
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -69,7 +69,8 @@
                     {"disk", m_log->diskId()},
                     {"first_start", m_settings.isFirstStart}});
     recallRemembered();
-    m_net.listen(m_settings.peer, [this](const IncomingCallPtr &call) { onPeerCall(call); });
+    m_net.listen(m_settings.peerListen.value_or(m_settings.peer),
+                 [this](const IncomingCallPtr &call) { onPeerCall(call); });
     m_log->start();
     const auto handler = [this](const HttpExchangePtr &exchange) {
         onHttp(exchange);
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -80,6 +80,9 @@
     settings.zone = reader.text("zone");
     readZones(reader, settings);
     settings.peer = reader.address("peer");
+    if (reader.has("peer_listen")) {
+        settings.peerListen = reader.address("peer_listen");
+    }
     settings.metrics = reader.address("metrics");
     readSeeds(reader, settings);
     if (std::optional<ObjectReader> bounds = reader.object("bounds", false)) {
--- /dev/null
+++ b/unittests/Fleet/SettingsTest.cpp
@@ -0,0 +1,130 @@
+//===- SettingsTest.cpp - Settings of hosts that find each other ----------===//
+#include "platform/Dialect.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <future>
+#include <unistd.h>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+nlohmann::json controlJson()
+{
+    return {{"name", "control"},
+            {"zone", "z1"},
+            {"zones", {{{"name", "z1"}, {"region", "r1"}}}},
+            {"peer", "127.0.0.1:1"},
+            {"metrics", "127.0.0.1:2"},
+            {"operators", "127.0.0.1:3"},
+            {"directory", "127.0.0.1:4"},
+            {"seeds", {"127.0.0.1:3"}},
+            {"data_folder", "data"}};
+}
+
+nlohmann::json entryJson()
+{
+    nlohmann::json json = controlJson();
+    for (const char *key : {"operators", "directory", "data_folder"}) {
+        json.erase(key);
+    }
+    json["callers"] = "127.0.0.1:5";
+    json["readiness"] = "127.0.0.1:6";
+    return json;
+}
+
+FleetSettings parse(const nlohmann::json &json, FleetRole role)
+{
+    return parseFleetSettings(json.dump(), "file", role);
+}
+
+/// An address on a loopback network that no other process of the tests uses, so that no port can be taken.
+Address addressOn(unsigned host, std::uint16_t port)
+{
+    constexpr unsigned Octet = 250;
+    const auto pid = static_cast<unsigned>(getpid());
+    const std::string network = std::to_string(1 + pid % Octet) + "." + std::to_string(1 + pid / Octet % Octet);
+    return {"127." + network + "." + std::to_string(host), port};
+}
+
+/// A folder that goes with the object.
+class Folder
+{
+public:
+    Folder()
+        : m_path(std::filesystem::temp_directory_path() / ("pepperlug-settings-" + randomHex(8)))
+    {
+        std::filesystem::create_directories(m_path);
+    }
+
+    ~Folder()
+    {
+        std::filesystem::remove_all(m_path);
+    }
+
+    Folder(const Folder &) = delete;
+    Folder &operator=(const Folder &) = delete;
+
+    std::string path() const
+    {
+        return m_path;
+    }
+
+private:
+    std::filesystem::path m_path;
+};
+
+PeerReply callOnce(PeerNet &net, const Address &to)
+{
+    auto promise = std::make_shared<std::promise<PeerReply>>();
+    std::future<PeerReply> reply = promise->get_future();
+    net.call(to, "/no-such-path", {}, 30s, [promise](PeerReply it) { promise->set_value(std::move(it)); });
+    return reply.get();
+}
+
+} // namespace
+
+TEST_CASE("a host listens where others connect unless the settings say otherwise")
+{
+    const auto [json, role] =
+        GENERATE(std::make_pair(controlJson(), FleetRole::Control), std::make_pair(entryJson(), FleetRole::Entry));
+    CHECK_FALSE(parse(json, role).peerListen.has_value());
+    nlohmann::json mapped = json;
+    mapped["peer_listen"] = "127.0.0.2:7";
+    const FleetSettings settings = parse(mapped, role);
+    CHECK(settings.peerListen == Address{"127.0.0.2", 7});
+    CHECK(settings.peer == Address{"127.0.0.1", 1});
+}
+
+TEST_CASE("a place to listen that is no address is a finding")
+{
+    for (const nlohmann::json &value : {nlohmann::json("here"), nlohmann::json(7), nlohmann::json("")}) {
+        nlohmann::json json = controlJson();
+        json["peer_listen"] = value;
+        CHECK_THROWS_AS(parse(json, FleetRole::Control), InvalidInput);
+    }
+}
+
+TEST_CASE("a control host takes calls where it is told to listen, and not where others connect")
+{
+    const Folder folder;
+    const SteadyClock clock;
+    FleetSettings settings = parse(controlJson(), FleetRole::Control);
+    settings.dataFolder = folder.path();
+    settings.peer = addressOn(10, 17110);
+    settings.peerListen = addressOn(10, 17111);
+    settings.operators = addressOn(10, 17112);
+    settings.directory = addressOn(10, 17113);
+    settings.metrics = addressOn(10, 17114);
+    settings.seeds = {settings.operators};
+    const RegistryDaemon registry(settings, clock, controlDialect<platform::Control>());
+    PeerNet net;
+    CHECK(callOnce(net, *settings.peerListen).delivered);
+    CHECK_FALSE(callOnce(net, settings.peer).delivered);
+    net.stop();
+}
