Soak: links between hosts are disturbed and narrow, routings are large

On narrow links the news of control hosts came seconds late in the field. The soak could not show it: its proxy stood before targets only, and its routings had two routes.

Each control host now has a proxy before its peer address, and the process listens at peer_listen.

Sockets of the soak are not passed to the hosts that it starts any more: one that was would stay open when the soak closes it, and a reset would not show.

--- a/test/soak/Actors.h
+++ b/test/soak/Actors.h
@@ -31,6 +31,8 @@
     bool drain(Duration patience);
     /// Requests that came since.
     unsigned arrivals() const;
+    /// When the newest of them came.
+    TimePoint lastArrival() const;
 
 private:
     void onRequest(const HttpExchangePtr &exchange);
@@ -49,6 +51,7 @@
     std::uint64_t m_sequence = 0;
     std::size_t m_next = 0;
     std::atomic<unsigned> m_arrivals{0};
+    std::atomic<TimePoint> m_lastArrival{TimePoint{}};
     std::atomic<bool> m_isDraining{false};
     std::atomic<bool> m_stop{false};
     std::thread m_thread;
@@ -66,8 +69,12 @@
     void stop();
     /// Sends one request; returns its status, 0 for no answer.
     static unsigned call(HttpClient &client, Ledger &ledger, const Address &to, bool mayRepeat);
+    /// The same under a path of the caller's choice, which must be one that may be repeated.
+    static unsigned read(HttpClient &client, Ledger &ledger, const Address &to, const std::string &prefix);
 
 private:
+    static unsigned send(HttpClient &client, Ledger &ledger, const Address &to, const std::string &prefix,
+                         bool mayRepeat);
     void run(std::uint64_t seed);
 
     Ledger &m_ledger;
@@ -84,6 +91,12 @@
 
     /// Puts a new configuration, sending it again until it is acknowledged or the time is over.
     bool putNext(Duration patience);
+    /// The next configurations have so many routes more, none of which was there before.
+    void addRoutes(unsigned count);
+    /// The next configurations have none of them.
+    void removeRoutes();
+    /// Path prefixes of some routes that the newest addRoutes() added: the first, one in the middle and the last.
+    std::vector<std::string> newestPrefixes() const;
     /// Sends one that is not valid, which must not be taken.
     void putInvalid();
     /// Evacuates or gives back a zone.
@@ -94,6 +107,14 @@
     bool isKept(Duration patience);
 
 private:
+    /// Routes that were added together.
+    struct RouteGroup {
+        unsigned number = 0;
+        unsigned count = 0;
+    };
+
+    static std::string prefixOf(const RouteGroup &group, unsigned n);
+    std::string tableText(unsigned version) const;
     /// 0 if it could not be read.
     unsigned versionAt(std::size_t host);
     HttpResult send(std::size_t host, const std::string &method, const std::string &path, const std::string &body,
@@ -104,6 +125,8 @@
     HttpClient m_client;
     unsigned m_acknowledged = 0; ///< newest version that was
     unsigned m_sent = 0; ///< newest version that was sent
+    unsigned m_lastGroup = 0; ///< number of the newest group of routes
+    std::vector<RouteGroup> m_groups;
 };
 
 } // namespace pepperlug::soak
--- a/test/soak/Cluster.cpp
+++ b/test/soak/Cluster.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint16_t CallersPort = 17203;
 constexpr std::uint16_t ReadinessPort = 17204;
 constexpr std::uint16_t MetricsPort = 17205;
+constexpr std::uint16_t PeerListenPort = 17206;
 /// Entry hosts have the numbers from here on.
 constexpr unsigned FirstEntryHost = 100;
 constexpr unsigned Zones = 3;
@@ -34,6 +35,9 @@
     : m_settings(settings)
     , m_network(networkOfThisProcess())
 {
+    for (unsigned n = 0; n < settings.controlHosts; ++n) {
+        m_links.push_back(std::make_unique<FaultProxy>(addressOf(n, PeerListenPort), addressOf(n, PeerPort)));
+    }
     for (unsigned n = 0; n < settings.controlHosts; ++n) {
         m_control.push_back(start("control", n, writeControl(n, true)));
     }
@@ -74,6 +78,7 @@
 {
     const std::string name = "control-" + std::to_string(number);
     nlohmann::json json = commonSettings(name, number, number);
+    json["peer_listen"] = addressOf(number, PeerListenPort).text();
     json["operators"] = addressOf(number, OperatorsPort).text();
     json["directory"] = addressOf(number, DirectoryPort).text();
     json["data_folder"] = (m_settings.folder / name).string();
@@ -121,6 +126,15 @@
     return all;
 }
 
+std::vector<FaultProxy *> Cluster::controlLinks()
+{
+    std::vector<FaultProxy *> all;
+    for (const auto &it : m_links) {
+        all.push_back(it.get());
+    }
+    return all;
+}
+
 std::vector<Address> Cluster::controlAddresses() const
 {
     std::vector<Address> all;
--- a/test/soak/Cluster.h
+++ b/test/soak/Cluster.h
@@ -1,6 +1,7 @@
 //===- Cluster.h - Hosts of a soak, as real programs ------------*- C++ -*-===//
 #pragma once
 
+#include "FaultProxy.h"
 #include "Processes.h"
 
 #include <nlohmann/json.hpp>
@@ -28,6 +29,8 @@
     std::vector<Address> controlAddresses() const;
     std::vector<Address> entryAddresses() const;
     static std::string zoneOf(unsigned number);
+    /// What all calls of other hosts to a control host pass.
+    std::vector<FaultProxy *> controlLinks();
 
     /// Ends a control host and starts it again with an empty disk.
     void replaceDisk(unsigned number);
@@ -43,6 +46,7 @@
 
     ClusterSettings m_settings;
     std::string m_network; ///< the first three numbers of the loopback addresses
+    std::vector<std::unique_ptr<FaultProxy>> m_links; ///< of the control hosts
     std::vector<std::unique_ptr<Process>> m_control;
     std::vector<std::unique_ptr<Process>> m_entry;
 };
--- a/test/soak/Processes.cpp
+++ b/test/soak/Processes.cpp
@@ -40,6 +40,8 @@
     constexpr mode_t Mode = 0644;
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_output.c_str(), O_WRONLY | O_CREAT | O_APPEND, Mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A socket of the soak that lives on in a host would stay open when the soak closes it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int code = posix_spawn(&m_id, words[0], &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (code != 0) {
