--- a/test/soak/Actors.cpp
+++ b/test/soak/Actors.cpp
@@ -305,9 +305,12 @@
     const unsigned version = ++m_sent;
     const std::string text = tableText(version);
     const SteadyClock clock;
+    constexpr unsigned Conflict = 412;
     std::size_t host = 0;
+    // What got no clear answer is sent again unchanged: upon another base it would be another change of the same
+    // version.
+    std::string base = m_acknowledged == 0 ? "0" : versionText(m_acknowledged);
     for (const auto end = clock.now() + patience; clock.now() < end; ++host) {
-        const std::string base = m_acknowledged == 0 ? "0" : versionText(m_acknowledged);
         const HttpResult result = send(host, "POST", "/api/Config.Put", text, base);
         if (result.kind == HttpResult::Kind::Answered && result.answer.status == Ok) {
             m_acknowledged = version;
@@ -315,6 +318,10 @@
         }
         // One that got no clear answer may be in force: what comes next is built upon it.
         m_acknowledged = std::max(m_acknowledged, versionAt(host));
+        const bool isConflict = result.kind == HttpResult::Kind::Answered && result.answer.status == Conflict;
+        if (isConflict && m_acknowledged > 0 && m_acknowledged < version) {
+            base = versionText(m_acknowledged);
+        }
         std::this_thread::sleep_for(50ms);
     }
     return false;
