--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -247,15 +247,14 @@
     // One disk at a time: the others have to have what it had, and the emptied one has to vote again.
     void loseDisk()
     {
-        if (m_clock.now() < m_diskLostAt + DiskInterval || !m_operator.isKept(1s)) {
+        if (m_clock.now() < m_diskLostAt + DiskInterval) {
             return;
         }
-        const auto number = static_cast<unsigned>(m_random() % m_control.size());
-        // A host behind a spoiled link may lack what the lost disk had.
-        if (m_clock.now() < m_linksSpoiledUntil + CalmTime) {
+        letControlHostsCatchUp();
+        if (!m_operator.isKept(1s)) {
             return;
         }
-        m_cluster.replaceDisk(number);
+        m_cluster.replaceDisk(static_cast<unsigned>(m_random() % m_control.size()));
         m_diskLostAt = m_clock.now();
     }
 
@@ -273,6 +272,18 @@
         }
     }
 
+    // A host behind a spoiled link may lack what the disk has that is lost next.
+    void letControlHostsCatchUp()
+    {
+        const TimePoint now = m_clock.now();
+        if (now >= m_linksSpoiledUntil + CalmTime) {
+            return;
+        }
+        mendControlLinks();
+        m_linksSpoiledUntil = std::min(m_linksSpoiledUntil, now);
+        passUntil(m_linksSpoiledUntil + CalmTime);
+    }
+
     void spoilControlLink()
     {
         constexpr std::array Faults{LinkFault::Delay, LinkFault::Reset, LinkFault::CutToTarget,
