A host whose news trickle in is waited for; no hot asks while routing is on its way

A lease was counted from the last ask, and no ask went out while a reply was on its way, so a host behind a full link was taken for dead after 1.8 s and departures were acknowledged while it acted upon its old view (test, byte by byte over 20 KB/s: fails without the signs of life, passes with them). While a fetch was on its way a second change was told with every ask, 40 a second; a change that could not be read was asked for as often, and the host took itself for current meanwhile. Now a host gives signs of life beside an open ask, says what it has heard of, and keeps saying so until it has it; what it confirms is told only after it acts upon it. Compression at its default level: 6 ms in place of 23 for 4,200 routes, 1 % longer.

--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -12,6 +12,8 @@
 /// How long nothing may come from the asked host besides the time for which it holds the reply back.
 constexpr Milliseconds ReplyTime{700};
 constexpr Milliseconds PauseAfterFailure{150};
+/// Between two signs of life while a reply is on its way: three fit into the time after which a host is not waited for.
+constexpr Milliseconds SignInterval{600};
 
 } // namespace
 
@@ -37,13 +39,24 @@
 
 void ControlWatch::poll(TimePoint now)
 {
+    std::optional<Address> waitsFor;
     {
         const std::lock_guard lock(m_mutex);
         m_now = now;
-        if (m_isAsking || now < m_notBefore) {
+        if (m_isAsking && now - m_signAt < SignInterval) {
+            return;
+        }
+        if (m_isAsking) {
+            m_signAt = now;
+            waitsFor = m_control;
+        } else if (now < m_notBefore) {
             return;
         }
     }
+    if (waitsFor) {
+        giveSign(*waitsFor);
+        return;
+    }
     const std::vector<Address> candidates = m_hooks.candidates();
     if (candidates.empty()) {
         return;
@@ -63,7 +76,7 @@
     ask(to);
 }
 
-void ControlWatch::ask(const Address &to)
+FleetWatchCall ControlWatch::describe(const Address &to) const
 {
     std::string epoch;
     {
@@ -72,14 +85,29 @@
     }
     FleetWatchCall call = m_hooks.describe(to, epoch);
     call.epoch = epoch;
+    const std::lock_guard lock(m_mutex);
+    call.since = m_since;
+    return call;
+}
+
+// A reply that takes its time on a full link must not make this host look dead: it goes on acting upon what it knows,
+// so whatever is acknowledged has to wait for it.
+void ControlWatch::giveSign(const Address &to)
+{
+    m_net.call(to, path::FleetAlive, encode(describe(to)), ReplyTime, [](const PeerReply &) {});
+}
+
+void ControlWatch::ask(const Address &to)
+{
+    FleetWatchCall call = describe(to);
     std::uint64_t number = 0;
     {
         const std::lock_guard lock(m_mutex);
-        call.since = m_since;
         // What was lost may have been lost for a while: it is asked for without waiting.
         call.patience = m_isLost ? Milliseconds(0) : m_patience;
         number = ++m_askNumber;
         m_askedAt = m_clock.now();
+        m_signAt = m_askedAt;
     }
     const CallId id = m_net.call(
         to, path::FleetWatch, encode(call), m_patience + ReplyTime,
@@ -119,18 +147,20 @@
             m_moveOn = !news || !news->isCurrent;
             m_notBefore = m_moveOn ? m_now + PauseAfterFailure : TimePoint{};
         }
-        if (news) {
-            m_epoch = news->epoch;
-            m_since = news->version;
-        }
     }
     if (linkChanged) {
         m_hooks.onLink(from, !news, reason);
     }
+    bool isAllTaken = true;
     if (news) {
-        m_hooks.onReply(receipt, *news);
+        isAllTaken = m_hooks.onReply(receipt, *news);
     }
     const std::lock_guard lock(m_mutex);
+    if (news) {
+        // Only now may an ask or a sign of life say that this host acts upon it.
+        m_epoch = news->epoch;
+        m_since = isAllTaken ? news->version : 0;
+    }
     m_isAsking = false;
 }
 
@@ -147,10 +177,4 @@
     m_net.cancel(id);
 }
 
-void ControlWatch::askForAll()
-{
-    const std::lock_guard lock(m_mutex);
-    m_since = 0;
-}
-
 } // namespace pepperlug::fleet
--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -30,23 +30,25 @@
         /// number, the routing that it has, and what it confirms.
         std::function<FleetWatchCall(const Address &to, const std::string &epoch)> describe;
         std::function<std::vector<Address>()> candidates; ///< control hosts in the order of preference
-        /// Called before the next ask, which tells that the reply was taken over.
-        std::function<void(const NewsReceipt &receipt, const FleetWatchReply &reply)> onReply;
+        /// Takes a reply over; the next ask tells that it was. False: something in it needs all that the asked host
+        /// knows.
+        std::function<bool(const NewsReceipt &receipt, const FleetWatchReply &reply)> onReply;
         std::function<void(const Address &peer, bool isLost, const std::string &reason)> onLink;
     };
 
     /// `patience`: how long a reply may be held back.
     ControlWatch(PeerNet &net, const Clock &clock, Milliseconds patience, Hooks hooks);
 
-    /// Asks now if no ask is on its way and the pause after a failure is over; to be called regularly.
+    /// Asks now if no ask is on its way and the pause after a failure is over, and gives signs of life while one is; to
+    /// be called regularly.
     void poll(TimePoint now);
     /// Ends the ask that is on its way, so that the next poll tells the newest report.
     void hurry();
-    /// Asks for all that the followed host knows next time.
-    void askForAll();
 
 private:
     void ask(const Address &to);
+    void giveSign(const Address &to);
+    FleetWatchCall describe(const Address &to) const;
     void onReply(const Address &from, std::uint64_t number, const PeerReply &reply);
     Address next(const std::vector<Address> &candidates) const;
 
@@ -63,6 +65,7 @@
     bool m_moveOn = true; ///< another control host is to be asked next
     std::uint64_t m_askNumber = 0;
     TimePoint m_askedAt{};
+    TimePoint m_signAt{}; ///< of the last ask or sign of life
     CallId m_call{};
     TimePoint m_notBefore{};
     TimePoint m_now{};
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -8,6 +8,7 @@
 {
 constexpr const char *FleetWatch = "/fleet/watch";
 constexpr const char *FleetRouting = "/fleet/routing";
+constexpr const char *FleetAlive = "/fleet/alive";
 constexpr const char *FleetConfirm = "/fleet/confirm";
 constexpr const char *FleetJoin = "/fleet/join";
 } // namespace pepperlug::fleet::path
@@ -15,7 +16,8 @@
 namespace pepperlug::fleet
 {
 
-/// Body of path::FleetWatch: a host says that it lives and asks for what it has not got yet.
+/// Body of path::FleetWatch: a host says that it lives and asks for what it has not got yet. Also of path::FleetAlive,
+/// which says the same and asks for nothing, while the reply to an ask is still on its way.
 struct FleetWatchCall {
     HostReport self;
     std::string epoch; ///< of the asked host's registry, as known to the asker; empty at first
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -78,6 +78,7 @@
     };
     hooks.onReply = [this](const NewsReceipt &receipt, const FleetWatchReply &reply) {
         onControlReply(receipt, reply);
+        return true;
     };
     hooks.onLink = [this](const Address &control, bool isLost, const std::string &reason) {
         onLink(control, isLost, reason);
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -25,10 +25,11 @@
     bool isWholeWanted = false;
     {
         const std::lock_guard lock(m_mutex);
+        // Said with the next ask, so that it is held back although this host has not got the newest yet.
+        m_routingHeard = std::max(m_routingHeard, reply.routingIndex);
         if (reply.routingIndex <= m_routing.index || m_isFetchingRouting) {
             return;
         }
-        m_routingHeard = std::max(m_routingHeard, reply.routingIndex);
         isWholeWanted = m_wantsWholeRouting;
     }
     if (reply.routingChanges.empty() || isWholeWanted) {
@@ -62,9 +63,7 @@
     if (!reply.delivered || reply.status != Ok) {
         m_events.state("routing-not-fetched",
                        {{"from", from.text()}, {"reason", reply.reason}, {"took_ms", took.count()}});
-        const std::lock_guard lock(m_mutex);
-        m_routingHeard = m_routing.index; // so that the next reply tells of it again
-        return;
+        return; // the next reply, half a second later at most, begins anew
     }
     m_metrics.count("pepperlug_news_bytes{to=\"entry\"}", reply.body.size());
     m_events.state("routing-fetched", {{"from", from.text()}, {"bytes", reply.body.size()}, {"took_ms", took.count()}});
@@ -92,28 +91,24 @@
         m_events.state("routing-unreadable", {{"from", from.text()}, {"reason", ex.what()}});
         const std::lock_guard lock(m_mutex);
         m_wantsWholeRouting = true;
-        m_routingHeard = m_routing.index;
         return;
     }
-    {
-        const std::lock_guard lock(m_mutex);
-        m_wantsWholeRouting = false;
-        m_routingHeard = std::max(m_routingHeard, after.index);
-        if (after.index <= m_routing.index) {
-            return;
-        }
-        m_routing = after;
+    if (after.index > before.index && after.table) {
+        m_events.state("routing",
+                       {{"index", after.index},
+                        {"table", after.table->version},
+                        {"evacuated", after.evacuatedZones},
+                        {"from", from.text()}});
+        m_metrics.gauge("pepperlug_routing_index", static_cast<double>(after.index));
+        reduce(RoutesChanged{after.table, after.evacuatedZones});
     }
-    if (!after.table) {
-        return; // zones were evacuated before there was a table
+    // Last, since asks tell it: from then on others rely on it.
+    const std::lock_guard lock(m_mutex);
+    m_wantsWholeRouting = false;
+    m_routingHeard = std::max(m_routingHeard, after.index);
+    if (after.index > m_routing.index) {
+        m_routing = std::move(after);
     }
-    m_events.state("routing",
-                   {{"index", after.index},
-                    {"table", after.table->version},
-                    {"evacuated", after.evacuatedZones},
-                    {"from", from.text()}});
-    m_metrics.gauge("pepperlug_routing_index", static_cast<double>(after.index));
-    reduce(RoutesChanged{after.table, after.evacuatedZones});
 }
 
 void GatewayDaemon::Impl::tellAgeOfNews()
@@ -127,6 +122,7 @@
         news.askedAt = *m_viewAsOf;
         news.isRoutingBehind = m_routingHeard > m_routing.index;
     }
+    m_metrics.gauge("pepperlug_routing_behind", news.isRoutingBehind ? 1 : 0);
     reduce(news);
 }
 
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -245,7 +245,7 @@
                     return std::vector<Address>{peer};
                 };
                 hooks.onReply = [this](const NewsReceipt &receipt, const FleetWatchReply &reply) {
-                    onPeerNews(receipt, reply);
+                    return onPeerNews(receipt, reply);
                 };
                 hooks.onLink = [this](const Address &to, bool isLost, const std::string &reason) {
                     m_events.state(isLost ? "control-host-lost" : "control-host-regained",
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -50,6 +50,8 @@
     // RegistryPeers.cpp
     void onPeerCall(const IncomingCallPtr &call);
     void onWatch(const IncomingCallPtr &call);
+    void onAlive(const IncomingCallPtr &call);
+    FleetWatchCall hear(const IncomingCallPtr &call, TimePoint now);
     void onRouting(const IncomingCallPtr &call);
     void noteConfirmations(const FleetWatchCall &ask, bool isSameEpoch, TimePoint now);
     std::vector<std::string> followedControlHosts(TimePoint now) const;
@@ -64,7 +66,7 @@
     bool hasNews(const FleetWatchCall &call) const;
     FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now) const;
     void replyWatchers(TimePoint now);
-    void onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply);
+    bool onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply);
 
     // RegistryRequests.cpp
     void onHttp(const HttpExchangePtr &exchange);
@@ -142,7 +144,7 @@
     RoutingHistory m_history; ///< of m_routing, as entry hosts are told of it
     TimePoint m_routingChangedAt{};
     NewsConfirmations m_confirmations;
-    std::map<std::string, TakenConfirmation> m_takenConfirmations; ///< by peer address
+    std::map<std::string, TakenConfirmation> m_takenConfirmations; ///< by peer address of the confirming host
     std::vector<OwedConfirmation> m_owed;
     std::map<Address, std::string> m_epochs; ///< of other control hosts, as of their last reply
     CallerShares m_shares;
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -32,6 +32,10 @@
             onRouting(call);
             return;
         }
+        if (call->path() == path::FleetAlive) {
+            onAlive(call);
+            return;
+        }
         if (call->path() == path::FleetConfirm) {
             onConfirm(call);
             return;
@@ -55,36 +59,50 @@
     }
 }
 
-void RegistryDaemon::Impl::onWatch(const IncomingCallPtr &call)
+FleetWatchCall RegistryDaemon::Impl::hear(const IncomingCallPtr &call, TimePoint now)
 {
-    Watcher watcher;
-    watcher.call = call;
-    watcher.ask = decode<FleetWatchCall>(call->body(), call->peer());
-    const TimePoint now = m_clock.now();
-    watcher.until = now + watcher.ask.patience;
-    const std::lock_guard lock(m_mutex);
-    const bool isSameEpoch = watcher.ask.epoch == m_epoch;
+    auto ask = decode<FleetWatchCall>(call->body(), call->peer());
+    const bool isSameEpoch = ask.epoch == m_epoch;
     if (!isSameEpoch) {
-        watcher.ask.since = 0;
+        ask.since = 0;
     }
+    m_registry.receive(ask.self, now);
     // An ask that comes after a later one, over a connection that was slow, says nothing of what the host has now.
-    if (m_registry.receive(watcher.ask.self, now)) {
-        noteConfirmations(watcher.ask, isSameEpoch, now);
+    if (isNewestOf(ask.self.peer, ask.self.id, ask.self.sequence)) {
+        noteConfirmations(ask, isSameEpoch, now);
     }
+    return ask;
+}
+
+void RegistryDaemon::Impl::onWatch(const IncomingCallPtr &call)
+{
+    const TimePoint now = m_clock.now();
+    const std::lock_guard lock(m_mutex);
+    Watcher watcher{call, hear(call, now), {}};
+    watcher.until = now + watcher.ask.patience;
     m_watchers.push_back(std::move(watcher));
     replyWatchers(now);
     settle(now);
 }
 
+void RegistryDaemon::Impl::onAlive(const IncomingCallPtr &call)
+{
+    {
+        const TimePoint now = m_clock.now();
+        const std::lock_guard lock(m_mutex);
+        hear(call, now);
+        settle(now);
+    }
+    call->reply(Ok, "");
+}
+
 void RegistryDaemon::Impl::noteConfirmations(const FleetWatchCall &ask, bool isSameEpoch, TimePoint now)
 {
     const HostReport &self = ask.self;
     if (self.role == HostRole::Control) {
         m_seenBy[self.peer] = ask.since;
-        if (isNewestOf(self.peer, self.id, self.sequence)) {
-            // Positions of an earlier life of this host mean nothing now.
-            m_confirmations.peerConfirmed(self.peer, isSameEpoch ? ask.confirmed : NewsPosition{});
-        }
+        // Positions of an earlier life of this host mean nothing now.
+        m_confirmations.peerConfirmed(self.peer, isSameEpoch ? ask.confirmed : NewsPosition{});
         return;
     }
     if (self.presence == Presence::Gone) {
@@ -251,11 +269,10 @@
     });
 }
 
-void RegistryDaemon::Impl::onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply)
+bool RegistryDaemon::Impl::onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply)
 {
     const TimePoint now = m_clock.now();
     bool isAllKnown = false;
-    ControlWatch *watch = nullptr;
     {
         const std::lock_guard lock(m_mutex);
         isAllKnown = m_registry.merge(reply.changes, now);
@@ -271,13 +288,11 @@
             oweConfirmation(receipt.from, {reply.version, 0});
         }
         replyWatchers(now);
-        const auto it = m_peers.find(receipt.from);
-        watch = it == m_peers.end() ? nullptr : it->second.get();
     }
-    if (!isAllKnown && watch != nullptr) {
+    if (!isAllKnown) {
         m_events.state("reports-unknown", {{"peer", receipt.from.text()}, {"renewals", reply.changes.renewals.size()}});
-        watch->askForAll();
     }
+    return isAllKnown;
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Routes/RoutingNews.cpp
+++ b/lib/Routes/RoutingNews.cpp
@@ -22,6 +22,8 @@
 /// Bytes by which the space to expand into grows: a change of a few routes fits into the first, and the longest change
 /// is a multiple of it.
 constexpr std::size_t ExpandStepBytes = 64 * 1024;
+/// The best level takes 23 ms in place of 6 for a table of 4,200 routes and saves 1 byte in 100.
+constexpr int CompressionLevel = Z_DEFAULT_COMPRESSION;
 
 constexpr const char *DecodeStep = "decode routing change";
 constexpr const char *ApplyStep = "apply routing change";
@@ -64,7 +66,7 @@
 {
     uLongf size = compressBound(text.size());
     std::string data(size, '\0');
-    const int ec = compress2(bytesOf(data), &size, bytesOf(text), text.size(), Z_BEST_COMPRESSION);
+    const int ec = compress2(bytesOf(data), &size, bytesOf(text), text.size(), CompressionLevel);
     if (ec != Z_OK) {
         throw Error("compress routing change", "", zError(ec));
     }
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -10,6 +10,7 @@
 #include "Fleet/Remembered.h"
 #include "LinkRelay.h"
 #include "platform/Dialect.h"
+#include "test/soak/FaultProxy.h"
 
 #include <catch2/catch.hpp>
 
@@ -127,7 +128,11 @@
 };
 
 /// How the entry host reaches the control host.
-enum class ControlLink : std::uint8_t { Direct, Relayed };
+enum class ControlLink : std::uint8_t {
+    Direct,
+    Relayed, ///< through System::relay, which passes whole replies
+    Proxied, ///< through System::proxy, which passes bytes
+};
 
 /// One control and one entry host in a folder of their own.
 class System
@@ -170,6 +175,13 @@
             relay = std::make_unique<LinkRelay>(relayed, control.peer);
             entry.seeds = {{relayed.ip, control.operators.port}};
         }
+        if (link == ControlLink::Proxied) {
+            control.peerListen = control.peer;
+            control.peer = addressOn(3, control.peer.port);
+            proxy = std::make_unique<soak::FaultProxy>(*control.peerListen, control.peer);
+            control.seeds = entry.seeds = {{control.peer.ip, control.operators.port}};
+            control.operators = entry.seeds.front();
+        }
         start();
         m_control.isFirstStart = false;
     }
@@ -277,6 +289,7 @@
     }
 
     std::unique_ptr<LinkRelay> relay; ///< null unless the link is relayed
+    std::unique_ptr<soak::FaultProxy> proxy; ///< null unless the link is proxied
     std::unique_ptr<RegistryDaemon> registry;
     std::unique_ptr<GatewayDaemon> gateway;
 
--- a/unittests/LateNews/LateNewsTest.cpp
+++ b/unittests/LateNews/LateNewsTest.cpp
@@ -24,6 +24,8 @@
 constexpr int ManyRoutes = 4000;
 /// Of the narrow link, in bytes a second: the document needs longer than any host waits for a reply.
 constexpr std::uint64_t NarrowRate = 200'000;
+/// Of a link that callers fill, in bytes a second.
+constexpr std::uint64_t TrickleRate = 20'000;
 /// More than the time in which an undisturbed host hears of a departure.
 constexpr Milliseconds LongWay{700};
 
@@ -97,6 +99,30 @@
     CHECK(serving.target.runs() == runs);
 }
 
+TEST_CASE("a host whose news trickle in is waited for as long as it lives")
+{
+    ServingSystem serving(ControlLink::Proxied, NewsLease);
+    System &system = serving.system;
+    const Address callers = system.gateway->callersAddress();
+    system.proxy->narrow(TrickleRate);
+    // Names that do not compress: the change needs several times as long as a silent host is waited for.
+    std::vector<std::string> prefixes{"/p/"};
+    for (int n = 0; n < ManyRoutes; ++n) {
+        prefixes.push_back("/" + randomHex(16) + "/");
+    }
+    std::future<void> change = std::async(std::launch::async, [&] { system.putTable("r3", "r2", prefixes); });
+    REQUIRE(System::eventually(
+        [&] { return system.metrics().body.find("pepperlug_routing_behind 1") != std::string::npos; }));
+    int sequence = 1;
+    REQUIRE(
+        System::eventually([&] { return system.beat("i-1", serving.target, ++sequence, "draining").status == 200; }));
+    const int runs = serving.target.runs();
+    CHECK(system.get(callers, "/p/x").status == 503);
+    CHECK(serving.target.runs() == runs);
+    change.get();
+    CHECK(system.get(callers, prefixes.back() + "x").status == 503); // known, with no target left
+}
+
 TEST_CASE("a host that is cut off serves on, and does not deny routes that it may have missed")
 {
     ServingSystem serving(ControlLink::Relayed, NewsLease);
