--- /dev/null
+++ b/lib/Fleet/RegistryConfirmations.cpp
@@ -0,0 +1,215 @@
+//===- RegistryConfirmations.cpp - What waits until it holds everywhere ---===//
+//
+// What is acknowledged holds. A target's departure is acknowledged when a majority of the control hosts knows of it, so
+// that it is not forgotten, and when all entry hosts that were heard within their lease have confirmed it, since only
+// they could break it. A change of the routing is acknowledged when it is agreed on and the entry hosts have confirmed
+// it likewise. Here is who has confirmed what, what this host owes to others, and what is acknowledged upon it.
+//
+//===----------------------------------------------------------------------===//
+#include "RegistryImpl.h"
+
+#include <algorithm>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+constexpr unsigned Ok = 200;
+/// A confirmation that takes longer has been overtaken by an ask.
+constexpr auto ConfirmTimeout = std::chrono::seconds(1);
+/// Part of the time in which operators expect an answer, for which a change waits for confirmations. The rest is for
+/// agreeing on it and for the ways. After it the change is acknowledged all the same: it is decided, and one host that
+/// hangs must not hold up all operators.
+constexpr double ConfirmPart = 0.75;
+/// Hosts that a line names.
+constexpr std::size_t NamedHosts = 5;
+
+std::vector<std::string> firstOf(std::vector<std::string> names)
+{
+    names.resize(std::min(names.size(), NamedHosts));
+    return names;
+}
+
+} // namespace
+
+void RegistryDaemon::Impl::noteConfirmations(const FleetWatchCall &ask, bool isSameEpoch, TimePoint now)
+{
+    const HostReport &self = ask.self;
+    if (self.role == HostRole::Control) {
+        m_seenBy[self.peer] = ask.since;
+        // Positions of an earlier life of this host mean nothing now.
+        m_confirmations.peerConfirmed(self.peer, isSameEpoch ? ask.confirmed : NewsPosition{});
+        return;
+    }
+    if (self.presence == Presence::Gone) {
+        m_confirmations.followerLeft(self.id);
+        return;
+    }
+    m_confirmations.followerHas(self.id, {ask.since, ask.routingIndex}, now);
+}
+
+bool RegistryDaemon::Impl::isNewestOf(const std::string &peer, const std::string &host, std::uint64_t sequence)
+{
+    TakenConfirmation &taken = m_takenConfirmations[peer];
+    if (taken.host == host && sequence <= taken.sequence) {
+        return false;
+    }
+    taken = {host, sequence};
+    return true;
+}
+
+void RegistryDaemon::Impl::onConfirm(const IncomingCallPtr &call)
+{
+    const auto confirmation = decode<FleetConfirmCall>(call->body(), call->peer());
+    {
+        const std::lock_guard lock(m_mutex);
+        const bool isSameEpoch = confirmation.epoch == m_epoch;
+        if (isSameEpoch && isNewestOf(confirmation.peer, confirmation.host, confirmation.sequence)) {
+            m_confirmations.peerConfirmed(confirmation.peer, confirmation.upTo);
+            settle(m_clock.now());
+        }
+    }
+    call->reply(Ok, "");
+}
+
+void RegistryDaemon::Impl::oweConfirmation(const std::optional<Address> &to, NewsPosition position)
+{
+    if (to && *to != m_settings.peer) {
+        m_owed.push_back({*to, position, m_clock.now() + 2 * m_settings.newsLease});
+    }
+}
+
+// Asks are held back by the other host, so a confirmation in the next one alone would come up to a third of a second
+// late. One that is lost comes with the next ask.
+void RegistryDaemon::Impl::sendOwedConfirmations(TimePoint now)
+{
+    std::set<Address> reached;
+    std::erase_if(m_owed, [&](const OwedConfirmation &owed) {
+        const NewsPosition upTo = confirmedTo(owed.to, m_epochs[owed.to]);
+        const bool isReached = upTo.reports >= owed.position.reports && upTo.routing >= owed.position.routing;
+        if (isReached) {
+            reached.insert(owed.to);
+        }
+        return isReached || now > owed.until;
+    });
+    for (const Address &to : reached) {
+        const std::string &epoch = m_epochs[to];
+        const FleetConfirmCall call{m_incarnation, m_settings.peer.text(), ++m_sequence, epoch, confirmedTo(to, epoch)};
+        m_net.call(to, path::FleetConfirm, encode(call), ConfirmTimeout, [](const PeerReply &) {});
+    }
+}
+
+// Entry hosts may follow a control host that has ended for as long as their lease goes on.
+std::vector<std::string> RegistryDaemon::Impl::followedControlHosts(TimePoint now) const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[id, entry] : m_registry.hosts()) {
+        const HostReport &host = entry.report;
+        const bool mayBeFollowed = now - entry.heardAt <= m_settings.newsLease + SelfReportInterval;
+        if (host.role == HostRole::Control && host.id != m_incarnation && mayBeFollowed) {
+            hosts.push_back(host.peer);
+        }
+    }
+    return hosts;
+}
+
+// The followers of this host's former life may not have asked it again yet.
+bool RegistryDaemon::Impl::mayConfirm(TimePoint now) const
+{
+    return m_settings.isFirstStart || now - m_startedAt > m_settings.newsLease;
+}
+
+NewsPosition RegistryDaemon::Impl::confirmedTo(const Address &to, const std::string &epoch) const
+{
+    const TimePoint now = m_clock.now();
+    return mayConfirm(now) ? m_confirmations.confirmedTo(to.text(), epoch, m_routing.index(), now) : NewsPosition{};
+}
+
+// Names of hosts that may still act upon older news; empty if a position holds everywhere.
+std::vector<std::string> RegistryDaemon::Impl::unconfirmed(NewsPosition position, TimePoint now) const
+{
+    if (!mayConfirm(now)) {
+        return {m_settings.name};
+    }
+    return m_confirmations.missing(position, followedControlHosts(now), now);
+}
+
+void RegistryDaemon::Impl::settle(TimePoint now)
+{
+    settleDepartures(now);
+    settleChanges(now);
+    sendOwedConfirmations(now);
+}
+
+void RegistryDaemon::Impl::settleDepartures(TimePoint now)
+{
+    if (m_departures.empty()) {
+        return;
+    }
+    const ControlLogStatus status = m_log->status();
+    const auto isSpread = [&](const Departure &departure) {
+        std::size_t voters = 0;
+        std::size_t knowing = 0;
+        for (const ControlMember &member : status.members) {
+            if (!member.voter) {
+                continue;
+            }
+            const auto seen = m_seenBy.find(member.name);
+            const bool knows =
+                member.name == m_settings.peer.text() || (seen != m_seenBy.end() && seen->second >= departure.version);
+            ++voters;
+            knowing += knows ? 1 : 0;
+        }
+        return knowing * 2 > voters;
+    };
+    std::erase_if(m_departures, [&](const Departure &departure) {
+        const std::vector<std::string> missing = unconfirmed({departure.version, 0}, now);
+        const bool isDone = missing.empty() && isSpread(departure);
+        if (!isDone && now < departure.until) {
+            return false;
+        }
+        m_events.state(isDone ? "departure-acknowledged" : "departure-not-spread",
+                       {{"target", departure.target},
+                        {"registry_version", departure.version},
+                        {"missing", firstOf(missing)},
+                        {"took_ms", std::chrono::duration_cast<Milliseconds>(now - departure.since).count()}});
+        m_metrics.latency("pepperlug_departure_seconds", now - departure.since);
+        departure.exchange->respond(m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
+                                                            isDone ? "" : "not all hosts know of it yet"));
+        return true;
+    });
+}
+
+void RegistryDaemon::Impl::awaitConfirmation(const HttpExchangePtr &exchange, const std::string &subject, bool isAgain)
+{
+    const TimePoint now = m_clock.now();
+    const std::lock_guard lock(m_mutex);
+    const auto patience = std::chrono::duration_cast<Duration>(m_settings.bounds.acknowledge * ConfirmPart);
+    m_changes.push_back({exchange, subject, isAgain, m_routing.index(), now, m_routingChangedAt + patience});
+    settleChanges(now);
+}
+
+void RegistryDaemon::Impl::settleChanges(TimePoint now)
+{
+    std::erase_if(m_changes, [&](const Change &change) {
+        const std::vector<std::string> missing = unconfirmed({0, change.index}, now);
+        if (!missing.empty() && now < change.until) {
+            return false;
+        }
+        if (!missing.empty()) {
+            m_events.state("change-not-confirmed",
+                           {{"change", change.subject}, {"hosts", missing.size()}, {"missing", firstOf(missing)}});
+        }
+        m_events.decision("change-acknowledged",
+                          {{"change", change.subject},
+                           {"again", change.isAgain},
+                           {"took_ms", std::chrono::duration_cast<Milliseconds>(now - change.since).count()}});
+        m_metrics.latency("pepperlug_change_seconds", now - change.since);
+        change.exchange->respond(m_dialect.controlAnswer(ControlAnswer::Done, {}));
+        return true;
+    });
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -53,6 +53,13 @@
     void onAlive(const IncomingCallPtr &call);
     FleetWatchCall hear(const IncomingCallPtr &call, TimePoint now);
     void onRouting(const IncomingCallPtr &call);
+    const RoutingHistory &historyFor(bool knowsNothing) const;
+    bool hasNews(const FleetWatchCall &call) const;
+    FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now) const;
+    void replyWatchers(TimePoint now);
+    bool onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply);
+
+    // RegistryConfirmations.cpp
     void noteConfirmations(const FleetWatchCall &ask, bool isSameEpoch, TimePoint now);
     std::vector<std::string> followedControlHosts(TimePoint now) const;
     bool mayConfirm(TimePoint now) const;
@@ -62,11 +69,10 @@
     void sendOwedConfirmations(TimePoint now);
     NewsPosition confirmedTo(const Address &to, const std::string &epoch) const;
     std::vector<std::string> unconfirmed(NewsPosition position, TimePoint now) const;
-    const RoutingHistory &historyFor(bool knowsNothing) const;
-    bool hasNews(const FleetWatchCall &call) const;
-    FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now) const;
-    void replyWatchers(TimePoint now);
-    bool onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply);
+    void settle(TimePoint now);
+    void settleDepartures(TimePoint now);
+    void awaitConfirmation(const HttpExchangePtr &exchange, const std::string &subject, bool isAgain);
+    void settleChanges(TimePoint now);
 
     // RegistryRequests.cpp
     void onHttp(const HttpExchangePtr &exchange);
@@ -80,10 +86,6 @@
     void respondDecided(const HttpExchangePtr &exchange, RoutingResult result, const std::string &subject);
     void sendElsewhere(const HttpExchangePtr &exchange, const std::string &leader);
     std::string operatorsAddressOf(const std::string &peer);
-    void settle(TimePoint now);
-    void settleDepartures(TimePoint now);
-    void awaitConfirmation(const HttpExchangePtr &exchange, const std::string &subject, bool isAgain);
-    void settleChanges(TimePoint now);
     std::vector<std::string> entryHostsFor(const std::string &zone);
     std::vector<std::string> liveEntryHosts(const std::string &region) const;
     void followCallers(TimePoint now);
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -16,8 +16,6 @@
 /// Changes of the routing that are no longer than this come with the reply. On a link of 4 Mbit/s, the narrowest that
 /// was met, departures of targets wait 16 ms behind them, less than for the next tick of their host.
 constexpr std::size_t ShortChanges = 8 * 1024;
-/// A confirmation that takes longer has been overtaken by an ask.
-constexpr auto ConfirmTimeout = std::chrono::seconds(1);
 
 } // namespace
 
@@ -96,108 +94,6 @@
     call->reply(Ok, "");
 }
 
-void RegistryDaemon::Impl::noteConfirmations(const FleetWatchCall &ask, bool isSameEpoch, TimePoint now)
-{
-    const HostReport &self = ask.self;
-    if (self.role == HostRole::Control) {
-        m_seenBy[self.peer] = ask.since;
-        // Positions of an earlier life of this host mean nothing now.
-        m_confirmations.peerConfirmed(self.peer, isSameEpoch ? ask.confirmed : NewsPosition{});
-        return;
-    }
-    if (self.presence == Presence::Gone) {
-        m_confirmations.followerLeft(self.id);
-        return;
-    }
-    m_confirmations.followerHas(self.id, {ask.since, ask.routingIndex}, now);
-}
-
-bool RegistryDaemon::Impl::isNewestOf(const std::string &peer, const std::string &host, std::uint64_t sequence)
-{
-    TakenConfirmation &taken = m_takenConfirmations[peer];
-    if (taken.host == host && sequence <= taken.sequence) {
-        return false;
-    }
-    taken = {host, sequence};
-    return true;
-}
-
-void RegistryDaemon::Impl::onConfirm(const IncomingCallPtr &call)
-{
-    const auto confirmation = decode<FleetConfirmCall>(call->body(), call->peer());
-    {
-        const std::lock_guard lock(m_mutex);
-        const bool isSameEpoch = confirmation.epoch == m_epoch;
-        if (isSameEpoch && isNewestOf(confirmation.peer, confirmation.host, confirmation.sequence)) {
-            m_confirmations.peerConfirmed(confirmation.peer, confirmation.upTo);
-            settle(m_clock.now());
-        }
-    }
-    call->reply(Ok, "");
-}
-
-void RegistryDaemon::Impl::oweConfirmation(const std::optional<Address> &to, NewsPosition position)
-{
-    if (to && *to != m_settings.peer) {
-        m_owed.push_back({*to, position, m_clock.now() + 2 * m_settings.newsLease});
-    }
-}
-
-// Asks are held back by the other host, so a confirmation in the next one alone would come up to a third of a second
-// late. One that is lost comes with the next ask.
-void RegistryDaemon::Impl::sendOwedConfirmations(TimePoint now)
-{
-    std::set<Address> reached;
-    std::erase_if(m_owed, [&](const OwedConfirmation &owed) {
-        const NewsPosition upTo = confirmedTo(owed.to, m_epochs[owed.to]);
-        const bool isReached = upTo.reports >= owed.position.reports && upTo.routing >= owed.position.routing;
-        if (isReached) {
-            reached.insert(owed.to);
-        }
-        return isReached || now > owed.until;
-    });
-    for (const Address &to : reached) {
-        const std::string &epoch = m_epochs[to];
-        const FleetConfirmCall call{m_incarnation, m_settings.peer.text(), ++m_sequence, epoch, confirmedTo(to, epoch)};
-        m_net.call(to, path::FleetConfirm, encode(call), ConfirmTimeout, [](const PeerReply &) {});
-    }
-}
-
-// Entry hosts may follow a control host that has ended for as long as their lease goes on.
-std::vector<std::string> RegistryDaemon::Impl::followedControlHosts(TimePoint now) const
-{
-    std::vector<std::string> hosts;
-    for (const auto &[id, entry] : m_registry.hosts()) {
-        const HostReport &host = entry.report;
-        const bool mayBeFollowed = now - entry.heardAt <= m_settings.newsLease + SelfReportInterval;
-        if (host.role == HostRole::Control && host.id != m_incarnation && mayBeFollowed) {
-            hosts.push_back(host.peer);
-        }
-    }
-    return hosts;
-}
-
-// The followers of this host's former life may not have asked it again yet.
-bool RegistryDaemon::Impl::mayConfirm(TimePoint now) const
-{
-    return m_settings.isFirstStart || now - m_startedAt > m_settings.newsLease;
-}
-
-NewsPosition RegistryDaemon::Impl::confirmedTo(const Address &to, const std::string &epoch) const
-{
-    const TimePoint now = m_clock.now();
-    return mayConfirm(now) ? m_confirmations.confirmedTo(to.text(), epoch, m_routing.index(), now) : NewsPosition{};
-}
-
-// Names of hosts that may still act upon older news; empty if a position holds everywhere.
-std::vector<std::string> RegistryDaemon::Impl::unconfirmed(NewsPosition position, TimePoint now) const
-{
-    if (!mayConfirm(now)) {
-        return {m_settings.name};
-    }
-    return m_confirmations.missing(position, followedControlHosts(now), now);
-}
-
 // A host that knows nothing may have what is remembered from before a restart.
 const RoutingHistory &RegistryDaemon::Impl::historyFor(bool knowsNothing) const
 {
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -1,11 +1,4 @@
 //===- RegistryRequests.cpp - Targets, operators and callers at control ---===//
-//
-// What is acknowledged holds. A target's departure is acknowledged when a majority of the control hosts knows of it, so
-// that it is not forgotten, and when all entry hosts that were heard within their lease have confirmed it, since only
-// they could break it. A change of the routing is acknowledged when it is agreed on and the entry hosts have confirmed
-// it likewise.
-//
-//===----------------------------------------------------------------------===//
 #include "RegistryImpl.h"
 
 #include <algorithm>
@@ -19,12 +12,6 @@
 
 /// Targets turn to another host after a second.
 constexpr Milliseconds DeparturePatience{900};
-/// Part of the time in which operators expect an answer, for which a change waits for confirmations. The rest is for
-/// agreeing on it and for the ways. After it the change is acknowledged all the same: it is decided, and one host that
-/// hangs must not hold up all operators.
-constexpr double ConfirmPart = 0.75;
-/// Hosts that a line names.
-constexpr std::size_t NamedHosts = 5;
 constexpr Milliseconds DirectoryTimeToLive{1000};
 constexpr Milliseconds SharesInterval{250};
 
@@ -34,12 +21,6 @@
                                                         : "zone " + command.zone;
 }
 
-std::vector<std::string> firstOf(std::vector<std::string> names)
-{
-    names.resize(std::min(names.size(), NamedHosts));
-    return names;
-}
-
 } // namespace
 
 void RegistryDaemon::Impl::onHttp(const HttpExchangePtr &exchange)
@@ -92,52 +73,6 @@
     }
 }
 
-void RegistryDaemon::Impl::settle(TimePoint now)
-{
-    settleDepartures(now);
-    settleChanges(now);
-    sendOwedConfirmations(now);
-}
-
-void RegistryDaemon::Impl::settleDepartures(TimePoint now)
-{
-    if (m_departures.empty()) {
-        return;
-    }
-    const ControlLogStatus status = m_log->status();
-    const auto isSpread = [&](const Departure &departure) {
-        std::size_t voters = 0;
-        std::size_t knowing = 0;
-        for (const ControlMember &member : status.members) {
-            if (!member.voter) {
-                continue;
-            }
-            const auto seen = m_seenBy.find(member.name);
-            const bool knows =
-                member.name == m_settings.peer.text() || (seen != m_seenBy.end() && seen->second >= departure.version);
-            ++voters;
-            knowing += knows ? 1 : 0;
-        }
-        return knowing * 2 > voters;
-    };
-    std::erase_if(m_departures, [&](const Departure &departure) {
-        const std::vector<std::string> missing = unconfirmed({departure.version, 0}, now);
-        const bool isDone = missing.empty() && isSpread(departure);
-        if (!isDone && now < departure.until) {
-            return false;
-        }
-        m_events.state(isDone ? "departure-acknowledged" : "departure-not-spread",
-                       {{"target", departure.target},
-                        {"registry_version", departure.version},
-                        {"missing", firstOf(missing)},
-                        {"took_ms", std::chrono::duration_cast<Milliseconds>(now - departure.since).count()}});
-        m_metrics.latency("pepperlug_departure_seconds", now - departure.since);
-        departure.exchange->respond(m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
-                                                            isDone ? "" : "not all hosts know of it yet"));
-        return true;
-    });
-}
-
 void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const PutTable &request)
 {
     RouteTable table;
@@ -202,36 +137,6 @@
     });
 }
 
-void RegistryDaemon::Impl::awaitConfirmation(const HttpExchangePtr &exchange, const std::string &subject, bool isAgain)
-{
-    const TimePoint now = m_clock.now();
-    const std::lock_guard lock(m_mutex);
-    const auto patience = std::chrono::duration_cast<Duration>(m_settings.bounds.acknowledge * ConfirmPart);
-    m_changes.push_back({exchange, subject, isAgain, m_routing.index(), now, m_routingChangedAt + patience});
-    settleChanges(now);
-}
-
-void RegistryDaemon::Impl::settleChanges(TimePoint now)
-{
-    std::erase_if(m_changes, [&](const Change &change) {
-        const std::vector<std::string> missing = unconfirmed({0, change.index}, now);
-        if (!missing.empty() && now < change.until) {
-            return false;
-        }
-        if (!missing.empty()) {
-            m_events.state("change-not-confirmed",
-                           {{"change", change.subject}, {"hosts", missing.size()}, {"missing", firstOf(missing)}});
-        }
-        m_events.decision("change-acknowledged",
-                          {{"change", change.subject},
-                           {"again", change.isAgain},
-                           {"took_ms", std::chrono::duration_cast<Milliseconds>(now - change.since).count()}});
-        m_metrics.latency("pepperlug_change_seconds", now - change.since);
-        change.exchange->respond(m_dialect.controlAnswer(ControlAnswer::Done, {}));
-        return true;
-    });
-}
-
 void RegistryDaemon::Impl::respondDecided(const HttpExchangePtr &exchange, RoutingResult result,
                                           const std::string &subject)
 {
