A control host starts although it remembers a routing that it can't read

Found by reading: the remembered table was read outside the place that bears with an unreadable file, so a file from another version of the program kept the host from starting, each time anew. Test: fails before (the error leaves the constructor), passes now.

--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -113,12 +113,15 @@
 {
     try {
         m_remembered = readRemembered(m_settings.dataFolder + "/" + RememberedFile);
+        if (m_remembered) {
+            m_rememberedHistory.append(viewOf(m_remembered->routing));
+        }
     } catch (const Error &ex) {
         // Only the time until everybody has reported is lost.
         m_events.state("remembered-unreadable", {{"reason", ex.what()}});
+        m_remembered.reset();
     }
     if (m_remembered) {
-        m_rememberedHistory.append(viewOf(m_remembered->routing));
         m_events.state("remembered",
                        {{"routing", m_remembered->routing.index()}, {"targets", m_remembered->targets.size()}});
     }
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -55,6 +55,25 @@
     }));
 }
 
+TEST_CASE("a control host starts although it remembers a routing that it can't read")
+{
+    ServingSystem serving;
+    serving.system.endAll();
+    // As another version of the program may have left it.
+    Remembered unreadable;
+    RoutingCommand command;
+    command.version = 9;
+    command.text = "{";
+    REQUIRE(unreadable.routing.apply(command, 1000) == RoutingResult::Done);
+    serving.system.remember(unreadable);
+    serving.system.start();
+    int sequence = 1;
+    CHECK(System::eventually([&] {
+        serving.system.beat("i-1", serving.target, ++sequence);
+        return serving.statusOf("/p/x") == 200;
+    }));
+}
+
 TEST_CASE("a configuration is linearizable: resends are acknowledged, races have one winner, bad ones are refused")
 {
     System system;
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -27,6 +27,15 @@
 constexpr auto Patience = 30s;
 constexpr auto Pause = 10ms;
 
+/// An address on a loopback network that no other process of the tests uses, so that no port can be taken.
+inline Address addressOn(unsigned host, std::uint16_t port)
+{
+    constexpr unsigned Octet = 250;
+    const auto pid = static_cast<unsigned>(getpid());
+    const std::string network = std::to_string(1 + pid % Octet) + "." + std::to_string(1 + pid / Octet % Octet);
+    return {"127." + network + "." + std::to_string(host), port};
+}
+
 inline HttpResult fetchOnce(HttpClient &client, HttpCall call)
 {
     auto promise = std::make_shared<std::promise<HttpResult>>();
@@ -181,17 +190,33 @@
 
     ~System()
     {
-        gateway.reset();
-        registry.reset();
+        endAll();
         std::filesystem::remove_all(m_folder);
     }
 
     /// Both hosts end without notice and start again; the disk remains.
     void restartAll()
+    {
+        endAll();
+        start();
+    }
+
+    void endAll()
     {
         gateway.reset();
         registry.reset();
-        start();
+    }
+
+    void start()
+    {
+        registry = std::make_unique<RegistryDaemon>(m_control, m_clock, controlDialect<platform::Control>());
+        gateway = std::make_unique<GatewayDaemon>(m_entry, m_clock, callerDialect<platform::Clients>());
+    }
+
+    /// Replaces what the control host remembers; it must have ended.
+    void remember(const Remembered &remembered) const
+    {
+        writeRemembered(m_control.dataFolder + "/remembered", remembered);
     }
 
     std::size_t rememberedTargets() const
@@ -286,21 +311,6 @@
     std::unique_ptr<GatewayDaemon> gateway;
 
 private:
-    /// An address on a loopback network that no other process of the tests uses, so that no port can be taken.
-    static Address addressOn(unsigned host, std::uint16_t port)
-    {
-        constexpr unsigned Octet = 250;
-        const auto pid = static_cast<unsigned>(getpid());
-        const std::string network = std::to_string(1 + pid % Octet) + "." + std::to_string(1 + pid / Octet % Octet);
-        return {"127." + network + "." + std::to_string(host), port};
-    }
-
-    void start()
-    {
-        registry = std::make_unique<RegistryDaemon>(m_control, m_clock, controlDialect<platform::Control>());
-        gateway = std::make_unique<GatewayDaemon>(m_entry, m_clock, callerDialect<platform::Clients>());
-    }
-
     std::filesystem::path m_folder;
     FleetSettings m_control;
     FleetSettings m_entry;
