Reproduce: sends by routes that were replaced, and a change acknowledged without being in force

Sight: the line of a send names the table that it was decided by beside the newest one, and whether the route has homes; who is missing is told with what it has and when it asked last; a host that asks again after its lease leaves a line and a count. No decision is changed.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -129,6 +129,8 @@
     std::string address;
     std::string zone;
     std::string service;
+    std::uint64_t tableVersion = 0; ///< of the table whose route led there
+    bool hasHomes = false; ///< that route names home regions
     Duration timeLeft{}; ///< of the caller's deadline and the route's time limit
     double fill = 0; ///< requests at the target over its slots, as believed
     Milliseconds loadAge{}; ///< of the belief
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -245,16 +245,17 @@
     /// Who has not confirmed a position of this host's own news yet: followers in lease, and those of `peers` (the
     /// control hosts that live); empty if it holds everywhere. A 0 in the position asks for nothing.
     std::vector<std::string> missing(NewsPosition position, const std::vector<std::string> &peers, TimePoint now) const;
-    /// Forgets followers whose lease has been over for long and peers that are not among the known ones; to be called
-    /// now and then.
-    void forget(const std::vector<std::string> &peers, TimePoint now);
-
-private:
+    /// What an entry host that asked here has, and when it asked last; nothing if it is not known.
     struct Follower {
         NewsPosition has;
         TimePoint askedAt{};
     };
+    std::optional<Follower> follower(const std::string &id) const;
+    /// Forgets followers whose lease has been over for long and peers that are not among the known ones; to be called
+    /// now and then.
+    void forget(const std::vector<std::string> &peers, TimePoint now);
 
+private:
     /// Whoever has come to `own` of this host's versions has all of the other host's news up to `theirs`.
     struct VersionPair {
         std::uint64_t theirs = 0;
--- a/include/pepperlug/Routes.h
+++ b/include/pepperlug/Routes.h
@@ -75,6 +75,7 @@
     /// Route with the longest prefix of the path among those of the host; null if there is none.
     const Route *match(std::string_view host, std::string_view path) const;
     const ServiceTraits *service(std::string_view name) const;
+    std::size_t routesWithHomes() const;
 };
 
 /// Finds the routes of a table that no longer changes, without walking all of them.
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -149,6 +149,7 @@
         return;
     }
     open.route = *route;
+    open.tableVersion = m_table->version;
     open.service = pickService(*route);
     open.affinity = route->sticky && !event.affinityKey.empty() ? hash64(event.affinityKey) : 0;
     const Duration deadline = event.deadline ? *event.deadline - WayBack : Duration(route->timeout);
@@ -189,6 +190,8 @@
     effect.address = target.report.address;
     effect.zone = target.report.zone;
     effect.service = open.service;
+    effect.tableVersion = open.tableVersion;
+    effect.hasHomes = !open.route.homeRegions.empty();
     effect.timeLeft = open.until - m_now;
     effect.fill = placement.fill;
     effect.loadAge = target.load ? std::chrono::duration_cast<Milliseconds>(m_now - target.loadAt) : Milliseconds(-1);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -36,6 +36,7 @@
     struct OpenRequest {
         CallerRequest request;
         Route route;
+        std::uint64_t tableVersion = 0; ///< of the table that the route is from
         std::string service;
         std::uint64_t affinity = 0;
         TimePoint arrivedAt{};
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -121,7 +121,9 @@
                        {"key", open.terms.affinityKey},
                        {"fill", effect.fill},
                        {"load_age_ms", effect.loadAge.count()},
-                       {"table", m_balancer->tableVersion()},
+                       {"table", effect.tableVersion},
+                       {"newest_table", m_balancer->tableVersion()},
+                       {"has_homes", effect.hasHomes},
                        {"view_age_ms", viewAge().count()},
                        {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
     open.calls[attempt] =
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -97,6 +97,8 @@
         m_events.state("routing",
                        {{"index", after.index},
                         {"table", after.table->version},
+                        {"routes", after.table->routes.size()},
+                        {"routes_with_homes", after.table->routesWithHomes()},
                         {"evacuated", after.evacuatedZones},
                         {"from", from.text()}});
         m_metrics.gauge("pepperlug_routing_index", static_cast<double>(after.index));
--- a/lib/Fleet/RegistryConfirmations.cpp
+++ b/lib/Fleet/RegistryConfirmations.cpp
@@ -47,9 +47,35 @@
         m_confirmations.followerLeft(self.id);
         return;
     }
+    const std::optional<NewsConfirmations::Follower> before = m_confirmations.follower(self.id);
+    if (before && now - before->askedAt > m_settings.newsLease) {
+        // It was not waited for meanwhile, but may have gone on by what it knew.
+        m_metrics.count("pepperlug_followers_out_of_lease");
+        m_events.state("follower-was-late",
+                       {{"host", self.id},
+                        {"silent_ms", std::chrono::duration_cast<Milliseconds>(now - before->askedAt).count()},
+                        {"had_routing", before->has.routing},
+                        {"has_routing", ask.routingIndex}});
+    }
     m_confirmations.followerHas(self.id, {ask.since, ask.routingIndex}, now);
 }
 
+// What the first few of those that are missing have, as far as this host knows, for a line of the log.
+nlohmann::json RegistryDaemon::Impl::describeMissing(const std::vector<std::string> &names, TimePoint now) const
+{
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const std::string &name : firstOf(names)) {
+        nlohmann::json host{{"host", name}};
+        if (const std::optional<NewsConfirmations::Follower> follower = m_confirmations.follower(name)) {
+            host["routing"] = follower->has.routing;
+            host["reports"] = follower->has.reports;
+            host["asked_ms_ago"] = std::chrono::duration_cast<Milliseconds>(now - follower->askedAt).count();
+        }
+        hosts.push_back(std::move(host));
+    }
+    return hosts;
+}
+
 bool RegistryDaemon::Impl::isNewestOf(const std::string &peer, const std::string &host, std::uint64_t sequence)
 {
     TakenConfirmation &taken = m_takenConfirmations[peer];
@@ -172,7 +198,7 @@
         m_events.state(isDone ? "departure-acknowledged" : "departure-not-spread",
                        {{"target", departure.target},
                         {"registry_version", departure.version},
-                        {"missing", firstOf(missing)},
+                        {"missing", describeMissing(missing, now)},
                         {"took_ms", std::chrono::duration_cast<Milliseconds>(now - departure.since).count()}});
         m_metrics.latency("pepperlug_departure_seconds", now - departure.since);
         departure.exchange->respond(m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
@@ -198,8 +224,9 @@
             return false;
         }
         if (!missing.empty()) {
-            m_events.state("change-not-confirmed",
-                           {{"change", change.subject}, {"hosts", missing.size()}, {"missing", firstOf(missing)}});
+            m_events.state(
+                "change-not-confirmed",
+                {{"change", change.subject}, {"hosts", missing.size()}, {"missing", describeMissing(missing, now)}});
         }
         m_events.decision("change-acknowledged",
                           {{"change", change.subject},
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -327,9 +327,7 @@
         return;
     }
     const RoutingView &view = m_history.view();
-    m_hasHomes = view.table && std::any_of(view.table->routes.begin(), view.table->routes.end(), [](const Route &it) {
-                     return !it.homeRegions.empty();
-                 });
+    m_hasHomes = view.table && view.table->routesWithHomes() > 0;
 }
 
 void RegistryDaemon::Impl::statusChanged(const ControlLogStatus &status)
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -69,6 +69,7 @@
     void oweConfirmation(const std::optional<Address> &to, NewsPosition position);
     void sendOwedConfirmations(TimePoint now);
     NewsPosition confirmedTo(const Address &to, const std::string &epoch) const;
+    nlohmann::json describeMissing(const std::vector<std::string> &names, TimePoint now) const;
     std::vector<std::string> unconfirmed(NewsPosition position, TimePoint now) const;
     void settle(TimePoint now);
     void settleDepartures(TimePoint now);
--- a/lib/Registry/NewsConfirmations.cpp
+++ b/lib/Registry/NewsConfirmations.cpp
@@ -67,6 +67,12 @@
     collapse(now);
 }
 
+std::optional<NewsConfirmations::Follower> NewsConfirmations::follower(const std::string &id) const
+{
+    const auto it = m_followers.find(id);
+    return it == m_followers.end() ? std::nullopt : std::optional(it->second);
+}
+
 void NewsConfirmations::followerLeft(const std::string &id)
 {
     m_followers.erase(id);
--- a/lib/Routes/RouteTable.cpp
+++ b/lib/Routes/RouteTable.cpp
@@ -68,6 +68,12 @@
     return best;
 }
 
+std::size_t RouteTable::routesWithHomes() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(routes.begin(), routes.end(), [](const Route &it) { return !it.homeRegions.empty(); }));
+}
+
 const ServiceTraits *RouteTable::service(std::string_view name) const
 {
     const auto it = std::find_if(services.begin(), services.end(),
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -145,7 +145,10 @@
 class System
 {
 public:
-    explicit System(ControlLink link = ControlLink::Direct, Duration newsLease = 2 * Patience)
+    /// `acknowledge`: in what time operators expect an answer. By default one that no test waits for, since a machine
+    /// that is busy may hold a host up.
+    explicit System(ControlLink link = ControlLink::Direct, Duration newsLease = 2 * Patience,
+                    Duration acknowledge = 2 * Patience)
         : m_folder(std::filesystem::temp_directory_path() / ("pepperlug-fleet-" + randomHex(8)))
     {
         std::filesystem::create_directories(m_folder);
@@ -154,8 +157,7 @@
         settings.regionOfZone = {{"z1", "r1"}};
         settings.bounds.grace = 5s;
         settings.bounds.retries = {0.2, 10s, 40};
-        // A machine that is busy may hold a host up; what is tested must not depend on it.
-        settings.bounds.acknowledge = 2 * Patience;
+        settings.bounds.acknowledge = acknowledge;
         settings.newsLease = newsLease;
         settings.maxBodyBytes = 1 << 20;
         settings.maxAnswerBytes = 1 << 20;
@@ -321,8 +323,9 @@
 
 /// A system with a configuration and one target, once it serves.
 struct ServingSystem {
-    explicit ServingSystem(ControlLink link = ControlLink::Direct, Duration newsLease = 2 * Patience)
-        : system(link, newsLease)
+    explicit ServingSystem(ControlLink link = ControlLink::Direct, Duration newsLease = 2 * Patience,
+                           Duration acknowledge = 2 * Patience)
+        : system(link, newsLease, acknowledge)
     {
         system.putTable("r2", "0");
         system.beat("i-1", target, 1);
--- /dev/null
+++ b/unittests/InForce/AcknowledgedTest.cpp
@@ -0,0 +1,44 @@
+//===- AcknowledgedTest.cpp - No change is acknowledged that is not in force ---===//
+//
+// Seen: a change of the routes that had been acknowledged was not in force at an entry host that lived and answered its
+// callers. How it came about: a change was acknowledged after three quarters of the time in which operators expect an
+// answer, whoever had not confirmed it by then; a host whose link passes a long change more slowly went on by the older
+// routes. Cause: a promise was given up at a time limit, but was still said to hold. Proved by a host on a narrow link,
+// with the line that names who was missing.
+//
+//===----------------------------------------------------------------------===//
+#include "Fleet/System.h"
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+using namespace pepperlug::fleet::test;
+
+namespace
+{
+
+/// Names of 32 signs that do not compress: about 90 KB.
+constexpr int ManyRoutes = 4000;
+/// Of the entry host's link, in bytes a second: the change needs several times as long as operators wait.
+constexpr std::uint64_t NarrowRate = 20'000;
+/// In which operators expect an answer.
+constexpr auto Acknowledge = 1s;
+
+std::vector<std::string> manyNewPrefixes()
+{
+    std::vector<std::string> prefixes;
+    for (int n = 0; n < ManyRoutes; ++n) {
+        prefixes.push_back("/" + randomHex(16) + "/");
+    }
+    return prefixes;
+}
+
+} // namespace
+
+TEST_CASE("a route that was removed is not served once this is acknowledged, however late the news")
+{
+    ServingSystem serving(ControlLink::Proxied, NewsLease, Acknowledge);
+    REQUIRE(serving.statusOf("/p/x") == 200);
+    serving.system.proxy->narrow(NarrowRate);
+    serving.system.putTable("r3", "r2", manyNewPrefixes());
+    CHECK(serving.statusOf("/p/x") != 200);
+}
--- /dev/null
+++ b/unittests/InForce/RoutesChangeTest.cpp
@@ -0,0 +1,219 @@
+//===- RoutesChangeTest.cpp - Requests that are open while the routes change ---===//
+//
+// Seen: requests ran outside the home regions of their route, and by routes that an acknowledged change had replaced
+// seconds before. How it came about: a request kept a copy of its route from its arrival to its end, which may be
+// 20 s later. It was sent a second time, after a loss, a refusal or a silence of its first target, by that copy: to a
+// region that was no home any more, to a service that the route had been taken from, or although the route was gone.
+// Its host had confirmed the change long before, and only the target was looked at again. Cause: a decision kept what
+// it was made upon in place of asking for what is in force when it is carried out. Proved by driving one host alone:
+// it needs neither a slow link nor luck.
+//
+//===----------------------------------------------------------------------===//
+#include "Balance/BalanceFixture.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+
+namespace
+{
+
+/// A host with a target of service "s" in its own region r1 and one in r2, and of service "other" likewise.
+class ChangingHost : public Host
+{
+public:
+    explicit ChangingHost(std::uint64_t seed = 1)
+        : Host("z1", seed)
+    {
+        table.services.push_back({"other", 100, 3s, 4});
+        useTable();
+        for (const char *service : {"s", "other"}) {
+            for (const char *zone : {"z1", "z3"}) {
+                TargetReport it = targetOf(std::string(service) + "-" + zone, zone);
+                it.service = service;
+                report(it);
+            }
+        }
+    }
+
+    Route &route(std::size_t n = 0)
+    {
+        return table.routes[n];
+    }
+
+    void putTable()
+    {
+        ++table.version;
+        useTable();
+    }
+
+    /// Starts a request whose only target so far is in r1, and returns its id.
+    RequestId requestInRegionOne(const std::string &path)
+    {
+        route().homeRegions = route(1).homeRegions = {"r1"};
+        putTable();
+        const RequestId id = request(path);
+        REQUIRE(find<StartAttempt>() != nullptr);
+        REQUIRE(find<StartAttempt>()->zone == "z1");
+        return id;
+    }
+};
+
+std::string regionOfZone(const std::string &zone)
+{
+    return Host::settingsOf(zone, 1).regionOfZone.at(zone);
+}
+
+} // namespace
+
+TEST_CASE("a request that is sent again goes to the homes that are in force then")
+{
+    ChangingHost host;
+    const RequestId id = host.requestInRegionOne("/once/x");
+    host.route(1).homeRegions = {"r2"};
+    host.putTable();
+    host.end(id, 1, AttemptOutcome::NotSent);
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->target == "s-z3");
+}
+
+TEST_CASE("a request that is sent again goes to the service that its route leads to then")
+{
+    ChangingHost host;
+    const RequestId id = host.requestInRegionOne("/once/x");
+    host.route(1).services = {{"other", 1}};
+    host.putTable();
+    host.end(id, 1, AttemptOutcome::NotSent);
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->target == "other-z1");
+}
+
+TEST_CASE("a request whose route is gone is not sent again")
+{
+    ChangingHost host;
+    const RequestId once = host.request("/once/x");
+    const RequestId read = host.request("/read/x");
+    host.table.routes.clear();
+    host.putTable();
+    host.end(once, 1, AttemptOutcome::NotSent);
+    CHECK(host.find<StartAttempt>() == nullptr);
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(promisesNotRun(host.find<RefuseRequest>()->reason));
+    host.end(read, 1, AttemptOutcome::Lost);
+    CHECK(host.find<StartAttempt>() == nullptr);
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK_FALSE(promisesNotRun(host.find<RefuseRequest>()->reason));
+}
+
+TEST_CASE("a request is not sent again where its route has come to allow one attempt only, or one run")
+{
+    ChangingHost host;
+    const RequestId id = host.request("/read/x");
+    host.route().attempts = 1;
+    host.putTable();
+    host.end(id, 1, AttemptOutcome::NotSent);
+    CHECK(host.find<StartAttempt>() == nullptr);
+
+    ChangingHost other;
+    const RequestId read = other.request("/read/x");
+    other.route().kind = RouteKind::OnceOnly;
+    other.putTable();
+    other.end(read, 1, AttemptOutcome::Lost);
+    CHECK(other.find<StartAttempt>() == nullptr);
+}
+
+TEST_CASE("a silent target is doubled by the routes that are in force then")
+{
+    ChangingHost host;
+    host.requestInRegionOne("/read/x");
+    host.route().homeRegions = {"r2"};
+    host.putTable();
+    host.now += 1600ms;
+    host.reduce(BalanceTick{});
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->target == "s-z3");
+}
+
+TEST_CASE("whatever changes meanwhile, each send is one that the newest table allows")
+{
+    CHECK(rc::check([] {
+        ChangingHost host(*rc::gen::arbitrary<std::uint64_t>());
+        std::map<std::uint64_t, std::vector<unsigned>> open;
+        std::map<std::uint64_t, std::string> paths;
+        const auto look = [&] {
+            for (const BalanceEffect &effect : host.effects) {
+                if (const auto *refuse = std::get_if<RefuseRequest>(&effect)) {
+                    open.erase(static_cast<std::uint64_t>(refuse->id));
+                }
+                const auto *start = std::get_if<StartAttempt>(&effect);
+                if (start == nullptr) {
+                    continue;
+                }
+                const auto id = static_cast<std::uint64_t>(start->id);
+                const Route *route = host.table.match("h", paths.at(id));
+                RC_ASSERT(route != nullptr);
+                RC_ASSERT(start->attempt <= route->attempts);
+                RC_ASSERT(std::any_of(route->services.begin(), route->services.end(),
+                                      [&](const WeightedService &it) { return it.service == start->service; }));
+                RC_ASSERT(start->target.rfind(start->service + "-", 0) == 0);
+                const std::vector<std::string> &homes = route->homeRegions;
+                RC_ASSERT(homes.empty()
+                          || std::find(homes.begin(), homes.end(), regionOfZone(start->zone)) != homes.end());
+                open[id].push_back(start->attempt);
+            }
+        };
+        const auto changeRoute = [&](int drawn) {
+            host.table.routes = {Host::routeOf("/read/", RouteKind::Repeatable),
+                                 Host::routeOf("/once/", RouteKind::OnceOnly)};
+            Route &route = host.route(static_cast<std::size_t>(drawn % 2));
+            switch (drawn / 2) {
+            case 0:
+                route.homeRegions = {"r1"};
+                break;
+            case 1:
+                route.homeRegions = {"r2"};
+                break;
+            case 2:
+                route.services = {{"other", 1}};
+                break;
+            case 3:
+                route.services = {{"s", 1}, {"other", 1}};
+                break;
+            case 4:
+                route.attempts = 1;
+                break;
+            default:
+                host.table.routes.erase(host.table.routes.begin() + drawn % 2);
+            }
+            host.putTable();
+        };
+        const int steps = *rc::gen::inRange(10, 60);
+        for (int n = 0; n < steps; ++n) {
+            host.now += Milliseconds(*rc::gen::element(1, 40, 700));
+            const int step = *rc::gen::inRange(0, 6);
+            if (step < 2) {
+                const std::string path = step == 0 ? "/read/x" : "/once/x";
+                paths[host.lastRequest + 1] = path;
+                host.request(path, *rc::gen::element<std::string>("", "a", "b"));
+            } else if (step == 2) {
+                changeRoute(*rc::gen::inRange(0, 12));
+            } else if (step == 3 || open.empty()) {
+                host.reduce(BalanceTick{});
+            } else {
+                const auto it = open.begin();
+                const unsigned attempt = it->second.back();
+                const auto id = static_cast<RequestId>(it->first);
+                it->second.pop_back();
+                if (it->second.empty()) {
+                    open.erase(it);
+                }
+                host.end(id, attempt,
+                         *rc::gen::element(AttemptOutcome::NotSent, AttemptOutcome::Shed, AttemptOutcome::Lost,
+                                           AttemptOutcome::WrongTarget));
+            }
+            look();
+        }
+    }));
+}
