A change is acknowledged only once it holds; a host that gets it late stops deciding

Cause: after three quarters of the time in which operators expect an answer a change was acknowledged, whoever was missing: a promise given up at a time limit, but still said to hold. An entry host that lived went on by the older routing for as long as its link needed. A control host without a majority, or a new one that had not caught up, held changes up until that limit.

Now: the operator is told to send the change again (503); an entry host that has known of newer routing for a lease (1.8 s) and has not got it decides nothing, refuses as not run and says so, so it is not waited for; a control host that is not in touch with a majority for a lease is not waited for, since it sends entry hosts elsewhere at once; a follower is current only while it has all that its leader told to be agreed on (before: while it heard a leader, also with a slow disk or while it caught up).

Before: AcknowledgedTest failed (the removed route was served after the acknowledgement); the new MembershipTest case fails without its mend.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -45,7 +45,8 @@
     Duration shiftWindow = std::chrono::seconds(2);
     std::uint64_t linkBytesPerSecond = 0; ///< of this host's link, both ways together; 0 if it need not be minded
     std::uint64_t seed = 0;
-    /// Age from which on this host must take it that routes were added of which it has not heard.
+    /// Age from which on this host must take it that routes were added of which it has not heard; and the longest time
+    /// for which it decides by routing after it has heard of a newer one.
     Duration newsLease = NewsLease;
     BalancePolicy policy;
 };
@@ -67,7 +68,8 @@
 /// A control host in touch with a majority told what was new.
 struct NewsReceived {
     TimePoint askedAt{}; ///< all that it knew then is known here
-    bool isRoutingBehind = false; ///< but for newer routing, which is still on its way
+    std::optional<TimePoint> behindSince{}; ///< when this host heard of the oldest routing that it has not got
+    bool isComing = true; ///< what it has not got is on its way; false: it can't be read here
 };
 
 struct CallerRequest {
@@ -206,6 +208,8 @@
     /// Part of this host's link that the answers which callers ask for would use; 0 if it need not be minded.
     double linkUse(TimePoint now) const;
     std::uint64_t tableVersion() const;
+    /// Whether nothing is sent or denied, since newer routing has not arrived in time.
+    bool isSuspended() const;
     /// Whether an attempt that has not left yet may still be sent: its target takes work, and the route that is in
     /// force now leads there.
     bool maySend(RequestId id, unsigned attempt) const;
--- a/include/pepperlug/Consensus.h
+++ b/include/pepperlug/Consensus.h
@@ -222,7 +222,7 @@
     std::uint64_t lastIndex() const;
     const std::string &leader() const;
     const std::vector<ControlMember> &members() const;
-    /// Whether this host is, or lately heard from, a leader that a majority follows.
+    /// Whether this host is a leader that a majority follows, or lately heard from one and had all that was agreed on.
     bool isCurrent(TimePoint now) const;
     /// Whether this host leads under a lease and has applied all that was agreed before its term.
     bool canRead(TimePoint now) const;
@@ -297,7 +297,7 @@
     std::string m_leader;
     TimePoint m_electionDue{};
     TimePoint m_leaderHeard{};
-    bool m_everHeardLeader = false;
+    std::optional<TimePoint> m_caughtUpAt; ///< when this member last had all that its leader told to be agreed on
     std::set<std::string> m_votes;
     std::map<std::string, Progress> m_progress;
     std::uint64_t m_round = 0;
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -10,6 +10,8 @@
 
 #include "pepperlug/Codec.h"
 
+#include <limits>
+
 namespace pepperlug::fleet
 {
 
@@ -209,6 +211,12 @@
 struct NewsPosition {
     std::uint64_t reports = 0; ///< version of the control host's registry
     std::uint64_t routing = 0; ///< log index
+    /// Beyond all news that there may be.
+    static NewsPosition everything()
+    {
+        constexpr std::uint64_t Unlimited = std::numeric_limits<std::uint64_t>::max();
+        return {Unlimited, Unlimited};
+    }
     bool operator==(const NewsPosition &) const = default;
     /// Whether it is as far as the other one in both; a 0 there asks for nothing.
     bool reaches(const NewsPosition &wanted) const
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -129,13 +129,25 @@
 void Balancer::Impl::on(const NewsReceived &event)
 {
     m_lastNews = event;
+    suspendIfLate();
+}
+
+// Whoever acknowledges a change waits for this host to act by it. A slow link must hold up neither the operator nor the
+// promise, so after a while this host says that it decides nothing by what it has, and refuses what comes as not run:
+// callers find another host. Measured by AcknowledgedTest: 1.8 s in place of the 20 s and more that the link needs.
+// Where the newer routing can't be read here it would never end, so this host goes on, and the change is not
+// acknowledged.
+void Balancer::Impl::suspendIfLate()
+{
+    m_isSuspended = m_lastNews && m_lastNews->behindSince && m_lastNews->isComing
+        && m_now - *m_lastNews->behindSince > m_settings.newsLease;
 }
 
 // A caller that is told "no such route" does not ask again, so only a host may say it that would know of the route.
 // Routes that are known are served whatever the age of the view: a zone that is cut off serves on.
 bool Balancer::Impl::mayHaveMissedRoutes() const
 {
-    return !m_lastNews || m_lastNews->isRoutingBehind || m_now - m_lastNews->askedAt > m_settings.newsLease;
+    return !m_lastNews || m_lastNews->behindSince || m_now - m_lastNews->askedAt > m_settings.newsLease;
 }
 
 const Route *Balancer::Impl::routeInForce(const OpenRequest &open) const
@@ -163,9 +175,13 @@
 
 // A request may be open for many seconds, and this host has long told others that it acts by the newest table. So each
 // send goes by the route that is in force then, not by the one of the arrival: no send by a replaced route in place of
-// one in each request that is sent again after a change (InForceTests). False: there is no such route any more.
+// one in each request that is sent again after a change (InForceTests). False: there is no such route any more, or it
+// is not known.
 bool Balancer::Impl::followRoutes(OpenRequest &open)
 {
+    if (m_isSuspended) {
+        return false;
+    }
     if (open.tableVersion == m_table->version) {
         return true;
     }
@@ -201,6 +217,10 @@
         return;
     }
     adopt(open, *route);
+    if (m_isSuspended) {
+        refuse(open, Refusal::RoutingLate);
+        return;
+    }
     const Duration work = m_stats[route->name].work().value_or(route->objective / 2);
     m_arrivals[open.service].add(m_now, std::chrono::duration<double>(work).count());
     m_askedBytes.add(m_now, m_stats[route->name].answerBytes() + HeadBytes);
@@ -369,7 +389,9 @@
         }
     }
     Refusal reason = event.outcome == AttemptOutcome::Shed ? Refusal::Overloaded : Refusal::NotReached;
-    reason = hasRoute ? reason : Refusal::RouteChanged;
+    if (!hasRoute) {
+        reason = m_isSuspended ? Refusal::RoutingLate : Refusal::RouteChanged;
+    }
     if (open.mayHaveRun) {
         reason = event.outcome == AttemptOutcome::TimedOut || m_now >= open.until ? Refusal::TimedOut : Refusal::Lost;
     }
@@ -417,6 +439,7 @@
 
 void Balancer::Impl::on(const BalanceTick &)
 {
+    suspendIfLate();
     endOverdue();
     hedgeSilent();
     followPlans();
@@ -447,11 +470,16 @@
     return m_table ? m_table->version : 0;
 }
 
+bool Balancer::Impl::isSuspended() const
+{
+    return m_isSuspended;
+}
+
 // Asked when a connection is there, up to some hundred milliseconds after the target was chosen.
 bool Balancer::Impl::maySend(RequestId id, unsigned attempt) const
 {
     const auto it = m_open.find(static_cast<std::uint64_t>(id));
-    if (it == m_open.end()) {
+    if (it == m_open.end() || m_isSuspended) {
         return false;
     }
     const OpenRequest &open = it->second;
@@ -501,6 +529,11 @@
     return m_impl->tableVersion();
 }
 
+bool Balancer::isSuspended() const
+{
+    return m_impl->isSuspended();
+}
+
 bool Balancer::maySend(RequestId id, unsigned attempt) const
 {
     return m_impl->maySend(id, attempt);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -22,6 +22,7 @@
     std::vector<ServiceDemand> demand(TimePoint now) const;
     double linkUse(TimePoint now) const;
     std::uint64_t tableVersion() const;
+    bool isSuspended() const;
     bool maySend(RequestId id, unsigned attempt) const;
     std::size_t usableTargets(TimePoint now) const;
 
@@ -74,6 +75,7 @@
     void hedgeSilent();
     void cancelAttempts(OpenRequest &open);
     bool mayHaveMissedRoutes() const;
+    void suspendIfLate();
     const Route *routeInForce(const OpenRequest &open) const;
     void adopt(OpenRequest &open, const Route &route);
     bool followRoutes(OpenRequest &open);
@@ -100,6 +102,7 @@
     std::shared_ptr<const RouteTable> m_table;
     std::optional<RouteIndex> m_routeIndex; ///< of the table
     std::optional<NewsReceived> m_lastNews;
+    bool m_isSuspended = false;
     std::map<std::string, unsigned> m_urgentPriority; ///< by service: the most urgent one among its routes
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
     std::map<std::string, RegionPlan> m_plans; ///< by service
--- a/lib/Consensus/Consensus.cpp
+++ b/lib/Consensus/Consensus.cpp
@@ -178,7 +178,8 @@
     if (m_role == ControlRole::Leader) {
         return m_leaseUntil;
     }
-    return m_everHeardLeader ? m_leaderHeard + leaseTime() : TimePoint{};
+    // Who hears a leader but lacks what is agreed on (a slow disk, a start) would have others follow old decisions.
+    return m_caughtUpAt ? *m_caughtUpAt + leaseTime() : TimePoint{};
 }
 
 bool Consensus::canRead(TimePoint now) const
--- a/lib/Consensus/Replication.cpp
+++ b/lib/Consensus/Replication.cpp
@@ -77,7 +77,6 @@
     }
     becomeFollower(from.term, from.name);
     m_leaderHeard = m_now;
-    m_everHeardLeader = true;
     resetElectionTimer();
     reply.sender = sender();
 
@@ -125,6 +124,9 @@
     }
     const std::uint64_t match = message.previousIndex + message.entries.size();
     commitTo(std::min(message.commit, match));
+    if (m_commit >= message.commit) {
+        m_caughtUpAt = m_now;
+    }
     reply.success = true;
     reply.matchIndex = match;
     send(from.name, reply);
@@ -139,7 +141,6 @@
     }
     becomeFollower(from.term, from.name);
     m_leaderHeard = m_now;
-    m_everHeardLeader = true;
     resetElectionTimer();
     if (message.snapshot.index > m_commit) {
         const bool keepsTail = message.snapshot.index < lastIndex() && message.snapshot.index >= m_snapshot.index
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -25,7 +25,9 @@
     std::uint64_t routingIndex = 0; ///< log index of the routing that the asker has
     std::uint64_t routingHeard = 0; ///< of the newest routing that it has heard of; if later, it is being fetched
     Milliseconds patience{}; ///< how long the reply may be held back
-    NewsPosition confirmed; ///< by a control host: news of the asked host that it and all its followers have
+    /// By a control host: news of the asked host that it and all its followers have. By an entry host: the log index
+    /// such that it decides nothing by an older routing.
+    NewsPosition confirmed;
     MSGPACK_DEFINE(self, epoch, since, routingIndex, routingHeard, patience, confirmed);
 };
 
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -72,7 +72,8 @@
         FleetWatchCall call;
         call.self = selfReport();
         call.routingIndex = m_routing.index;
-        call.routingHeard = m_routingHeard;
+        call.routingHeard = m_routingLag.newest();
+        call.confirmed.routing = actsUpon();
         return call;
     };
     hooks.candidates = [this] {
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -11,6 +11,7 @@
 #include "ControlWatch.h"
 #include "EventLog.h"
 #include "pepperlug/Fleet.h"
+#include "RoutingLag.h"
 
 #include <unordered_map>
 
@@ -62,6 +63,7 @@
     void onRoutingFetched(const Address &from, TimePoint askedAt, const PeerReply &reply);
     void adoptRouting(const Address &from, const std::vector<std::string> &changes);
     void tellAgeOfNews();
+    std::uint64_t actsUpon() const;
 
     // GatewayRequests.cpp
     void onHttp(const HttpExchangePtr &exchange);
@@ -92,7 +94,7 @@
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_sequence = 0;
     RoutingView m_routing; ///< what the balancer decides by
-    std::uint64_t m_routingHeard = 0; ///< log index of the newest routing that a control host told of
+    RoutingLag m_routingLag;
     bool m_isFetchingRouting = false;
     bool m_wantsWholeRouting = false; ///< the last changes did not fit what is known here
     std::map<std::string, HostReport> m_controlHosts; ///< live ones, by id
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -26,7 +26,7 @@
     {
         const std::lock_guard lock(m_mutex);
         // Said with the next ask, so that it is held back although this host has not got the newest yet.
-        m_routingHeard = std::max(m_routingHeard, reply.routingIndex);
+        m_routingLag.heard(reply.routingIndex, m_clock.now());
         if (reply.routingIndex <= m_routing.index || m_isFetchingRouting) {
             return;
         }
@@ -107,7 +107,7 @@
     // Last, since asks tell it: from then on others rely on it.
     const std::lock_guard lock(m_mutex);
     m_wantsWholeRouting = false;
-    m_routingHeard = std::max(m_routingHeard, after.index);
+    m_routingLag.reached(after.index);
     if (after.index > m_routing.index) {
         m_routing = std::move(after);
     }
@@ -122,10 +122,18 @@
             return;
         }
         news.askedAt = *m_viewAsOf;
-        news.isRoutingBehind = m_routingHeard > m_routing.index;
+        news.behindSince = m_routingLag.behindSince();
+        news.isComing = !m_wantsWholeRouting;
     }
-    m_metrics.gauge("pepperlug_routing_behind", news.isRoutingBehind ? 1 : 0);
+    m_metrics.gauge("pepperlug_routing_behind", news.behindSince ? 1 : 0);
     reduce(news);
 }
 
+// Log index such that nothing is decided by an older routing; the mutex is held. It may be one that has not arrived
+// yet: while this host decides nothing, nobody has to wait for it.
+std::uint64_t GatewayDaemon::Impl::actsUpon() const
+{
+    return m_balancer->isSuspended() ? m_routingLag.newest() : m_routing.index;
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryConfirmations.cpp
+++ b/lib/Fleet/RegistryConfirmations.cpp
@@ -20,8 +20,8 @@
 /// A confirmation that takes longer has been overtaken by an ask.
 constexpr auto ConfirmTimeout = std::chrono::seconds(1);
 /// Part of the time in which operators expect an answer, for which a change waits for confirmations. The rest is for
-/// agreeing on it and for the ways. After it the change is acknowledged all the same: it is decided, and one host that
-/// hangs must not hold up all operators.
+/// agreeing on it and for the ways. After it the operator is told to ask again: what is acknowledged holds. A host that
+/// lives confirms within a lease, and one that does not is not waited for longer, so this is seldom reached.
 constexpr double ConfirmPart = 0.75;
 /// Hosts that a line names.
 constexpr std::size_t NamedHosts = 5;
@@ -57,7 +57,7 @@
                         {"had_routing", before->has.routing},
                         {"has_routing", ask.routingIndex}});
     }
-    m_confirmations.followerHas(self.id, {ask.since, ask.routingIndex}, now);
+    m_confirmations.followerHas(self.id, {ask.since, std::max(ask.routingIndex, ask.confirmed.routing)}, now);
 }
 
 // What the first few of those that are missing have, as far as this host knows, for a line of the log.
@@ -146,9 +146,19 @@
     return m_settings.isFirstStart || now - m_startedAt > m_settings.newsLease;
 }
 
+// Entry hosts that ask a control host which has no majority, or lacks what was agreed on, are told at once to ask
+// another one. A lease later none goes by what this one knows, so nobody has to wait until it has caught up.
+bool RegistryDaemon::Impl::isFollowedByNobody(TimePoint now) const
+{
+    return !m_wasCurrent && now - m_notCurrentSince > m_settings.newsLease;
+}
+
 NewsPosition RegistryDaemon::Impl::confirmedTo(const Address &to, const std::string &epoch) const
 {
     const TimePoint now = m_clock.now();
+    if (isFollowedByNobody(now)) {
+        return NewsPosition::everything();
+    }
     return mayConfirm(now) ? m_confirmations.confirmedTo(to.text(), epoch, m_routing.index(), now) : NewsPosition{};
 }
 
@@ -212,7 +222,7 @@
     const TimePoint now = m_clock.now();
     const std::lock_guard lock(m_mutex);
     const auto patience = std::chrono::duration_cast<Duration>(m_settings.bounds.acknowledge * ConfirmPart);
-    m_changes.push_back({exchange, subject, isAgain, m_routing.index(), now, m_routingChangedAt + patience});
+    m_changes.push_back({exchange, subject, isAgain, m_routing.index(), now, now + patience});
     settleChanges(now);
 }
 
@@ -227,6 +237,10 @@
             m_events.state(
                 "change-not-confirmed",
                 {{"change", change.subject}, {"hosts", missing.size()}, {"missing", describeMissing(missing, now)}});
+            m_metrics.count("pepperlug_changes_not_confirmed");
+            change.exchange->respond(m_dialect.controlAnswer(
+                ControlAnswer::Unavailable, "agreed on, but not all hosts act by it yet; send it again"));
+            return true;
         }
         m_events.decision("change-acknowledged",
                           {{"change", change.subject},
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -61,6 +61,7 @@
     , m_incarnation(m_settings.name + "#" + m_epoch)
     , m_confirmations(m_settings.newsLease)
     , m_startedAt(clock.now())
+    , m_notCurrentSince(m_startedAt)
 {
     m_log = std::make_unique<ControlLog>(logSettings(m_settings), m_clock, *this);
     m_events.state("start",
@@ -179,6 +180,7 @@
         m_currentSince = now;
     }
     if (isCurrent != m_wasCurrent) {
+        m_notCurrentSince = now;
         m_events.state(isCurrent ? "majority-regained" : "majority-lost", {{"term", m_log->status().term}});
     }
     m_wasCurrent = isCurrent;
@@ -318,7 +320,6 @@
 
 void RegistryDaemon::Impl::publishRouting()
 {
-    m_routingChangedAt = m_clock.now();
     try {
         m_history.append(viewOf(m_routing));
     } catch (const Error &ex) {
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -68,6 +68,7 @@
     bool isNewestOf(const std::string &peer, const std::string &host, std::uint64_t sequence);
     void oweConfirmation(const std::optional<Address> &to, NewsPosition position);
     void sendOwedConfirmations(TimePoint now);
+    bool isFollowedByNobody(TimePoint now) const;
     NewsPosition confirmedTo(const Address &to, const std::string &epoch) const;
     nlohmann::json describeMissing(const std::vector<std::string> &names, TimePoint now) const;
     std::vector<std::string> unconfirmed(NewsPosition position, TimePoint now) const;
@@ -146,7 +147,6 @@
     Registry m_registry;
     RoutingState m_routing;
     RoutingHistory m_history; ///< of m_routing, as entry hosts are told of it
-    TimePoint m_routingChangedAt{};
     NewsConfirmations m_confirmations;
     std::map<std::string, TakenConfirmation> m_takenConfirmations; ///< by peer address of the confirming host
     std::vector<OwedConfirmation> m_owed;
@@ -163,6 +163,7 @@
     TimePoint m_startedAt{};
     TimePoint m_currentSince{};
     bool m_wasCurrent = false;
+    TimePoint m_notCurrentSince{}; ///< while it is not; at first since the start
     TimePoint m_nextSelfReport{};
     TimePoint m_nextJoin{};
     std::optional<Remembered> m_remembered; ///< from before the restart, for a while
--- a/lib/Registry/NewsConfirmations.cpp
+++ b/lib/Registry/NewsConfirmations.cpp
@@ -49,8 +49,7 @@
 
 NewsPosition NewsConfirmations::lowestOfFollowers(TimePoint now) const
 {
-    constexpr std::uint64_t Unlimited = std::numeric_limits<std::uint64_t>::max();
-    NewsPosition lowest{Unlimited, Unlimited};
+    NewsPosition lowest = NewsPosition::everything();
     for (const auto &[id, follower] : m_followers) {
         if (!isInLease(follower, now)) {
             continue;
--- a/unittests/Consensus/MembershipTest.cpp
+++ b/unittests/Consensus/MembershipTest.cpp
@@ -222,3 +222,24 @@
     CHECK_FALSE(group.member(leader).isCurrent(group.now));
     CHECK_FALSE(group.member(follower).isCurrent(group.now));
 }
+
+TEST_CASE("a follower that lacks what its leader told to be agreed on does not take itself for current")
+{
+    Group group;
+    addFounders(group);
+    const std::string leader = group.leader()->leader();
+    const std::string follower = leader == "a" ? "b" : "a";
+    const Consensus &member = group.member(follower);
+    REQUIRE(member.isCurrent(group.now));
+    AppendRequest ahead;
+    ahead.sender = {leader, "initial", member.term()};
+    ahead.previousIndex = ahead.commit = member.lastIndex() + 1;
+    ahead.previousTerm = member.term();
+    for (const TimePoint end = group.now + 2s; group.now < end; group.now += 20ms) {
+        group.reduce(follower, MessageReceived{ahead});
+    }
+    CHECK(member.leader() == leader);
+    CHECK_FALSE(member.isCurrent(group.now));
+    group.run(1s); // the leader hands on what is missing
+    CHECK(member.isCurrent(group.now));
+}
--- /dev/null
+++ b/unittests/Fleet/RoutingLagTest.cpp
@@ -0,0 +1,39 @@
+//===- RoutingLagTest.cpp - Since when a host's routing is behind ---------===//
+#include "Fleet/RoutingLag.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+using namespace std::chrono_literals;
+
+TEST_CASE("a host is behind since it heard of the oldest routing that it has not got")
+{
+    const TimePoint start{1000s};
+    RoutingLag lag;
+    CHECK_FALSE(lag.behindSince());
+    lag.heard(5, start);
+    lag.heard(5, start + 1s); // told again
+    lag.heard(7, start + 2s);
+    lag.heard(6, start + 3s); // by a host that knows less
+    CHECK(lag.newest() == 7);
+    CHECK(lag.behindSince() == start);
+    lag.reached(5);
+    CHECK(lag.behindSince() == start + 2s);
+    lag.reached(7);
+    CHECK_FALSE(lag.behindSince());
+}
+
+TEST_CASE("routing that arrives unheard of is no lag")
+{
+    const TimePoint start{1000s};
+    RoutingLag lag;
+    lag.reached(3);
+    CHECK(lag.newest() == 3);
+    lag.heard(3, start);
+    CHECK_FALSE(lag.behindSince());
+    lag.heard(4, start);
+    lag.reached(9);
+    CHECK_FALSE(lag.behindSince());
+    CHECK(lag.newest() == 9);
+}
--- a/unittests/InForce/RoutesChangeTest.cpp
+++ b/unittests/InForce/RoutesChangeTest.cpp
@@ -166,6 +166,56 @@
     CHECK(host.find<StartAttempt>()->target == "s-z1");
 }
 
+TEST_CASE("a host that has known of newer routes for a lease decides nothing by its own until they arrive")
+{
+    ChangingHost host;
+    const RequestId waiting = host.request("/once/x");
+    const TimePoint heardAt = host.now;
+    host.reduce(NewsReceived{host.now, heardAt});
+    host.now += NewsLease;
+    host.reduce(BalanceTick{});
+    CHECK_FALSE(host.balancer.isSuspended());
+    CHECK(host.balancer.maySend(waiting, 1));
+    host.now += 1ms;
+    host.reduce(BalanceTick{});
+    REQUIRE(host.balancer.isSuspended());
+    CHECK_FALSE(host.balancer.maySend(waiting, 1));
+    host.end(waiting, 1, AttemptOutcome::Withdrawn);
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::RoutingLate);
+    for (const char *path : {"/read/x", "/unknown/x"}) {
+        host.request(path);
+        REQUIRE(host.find<RefuseRequest>() != nullptr);
+        CHECK(host.find<RefuseRequest>()->reason == Refusal::RoutingLate);
+        CHECK(host.find<RefuseRequest>()->retryAfter > 0ms);
+    }
+    host.putTable();
+    host.reduce(NewsReceived{host.now});
+    CHECK_FALSE(host.balancer.isSuspended());
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
+TEST_CASE("a host that can't read newer routes goes on by its own, and one that is cut off does")
+{
+    ChangingHost host;
+    NewsReceived news{host.now};
+    SECTION("it can't read them")
+    {
+        news.behindSince = host.now;
+        news.isComing = false;
+    }
+    SECTION("it has not heard of any")
+    {
+    }
+    host.reduce(news);
+    host.now += 10 * NewsLease;
+    host.reduce(BalanceTick{});
+    CHECK_FALSE(host.balancer.isSuspended());
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
 TEST_CASE("a silent target is doubled by the routes that are in force then")
 {
     ChangingHost host;
