Soak: a route whose home moves with each configuration, checked by what targets see

After the series, with all links between hosts narrow: 2.5 s after a configuration was acknowledged no entry host may send what has its home in the other region to a target here.

--- a/test/soak/Actors.cpp
+++ b/test/soak/Actors.cpp
@@ -84,6 +84,16 @@
     return m_lastArrival;
 }
 
+TimePoint Target::lastArrivalAtHome() const
+{
+    return m_lastArrivalAtHome;
+}
+
+const std::string &Target::zone() const
+{
+    return m_zone;
+}
+
 void Target::onRequest(const HttpExchangePtr &exchange)
 {
     const HttpRequest &request = exchange->request();
@@ -94,6 +104,9 @@
     }
     ++m_arrivals;
     m_lastArrival = m_clock.now();
+    if (request.path().starts_with(HomePrefix)) {
+        m_lastArrivalAtHome = m_lastArrival.load();
+    }
     m_ledger.ran(id, m_id, request.body);
     exchange->respond({Ok, {{"X-Request-Id", id}, {"X-Upstream-Seal", m_id + "." + id}}, Ledger::bodyOf(id)});
 }
@@ -268,7 +281,9 @@
     const nlohmann::json service{{"name", Service}, {"coldS", 0.5}, {"coldPerS", 1000}};
     const nlohmann::json limits{
         {"maxHeaderBytes", 16384}, {"maxBodyBytes", 1 << 20}, {"headerTimeoutS", 3}, {"idleTimeoutS", 15}};
-    nlohmann::json paths{routeOf("read", "/read/", "safe"), routeOf("once", "/once/", "unsafe")};
+    nlohmann::json paths{routeOf("read", "/read/", "safe"), routeOf("once", "/once/", "unsafe"),
+                         routeOf("home", HomePrefix, "safe")};
+    paths.back()["homeRegions"] = {homeOf(version)};
     for (const RouteGroup &group : m_groups) {
         for (unsigned n = 0; n < group.count; ++n) {
             const std::string prefix = prefixOf(group, n);
@@ -281,6 +296,16 @@
         .dump();
 }
 
+std::string Operator::homeOf(unsigned version)
+{
+    return version % 2 == 0 ? "r1" : "r2";
+}
+
+std::string Operator::homeRegion() const
+{
+    return homeOf(m_acknowledged);
+}
+
 void Operator::addRoutes(unsigned count)
 {
     m_groups.push_back({++m_lastGroup, count});
--- a/test/soak/Actors.h
+++ b/test/soak/Actors.h
@@ -10,6 +10,9 @@
 namespace pepperlug::soak
 {
 
+/// Of the one route that has a home region.
+constexpr const char *HomePrefix = "/home/";
+
 /// Waits for the answer of a call.
 HttpResult fetch(HttpClient &client, HttpCall call);
 
@@ -33,6 +36,9 @@
     unsigned arrivals() const;
     /// When the newest of them came.
     TimePoint lastArrival() const;
+    /// When the newest under HomePrefix came.
+    TimePoint lastArrivalAtHome() const;
+    const std::string &zone() const;
 
 private:
     void onRequest(const HttpExchangePtr &exchange);
@@ -52,6 +58,7 @@
     std::size_t m_next = 0;
     std::atomic<unsigned> m_arrivals{0};
     std::atomic<TimePoint> m_lastArrival{TimePoint{}};
+    std::atomic<TimePoint> m_lastArrivalAtHome{TimePoint{}};
     std::atomic<bool> m_isDraining{false};
     std::atomic<bool> m_stop{false};
     std::thread m_thread;
@@ -95,6 +102,8 @@
     void addRoutes(unsigned count);
     /// The next configurations have none of them.
     void removeRoutes();
+    /// Home region of the route under HomePrefix in the newest acknowledged configuration: another one in each.
+    std::string homeRegion() const;
     /// Path prefixes of some routes that the newest addRoutes() added: the first, one in the middle and the last.
     std::vector<std::string> newestPrefixes() const;
     /// Sends one that is not valid, which must not be taken.
@@ -114,6 +123,7 @@
     };
 
     static std::string prefixOf(const RouteGroup &group, unsigned n);
+    static std::string homeOf(unsigned version);
     std::string tableText(unsigned version) const;
     /// 0 if it could not be read.
     unsigned versionAt(std::size_t host);
--- a/test/soak/Cluster.cpp
+++ b/test/soak/Cluster.cpp
@@ -51,6 +51,11 @@
     return "z" + std::to_string(number % Zones + 1);
 }
 
+std::string Cluster::regionOf(const std::string &zone)
+{
+    return zone == "z3" ? "r2" : "r1";
+}
+
 Address Cluster::addressOf(unsigned host, std::uint16_t port) const
 {
     return {m_network + "." + std::to_string(host + 1), port};
@@ -62,16 +67,17 @@
     for (unsigned n = 0; n < m_settings.controlHosts; ++n) {
         seeds.push_back(addressOf(n, OperatorsPort).text());
     }
-    return {
-        {"name", name},
-        {"zone", zoneOf(number)},
-        {"zones",
-         {{{"name", "z1"}, {"region", "r1"}}, {{"name", "z2"}, {"region", "r1"}}, {{"name", "z3"}, {"region", "r2"}}}},
-        {"peer", addressOf(host, PeerPort).text()},
-        {"metrics", addressOf(host, MetricsPort).text()},
-        {"seeds", seeds},
-        {"log_lines_per_s", 2000},
-        {"bounds", {{"grace_s", 4}, {"retry_ratio", 0.2}, {"retry_slack", 40}}}};
+    return {{"name", name},
+            {"zone", zoneOf(number)},
+            {"zones",
+             {{{"name", "z1"}, {"region", regionOf("z1")}},
+              {{"name", "z2"}, {"region", regionOf("z2")}},
+              {{"name", "z3"}, {"region", regionOf("z3")}}}},
+            {"peer", addressOf(host, PeerPort).text()},
+            {"metrics", addressOf(host, MetricsPort).text()},
+            {"seeds", seeds},
+            {"log_lines_per_s", 2000},
+            {"bounds", {{"grace_s", 4}, {"retry_ratio", 0.2}, {"retry_slack", 40}}}};
 }
 
 std::filesystem::path Cluster::writeControl(unsigned number, bool isFirstStart) const
--- a/test/soak/Cluster.h
+++ b/test/soak/Cluster.h
@@ -29,6 +29,7 @@
     std::vector<Address> controlAddresses() const;
     std::vector<Address> entryAddresses() const;
     static std::string zoneOf(unsigned number);
+    static std::string regionOf(const std::string &zone);
     /// What all calls of other hosts to a control host pass.
     std::vector<FaultProxy *> controlLinks();
 
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -500,6 +500,22 @@
         for (unsigned n = 0; n < hosts.size(); ++n) {
             if (n != exempt) {
                 checkAddedRoutesAt(hosts[n], since);
+                checkHomeAt(hosts[n], since);
+            }
+        }
+    }
+
+    // Each configuration moves the home of one route to the other region; nothing else is put meanwhile.
+    void checkHomeAt(const Address &host, TimePoint since)
+    {
+        const TimePoint sentAt = m_clock.now();
+        Callers::read(m_client, m_ledger, host, HomePrefix);
+        for (const std::unique_ptr<Target> &target : m_targets) {
+            const bool isHome = Cluster::regionOf(target->zone()) == m_operator.homeRegion();
+            if (!isHome && target->lastArrivalAtHome() >= sentAt) {
+                m_ledger.fail("homes",
+                              target->id() + " gets from " + host.text() + " what has its home elsewhere, "
+                                  + millisecondsText(sentAt - since) + " after this was acknowledged");
             }
         }
     }
