A control host that has just started sends no caller out of its region

Now it answers 503 until its lease is over, so callers ask another control host; and until a table is known it takes it that routes have homes.

Test: 'a control host that has just started sends no caller out of its region', 200 in place of 503 before. Hedging is split into what may be doubled and which target is silent; the route is asked for only where a request is to be doubled.

--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -413,20 +413,28 @@
     }
 }
 
+bool Balancer::Impl::mayHedge(const OpenRequest &open)
+{
+    return open.attempts.size() == 1 && !open.hasBegun && open.route.kind == RouteKind::Repeatable
+        && open.started < open.route.attempts;
+}
+
+bool Balancer::Impl::isSilent(const Attempt &attempt, const Route &route)
+{
+    const Duration work = m_stats[route.name].work().value_or(route.objective);
+    const Duration patience = std::max<Duration>(LeastHedge, work * HedgeInWork);
+    const TargetState *target = m_targets.find(attempt.target);
+    const bool isSuspect = target == nullptr || target->isSuspect(m_now, patience);
+    return isSuspect && m_now - attempt.startedAt >= patience;
+}
+
 void Balancer::Impl::hedgeSilent()
 {
     for (auto &[id, open] : m_open) {
-        const bool mayHedge = open.attempts.size() == 1 && !open.hasBegun && followRoutes(open)
-            && open.route.kind == RouteKind::Repeatable && open.started < open.route.attempts;
-        if (!mayHedge) {
+        if (!mayHedge(open) || !isSilent(open.attempts.begin()->second, open.route)) {
             continue;
         }
-        const Attempt &attempt = open.attempts.begin()->second;
-        const TargetState *target = m_targets.find(attempt.target);
-        const Duration work = m_stats[open.route.name].work().value_or(open.route.objective);
-        const Duration patience = std::max<Duration>(LeastHedge, work * HedgeInWork);
-        const bool isSilent = target == nullptr || target->isSuspect(m_now, patience);
-        if (!isSilent || m_now - attempt.startedAt < patience) {
+        if (!followRoutes(open) || !mayHedge(open)) {
             continue;
         }
         const Placement placement = place(open);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -72,6 +72,8 @@
     void refuse(OpenRequest &open, Refusal reason, Duration drainTime = {});
     void giveUp(OpenRequest &open, Refusal reason);
     void endOverdue();
+    static bool mayHedge(const OpenRequest &open);
+    bool isSilent(const Attempt &attempt, const Route &route);
     void hedgeSilent();
     void cancelAttempts(OpenRequest &open);
     bool mayHaveMissedRoutes() const;
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -153,7 +153,7 @@
     std::map<Address, std::string> m_epochs; ///< of other control hosts, as of their last reply
     CallerShares m_shares;
     TimePoint m_nextShares{};
-    bool m_hasHomes = false; ///< some route of the table has home regions
+    bool m_hasHomes = true; ///< some route of the table has home regions, or there is no table yet
     std::uint64_t m_sequence = 0;
     bool m_isLeaving = false;
     std::vector<Watcher> m_watchers;
--- a/unittests/InForce/AcknowledgedTest.cpp
+++ b/unittests/InForce/AcknowledgedTest.cpp
@@ -4,7 +4,8 @@
 // callers. How it came about: a change was acknowledged after three quarters of the time in which operators expect an
 // answer, whoever had not confirmed it by then; a host whose link passes a long change more slowly went on by the older
 // routes. Cause: a promise was given up at a time limit, but was still said to hold. Proved by a host on a narrow link,
-// with the line that names who was missing.
+// with the line that names who was missing. The last case is of another answer that is given before it is known: a
+// control host that had just started named entry hosts of other regions to callers.
 //
 //===----------------------------------------------------------------------===//
 #include "Fleet/System.h"
@@ -42,3 +43,17 @@
     serving.system.putTable("r3", "r2", manyNewPrefixes());
     CHECK(serving.statusOf("/p/x") != 200);
 }
+
+TEST_CASE("a control host that has just started sends no caller out of its region")
+{
+    ServingSystem serving;
+    System &system = serving.system;
+    const auto statusFor = [&](const std::string &zone) {
+        return system.get(system.registry->directoryAddress(), "/api/resolve?name=a.example&region=r&zone=" + zone)
+            .status;
+    };
+    CHECK(statusFor("z2") == 200); // nobody else there, and it knows all
+    system.restartAll();
+    REQUIRE(System::eventually([&] { return statusFor("z1") == 200; }));
+    CHECK(statusFor("z2") == 503); // hosts of that region may not have been heard of yet
+}
