--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -229,8 +229,8 @@
     const std::string region = it == m_settings.regionOfZone.end() ? std::string() : it->second;
     std::vector<std::string> hosts = liveEntryHosts(region);
     if (hosts.empty()) {
-        // Just started, this host may have heard of a part of the entry hosts only, and callers would leave their region,
-        // with requests that have their home there, until they ask again.
+        // Just started, this host may have heard of a part of the entry hosts only, and callers would leave their
+        // region, with requests that have their home there, until they ask again.
         return mayConfirm(m_clock.now()) ? liveEntryHosts({}) : std::vector<std::string>{};
     }
     const GuestShare guests = m_shares.guestsOf(region);
--- a/unittests/InForce/AcknowledgedTest.cpp
+++ b/unittests/InForce/AcknowledgedTest.cpp
@@ -27,6 +27,7 @@
 std::vector<std::string> manyNewPrefixes()
 {
     std::vector<std::string> prefixes;
+    prefixes.reserve(ManyRoutes);
     for (int n = 0; n < ManyRoutes; ++n) {
         prefixes.push_back("/" + randomHex(16) + "/");
     }
