--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -632,7 +632,7 @@
                 }
             }
         };
-        const auto steps = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 9));
+        const auto steps = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 10));
         for (const int step : steps) {
             host.now += 30ms;
             if (step < 3) {
