A host that said it decides nothing stays so until it has all that it was told of

Cause, found by reading the mend cold: a host that lags behind two changes confirms both while it is suspended; when the first arrived it went on by it, although the second may have been acknowledged upon its word. The same where it found that it can't read what it had confirmed. Now it goes on once nothing that it was told of is missing, or when it is cut off.

--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -33,11 +33,18 @@
 // callers find another host. Measured by AcknowledgedTest, a change of 4,000 routes over a link of 20 KB a second: the
 // whole case takes 3.4 s with it, 6.1 s without. Where the newer routing can't be read here it would never end, so this
 // host goes on, and the change is not acknowledged.
+//
+// Once it has said so it stays so until it has all that it was told of: others rely on it for each of these changes,
+// and the next one may arrive while a later one is missing.
 void Balancer::Impl::suspendIfLate()
 {
-    const bool isLate = m_lastNews && m_lastNews->behindSince && m_lastNews->isComing
-        && m_now - *m_lastNews->behindSince > m_settings.newsLease;
-    m_isSuspended = isLate && m_now - m_lastNews->askedAt <= CutOffLeases * m_settings.newsLease;
+    if (!m_lastNews || !m_lastNews->behindSince) {
+        m_isSuspended = false;
+        return;
+    }
+    const bool isLate = m_lastNews->isComing && m_now - *m_lastNews->behindSince > m_settings.newsLease;
+    const bool isCutOff = m_now - m_lastNews->askedAt > CutOffLeases * m_settings.newsLease;
+    m_isSuspended = !isCutOff && (isLate || m_isSuspended);
 }
 
 bool Balancer::Impl::isSuspended() const
--- a/unittests/InForce/RoutesChangeTest.cpp
+++ b/unittests/InForce/RoutesChangeTest.cpp
@@ -194,6 +194,21 @@
         host.putTable();
         host.reduce(NewsReceived{host.now});
     }
+    SECTION("one change arrives, and another that it has confirmed is still missing")
+    {
+        host.putTable();
+        host.reduce(NewsReceived{host.now, host.now});
+        CHECK(host.balancer.isSuspended());
+        host.putTable();
+        host.reduce(NewsReceived{host.now});
+    }
+    SECTION("it finds that it can't read what it has confirmed")
+    {
+        host.reduce(NewsReceived{host.now, heardAt, false});
+        CHECK(host.balancer.isSuspended());
+        host.putTable();
+        host.reduce(NewsReceived{host.now});
+    }
     SECTION("it is cut off, so nobody waits for it")
     {
         host.reduce(NewsReceived{host.now, heardAt});
