--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -253,11 +253,12 @@
     /// Who has not confirmed a position of this host's own news yet: followers in lease, and those of `peers` (the
     /// control hosts that live); empty if it holds everywhere. A 0 in the position asks for nothing.
     std::vector<std::string> missing(NewsPosition position, const std::vector<std::string> &peers, TimePoint now) const;
-    /// What an entry host that asked here has, and when it asked last; nothing if it is not known.
+    /// An entry host that asked here: what it has, and when it asked last.
     struct Follower {
         NewsPosition has;
         TimePoint askedAt{};
     };
+    /// Nothing if the entry host is not known.
     std::optional<Follower> follower(const std::string &id) const;
     /// Forgets followers whose lease has been over for long and peers that are not among the known ones; to be called
     /// now and then.
--- a/lib/Fleet/RegistryConfirmations.cpp
+++ b/lib/Fleet/RegistryConfirmations.cpp
@@ -140,8 +140,9 @@
     return hosts;
 }
 
-// The followers of this host's former life may not have asked it again yet.
-bool RegistryDaemon::Impl::mayConfirm(TimePoint now) const
+// Whether each entry host in touch has had time to ask some control host since this one started; the followers of its
+// former life may not have asked it again before.
+bool RegistryDaemon::Impl::knowsFollowers(TimePoint now) const
 {
     return m_settings.isFirstStart || now - m_startedAt > m_settings.newsLease;
 }
@@ -159,13 +160,13 @@
     if (isFollowedByNobody(now)) {
         return NewsPosition::everything();
     }
-    return mayConfirm(now) ? m_confirmations.confirmedTo(to.text(), epoch, m_routing.index(), now) : NewsPosition{};
+    return knowsFollowers(now) ? m_confirmations.confirmedTo(to.text(), epoch, m_routing.index(), now) : NewsPosition{};
 }
 
 // Names of hosts that may still act upon older news; empty if a position holds everywhere.
 std::vector<std::string> RegistryDaemon::Impl::unconfirmed(NewsPosition position, TimePoint now) const
 {
-    if (!mayConfirm(now)) {
+    if (!knowsFollowers(now)) {
         return {m_settings.name};
     }
     return m_confirmations.missing(position, followedControlHosts(now), now);
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -63,7 +63,7 @@
     // RegistryConfirmations.cpp
     void noteConfirmations(const FleetWatchCall &ask, bool isSameEpoch, TimePoint now);
     std::vector<std::string> followedControlHosts(TimePoint now) const;
-    bool mayConfirm(TimePoint now) const;
+    bool knowsFollowers(TimePoint now) const;
     void onConfirm(const IncomingCallPtr &call);
     bool isNewestOf(const std::string &peer, const std::string &host, std::uint64_t sequence);
     void oweConfirmation(const std::optional<Address> &to, NewsPosition position);
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -231,7 +231,7 @@
     if (hosts.empty()) {
         // Just started, this host may have heard of a part of the entry hosts only, and callers would leave their
         // region, with requests that have their home there, until they ask again.
-        return mayConfirm(m_clock.now()) ? liveEntryHosts({}) : std::vector<std::string>{};
+        return knowsFollowers(m_clock.now()) ? liveEntryHosts({}) : std::vector<std::string>{};
     }
     const GuestShare guests = m_shares.guestsOf(region);
     // Callers of routes with home regions may not be sent elsewhere.
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -13,6 +13,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <future>
@@ -36,6 +37,16 @@
     return {"127." + network + "." + std::to_string(host), port};
 }
 
+/// Path prefixes that differ in 32 signs which do not compress, so that a table of them needs its whole length on a
+/// link.
+inline std::vector<std::string> incompressiblePrefixes(std::size_t count)
+{
+    constexpr std::size_t RandomBytes = 16;
+    std::vector<std::string> prefixes(count);
+    std::generate(prefixes.begin(), prefixes.end(), [] { return "/" + randomHex(RandomBytes) + "/"; });
+    return prefixes;
+}
+
 inline HttpResult fetchOnce(HttpClient &client, HttpCall call)
 {
     auto promise = std::make_shared<std::promise<HttpResult>>();
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -194,7 +194,9 @@
         HttpCall toServer = callTo(server.address(), "POST");
         toServer.sendWithin = it.sendWithin;
         toServer.maySend = it.maySend;
-        CHECK(call(client, toServer).kind == HttpResult::Kind::NotSent);
+        const HttpResult result = call(client, toServer);
+        CHECK(result.kind == HttpResult::Kind::NotSent);
+        CHECK(result.isWithdrawn == (it.maySend != nullptr));
         CHECK(seen == 0);
     }
 }
--- a/unittests/InForce/AcknowledgedTest.cpp
+++ b/unittests/InForce/AcknowledgedTest.cpp
@@ -17,23 +17,13 @@
 namespace
 {
 
-/// Names of 32 signs that do not compress: about 90 KB.
-constexpr int ManyRoutes = 4000;
+/// The change to them has about 90 KB.
+constexpr std::size_t ManyRoutes = 4000;
 /// Of the entry host's link, in bytes a second: the change needs several times as long as operators wait.
 constexpr std::uint64_t NarrowRate = 20'000;
 /// In which operators expect an answer.
 constexpr auto Acknowledge = 1s;
 
-std::vector<std::string> manyNewPrefixes()
-{
-    std::vector<std::string> prefixes;
-    prefixes.reserve(ManyRoutes);
-    for (int n = 0; n < ManyRoutes; ++n) {
-        prefixes.push_back("/" + randomHex(16) + "/");
-    }
-    return prefixes;
-}
-
 } // namespace
 
 TEST_CASE("a route that was removed is not served once this is acknowledged, however late the news")
@@ -41,7 +31,7 @@
     ServingSystem serving(ControlLink::Proxied, NewsLease, Acknowledge);
     REQUIRE(serving.statusOf("/p/x") == 200);
     serving.system.proxy->narrow(NarrowRate);
-    serving.system.putTable("r3", "r2", manyNewPrefixes());
+    serving.system.putTable("r3", "r2", incompressiblePrefixes(ManyRoutes));
     CHECK(serving.statusOf("/p/x") != 200);
 }
 
--- a/unittests/LateNews/LateNewsTest.cpp
+++ b/unittests/LateNews/LateNewsTest.cpp
@@ -89,11 +89,9 @@
     ServingSystem serving(ControlLink::Proxied, NewsLease);
     System &system = serving.system;
     system.proxy->narrow(TrickleRate);
-    // Names that do not compress: the change needs several times as long as a silent host is waited for.
-    std::vector<std::string> prefixes{"/p/"};
-    for (int n = 0; n < ManyRoutes; ++n) {
-        prefixes.push_back("/" + randomHex(16) + "/");
-    }
+    // The change needs several times as long as a silent host is waited for.
+    std::vector<std::string> prefixes = incompressiblePrefixes(ManyRoutes);
+    prefixes.insert(prefixes.begin(), "/p/");
     std::future<void> change = std::async(std::launch::async, [&] { system.putTable("r3", "r2", prefixes); });
     REQUIRE(System::eventually(
         [&] { return system.metrics().body.find("pepperlug_routing_behind 1") != std::string::npos; }));
