A target that starts again under its id is another incarnation; reports are read strictly

Cause: nothing read the time at which a target started. Its next life's reports began at sequence 1 and were dropped as late, or as those of an ended incarnation; entry hosts kept load, failures and cold time of the life before. And each state but "draining" counted as ready, slots below 0 wrapped round, a time of 1e300 was cast.

Now reports are ordered by start and sequence in the registry, in renewals and at entry hosts; attempts name the incarnation that they went to, so what becomes of them says nothing of the next one, and one that still waits for a connection is withdrawn. A report that can't be read in full, or of a service that is not configured, is refused with its field and reason, counted and told in a bounded line, and changes nothing. Where a target tells no start nothing changes.

Ruled out: a key of id and start for the tables (two entries at one address, and a late report of the old life would look like a new target).

--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -131,7 +131,7 @@
 //===-- What targets and operators say to control hosts ------------------------===//
 
 struct TargetSays {
-    TargetReport report; ///< with presence Gone only the id counts
+    TargetReport report; ///< with presence Gone only the id and the start count
 };
 
 struct PutTable {
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -22,7 +22,8 @@
 };
 const char *nameOf(Presence presence);
 
-/// What a target says of itself. An id stands for one incarnation, from one start to its end.
+/// What a target says of itself. An id and a start stand for one incarnation: a target may start again under its id,
+/// and then knows nothing of before.
 struct TargetReport {
     std::string id;
     std::string service;
@@ -31,10 +32,15 @@
     std::uint32_t slots = 0; ///< requests that it runs at once
     Presence presence = Presence::Ready;
     Milliseconds coldLeft{}; ///< how much longer it stays cold, as of the report
-    std::uint64_t sequence = 0;
-    MSGPACK_DEFINE(id, service, address, zone, slots, presence, coldLeft, sequence);
+    std::uint64_t sequence = 0; ///< rises with each report of an incarnation, and begins anew with the next one
+    Milliseconds startedAt{}; ///< Unix time by the target's clock; 0 if it does not tell
+    MSGPACK_DEFINE(id, service, address, zone, slots, presence, coldLeft, sequence, startedAt);
 };
 
+/// A departure as its target said it, which may name no more than the id, with what is known of the target otherwise.
+/// Where no start is said it is that of the known incarnation.
+TargetReport departureOf(const TargetReport &known, const TargetReport &said);
+
 enum class HostRole : std::uint8_t { Entry, Control };
 
 /// Requests for a service that one entry host takes.
@@ -74,7 +80,8 @@
     Milliseconds age{}; ///< since it was heard from its author
     std::uint32_t digest = 0; ///< of what the report says; a reader that knows the author otherwise missed a change
     bool isCold = false;
-    MSGPACK_DEFINE(id, sequence, age, digest, isCold);
+    Milliseconds startedAt{}; ///< of a target: TargetReport::startedAt
+    MSGPACK_DEFINE(id, sequence, age, digest, isCold, startedAt);
 };
 
 struct RegistryChanges {
@@ -170,7 +177,7 @@
     template <typename Report>
     void expireIn(std::map<std::string, Entry<Report>> &table, TimePoint now, Duration expiry, bool mayExpire);
     void retireOthersAt(const TargetReport &report);
-    void hearAgain(const std::string &id);
+    void hearAgain(const TargetReport &report);
     template <typename Report>
     void noteChange(Entry<Report> &entry);
 
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -169,7 +169,7 @@
     const unsigned number = ++open.started;
     const double bytes = m_stats[open.route.name].answerBytes() + HeadBytes;
     m_link.take(bytes, m_now);
-    open.attempts[number] = {target.report.id, m_now, placement.fill, bytes};
+    open.attempts[number] = {{target.report.id, target.report.startedAt}, m_now, placement.fill, bytes};
     open.tried.insert(target.report.id);
     open.lastTarget = target.report.id;
     StartAttempt effect;
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -28,7 +28,7 @@
 
 private:
     struct Attempt {
-        std::string target;
+        Incarnation target;
         TimePoint startedAt{};
         double fill = 0;
         double expectedBytes = 0; ///< counted for its answer
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -73,6 +73,12 @@
     for (const AgedReport<TargetReport> &it : changes.targets) {
         const auto [place, isNew] = m_targets.try_emplace(it.report.id);
         TargetState &target = place->second;
+        if (!isNew && it.report.startedAt < target.report.startedAt) {
+            continue;
+        }
+        if (it.report.startedAt > target.report.startedAt) {
+            target = {}; // neither requests, load, failures nor cold time of the life before are its own
+        }
         target.doubtedSince.reset(); // whoever tells of it knows it, even by an older report
         if (!isNew && it.report.sequence < target.report.sequence && it.report.presence != Presence::Gone) {
             continue;
@@ -105,12 +111,14 @@
 // host was there to notice it is never heard of again, so nobody would say that it is gone.
 void TargetSet::doubtOthers(const RegistryChanges &known, TimePoint now)
 {
-    std::set<std::string_view> ids;
+    std::unordered_map<std::string_view, Milliseconds> startOfKnown;
     for (const AgedReport<TargetReport> &it : known.targets) {
-        ids.insert(it.report.id);
+        startOfKnown[it.report.id] = it.report.startedAt;
     }
     for (auto &[id, target] : m_targets) {
-        if (!ids.contains(id)) {
+        const auto it = startOfKnown.find(id);
+        const bool isKnown = it != startOfKnown.end() && it->second >= target.report.startedAt;
+        if (!isKnown) {
             target.doubtedSince = target.doubtedSince.value_or(now);
         }
     }
@@ -263,16 +271,16 @@
     return it == blocked.end() ? nullptr : *it;
 }
 
-TargetState *TargetSet::find(const std::string &id)
+TargetState *TargetSet::find(const Incarnation &incarnation)
 {
-    const auto it = m_targets.find(id);
-    return it == m_targets.end() ? nullptr : &it->second;
+    return const_cast<TargetState *>(std::as_const(*this).find(incarnation));
 }
 
-const TargetState *TargetSet::find(const std::string &id) const
+const TargetState *TargetSet::find(const Incarnation &incarnation) const
 {
-    const auto it = m_targets.find(id);
-    return it == m_targets.end() ? nullptr : &it->second;
+    const auto it = m_targets.find(incarnation.id);
+    const bool isThere = it != m_targets.end() && it->second.report.startedAt == incarnation.startedAt;
+    return isThere ? &it->second : nullptr;
 }
 
 bool TargetSet::isHome(const std::vector<std::string> &homeRegions, const TargetState &target)
@@ -290,9 +298,9 @@
     }
 }
 
-void TargetSet::attemptCancelled(const std::string &id)
+void TargetSet::attemptCancelled(const Incarnation &incarnation)
 {
-    TargetState *target = find(id);
+    TargetState *target = find(incarnation);
     if (target != nullptr && target->inFlight > 0) {
         --target->inFlight;
     }
@@ -301,14 +309,14 @@
     }
 }
 
-void TargetSet::attemptEnded(const std::string &id, AttemptOutcome outcome, const std::optional<TargetLoad> &load,
-                             TimePoint now)
+void TargetSet::attemptEnded(const Incarnation &incarnation, AttemptOutcome outcome,
+                             const std::optional<TargetLoad> &load, TimePoint now)
 {
-    TargetState *target = find(id);
+    TargetState *target = find(incarnation);
     if (target == nullptr) {
         return;
     }
-    attemptCancelled(id);
+    attemptCancelled(incarnation);
     if (load) {
         target->load = load;
         target->inFlightAtLoad = target->inFlight;
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -13,6 +13,12 @@
 namespace pepperlug::fleet
 {
 
+/// One life of a target, from a start to its end.
+struct Incarnation {
+    std::string id;
+    Milliseconds startedAt{}; ///< TargetReport::startedAt
+};
+
 struct TargetState {
     TargetReport report;
     std::string region;
@@ -67,17 +73,19 @@
 
     /// Best target for a request; null if none is usable.
     TargetState *choose(const TargetQuery &query, TimePoint now);
-    TargetState *find(const std::string &id);
-    const TargetState *find(const std::string &id) const;
+    /// Null if it is not known, or has started again since.
+    TargetState *find(const Incarnation &incarnation);
+    const TargetState *find(const Incarnation &incarnation) const;
     /// Whether it has neither left nor begun to, and its zone is not evacuated.
     bool takesWork(const TargetState &target) const;
     /// Whether a target is in one of the regions; with none, each is.
     static bool isHome(const std::vector<std::string> &homeRegions, const TargetState &target);
 
     void attemptStarted(TargetState &target, TimePoint now);
-    void attemptEnded(const std::string &id, AttemptOutcome outcome, const std::optional<TargetLoad> &load,
+    /// What came of an attempt says nothing of a later incarnation under the same id.
+    void attemptEnded(const Incarnation &incarnation, AttemptOutcome outcome, const std::optional<TargetLoad> &load,
                       TimePoint now);
-    void attemptCancelled(const std::string &id);
+    void attemptCancelled(const Incarnation &incarnation);
 
     /// Slots of usable targets by region.
     std::map<std::string, double> capacity(std::string_view service, TimePoint now) const;
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -85,6 +85,8 @@
     void answer(const HttpExchangePtr &exchange, const SetEvacuation &request);
     void answer(const HttpExchangePtr &exchange, const FindEntryHosts &request);
     void answer(const HttpExchangePtr &exchange, const UnknownCall &request);
+    void refuseCall(const HttpExchangePtr &exchange, ControlAnswer kind, const std::string &reason);
+    bool isOfUnknownService(const TargetReport &report) const;
     void decide(const HttpExchangePtr &exchange, const RoutingCommand &command, const std::string &subject);
     void respondDecided(const HttpExchangePtr &exchange, RoutingResult result, const std::string &subject);
     void sendElsewhere(const HttpExchangePtr &exchange, const std::string &leader);
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -2,6 +2,7 @@
 #include "RegistryImpl.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cmath>
 
 namespace pepperlug::fleet
@@ -14,6 +15,16 @@
 constexpr Milliseconds DeparturePatience{900};
 constexpr Milliseconds DirectoryTimeToLive{1000};
 constexpr Milliseconds SharesInterval{250};
+/// Bytes of a text from outside that a line or an answer repeats.
+constexpr std::size_t LongestReason = 200;
+
+// Answers and lines are JSON, which holds no bytes that are not text.
+std::string printable(std::string text)
+{
+    std::replace_if(
+        text.begin(), text.end(), [](unsigned char c) { return std::isprint(c) == 0; }, '?');
+    return text;
+}
 
 std::string subjectOf(const RoutingCommand &command)
 {
@@ -32,27 +43,53 @@
 void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const UnknownCall &request)
 {
     const ControlAnswer kind = request.isKnownPath ? ControlAnswer::Invalid : ControlAnswer::Unknown;
-    exchange->respond(m_dialect.controlAnswer(kind, request.reason));
+    refuseCall(exchange, kind, request.reason);
+}
+
+// What can't be read changes nothing. The texts come from whoever wrote the call, so their length is bounded.
+void RegistryDaemon::Impl::refuseCall(const HttpExchangePtr &exchange, ControlAnswer kind, const std::string &reason)
+{
+    const std::string told = printable(reason.substr(0, LongestReason));
+    m_metrics.count("pepperlug_calls_refused");
+    m_events.decision("call-refused",
+                      {{"path", printable(exchange->request().path().substr(0, LongestReason))}, {"reason", told}});
+    exchange->respond(m_dialect.controlAnswer(kind, told));
+}
+
+// A service that the newest table does not name may be that of another writer, whose address must not take the place of
+// a target that is used. Before there is a table, and of targets that are known, each report counts: departures must.
+bool RegistryDaemon::Impl::isOfUnknownService(const TargetReport &report) const
+{
+    const std::shared_ptr<const RouteTable> &table = m_history.view().table;
+    const bool isKnownTarget = m_registry.target(report.id) != nullptr;
+    return report.presence == Presence::Ready && !isKnownTarget && table && table->service(report.service) == nullptr;
 }
 
 void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const TargetSays &request)
 {
     const TimePoint now = m_clock.now();
-    bool isDeparture = request.report.presence != Presence::Ready;
+    const bool isDeparture = request.report.presence != Presence::Ready;
+    bool isUnknownService = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isUnknownService = isOfUnknownService(request.report);
+    }
+    if (isUnknownService) {
+        refuseCall(exchange, ControlAnswer::Invalid, "no service \"" + request.report.service + "\" is configured");
+        return;
+    }
     {
         const std::lock_guard lock(m_mutex);
         TargetReport report = request.report;
         const Registry::TargetEntry *known = m_registry.target(report.id);
         if (report.presence == Presence::Gone && known != nullptr) {
-            report = known->report;
-            report.presence = Presence::Gone;
-            ++report.sequence;
+            report = departureOf(known->report, report);
         }
-        const bool wasKnown = known != nullptr;
-        const Presence before = wasKnown ? known->report.presence : Presence::Gone;
+        const std::optional<TargetReport> before = known != nullptr ? std::optional(known->report) : std::nullopt;
         m_registry.receive(report, now);
         const Registry::TargetEntry *entry = m_registry.target(report.id);
-        if (!wasKnown || before != entry->report.presence) {
+        const bool isNewLife = !before || before->startedAt != entry->report.startedAt;
+        if (isNewLife || before->presence != entry->report.presence) {
             m_events.state("target",
                            {{"target", report.id},
                             {"service", report.service},
@@ -60,7 +97,8 @@
                             {"zone", report.zone},
                             {"presence", nameOf(entry->report.presence)},
                             {"cold_ms", report.coldLeft.count()},
-                            {"sequence", report.sequence}});
+                            {"sequence", report.sequence},
+                            {"started_at_ms", entry->report.startedAt.count()}});
         }
         replyWatchers(now);
         if (isDeparture) {
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -85,6 +85,17 @@
     return false;
 }
 
+Milliseconds startOf(const TargetReport &report)
+{
+    return report.startedAt;
+}
+
+// A host draws a new id at each start.
+Milliseconds startOf(const HostReport &)
+{
+    return Milliseconds(0);
+}
+
 // Of all that isAlike() compares, but for the cold time, which runs down by itself.
 std::uint32_t digestOf(const TargetReport &report)
 {
@@ -128,6 +139,19 @@
     return "gone";
 }
 
+TargetReport departureOf(const TargetReport &known, const TargetReport &said)
+{
+    TargetReport departure = known;
+    departure.presence = Presence::Gone;
+    const bool isKnownLife = said.startedAt == Milliseconds(0) || said.startedAt == known.startedAt;
+    if (isKnownLife) {
+        ++departure.sequence;
+    } else {
+        departure.startedAt = said.startedAt;
+    }
+    return departure;
+}
+
 Registry::Registry(RegistrySettings settings)
     : m_settings(settings)
 {
@@ -136,8 +160,15 @@
 template <typename Report>
 bool Registry::take(std::map<std::string, Entry<Report>> &table, const Report &report, TimePoint heardAt, bool isDirect)
 {
-    const auto [it, isNew] = table.try_emplace(report.id);
+    const auto [it, isNewId] = table.try_emplace(report.id);
     Entry<Report> &entry = it->second;
+    if (!isNewId && startOf(report) < startOf(entry.report)) {
+        return false;
+    }
+    const bool isNew = isNewId || startOf(report) > startOf(entry.report);
+    if (isNew) {
+        entry = {}; // nothing that was known of the incarnation before holds for this one
+    }
     const bool hasEnded = !isNew && entry.report.presence == Presence::Gone;
     // An end is final whatever its number: whoever passed it on may not have known the newest one.
     const bool isLate = !isNew && report.presence != Presence::Gone && report.sequence <= entry.report.sequence;
@@ -182,16 +213,17 @@
     if (isTaken) {
         retireOthersAt(report);
     } else if (report.presence != Presence::Ready) {
-        hearAgain(report.id);
+        hearAgain(report);
     }
     return isTaken;
 }
 
-// As in take(), for a report that says nothing that is not known.
-void Registry::hearAgain(const std::string &id)
+// As in take(), for a departure that says nothing that is not known.
+void Registry::hearAgain(const TargetReport &report)
 {
-    TargetEntry &entry = m_targets[id];
-    if (entry.isDirect) {
+    TargetEntry &entry = m_targets[report.id];
+    const bool isOfKnownLife = entry.report.startedAt == report.startedAt;
+    if (entry.isDirect || !isOfKnownLife) {
         return;
     }
     entry.isDirect = true;
@@ -229,6 +261,9 @@
     }
     const TimePoint heardAt = now - renewal.age;
     Report report = it->second.report;
+    if (renewal.startedAt != startOf(report)) {
+        return renewal.startedAt < startOf(report);
+    }
     const bool isOlder = renewal.sequence <= report.sequence || report.presence == Presence::Gone;
     if (isOlder) {
         return true;
@@ -298,8 +333,8 @@
                 whole.push_back(aged(entry, now));
             } else {
                 const auto age = std::chrono::duration_cast<Milliseconds>(now - entry.heardAt);
-                changes.renewals.push_back(
-                    {id, entry.report.sequence, age, digestOf(entry.report), isCold(entry.report)});
+                changes.renewals.push_back({id, entry.report.sequence, age, digestOf(entry.report),
+                                            isCold(entry.report), startOf(entry.report)});
             }
         }
     };
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -657,3 +657,88 @@
         }
     }));
 }
+
+namespace
+{
+
+TargetReport lifeOf(const std::string &id, Milliseconds startedAt)
+{
+    TargetReport it = Host::targetOf(id);
+    it.startedAt = startedAt;
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("a request that waits for a connection is not sent to a later incarnation of its target")
+{
+    Host host;
+    host.useTable();
+    host.report(lifeOf("a", 1000ms));
+    const RequestId id = host.request("/once/x", "k");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.balancer.maySend(id, 1));
+    host.report(lifeOf("a", 2000ms));
+    CHECK_FALSE(host.balancer.maySend(id, 1));
+}
+
+TEST_CASE("nothing that was learnt of a target holds for its next incarnation")
+{
+    Host host;
+    host.useTable();
+    host.report(lifeOf("a", 1000ms));
+    // It fills up and fails, until it is taken for gone.
+    for (int n = 0; n < 4; ++n) {
+        const RequestId id = host.request("/once/x", "k");
+        REQUIRE(host.find<StartAttempt>() != nullptr);
+        host.reduce(AttemptEnded{id, 1, AttemptOutcome::WrongTarget, TargetLoad{9, 9, 4}, 0});
+        host.report(lifeOf("a", 2000ms + n * 1000ms));
+    }
+    host.request("/once/x", "k");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->fill == Approx(0.25));
+}
+
+TEST_CASE("what becomes of a request of the life before does not touch the next one")
+{
+    Host host;
+    host.useTable();
+    host.report(lifeOf("a", 1000ms));
+    std::vector<RequestId> before;
+    for (int n = 0; n < 3; ++n) {
+        before.push_back(host.request("/once/x", "k"));
+    }
+    host.report(lifeOf("a", 2000ms));
+    const RequestId now = host.request("/once/x", "k");
+    CHECK(host.find<StartAttempt>()->fill == Approx(0.25));
+    for (const RequestId id : before) {
+        host.end(id, 1, AttemptOutcome::Lost);
+        // It may have run there, so it is not said that it has not, and it is not sent again.
+        REQUIRE(host.find<RefuseRequest>() != nullptr);
+        CHECK(host.find<RefuseRequest>()->reason == Refusal::Lost);
+    }
+    host.request("/once/x", "k");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->fill == Approx(0.5));
+    host.end(now, 1, AttemptOutcome::Answered);
+    CHECK(host.find<PassAnswer>() != nullptr);
+}
+
+TEST_CASE("a late report of the life before changes nothing, and a control host that only knows that one leaves doubt")
+{
+    Host host;
+    host.useTable();
+    host.report(lifeOf("a", 2000ms));
+    TargetReport late = lifeOf("a", 1000ms);
+    late.sequence = 50;
+    late.presence = Presence::Gone;
+    host.report(late);
+    host.request("/read/x", "k");
+    CHECK(host.find<StartAttempt>() != nullptr);
+    RegistryChanges whole;
+    whole.targets.push_back({lifeOf("a", 1000ms), 0ms, false});
+    host.reduce(ReportsChanged{whole, true});
+    host.now += 7s;
+    host.request("/read/x", "k");
+    CHECK(host.find<StartAttempt>() == nullptr);
+}
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -153,3 +153,54 @@
     CHECK(system.get(callers, "/p/x", "q3").status == 503);
     CHECK(target.runs() == runs);
 }
+
+TEST_CASE("a target that ended serves again once it starts under its id")
+{
+    ServingSystem serving;
+    const auto reportOf = [&](std::uint64_t startedAt, int sequence) {
+        return serving.system.operatorCall("/api/Instances.Heartbeat/i-1",
+                                           nlohmann::json{{"service", "s"},
+                                                          {"addr", serving.target.address()},
+                                                          {"zone", "z1"},
+                                                          {"version", "v1"},
+                                                          {"slots", 4},
+                                                          {"state", "ready"},
+                                                          {"coldLeftS", 0},
+                                                          {"seq", sequence},
+                                                          {"born", startedAt}}
+                                               .dump());
+    };
+    REQUIRE(reportOf(1000, 50).status == 200);
+    REQUIRE(System::eventually(
+        [&] { return serving.system.operatorCall("/api/Instances.Leave/i-1", R"({"born":1000})").status == 200; }));
+    REQUIRE(System::eventually([&] { return serving.statusOf("/p/x") == 503; }));
+    REQUIRE(reportOf(2000, 1).status == 200);
+    REQUIRE(System::eventually([&] { return serving.statusOf("/p/x") == 200; }));
+    // A departure of the life before that was held up.
+    CHECK(serving.system.operatorCall("/api/Instances.Leave/i-1", R"({"born":1000})").status == 200);
+    CHECK(serving.statusOf("/p/x") == 200);
+}
+
+TEST_CASE("reports of another writer change nothing, and are told with a clear 4xx and a count")
+{
+    ServingSystem serving;
+    const nlohmann::json good{{"service", "s"}, {"addr", serving.target.address()},
+                              {"zone", "z1"},   {"version", "v1"},
+                              {"slots", 4},     {"state", "ready"},
+                              {"coldLeftS", 0}, {"seq", 1}};
+    const auto statusOf = [&](const std::string &id, const std::string &body) {
+        return serving.system.operatorCall("/api/Instances.Heartbeat/" + id, body).status;
+    };
+    nlohmann::json unknownService = good;
+    unknownService["service"] = "unheard-of";
+    CHECK(statusOf("i-2", unknownService.dump()) == 400);
+    nlohmann::json unknownState = good;
+    unknownState["state"] = "stopping";
+    CHECK(statusOf("i-1", unknownState.dump()) == 400);
+    CHECK(statusOf("i-1", "\xff\xfe{") == 400);
+    CHECK(statusOf("i-1", R"({"service":"\xff"})") == 400);
+    nlohmann::json noSequence = good;
+    noSequence.erase("seq");
+    CHECK(statusOf("i-3", noSequence.dump()) == 400);
+    CHECK(serving.statusOf("/p/x") == 200);
+}
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -304,8 +304,8 @@
 
     Answer beat(const std::string &id, const FakeTarget &target, int sequence, const std::string &state = "ready")
     {
-        const nlohmann::json body{{"service", "s"}, {"addr", target.address()}, {"zone", "z1"},   {"slots", 4},
-                                  {"state", state}, {"coldLeftS", 0},           {"seq", sequence}};
+        const nlohmann::json body{{"service", "s"}, {"addr", target.address()}, {"zone", "z1"},   {"version", "v1"},
+                                  {"slots", 4},     {"state", state},           {"coldLeftS", 0}, {"seq", sequence}};
         return operatorCall("/api/Instances.Heartbeat/" + id, body.dump());
     }
 
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/Dialect.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace pepperlug;
 using namespace pepperlug::fleet;
@@ -84,6 +85,126 @@
     CHECK(std::get<UnknownCall>(bad).isKnownPath);
 }
 
+TEST_CASE("a report and a departure tell which incarnation they are of, where it is said")
+{
+    const std::string body = R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":3,)"
+                             R"("state":"ready","coldLeftS":0,"seq":4,"born":1760000000123})";
+    const auto beat =
+        std::get<TargetSays>(Control::readControlRequest(request("POST", "/api/Instances.Heartbeat/i-1", body)));
+    CHECK(beat.report.startedAt == 1760000000123ms);
+    const auto leave = std::get<TargetSays>(
+        Control::readControlRequest(request("POST", "/api/Instances.Leave/i-1", R"({"born":1760000000123})")));
+    CHECK(leave.report.startedAt == 1760000000123ms);
+    CHECK(leave.report.presence == Presence::Gone);
+}
+
+TEST_CASE("a report of another writer is refused with the field and the reason")
+{
+    const nlohmann::json good{{"service", "s"}, {"addr", "10.0.0.9:80"}, {"zone", "z"},    {"version", "v1"},
+                              {"slots", 3},     {"state", "ready"},      {"coldLeftS", 0}, {"seq", 4},
+                              {"born", 7}};
+    const auto read = [](const std::string &id, const std::string &body) {
+        return Control::readControlRequest(request("POST", "/api/Instances.Heartbeat/" + id, body));
+    };
+    REQUIRE(std::holds_alternative<TargetSays>(read("i-1", good.dump())));
+    struct Case {
+        const char *field;
+        nlohmann::json value; ///< null: the field is missing
+    };
+    const std::vector<Case> cases{
+        {"service", nullptr},
+        {"service", 5},
+        {"service", ""},
+        {"service", std::string(300, 's')},
+        {"addr", nullptr},
+        {"addr", 7},
+        {"addr", "nowhere"},
+        {"addr", nlohmann::json::array()},
+        {"zone", nullptr},
+        {"zone", true},
+        {"version", nullptr},
+        {"version", 1},
+        {"slots", nullptr},
+        {"slots", -1},
+        {"slots", 2.5},
+        {"slots", "3"},
+        {"slots", 1e300},
+        {"slots", 100000},
+        {"state", nullptr},
+        {"state", "starting"},
+        {"state", 1},
+        {"state", "Ready"},
+        {"coldLeftS", nullptr},
+        {"coldLeftS", "0"},
+        {"coldLeftS", 1e300},
+        {"coldLeftS", -1e300},
+        {"coldLeftS", -1},
+        {"seq", nullptr},
+        {"seq", -4},
+        {"seq", 4.0},
+        {"seq", "4"},
+        {"seq", 18446744073709551615ULL},
+        {"born", -1},
+        {"born", 1.5},
+        {"born", "7"},
+        {"born", 1e300},
+        {"born", nlohmann::json::object()},
+    };
+    for (const Case &it : cases) {
+        nlohmann::json body = good;
+        if (it.value.is_null()) {
+            body.erase(it.field);
+        } else {
+            body[it.field] = it.value;
+        }
+        INFO(body.dump());
+        const ControlRequest result = read("i-1", body.dump());
+        REQUIRE(std::holds_alternative<UnknownCall>(result));
+        CHECK(std::get<UnknownCall>(result).isKnownPath);
+        CHECK(std::get<UnknownCall>(result).reason.find(it.field) != std::string::npos);
+    }
+    for (const std::string &body :
+         {std::string("[]"), std::string("null"), std::string("\xff\xfe\x00", 3), std::string()}) {
+        CHECK(std::holds_alternative<UnknownCall>(read("i-1", body)));
+    }
+    for (const std::string &id : {std::string(), std::string(300, 'i'), std::string("a\xff"), std::string("a b")}) {
+        CHECK(std::holds_alternative<UnknownCall>(read(id, good.dump())));
+    }
+    for (const std::string &body : {std::string("[]"), std::string("{"), std::string(R"({"born":"x"})")}) {
+        CHECK(std::holds_alternative<UnknownCall>(
+            Control::readControlRequest(request("POST", "/api/Instances.Leave/i-1", body))));
+    }
+}
+
+TEST_CASE("whatever bytes a report has, they are read or refused")
+{
+    const std::string good = R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":3,)"
+                             R"("state":"ready","coldLeftS":0.5,"seq":4,"born":1760000000123})";
+    CHECK(rc::check([&] {
+        std::string body = good;
+        const auto changes = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+            3, rc::gen::pair(rc::gen::inRange<std::size_t>(0, good.size()), rc::gen::arbitrary<char>()));
+        for (const auto &[at, byte] : changes) {
+            body[at] = byte;
+        }
+        body.resize(*rc::gen::inRange<std::size_t>(0, good.size() + 1));
+        const ControlRequest result =
+            Control::readControlRequest(request("POST", "/api/Instances.Heartbeat/i-1", body));
+        const auto *says = std::get_if<TargetSays>(&result);
+        const bool isRead = says != nullptr;
+        const bool isSound = isRead && says->report.coldLeft >= 0ms && Address::parse(says->report.address);
+        const bool isRefused = std::holds_alternative<UnknownCall>(result);
+        RC_ASSERT(isSound != isRefused);
+    }));
+}
+
+TEST_CASE("a configuration with a time that no clock can hold is an error")
+{
+    std::string text = TableText;
+    text.replace(text.find("\"timeoutS\":4"), 12, "\"timeoutS\":1e300");
+    CHECK_THROWS_AS(Control::readTable(text), Error);
+}
+
 TEST_CASE("orders of the operator")
 {
     HttpRequest put = request("POST", "/api/Config.Put", TableText);
--- a/unittests/Registry/RegistryTest.cpp
+++ b/unittests/Registry/RegistryTest.cpp
@@ -18,6 +18,15 @@
     return {id, "s", "10.0.0.1:80", "z1", 4, presence, 0ms, sequence};
 }
 
+/// Of the incarnation that started at a time.
+TargetReport lifeReport(const std::string &id, Milliseconds startedAt, std::uint64_t sequence,
+                        Presence presence = Presence::Ready)
+{
+    TargetReport it = report(id, sequence, presence);
+    it.startedAt = startedAt;
+    return it;
+}
+
 Presence presenceOf(const Registry &registry, const std::string &id)
 {
     return registry.target(id)->report.presence;
@@ -266,3 +275,140 @@
         RC_ASSERT(forwards.target("a")->report.sequence == backwards.target("a")->report.sequence);
     }));
 }
+
+TEST_CASE("a target that starts again under its id is another incarnation, whose numbers begin anew")
+{
+    Registry registry;
+    registry.receive(lifeReport("a", 1000ms, 40), Start);
+    CHECK(registry.receive(lifeReport("a", 2000ms, 1), Start + 1s));
+    CHECK(registry.target("a")->report.startedAt == 2000ms);
+    CHECK(registry.target("a")->report.sequence == 1);
+    // Reports of the life before that were held up on their way say nothing of the new one.
+    CHECK_FALSE(registry.receive(lifeReport("a", 1000ms, 41), Start + 1s));
+    CHECK_FALSE(registry.receive(lifeReport("a", 1000ms, 42, Presence::Draining), Start + 1s));
+    CHECK_FALSE(registry.receive(lifeReport("a", 1000ms, 43, Presence::Gone), Start + 1s));
+    CHECK(presenceOf(registry, "a") == Presence::Ready);
+}
+
+TEST_CASE("a target that ended or drained comes back with its next life, and this is told to all")
+{
+    for (const Presence before : {Presence::Gone, Presence::Draining}) {
+        Registry registry;
+        registry.receive(lifeReport("a", 1000ms, 9, before), Start);
+        const std::uint64_t version = registry.version();
+        REQUIRE(registry.receive(lifeReport("a", 2000ms, 1), Start + 1s));
+        CHECK(presenceOf(registry, "a") == Presence::Ready);
+        CHECK(registry.changedSince(version, Start + 1s).targets.size() == 1);
+    }
+}
+
+TEST_CASE("a new life that says the same as the one before is a change all the same")
+{
+    Registry registry;
+    registry.receive(lifeReport("a", 1000ms, 9), Start);
+    const std::uint64_t version = registry.version();
+    registry.receive(lifeReport("a", 2000ms, 10), Start + 1s);
+    CHECK(registry.changedSince(version, Start + 1s).targets.size() == 1);
+    CHECK(registry.heardSince(version, Start + 1s).renewals.empty());
+}
+
+TEST_CASE("a renewal speaks of one life alone")
+{
+    Registry author;
+    author.receive(lifeReport("a", 1000ms, 8), Start);
+    const std::uint64_t version = author.version();
+    author.receive(lifeReport("a", 1000ms, 9), Start);
+    const RegistryChanges older = author.heardSince(version, Start);
+    REQUIRE(older.renewals.size() == 1);
+    // A host that knows the next life has nothing to ask for, and keeps it.
+    Registry newer;
+    newer.receive(lifeReport("a", 2000ms, 1), Start);
+    CHECK(newer.merge(older, Start));
+    CHECK(newer.target("a")->report.startedAt == 2000ms);
+    // A host that only knows the life before has to ask for all.
+    Registry behind;
+    behind.receive(lifeReport("a", 500ms, 1), Start);
+    CHECK_FALSE(behind.merge(older, Start));
+}
+
+TEST_CASE("a late departure of the life before is not passed on as one of the new life")
+{
+    Registry first;
+    first.receive(lifeReport("a", 2000ms, 1), Start);
+    Registry second;
+    second.merge(first.heardSince(0, Start), Start);
+    const std::uint64_t version = second.version();
+    second.receive(lifeReport("a", 1000ms, 7, Presence::Gone), Start);
+    CHECK(second.heardSince(version, Start).empty());
+    CHECK_FALSE(second.target("a")->isDirect);
+}
+
+TEST_CASE("a departure is of the life that says it, or of the known one if it does not say which")
+{
+    const TargetReport known = lifeReport("a", 1000ms, 7);
+    TargetReport said;
+    said.id = "a";
+    said.presence = Presence::Gone;
+    CHECK(departureOf(known, said).startedAt == 1000ms);
+    CHECK(departureOf(known, said).address == known.address);
+    CHECK(departureOf(known, said).sequence == 8);
+    said.startedAt = 900ms;
+    Registry registry;
+    registry.receive(known, Start);
+    CHECK_FALSE(registry.receive(departureOf(known, said), Start));
+    said.startedAt = 2000ms;
+    CHECK(registry.receive(departureOf(known, said), Start));
+    CHECK(presenceOf(registry, "a") == Presence::Gone);
+    CHECK_FALSE(registry.receive(lifeReport("a", 1000ms, 9), Start));
+}
+
+TEST_CASE("hosts that exchange all they hear agree on the newest life, whatever was late, lost or cut")
+{
+    CHECK(rc::check([] {
+        constexpr std::size_t Hosts = 3;
+        std::array<Registry, Hosts> hosts;
+        std::array<std::array<std::uint64_t, Hosts>, Hosts> since{}; // [reader][told]
+        const auto tell = [&](std::size_t from, std::size_t to) {
+            const RegistryChanges changes = hosts[from].heardSince(since[to][from], Start);
+            since[to][from] = hosts[to].merge(changes, Start) ? hosts[from].version() : 0;
+        };
+        // What the target ever said, so that any of it may come late to any host.
+        std::vector<TargetReport> said;
+        Milliseconds life{1000};
+        std::uint64_t sequence = 0;
+        const auto says = [&](Presence presence) {
+            said.push_back(lifeReport("a", life, ++sequence, presence));
+            return said.back();
+        };
+        const auto steps = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 100));
+        for (const int step : steps) {
+            const auto host = static_cast<std::size_t>(step) % Hosts;
+            if (step < 40) {
+                hosts[host].receive(says(Presence::Ready), Start);
+            } else if (step < 50) {
+                hosts[host].receive(says(Presence::Draining), Start);
+            } else if (step < 60) {
+                life += 1000ms;
+                sequence = 0;
+                hosts[host].receive(says(Presence::Ready), Start);
+            } else if (step < 75 && !said.empty()) {
+                hosts[host].receive(said[static_cast<std::size_t>(step) % said.size()], Start);
+            } else {
+                tell(host, (host + 1) % Hosts);
+            }
+        }
+        life += 1000ms;
+        sequence = 0;
+        hosts[0].receive(says(Presence::Ready), Start);
+        for (std::size_t round = 0; round < Hosts; ++round) {
+            for (std::size_t from = 0; from < Hosts; ++from) {
+                tell(from, (from + 1) % Hosts);
+                tell(from, (from + 2) % Hosts);
+            }
+        }
+        for (const Registry &it : hosts) {
+            RC_ASSERT(it.target("a")->report.startedAt == life);
+            RC_ASSERT(presenceOf(it, "a") == Presence::Ready);
+        }
+    }));
+}
