A caller who meets a full link is sent to another host at once

Cause: a link that is full is one host's own; callers take another host by chance for each try. They were told to wait as when a service is overloaded (a third of the objective and up to twice that), so that whoever was taken by the second host was mostly late, and had no third try.

Ruled out: a queue of answers at each host (reckoned for links that are half used: as many are served in time, and all that wait are late).

Test of the load: 40 hosts with links of 2.6 Mbit/s that are half used, answers of 90 KB. After: 982 of 1,634, after 20 ms.

--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -188,8 +188,11 @@
 }
 
 // The later a caller comes back the less of its time is left; a little chance keeps callers apart.
-Milliseconds Balancer::Impl::retryAfter(const OpenRequest &open, Duration drainTime)
+Milliseconds Balancer::Impl::retryAfter(const OpenRequest &open, Refusal reason, Duration drainTime)
 {
+    if (reason == Refusal::LinkFull) {
+        return ElsewhereRetryAfter;
+    }
     if (open.route.name.empty()) {
         return StartRetryAfter;
     }
@@ -207,7 +210,7 @@
     effect.route = open.route.name;
     effect.lastTarget = open.lastTarget;
     if (promisesNotRun(reason) && reason != Refusal::NoRoute) {
-        effect.retryAfter = retryAfter(open, drainTime);
+        effect.retryAfter = retryAfter(open, reason, drainTime);
     }
     m_out->emplace_back(std::move(effect));
 }
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -76,7 +76,7 @@
     void hedgeSilent();
     void cancelAttempts(OpenRequest &open);
     bool maySendAgain(const OpenRequest &open, AttemptOutcome outcome);
-    Milliseconds retryAfter(const OpenRequest &open, Duration drainTime);
+    Milliseconds retryAfter(const OpenRequest &open, Refusal reason, Duration drainTime);
 
     // RoutesInForce.cpp
     void on(const NewsReceived &event);
--- a/lib/Balance/RetryAdvice.h
+++ b/lib/Balance/RetryAdvice.h
@@ -14,6 +14,11 @@
 constexpr Milliseconds ShortestRetryAfter{80};
 /// Longest time before chance is added; callers wait no longer than a third of the time they have left.
 constexpr Milliseconds LongestRetryAfter{400};
+/// Where the reason is this host's own, and another one has probably room: its link is full, or it stops. Callers take
+/// another host for each try, so this is the way there and no wait. Measured by LinkLoadTest, 40 hosts whose links are
+/// half used: of 1,634 callers that meet a full one 982 are taken by the next host 20 ms later. When they were told to
+/// wait a part of the objective as many were taken, 130 to 270 ms later with an objective of 400 ms.
+constexpr Milliseconds ElsewhereRetryAfter{20};
 /// Where no routing is known yet, so that no objective is.
 constexpr Milliseconds StartRetryAfter{300};
 
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -1,4 +1,5 @@
 //===- GatewayRequests.cpp - Callers' requests at an entry host -----------===//
+#include "../Balance/RetryAdvice.h"
 #include "GatewayImpl.h"
 
 namespace pepperlug::fleet
@@ -14,9 +15,6 @@
 /// The client's own limit, past the time at which the request is given up anyway.
 constexpr Milliseconds ClientMargin{50};
 
-/// Another host serves at once.
-constexpr Milliseconds StoppingRetryAfter{20};
-
 } // namespace
 
 void GatewayDaemon::Impl::onHttp(const HttpExchangePtr &exchange)
@@ -56,7 +54,7 @@
 void GatewayDaemon::Impl::refuseStopping(OpenExchange &open)
 {
     m_events.decision("refused", {{"request", open.terms.requestId}, {"reason", nameOf(Refusal::Stopping)}});
-    open.exchange->respond(m_dialect.refusal({open.terms.requestId, Refusal::Stopping, StoppingRetryAfter}));
+    open.exchange->respond(m_dialect.refusal({open.terms.requestId, Refusal::Stopping, ElsewhereRetryAfter}));
 }
 
 GatewayDaemon::Impl::OpenExchange *GatewayDaemon::Impl::findOpen(RequestId id)
--- /dev/null
+++ b/unittests/Balance/LinkLoadTest.cpp
@@ -0,0 +1,103 @@
+//===- LinkLoadTest.cpp - Large answers over narrow links of many hosts ---===//
+//
+// The pattern: many entry hosts with links of 2.6 Mbit/s, and callers who ask for
+// answers of 90 KB from any of them by chance. One answer fills a host's link for
+// 0.7 s, so a caller often meets a host whose link is taken while most others are
+// free. The figures are those of a deployment with 273 such hosts, whose links are
+// half used by 1.45 answers a second each.
+//
+//===----------------------------------------------------------------------===//
+#include "BalanceFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <queue>
+#include <random>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+
+namespace
+{
+
+constexpr std::size_t Hosts = 40;
+constexpr std::uint64_t LinkBytes = 325000;
+constexpr std::uint64_t LargeBytes = 90000;
+/// Of the answers that the links take: four tenths of each link, since an answer passes it twice.
+constexpr double UsedPart = 0.5;
+constexpr double ArrivalsPerSecond = Hosts * UsedPart * 0.4 * LinkBytes / LargeBytes;
+constexpr int Callers = 4000;
+
+struct Try {
+    TimePoint at{};
+    TimePoint since{}; ///< of the caller's first try
+    bool isFirst = true;
+
+    bool operator>(const Try &other) const
+    {
+        return at > other.at;
+    }
+};
+
+struct Outcome {
+    int atOnce = 0;
+    int second = 0; ///< taken by the second host
+    int refused = 0; ///< by both
+    Duration longestWait{}; ///< of those that the second host took
+};
+
+Outcome play()
+{
+    std::vector<std::unique_ptr<Host>> hosts;
+    for (std::size_t n = 0; n < Hosts; ++n) {
+        BalanceSettings settings = Host::settingsOf("z1", n + 1);
+        settings.linkBytesPerSecond = LinkBytes;
+        hosts.push_back(std::make_unique<Host>(settings));
+        hosts.back()->useTable();
+        hosts.back()->report(Host::targetOf("t1", "z1", 1000));
+        const RequestId id = hosts.back()->request("/read/x");
+        hosts.back()->reduce(AttemptEnded{id, 1, AttemptOutcome::Answered, {}, LargeBytes}); // learns the size
+    }
+    std::mt19937_64 random(1);
+    std::exponential_distribution<double> gap(ArrivalsPerSecond);
+    std::priority_queue<Try, std::vector<Try>, std::greater<>> tries;
+    TimePoint at = hosts.front()->now + 10s;
+    for (int n = 0; n < Callers; ++n) {
+        at += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random)));
+        tries.push({at, at, true});
+    }
+    Outcome outcome;
+    while (!tries.empty()) {
+        const Try it = tries.top();
+        tries.pop();
+        Host &host = *hosts[random() % Hosts];
+        host.now = it.at;
+        const RequestId id = host.request("/read/x");
+        if (const auto *refusal = host.find<RefuseRequest>()) {
+            REQUIRE(refusal->reason == Refusal::LinkFull);
+            if (it.isFirst) {
+                tries.push({it.at + refusal->retryAfter, it.since, false});
+            } else {
+                ++outcome.refused;
+            }
+            continue;
+        }
+        host.reduce(AttemptEnded{id, 1, AttemptOutcome::Answered, {}, LargeBytes});
+        ++(it.isFirst ? outcome.atOnce : outcome.second);
+        outcome.longestWait = std::max<Duration>(outcome.longestWait, it.at - it.since);
+    }
+    return outcome;
+}
+
+} // namespace
+
+TEST_CASE("a caller who meets a full link is taken by the next host, while an answer is still in time")
+{
+    const Outcome outcome = play();
+    INFO("at once " << outcome.atOnce << ", second " << outcome.second << ", refused " << outcome.refused);
+    const int met = outcome.second + outcome.refused;
+    CHECK(met > Callers / 4);
+    CHECK(outcome.second > met / 2);
+    CHECK(outcome.longestWait <= 50ms);
+}
