An entry host that starts is told the control hosts, and follows one near it

Cause, from the lines of a trial on 300 hosts: a host that starts knows its seeds alone, asked them in the order of their addresses and stayed with the first that answered. So all hosts that restart followed one control host, mostly of another region, which thereby held up what depends on confirmations of its followers.

Now a seed tells which control hosts live, without counting the asker as a follower; hosts of its own zone come first, those that are alike near in an order of the asker's own. A seed that can't tell is followed as before.

--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -11,6 +11,7 @@
 constexpr const char *FleetAlive = "/fleet/alive";
 constexpr const char *FleetConfirm = "/fleet/confirm";
 constexpr const char *FleetJoin = "/fleet/join";
+constexpr const char *FleetControlHosts = "/fleet/control-hosts";
 } // namespace pepperlug::fleet::path
 
 namespace pepperlug::fleet
@@ -69,6 +70,13 @@
     MSGPACK_DEFINE(changes);
 };
 
+/// Reply to path::FleetControlHosts, whose body is empty: a host that knows its seeds alone asks which control hosts
+/// live, so that it can follow one near it. It is no follower of the one that it asks.
+struct FleetControlHostsReply {
+    std::vector<HostReport> hosts;
+    MSGPACK_DEFINE(hosts);
+};
+
 /// Body of path::FleetJoin: a control host asks to be a member.
 struct MembershipCall {
     std::string name;
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -20,6 +20,10 @@
 /// Part of the link that large answers may use on their way here, so that small ones need not queue behind them. They
 /// use as much again on their way to callers.
 constexpr double LargeAnswersPart = 0.5;
+/// In which a seed tells the control hosts; then the next one is asked. Ten times the farthest way and back.
+constexpr Milliseconds ControlHostsTimeout{700};
+/// After a seed that did not tell. A seed that starts at the same time listens within about as long.
+constexpr Milliseconds PauseBetweenSeeds{150};
 constexpr std::size_t IncarnationBytes = 8;
 constexpr unsigned Ok = 200;
 constexpr unsigned Unavailable = 503;
@@ -109,7 +113,12 @@
 void GatewayDaemon::Impl::tick()
 {
     reduce(BalanceTick{});
-    m_watch->poll(m_clock.now());
+    const TimePoint now = m_clock.now();
+    if (knowsControlHosts()) {
+        m_watch->poll(now);
+    } else {
+        askForControlHosts(now);
+    }
     const std::lock_guard lock(m_mutex);
     m_metrics.gauge("pepperlug_view_age_seconds", secondsOf(viewAge()));
 }
@@ -130,7 +139,8 @@
     return report;
 }
 
-// Nearest first; a host whose place is not known yet comes last.
+// Nearest first; a host whose place is not known yet comes last. Those that are alike near come in an order that
+// differs from host to host, so that hosts which restart do not all ask the same seed.
 std::vector<Address> GatewayDaemon::Impl::controlHosts()
 {
     const std::lock_guard lock(m_mutex);
@@ -138,21 +148,25 @@
         const auto it = m_settings.regionOfZone.find(zone);
         return it == m_settings.regionOfZone.end() ? std::string() : it->second;
     };
-    std::vector<std::pair<int, Address>> ranked;
+    const auto turnOf = [seed = hash64(m_settings.name)](const Address &address) {
+        return hash64(address.text(), seed);
+    };
+    std::vector<std::tuple<int, std::uint64_t, Address>> ranked;
     for (const auto &[id, host] : m_controlHosts) {
         const std::optional<Address> peer = Address::parse(host.peer);
         if (!peer) {
             continue;
         }
         const bool isNear = regionOf(host.zone) == regionOf(m_settings.zone);
-        ranked.emplace_back(host.zone == m_settings.zone ? 0 : (isNear ? 1 : 2), *peer);
+        ranked.emplace_back(host.zone == m_settings.zone ? 0 : (isNear ? 1 : 2), turnOf(*peer), *peer);
     }
     for (const Address &seed : m_settings.seeds) {
-        ranked.emplace_back(3, Address{seed.ip, m_settings.peer.port});
+        const Address peer{seed.ip, m_settings.peer.port};
+        ranked.emplace_back(3, turnOf(peer), peer);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<Address> addresses;
-    for (const auto &[rank, address] : ranked) {
+    for (const auto &[rank, turn, address] : ranked) {
         if (std::find(addresses.begin(), addresses.end(), address) == addresses.end()) {
             addresses.push_back(address);
         }
@@ -160,6 +174,55 @@
     return addresses;
 }
 
+bool GatewayDaemon::Impl::knowsControlHosts()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_wasToldControlHosts;
+}
+
+// A host that has just started knows its seeds alone, mostly in other regions. It would stay with the one that it
+// follows first, and so would all others: what they hear would cross borders, and what they confirm would come a way
+// of 35 ms later than from a control host of their own zone. Seen with 27 control hosts: one had most followers.
+void GatewayDaemon::Impl::askForControlHosts(TimePoint now)
+{
+    const std::vector<Address> seeds = controlHosts();
+    Address to;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (seeds.empty() || m_isAskingForControlHosts || now < m_nextAskForControlHosts) {
+            return;
+        }
+        m_isAskingForControlHosts = true;
+        to = seeds[m_seedsAsked++ % seeds.size()];
+    }
+    m_net.call(to, path::FleetControlHosts, std::string(), ControlHostsTimeout,
+               [this, to](const PeerReply &reply) { onControlHosts(to, reply); });
+}
+
+void GatewayDaemon::Impl::onControlHosts(const Address &from, const PeerReply &reply)
+{
+    FleetControlHostsReply told;
+    std::string reason = reply.reason;
+    if (reply.delivered && reply.status == Ok) {
+        try {
+            told = decode<FleetControlHostsReply>(reply.body, from.text());
+        } catch (const Error &ex) {
+            reason = ex.what();
+        }
+    }
+    m_events.state(told.hosts.empty() ? "control-hosts-not-told" : "control-hosts",
+                   {{"from", from.text()}, {"hosts", told.hosts.size()}, {"reason", reason}});
+    const std::lock_guard lock(m_mutex);
+    m_isAskingForControlHosts = false;
+    m_nextAskForControlHosts = m_clock.now() + PauseBetweenSeeds;
+    // A seed that lives but can't tell is followed itself, and so they are in turn where none of them answers.
+    const bool triedAll = m_seedsAsked >= m_settings.seeds.size();
+    m_wasToldControlHosts = reply.delivered || triedAll;
+    for (const HostReport &it : told.hosts) {
+        m_controlHosts[it.id] = it;
+    }
+}
+
 void GatewayDaemon::Impl::onLink(const Address &control, bool isLost, const std::string &reason)
 {
     m_events.state(isLost ? "control-lost" : "control-regained", {{"peer", control.text()}, {"reason", reason}});
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -48,6 +48,9 @@
     void tick();
     HostReport selfReport();
     std::vector<Address> controlHosts();
+    bool knowsControlHosts();
+    void askForControlHosts(TimePoint now);
+    void onControlHosts(const Address &from, const PeerReply &reply);
     void onControlReply(const NewsReceipt &receipt, const FleetWatchReply &reply);
     void logReply(const NewsReceipt &receipt, const FleetWatchReply &reply);
     Milliseconds viewAge() const;
@@ -98,6 +101,10 @@
     bool m_isFetchingRouting = false;
     bool m_wantsWholeRouting = false; ///< the last changes did not fit what is known here
     std::map<std::string, HostReport> m_controlHosts; ///< live ones, by id
+    bool m_wasToldControlHosts = false; ///< or the seeds can't tell; from then on the one that is followed tells
+    bool m_isAskingForControlHosts = false;
+    std::size_t m_seedsAsked = 0;
+    TimePoint m_nextAskForControlHosts{};
     std::optional<TimePoint> m_viewAsOf; ///< all that a control host in touch with a majority knew then is known here
     bool m_isStopping = false; ///< no caller is sent here any more
     bool m_isClosed = false; ///< no request is passed on any more
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -50,6 +50,7 @@
     // RegistryPeers.cpp
     void onPeerCall(const IncomingCallPtr &call);
     void onJoin(const IncomingCallPtr &call);
+    void onControlHosts(const IncomingCallPtr &call);
     void onWatch(const IncomingCallPtr &call);
     void onAlive(const IncomingCallPtr &call);
     /// What another host says of itself and asks for.
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -27,6 +27,7 @@
                                                              {path::FleetAlive, &Impl::onAlive},
                                                              {path::FleetConfirm, &Impl::onConfirm},
                                                              {path::FleetRouting, &Impl::onRouting},
+                                                             {path::FleetControlHosts, &Impl::onControlHosts},
                                                              {path::FleetJoin, &Impl::onJoin}};
         const auto it = Handlers.find(call->path());
         if (it != Handlers.end()) {
@@ -53,6 +54,20 @@
     call->reply(Ok, "");
 }
 
+void RegistryDaemon::Impl::onControlHosts(const IncomingCallPtr &call)
+{
+    FleetControlHostsReply reply;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[id, entry] : m_registry.hosts()) {
+            if (entry.report.role == HostRole::Control && Registry::isLive(entry)) {
+                reply.hosts.push_back(entry.report);
+            }
+        }
+    }
+    call->reply(Ok, encode(reply));
+}
+
 RegistryDaemon::Impl::HeardAsk RegistryDaemon::Impl::hear(const IncomingCallPtr &call, TimePoint now)
 {
     HeardAsk heard{decode<FleetWatchCall>(call->body(), call->peer())};
