--- a/test/soak/Actors.cpp
+++ b/test/soak/Actors.cpp
@@ -48,6 +48,7 @@
     , m_zone(std::move(zone))
     , m_ledger(ledger)
     , m_control(control)
+    , m_startedAt(m_clock.wallTime())
     , m_server({"127.0.0.1", 0}, 1, HttpLimits{}, m_clock,
                [this](const HttpExchangePtr &exchange) { onRequest(exchange); })
     , m_link(m_server.address())
@@ -117,10 +118,15 @@
     {
         const std::lock_guard lock(m_mutex);
         call.to = m_control[m_next % m_control.size()];
-        const nlohmann::json body{{"service", Service}, {"addr", m_link.address().text()},
-                                  {"zone", m_zone},     {"slots", Slots},
-                                  {"state", state},     {"coldLeftS", 0},
-                                  {"seq", ++m_sequence}};
+        const nlohmann::json body{{"service", Service},
+                                  {"addr", m_link.address().text()},
+                                  {"zone", m_zone},
+                                  {"version", "v1"},
+                                  {"slots", Slots},
+                                  {"state", state},
+                                  {"coldLeftS", 0},
+                                  {"seq", ++m_sequence},
+                                  {"born", m_startedAt.count()}};
         call.body = std::make_shared<const std::string>(body.dump());
     }
     call.method = "POST";
--- a/test/soak/Actors.h
+++ b/test/soak/Actors.h
@@ -50,6 +50,7 @@
     Ledger &m_ledger;
     const ControlHosts &m_control;
     SteadyClock m_clock;
+    Milliseconds m_startedAt; ///< Unix time
     HttpServer m_server;
     FaultProxy m_link;
     HttpClient m_client;
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -354,7 +354,11 @@
 
     void addTarget(const std::string &zone)
     {
-        const std::string id = "i-" + std::to_string(++m_lastTarget);
+        addTarget("i-" + std::to_string(++m_lastTarget), zone);
+    }
+
+    void addTarget(const std::string &id, const std::string &zone)
+    {
         m_targets.push_back(std::make_unique<Target>(id, zone, m_ledger, m_control));
     }
 
@@ -368,11 +372,18 @@
         leaving->drain(1s);
     }
 
+    // Each second one starts again under the id that it had.
     void killTarget()
     {
         const std::size_t n = m_random() % m_targets.size();
+        const std::string id = m_targets[n]->id();
         m_targets.erase(m_targets.begin() + static_cast<std::ptrdiff_t>(n));
-        addTarget(Cluster::zoneOf(static_cast<unsigned>(n)));
+        const std::string zone = Cluster::zoneOf(static_cast<unsigned>(n));
+        if (++m_killedTargets % 2 == 0) {
+            addTarget(id, zone);
+        } else {
+            addTarget(zone);
+        }
     }
 
     void configure()
@@ -571,6 +582,7 @@
     HttpClient m_client;
     std::vector<std::unique_ptr<Target>> m_targets;
     unsigned m_lastTarget = 0;
+    unsigned m_killedTargets = 0;
     unsigned m_routeGroups = 0; ///< that the next routing has
     TimePoint m_linksSpoiledUntil{}; ///< those of the control hosts; narrow ones are not spoiled
     TimePoint m_diskLostAt{};
