--- a/lib/Registry/NewsConfirmations.cpp
+++ b/lib/Registry/NewsConfirmations.cpp
@@ -82,8 +82,8 @@
 void NewsConfirmations::followerIsTold(const std::string &id, NewsPosition told)
 {
     const auto it = m_followers.find(id);
-    const bool hasNothing = it != m_followers.end() && it->second.has.reports == 0
-        && it->second.has.routing == it->second.toldRouting;
+    const bool hasNothing =
+        it != m_followers.end() && it->second.has.reports == 0 && it->second.has.routing == it->second.toldRouting;
     if (!hasNothing) {
         return;
     }
