--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -704,10 +704,8 @@
     Host host;
     host.useTable();
     host.report(lifeOf("a", 1000ms));
-    std::vector<RequestId> before;
-    for (int n = 0; n < 3; ++n) {
-        before.push_back(host.request("/once/x", "k"));
-    }
+    std::vector<RequestId> before(3);
+    std::generate(before.begin(), before.end(), [&] { return host.request("/once/x", "k"); });
     host.report(lifeOf("a", 2000ms));
     const RequestId now = host.request("/once/x", "k");
     CHECK(host.find<StartAttempt>()->fill == Approx(0.25));
