An ask that comes after a later one at another control host is not noted

When the cut was over it followed one of them and had the change 0.14 s after it was agreed on. 2 s later connections sent its former asks again; whoever took one waited a lease for a host that "has" an older routing.

Ruled out: a host that is behind (it had the change), a lost confirmation (the other control hosts confirmed).

Test: OvertakenAskTest, over the sockets. Before: the departure is not acknowledged in 30 s. After: at once.

--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -76,12 +76,20 @@
     if (!isSameEpoch) {
         ask.since = 0;
     }
-    m_registry.receive(ask.self, now);
+    const bool isLate = !m_registry.receive(ask.self, now);
     heard.isNewest = isNewestOf(ask.self.peer, ask.self.id, ask.self.sequence);
+    const bool isLivingEntry = ask.self.role == HostRole::Entry && ask.self.presence != Presence::Gone;
+    if (isLivingEntry && heard.isNewest && isLate) {
+        // A later ask went to another control host, which speaks for the asker. This one was held up, mostly by a cut;
+        // to wait for what it says would hold up acknowledgements for a lease after each such ask.
+        m_metrics.count("pepperlug_asks_overtaken");
+        heard.isNewest = false;
+        return heard;
+    }
     const bool isSignOnly = call->path() == path::FleetAlive && hasNothing(ask);
     if (heard.isNewest && !isSignOnly) {
         noteConfirmations(ask, isSameEpoch, now);
-    } else if (ask.self.role == HostRole::Entry && ask.self.presence != Presence::Gone) {
+    } else if (isLivingEntry) {
         // An ask that comes after a later one, over a connection that was slow, says nothing of what the host has now;
         // nor does a sign of life of one that waits for its first reply.
         m_confirmations.followerLives(ask.self.id, now);
