Http client: a handle whose transfer failed is not used again

The library allots a handle's read buffer before it has a connection and keeps it where the transfer ends without one. Reset, the handle has the default length of 16 KB and refuses to be told another, so 16 KB were read into a buffer of 8 KB.

Ruled out, by a program of a few lines: refused and reset connections, time-outs of answers, aborts by our handlers; after these the length is taken.

Test: "a call that failed before it had a connection does not change how much the next one reads at once". Before: the program ends with "free(): invalid size". After: passes.

--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -410,7 +410,9 @@
             m_transfers.erase(it);
             curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
             HttpResult result = resultOf(*transfer, code);
-            if (m_spare.size() < MaxSpare) {
+            // A handle whose transfer ended before it had a connection keeps a read buffer of the former length, and
+            // refuses another: the next answer would be read past its end.
+            if (code == CURLE_OK && m_spare.size() < MaxSpare) {
                 curl_easy_reset(transfer->easy.get());
                 m_spare.push_back(std::move(transfer->easy));
             }
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -339,3 +339,28 @@
         CHECK(large.body.size() == Large);
     }
 }
+
+// Seen: hosts ended with a damaged heap while a large answer came. The library allots its read buffer before it has a
+// connection, and keeps it where the transfer ends without one; the next user of the handle is then refused the length
+// that it asks for, and up to 16 KB are read into a buffer of 8 KB.
+TEST_CASE("a call that failed before it had a connection does not change how much the next one reads at once")
+{
+    constexpr std::size_t BoundedRead = 8 * 1024;
+    const RawServer server({[](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, largeAnswer(Large, Large));
+    }});
+    HttpClient client(MaxAnswerBytes, 100 * Large);
+    HttpCall malformed = callTo(server.address());
+    malformed.resource = "/a b";
+    CHECK(call(client, malformed).kind == HttpResult::Kind::NotSent);
+    LargeAnswer large;
+    HttpCall get = callTo(server.address());
+    large.addTo(get);
+    std::size_t longestPart = 0;
+    get.onPart = [&](std::string_view part) {
+        longestPart = std::max(longestPart, part.size());
+    };
+    CHECK(call(client, std::move(get)).kind == HttpResult::Kind::Answered);
+    CHECK(longestPart <= BoundedRead);
+}
