--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -361,6 +361,6 @@
     get.onPart = [&](std::string_view part) {
         longestPart = std::max(longestPart, part.size());
     };
-    CHECK(call(client, std::move(get)).kind == HttpResult::Kind::Answered);
+    CHECK(call(client, get).kind == HttpResult::Kind::Answered);
     CHECK(longestPart <= BoundedRead);
 }
