--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -158,17 +158,9 @@
 {
     ServingSystem serving;
     const auto reportOf = [&](std::uint64_t startedAt, int sequence) {
-        return serving.system.operatorCall("/api/Instances.Heartbeat/i-1",
-                                           nlohmann::json{{"service", "s"},
-                                                          {"addr", serving.target.address()},
-                                                          {"zone", "z1"},
-                                                          {"version", "v1"},
-                                                          {"slots", 4},
-                                                          {"state", "ready"},
-                                                          {"coldLeftS", 0},
-                                                          {"seq", sequence},
-                                                          {"born", startedAt}}
-                                               .dump());
+        nlohmann::json report = System::reportOf(serving.target, sequence);
+        report["born"] = startedAt;
+        return serving.system.beat("i-1", report.dump());
     };
     REQUIRE(reportOf(1000, 50).status == 200);
     REQUIRE(System::eventually(
@@ -184,12 +176,9 @@
 TEST_CASE("reports of another writer change nothing, and are told with a clear 4xx and a count")
 {
     ServingSystem serving;
-    const nlohmann::json good{{"service", "s"}, {"addr", serving.target.address()},
-                              {"zone", "z1"},   {"version", "v1"},
-                              {"slots", 4},     {"state", "ready"},
-                              {"coldLeftS", 0}, {"seq", 1}};
+    const nlohmann::json good = System::reportOf(serving.target, 1);
     const auto statusOf = [&](const std::string &id, const std::string &body) {
-        return serving.system.operatorCall("/api/Instances.Heartbeat/" + id, body).status;
+        return serving.system.beat(id, body).status;
     };
     nlohmann::json unknownService = good;
     unknownService["service"] = "unheard-of";
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -302,11 +302,21 @@
             .dump();
     }
 
+    /// What a target says of itself.
+    static nlohmann::json reportOf(const FakeTarget &target, int sequence, const std::string &state = "ready")
+    {
+        return {{"service", "s"}, {"addr", target.address()}, {"zone", "z1"},   {"version", "v1"},
+                {"slots", 4},     {"state", state},           {"coldLeftS", 0}, {"seq", sequence}};
+    }
+
     Answer beat(const std::string &id, const FakeTarget &target, int sequence, const std::string &state = "ready")
     {
-        const nlohmann::json body{{"service", "s"}, {"addr", target.address()}, {"zone", "z1"},   {"version", "v1"},
-                                  {"slots", 4},     {"state", state},           {"coldLeftS", 0}, {"seq", sequence}};
-        return operatorCall("/api/Instances.Heartbeat/" + id, body.dump());
+        return beat(id, reportOf(target, sequence, state).dump());
+    }
+
+    Answer beat(const std::string &id, const std::string &report)
+    {
+        return operatorCall("/api/Instances.Heartbeat/" + id, report);
     }
 
     bool becomesReady()
--- a/unittests/Registry/NewsConfirmationsTest.cpp
+++ b/unittests/Registry/NewsConfirmationsTest.cpp
@@ -365,6 +365,7 @@
     std::uint64_t routing = 0;
     std::set<std::size_t> knows;
     std::vector<std::pair<std::size_t, TimePoint>> heardBy; ///< control host that took an ask, and when
+    std::vector<News> owed; ///< what its first reply has to hold
 
     /// It has no routing, so it sends nothing to any target.
     bool actsUponNothing() const
@@ -606,7 +607,7 @@
     /// Acknowledges what nobody misses. Returns whether all that nobody misses in this moment holds.
     bool acknowledge()
     {
-        bool isTrue = true;
+        bool isTrue = m_allBeganWell;
         for (std::size_t n = 0; n < controls(); ++n) {
             ModelControl &control = m_controls[n];
             if (!control.isUp || isYoung(control)) {
@@ -617,6 +618,9 @@
                 const bool isDone = control.confirmations.missing(it.position, peers, m_now).empty();
                 it.isAcknowledged = it.isAcknowledged || isDone;
                 isTrue = isTrue && (!isDone || holds(it));
+                if (isDone) {
+                    noteOwed(it);
+                }
             }
         }
         return isTrue;
@@ -670,6 +674,21 @@
         });
     }
 
+    // Entry hosts that have nothing, and that the news was promised for, owe to begin with it.
+    void noteOwed(const News &news)
+    {
+        for (ModelEntry &entry : m_entries) {
+            if (entry.actsUponNothing() && isPromised(entry, news)) {
+                entry.owed.push_back(news);
+            }
+        }
+    }
+
+    static bool holdsNews(const ModelReply &reply, const News &news)
+    {
+        return news.departure != 0 ? reply.departures.contains(news.departure) : reply.routing >= news.position.routing;
+    }
+
     // Whether an entry host that has nothing gets the news with whichever reply it may take next.
     bool beginsWith(const ModelEntry &entry, const News &news) const
     {
@@ -678,8 +697,7 @@
                 || !mayTake(entry, reply)) {
                 return true;
             }
-            return news.departure != 0 ? reply.departures.contains(news.departure)
-                                       : reply.routing >= news.position.routing;
+            return holdsNews(reply, news);
         });
     }
 
@@ -804,6 +822,9 @@
         if (!mayTake(host, reply)) {
             return;
         }
+        for (const News &it : std::exchange(host.owed, {})) {
+            m_allBeganWell = m_allBeganWell && holdsNews(reply, it);
+        }
         host.watch.epoch = reply.epoch;
         host.watch.since = reply.version;
         host.routing = std::max(host.routing, reply.routing);
@@ -817,6 +838,7 @@
     std::vector<ModelEntry> m_entries;
     std::vector<ModelAsk> m_asks;
     std::vector<ModelReply> m_replies;
+    bool m_allBeganWell = true; ///< each first reply held what was owed
 };
 
 // Evenly from the whole range also in the first, small cases, in which inRange() alone draws low numbers.
@@ -957,6 +979,7 @@
 // has taken the departure over of which any control host has taken an ask
 //  - within the lease before that moment, and
 //  - not after the departure's position came to be.
+// One that has no routing and so sends nothing may lack it until its first reply comes, which must hold it.
 // It does not matter which control host that was, whether the entry host has moved since, any number of times, whether
 // its asks after that one arrive, or whether the control host has ended or begun a new life since. The same is claimed
 // of a change of the routing.
