Lines tell tries of the same request, and whether a target's connection ended under one

Ruled out: naming path and caller in the lines, since paths and cookies may be private; a digest of 128 bits over method, host, path, affinity key and body does as well. Before: no line in common between two tries. After: digest in attempt, attempt-ended and refused; connection_ended and refused in attempt-ended.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -115,6 +115,8 @@
     Answer answer;
     std::string reason;
     bool timedOut = false; ///< without an answer: the time ran out
+    bool isConnectionLost = false; ///< Broken: the other side ended its connection, or it was reset
+    bool isRefused = false; ///< nothing listens at the address
     bool isWithdrawn = false; ///< not sent, since HttpCall::maySend did not allow it any more
 };
 using HttpResultHandler = std::function<void(HttpResult)>;
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -11,6 +11,7 @@
 #include "ControlWatch.h"
 #include "EventLog.h"
 #include "pepperlug/Fleet.h"
+#include "pepperlug/Quarantine.h"
 #include "RoutingLag.h"
 
 #include <unordered_map>
@@ -36,6 +37,7 @@
     struct OpenExchange {
         HttpExchangePtr exchange;
         CallerTerms terms;
+        std::string digest; ///< the same for each try of the same request
         TimePoint arrivedAt{};
         std::shared_ptr<const std::string> body;
         std::map<unsigned, HttpCallId> calls; ///< by attempt
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -23,6 +23,7 @@
     OpenExchange open;
     open.exchange = exchange;
     open.terms = m_dialect.readRequest(http);
+    open.digest = digestOf({http.method, open.terms.host, http.resource, open.terms.affinityKey, http.body});
     open.arrivedAt = m_clock.now();
     if (!http.body.empty()) {
         open.body = std::make_shared<const std::string>(http.body);
@@ -111,6 +112,7 @@
     m_metrics.count("pepperlug_attempts");
     m_events.decision("attempt",
                       {{"request", open.terms.requestId},
+                       {"digest", open.digest},
                        {"attempt", effect.attempt},
                        {"target", effect.target},
                        {"address", effect.address},
@@ -213,11 +215,14 @@
         ended.answerBytes = open->begunAttempt == attempt ? open->length : result.answer.body.size();
         m_events.decision("attempt-ended",
                           {{"request", open->terms.requestId},
+                           {"digest", open->digest},
                            {"attempt", attempt},
                            {"target", target},
                            {"outcome", nameOf(ended.outcome)},
                            {"status", result.answer.status},
-                           {"reason", result.reason}});
+                           {"reason", result.reason},
+                           {"connection_ended", result.isConnectionLost},
+                           {"refused", result.isRefused}});
         if (ended.outcome == AttemptOutcome::Answered) {
             open->answer = std::move(result.answer);
         }
@@ -291,6 +296,7 @@
     m_metrics.count(std::string("pepperlug_refusals{reason=\"") + nameOf(effect.reason) + "\"}");
     m_events.decision("refused",
                       {{"request", open->terms.requestId},
+                       {"digest", open->digest},
                        {"reason", nameOf(effect.reason)},
                        {"route", effect.route},
                        {"target", effect.lastTarget},
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include "SocketLoop.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <unordered_map>
 
@@ -228,6 +229,30 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers.get());
 }
 
+// The library sends again over a new connection where a kept one turns out to be closed; that it may not, or can't
+// since nothing listens any more, also tells that the first one has ended.
+bool tellsLostConnection(CURLcode code)
+{
+    switch (code) {
+    case CURLE_GOT_NOTHING:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+    case CURLE_PARTIAL_FILE:
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_ABORTED_BY_CALLBACK:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool tellsRefusal(CURL *easy, CURLcode code)
+{
+    long reason = 0;
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &reason);
+    return code == CURLE_COULDNT_CONNECT && reason == ECONNREFUSED;
+}
+
 HttpResult resultOf(Transfer &transfer, CURLcode code)
 {
     HttpResult result;
@@ -246,10 +271,12 @@
         result.reason = transfer.isLate ? "could not be sent in time" : curl_easy_strerror(code);
     }
     result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
+    result.isRefused = tellsRefusal(transfer.easy.get(), code);
     if (transfer.isTooLarge) {
         result.kind = HttpResult::Kind::TooLarge;
     } else {
         result.kind = transfer.sendings == 0 ? HttpResult::Kind::NotSent : HttpResult::Kind::Broken;
+        result.isConnectionLost = transfer.sendings > 0 && tellsLostConnection(code);
     }
     return result;
 }
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -43,7 +43,10 @@
         closed = server.address();
     }
     HttpClient client(MaxAnswerBytes);
-    CHECK(call(client, callTo(closed, "POST")).kind == HttpResult::Kind::NotSent);
+    const HttpResult result = call(client, callTo(closed, "POST"));
+    CHECK(result.kind == HttpResult::Kind::NotSent);
+    CHECK(result.isRefused);
+    CHECK_FALSE(result.isConnectionLost);
 }
 
 TEST_CASE("a connection that closes without an answer means that it may have been sent")
@@ -52,7 +55,38 @@
         RawServer::readRequest(socket);
     }});
     HttpClient client(MaxAnswerBytes);
-    CHECK(call(client, callTo(server.address(), "POST")).kind == HttpResult::Kind::Broken);
+    const HttpResult result = call(client, callTo(server.address(), "POST"));
+    CHECK(result.kind == HttpResult::Kind::Broken);
+    CHECK(result.isConnectionLost);
+    CHECK_FALSE(result.isRefused);
+}
+
+TEST_CASE("a target that ends under a request on a kept connection is told from one that is only late")
+{
+    HttpClient client(MaxAnswerBytes);
+    HttpResult result;
+    {
+        const RawServer server({[](RawServer::Socket &socket) {
+            RawServer::readRequest(socket);
+            RawServer::send(socket, Answer200);
+            RawServer::readRequest(socket);
+        }});
+        CHECK(call(client, callTo(server.address())).kind == HttpResult::Kind::Answered);
+        result = call(client, callTo(server.address(), "POST"));
+    }
+    CHECK(result.kind == HttpResult::Kind::Broken);
+    CHECK(result.isConnectionLost);
+    std::promise<void> isOver;
+    const RawServer silent({[&](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        isOver.get_future().wait();
+    }});
+    HttpCall late = callTo(silent.address(), "POST");
+    late.timeout = std::chrono::milliseconds(200);
+    result = call(client, std::move(late));
+    isOver.set_value();
+    CHECK(result.timedOut);
+    CHECK_FALSE(result.isConnectionLost);
 }
 
 TEST_CASE("an answer that is cut in its body is no answer")
