Test that fails: a request that ends targets is sent to more and more of them

Three entry hosts, a control host and eight stand-in targets over loopback; a target ends as a process does and starts again after half a second under a new id. The request comes ten times a second at the entry hosts in turn.

--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -226,6 +226,17 @@
         gateway = std::make_unique<GatewayDaemon>(m_entry, m_clock, callerDialect<platform::Clients>());
     }
 
+    /// A further entry host, at an address of its own.
+    std::unique_ptr<GatewayDaemon> startEntryHost(unsigned number)
+    {
+        constexpr unsigned FirstFurther = 10;
+        FleetSettings settings = m_entry;
+        settings.name = "entry-" + std::to_string(number);
+        settings.peer = addressOn(FirstFurther + number, m_entry.peer.port);
+        settings.metrics = addressOn(FirstFurther + number, m_entry.metrics.port);
+        return std::make_unique<GatewayDaemon>(settings, m_clock, callerDialect<platform::Clients>());
+    }
+
     /// Replaces what the control host remembers; it must have ended.
     void remember(const Remembered &remembered) const
     {
