A request under which three targets ended is shut out at all hosts

Cause: what an end tells was learnt of the target alone. A request that ends the target which runs it was new to every entry host each time it came, and was sent to a second target where its route repeats. Class: knowledge that is tied to one try where the thing it is about outlives the try.

Change: each end is evidence against what ran there, named by digest of the request and incarnation of the target. It counts only where nothing listens at the target's address right after the connection ended (one connection more for each such loss), so that resets, lost and spoilt answers count for nothing. Entry hosts tell the control host they follow at once, control hosts each other and all entry hosts; what is known adds up by incarnation, in any order. Two ends: not sent on after a loss. Three: not sent at all, refused at once as not run. An answer of any target excuses the ends before it. After a minute (then ten, a hundred) the leading control host allows one try in the whole system, three in all. Control hosts remember it on their disks, entry hosts tell a new control host all they know.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -8,7 +8,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "pepperlug/Registry.h"
+#include "pepperlug/Quarantine.h"
 #include "pepperlug/Routes.h"
 
 #include <set>
@@ -78,6 +78,7 @@
     std::string path;
     std::string affinityKey; ///< empty: none
     std::optional<Duration> deadline; ///< time that the caller will wait
+    std::string digest{}; ///< digestOf() it; empty: it is like no other
 };
 
 struct CallerLeft {
@@ -115,13 +116,31 @@
     AttemptOutcome outcome{};
     std::optional<TargetLoad> load;
     std::uint64_t answerBytes = 0; ///< length of the body
+    bool isConnectionLost = false; ///< Lost: the target's side ended the connection, or it was reset
+};
+
+/// What came of CheckTarget.
+struct TargetChecked {
+    Incarnation target;
+    bool isRefused = false; ///< nothing listens at its address
+};
+
+/// Another host told of requests under which targets ended.
+struct SuspectsTold {
+    std::vector<SuspectReport> suspects;
+};
+
+/// What came of AskTrial.
+struct TrialDecided {
+    RequestId id{};
+    bool isGranted = false;
 };
 
 struct BalanceTick {
 };
 
 using BalanceEvent = std::variant<RoutesChanged, ReportsChanged, NewsReceived, CallerRequest, CallerLeft, AnswerBegun,
-                                  AttemptEnded, BalanceTick>;
+                                  AttemptEnded, TargetChecked, SuspectsTold, TrialDecided, BalanceTick>;
 
 //===-- Effects ---------------------------------------------------------------===//
 
@@ -144,6 +163,27 @@
     unsigned attempt = 0;
 };
 
+/// Look whether anything listens at the address of a target whose connection ended under a request.
+struct CheckTarget {
+    Incarnation target;
+    std::string address;
+};
+
+/// Ask the control hosts whether a request that is shut out may be tried once.
+struct AskTrial {
+    RequestId id{};
+    std::string digest;
+};
+
+/// What this host knows of a request under which targets ended has changed.
+struct SuspectChanged {
+    std::string digest;
+    std::string target; ///< that ended; empty if something else changed
+    std::size_t ends = 0; ///< that speak against it
+    Standing standing{};
+    bool isOwn = false; ///< noticed here, so other hosts have to be told
+};
+
 /// Pass on the head of the answer that an attempt gets, and its body as it comes.
 struct PassHead {
     RequestId id{};
@@ -164,6 +204,7 @@
     NoTarget, ///< no usable target of the service
     Overloaded, ///< would not be served within the objective
     LinkFull, ///< this host's link has no room for an answer of this size
+    ShutOut, ///< targets ended under it, wherever it ran; not run
     NotReached, ///< no target could be reached in time; not run
     Stopping, ///< this host is about to end; not run
     Lost, ///< may have run
@@ -187,7 +228,8 @@
     Refusal reason{}; ///< Lost or TimedOut
 };
 
-using BalanceEffect = std::variant<StartAttempt, CancelAttempt, PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
+using BalanceEffect = std::variant<StartAttempt, CancelAttempt, CheckTarget, AskTrial, SuspectChanged, PassHead,
+                                   PassAnswer, AbortAnswer, RefuseRequest>;
 using BalanceEffects = std::vector<BalanceEffect>;
 
 class Balancer
@@ -215,6 +257,8 @@
     bool maySend(RequestId id, unsigned attempt) const;
     /// Targets that may be used now, of all services.
     std::size_t usableTargets(TimePoint now) const;
+    /// Requests under which targets ended.
+    const Quarantine &quarantine() const;
 
 private:
     class Impl;
--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -90,6 +90,7 @@
     std::shared_ptr<const std::string> body; ///< null for none
     Duration timeout{};
     std::string fromIp; ///< local address to call from; empty for any
+    bool connectsOnly = false; ///< nothing is sent; answered once a connection is made
     bool mayRepeat = false; ///< the library may send it again where a kept connection turns out to be closed
     Duration connectTimeout = std::chrono::seconds(1);
     /// A request that could not be sent within this time of start() is not sent any more.
--- a/include/pepperlug/Quarantine.h
+++ b/include/pepperlug/Quarantine.h
@@ -1,6 +1,10 @@
 //===- pepperlug/Quarantine.h - Requests that end the targets which run them -===//
 //
-// Which requests are the same one, though each try bears an id of its own. Pure.
+// Which requests are the same one, though each try bears an id of its own; under
+// which of them targets have ended; and which are shut out for that. Every host
+// keeps such a table and tells the others what it saw. What two hosts know of a
+// request adds up in any order and any number of times, since each end is named
+// by the incarnation that ended. Pure: time is passed in.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -22,4 +26,94 @@
 /// The same for the same request at every host and after each restart; nobody can make another request look alike.
 std::string digestOf(const RequestIdentity &identity);
 
+/// A target ended while a request was there.
+struct TargetEnd {
+    Incarnation target;
+    Milliseconds age{}; ///< since it was noticed
+    bool isExcused = false; ///< the request was answered by a target afterwards, so it was not what ended this one
+    MSGPACK_DEFINE(target, age, isExcused);
+};
+
+/// What one host tells another of a request.
+struct SuspectReport {
+    std::string digest;
+    std::vector<TargetEnd> ends;
+    unsigned trials = 0; ///< that were granted so far
+    Milliseconds trialAge{}; ///< since the newest of them
+    MSGPACK_DEFINE(digest, ends, trials, trialAge);
+};
+
+/// What may be done with a request.
+enum class Standing : std::uint8_t {
+    Free,
+    Suspected, ///< two targets ended under it: not sent to another one where the first may have run it
+    ShutOut, ///< three did: not sent at all
+    TrialDue, ///< shut out for long enough that one try may be allowed, in the whole system
+};
+
+class Quarantine
+{
+public:
+    /// Who reads what is new.
+    enum class Reader : std::uint8_t {
+        EntryHost, ///< needs requests under which at least two targets ended, whoever noticed
+        ControlHost, ///< needs what was noticed here, or told by the hosts that this one speaks for
+    };
+
+    /// A target ended under a request. Returns whether that is new.
+    bool noteEnd(const std::string &digest, const Incarnation &target, TimePoint now);
+    /// A target ran a request to its end and answered: the ends known so far are excused. Returns whether any was not.
+    bool noteAnswer(const std::string &digest);
+    /// One try of a request is allowed. Returns false if none is due.
+    bool grantTrial(const std::string &digest, TimePoint now);
+    /// Takes what another host told. `isDirect`: this host speaks for the other one towards control hosts. Returns
+    /// whether something was new.
+    bool merge(const SuspectReport &report, bool isDirect, TimePoint now);
+    /// Drops what is too old to matter; to be called now and then.
+    void forget(TimePoint now);
+
+    Standing standing(const std::string &digest, TimePoint now) const;
+    /// Until a try may be allowed; nothing if none will be until the request is forgotten, or it is not shut out.
+    std::optional<Duration> untilTrial(const std::string &digest, TimePoint now) const;
+    /// Ends that speak against a request.
+    std::size_t endsUnder(const std::string &digest) const;
+    /// What changed since a version, for a reader; with version 0 all that matters to it.
+    std::vector<SuspectReport> changedSince(std::uint64_t version, Reader reader, TimePoint now) const;
+    bool hasChangedSince(std::uint64_t version, Reader reader) const;
+    std::uint64_t version() const;
+    std::size_t size() const;
+    /// Requests that are shut out.
+    std::size_t shutOut() const;
+
+private:
+    struct End {
+        TimePoint noticedAt{};
+        bool isExcused = false;
+    };
+
+    struct Suspect {
+        std::map<Incarnation, End> ends;
+        unsigned trials = 0;
+        TimePoint trialAt{}; ///< of the newest
+        std::uint64_t directVersion = 0; ///< at the last change that this host tells control hosts
+        std::uint64_t changedVersion = 0; ///< at the last change
+        bool mattersToEntryHosts = false; ///< they are told of it, also that it is free again
+    };
+
+    static std::size_t counted(const Suspect &suspect);
+    static TimePoint newestEnd(const Suspect &suspect);
+    static std::optional<TimePoint> trialDueAt(const Suspect &suspect);
+    static bool addEnd(Suspect &suspect, const Incarnation &target, End end);
+    static std::uint64_t newestFor(const Suspect &suspect, Reader reader);
+    static bool isForgotten(const Suspect &suspect, const End &end, TimePoint now);
+    Suspect &suspectOf(const std::string &digest);
+    void noteChange(Suspect &suspect, bool isDirect);
+    void makeRoom();
+
+    std::map<std::string, Suspect> m_suspects; ///< by digest
+    std::uint64_t m_version = 0;
+    std::uint64_t m_newestForEntryHosts = 0; ///< version of the last change that they are told
+    std::uint64_t m_newestForControlHosts = 0; ///< likewise
+};
+
 } // namespace pepperlug::fleet
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -37,6 +37,16 @@
     MSGPACK_DEFINE(id, service, address, zone, slots, presence, coldLeft, sequence, startedAt);
 };
 
+/// One life of a target, from a start to its end.
+struct Incarnation {
+    std::string id;
+    Milliseconds startedAt{}; ///< TargetReport::startedAt
+    MSGPACK_DEFINE(id, startedAt);
+    bool operator==(const Incarnation &) const = default;
+    auto
+    operator<=>(const Incarnation &) const = default; // NOLINT(modernize-use-nullptr): the check misreads this line
+};
+
 /// A departure as its target said it, which may name no more than the id, with what is known of the target otherwise.
 /// Where no start is said it is that of the known incarnation.
 TargetReport departureOf(const TargetReport &known, const TargetReport &said);
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -20,14 +20,17 @@
 /// Of an answer's head and the packets around it, about.
 constexpr double HeadBytes = 600;
 
+/// Between two looks for suspects that are too old; they are kept for minutes.
+constexpr std::chrono::seconds ForgetInterval{1};
+
+} // namespace
+
 bool isCertainlyNotRun(AttemptOutcome outcome)
 {
     return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Withdrawn || outcome == AttemptOutcome::Shed
         || outcome == AttemptOutcome::WrongTarget;
 }
 
-} // namespace
-
 const char *nameOf(AttemptOutcome outcome)
 {
     switch (outcome) {
@@ -66,6 +69,8 @@
         return "overloaded";
     case Refusal::LinkFull:
         return "link-full";
+    case Refusal::ShutOut:
+        return "shut-out";
     case Refusal::NotReached:
         return "not-reached";
     case Refusal::Stopping:
@@ -143,6 +148,9 @@
         refuse(open, Refusal::RoutingLate);
         return;
     }
+    if (holdBack(open)) {
+        return;
+    }
     const Duration work = m_stats[route->name].work().value_or(route->objective / 2);
     m_arrivals[open.service].add(m_now, std::chrono::duration<double>(work).count());
     m_askedBytes.add(m_now, m_stats[route->name].answerBytes() + HeadBytes);
@@ -169,7 +177,8 @@
     const unsigned number = ++open.started;
     const double bytes = m_stats[open.route.name].answerBytes() + HeadBytes;
     m_link.take(bytes, m_now);
-    open.attempts[number] = {{target.report.id, target.report.startedAt}, m_now, placement.fill, bytes};
+    open.attempts[number] = {
+        {target.report.id, target.report.startedAt}, target.report.address, m_now, placement.fill, bytes};
     open.tried.insert(target.report.id);
     open.lastTarget = target.report.id;
     StartAttempt effect;
@@ -193,6 +202,9 @@
     if (reason == Refusal::LinkFull) {
         return ElsewhereRetryAfter;
     }
+    if (reason == Refusal::ShutOut) {
+        return timeToTrial(open);
+    }
     if (open.route.name.empty()) {
         return StartRetryAfter;
     }
@@ -247,7 +259,7 @@
 // Each retry that may arrive at a target is taken from the budget that all entry hosts share.
 bool Balancer::Impl::maySendAgain(const OpenRequest &open, AttemptOutcome outcome)
 {
-    if (open.hasBegun) {
+    if (open.hasBegun || !maySpread(open, outcome)) {
         return false;
     }
     const bool isSafe = open.route.kind == RouteKind::Repeatable || (isCertainlyNotRun(outcome) && !open.mayHaveRun);
@@ -296,10 +308,14 @@
         m_stats[open.route.name].addAnswerBytes(event.answerBytes);
         m_stats[open.route.name].add(m_now - attempt.startedAt, attempt.fill);
         m_out->emplace_back(PassAnswer{open.request.id, event.attempt});
+        clear(open);
         cancelAttempts(open);
         m_open.erase(it);
         return;
     }
+    if (event.outcome == AttemptOutcome::Lost && event.isConnectionLost) {
+        suspect(open, attempt);
+    }
     open.mayHaveRun |=
         open.hasBegun || event.outcome == AttemptOutcome::Lost || event.outcome == AttemptOutcome::TimedOut;
     if (!open.attempts.empty()) {
@@ -314,6 +330,9 @@
         }
     }
     Refusal reason = event.outcome == AttemptOutcome::Shed ? Refusal::Overloaded : Refusal::NotReached;
+    if (isShutOut(open)) {
+        reason = Refusal::ShutOut;
+    }
     if (!hasRoute) {
         reason = m_isSuspended ? Refusal::RoutingLate : Refusal::RouteChanged;
     }
@@ -333,15 +352,15 @@
             continue;
         }
         cancelAttempts(open);
-        giveUp(open, Refusal::TimedOut);
+        giveUp(open, open.awaitsTrial ? Refusal::ShutOut : Refusal::TimedOut);
         it = m_open.erase(it);
     }
 }
 
-bool Balancer::Impl::mayHedge(const OpenRequest &open)
+bool Balancer::Impl::mayHedge(const OpenRequest &open) const
 {
-    return open.attempts.size() == 1 && !open.hasBegun && open.route.kind == RouteKind::Repeatable
-        && open.started < open.route.attempts;
+    return open.attempts.size() == 1 && maySpread(open, AttemptOutcome::TimedOut) && !open.hasBegun
+        && open.route.kind == RouteKind::Repeatable && open.started < open.route.attempts;
 }
 
 bool Balancer::Impl::isSilent(const Attempt &attempt, const Route &route)
@@ -376,6 +395,10 @@
     endOverdue();
     hedgeSilent();
     followPlans();
+    if (m_now >= m_forgetDue) {
+        m_quarantine.forget(m_now);
+        m_forgetDue = m_now + ForgetInterval;
+    }
 }
 
 std::size_t Balancer::Impl::open() const
@@ -408,6 +431,11 @@
     return m_targets.usable(now);
 }
 
+const Quarantine &Balancer::Impl::quarantine() const
+{
+    return m_quarantine;
+}
+
 Balancer::Balancer(BalanceSettings settings)
     : m_impl(std::make_unique<Impl>(std::move(settings)))
 {
@@ -455,4 +483,9 @@
     return m_impl->usableTargets(now);
 }
 
+const Quarantine &Balancer::quarantine() const
+{
+    return m_impl->quarantine();
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -12,6 +12,9 @@
 namespace pepperlug::fleet
 {
 
+/// Whether what came of an attempt means that its target has not run the request.
+bool isCertainlyNotRun(AttemptOutcome outcome);
+
 class Balancer::Impl
 {
 public:
@@ -25,10 +28,12 @@
     bool isSuspended() const;
     bool maySend(RequestId id, unsigned attempt) const;
     std::size_t usableTargets(TimePoint now) const;
+    const Quarantine &quarantine() const;
 
 private:
     struct Attempt {
         Incarnation target;
+        std::string address;
         TimePoint startedAt{};
         double fill = 0;
         double expectedBytes = 0; ///< counted for its answer
@@ -49,6 +54,8 @@
         bool mayHaveRun = false;
         bool isReturning = false; ///< its caller was refused before, and waited
         bool hasBegun = false; ///< a part of an answer was passed on
+        bool awaitsTrial = false; ///< nothing was sent, and the control hosts are asked whether it may be
+        bool isTrial = false; ///< may be sent once although it is shut out
     };
 
     /// A target that a request may go to, or why there is none.
@@ -71,7 +78,7 @@
     void refuse(OpenRequest &open, Refusal reason, Duration drainTime = {});
     void giveUp(OpenRequest &open, Refusal reason);
     void endOverdue();
-    static bool mayHedge(const OpenRequest &open);
+    bool mayHedge(const OpenRequest &open) const;
     bool isSilent(const Attempt &attempt, const Route &route);
     void hedgeSilent();
     void cancelAttempts(OpenRequest &open);
@@ -87,6 +94,18 @@
     bool followRoutes(OpenRequest &open);
     static bool leadsTo(const Route &route, const TargetState &target);
 
+    // Suspicion.cpp
+    void on(const TargetChecked &event);
+    void on(const SuspectsTold &event);
+    void on(const TrialDecided &event);
+    bool holdBack(OpenRequest &open);
+    bool isShutOut(const OpenRequest &open) const;
+    bool maySpread(const OpenRequest &open, AttemptOutcome outcome) const;
+    void suspect(const OpenRequest &open, const Attempt &attempt);
+    void clear(const OpenRequest &open);
+    void tellChange(const std::string &digest, const std::string &target, bool isOwn);
+    Milliseconds timeToTrial(const OpenRequest &open) const;
+
     // Placement.cpp
     Placement place(const OpenRequest &open);
     Placement placeIn(const OpenRequest &open, const std::string &region, bool keepsKey = true);
@@ -112,6 +131,9 @@
     std::map<std::string, RegionPlan> m_plans; ///< by service
     std::map<std::string, RetryBudget> m_budgets; ///< by service
     std::map<std::string, RouteStats> m_stats; ///< by route
+    Quarantine m_quarantine;
+    /// Requests whose connection ended at a target of which it is not known yet whether it has ended: their digests.
+    std::map<Incarnation, std::set<std::string>> m_unchecked;
     LinkBudget m_link;
     std::map<std::string, ArrivalRate> m_arrivals; ///< by service: slots that requests keep busy
     ArrivalRate m_askedBytes;
@@ -119,6 +141,7 @@
     std::map<std::string, std::vector<double>> m_turns; ///< by route: what each part of a split is owed
     TimePoint m_now{};
     TimePoint m_planDue{};
+    TimePoint m_forgetDue{};
     BalanceEffects *m_out = nullptr;
 };
 
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -115,7 +115,7 @@
 bool Balancer::Impl::maySend(RequestId id, unsigned attempt) const
 {
     const auto it = m_open.find(static_cast<std::uint64_t>(id));
-    if (it == m_open.end() || m_isSuspended) {
+    if (it == m_open.end() || m_isSuspended || isShutOut(it->second)) {
         return false;
     }
     const OpenRequest &open = it->second;
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -334,17 +334,33 @@
     case AttemptOutcome::Withdrawn:
         return; // the target had no part in it
     case AttemptOutcome::NotSent:
-        target->failures = std::max(target->failures + 1, FailuresToBlock);
-        break;
+        noteRefused(incarnation, now);
+        return;
     case AttemptOutcome::Lost:
     case AttemptOutcome::TimedOut:
         ++target->failures;
-        break;
+        blockAfterFailures(*target, now);
+        return;
     }
-    if (target->failures >= FailuresToBlock) {
-        const unsigned doublings = std::min(target->failures - FailuresToBlock, 4U);
-        target->blockedUntil = now + std::min<Duration>(FirstBlock * (1 << doublings), LongestBlock);
+}
+
+void TargetSet::noteRefused(const Incarnation &incarnation, TimePoint now)
+{
+    TargetState *target = find(incarnation);
+    if (target == nullptr) {
+        return;
+    }
+    target->failures = std::max(target->failures + 1, FailuresToBlock);
+    blockAfterFailures(*target, now);
+}
+
+void TargetSet::blockAfterFailures(TargetState &target, TimePoint now)
+{
+    if (target.failures < FailuresToBlock) {
+        return;
     }
+    const unsigned doublings = std::min(target.failures - FailuresToBlock, 4U);
+    target.blockedUntil = now + std::min<Duration>(FirstBlock * (1 << doublings), LongestBlock);
 }
 
 std::map<std::string, double> TargetSet::capacity(std::string_view service, TimePoint now) const
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -13,12 +13,6 @@
 namespace pepperlug::fleet
 {
 
-/// One life of a target, from a start to its end.
-struct Incarnation {
-    std::string id;
-    Milliseconds startedAt{}; ///< TargetReport::startedAt
-};
-
 struct TargetState {
     TargetReport report;
     std::string region;
@@ -86,6 +80,8 @@
     void attemptEnded(const Incarnation &incarnation, AttemptOutcome outcome, const std::optional<TargetLoad> &load,
                       TimePoint now);
     void attemptCancelled(const Incarnation &incarnation);
+    /// Nothing listens at its address.
+    void noteRefused(const Incarnation &incarnation, TimePoint now);
 
     /// Slots of usable targets by region.
     std::map<std::string, double> capacity(std::string_view service, TimePoint now) const;
@@ -99,6 +95,7 @@
     bool isUsable(const TargetState &target, TimePoint now) const;
     /// Time between two requests of this host to a cold target; nothing if it bears any number.
     std::optional<Duration> warmInterval(const TargetState &target) const;
+    static void blockAfterFailures(TargetState &target, TimePoint now);
     static void setColdUntil(TargetState &target, TimePoint until, TimePoint now);
     bool mayWarm(TargetState &target, TimePoint now) const;
     std::size_t warmers(const TargetState &target) const;
--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -68,6 +68,7 @@
         if (to != m_control) {
             m_epoch.clear();
             m_since = 0;
+            m_suspectsSince = 0;
         }
         m_control = to;
         m_moveOn = false;
@@ -87,6 +88,7 @@
     call.epoch = epoch;
     const std::lock_guard lock(m_mutex);
     call.since = m_since;
+    call.suspectsSince = m_suspectsSince;
     return call;
 }
 
@@ -160,6 +162,7 @@
         // Only now may an ask or a sign of life say that this host acts upon it.
         m_epoch = news->epoch;
         m_since = isAllTaken ? news->version : 0;
+        m_suspectsSince = news->suspectsVersion;
     }
     m_isAsking = false;
 }
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -1,7 +1,7 @@
 //===- FleetMessages.h - What hosts of a fleet say to each other -*- C++ -*-===//
 #pragma once
 
-#include "pepperlug/Registry.h"
+#include "pepperlug/Quarantine.h"
 #include "pepperlug/Routes.h"
 
 namespace pepperlug::fleet::path
@@ -10,6 +10,7 @@
 constexpr const char *FleetRouting = "/fleet/routing";
 constexpr const char *FleetAlive = "/fleet/alive";
 constexpr const char *FleetConfirm = "/fleet/confirm";
+constexpr const char *FleetTrial = "/fleet/trial";
 constexpr const char *FleetJoin = "/fleet/join";
 constexpr const char *FleetControlHosts = "/fleet/control-hosts";
 } // namespace pepperlug::fleet::path
@@ -29,7 +30,13 @@
     /// By a control host: news of the asked host that it and all its followers have. By an entry host: the log index
     /// such that it decides nothing by an older routing.
     NewsPosition confirmed;
-    MSGPACK_DEFINE(self, epoch, since, routingIndex, routingHeard, patience, confirmed);
+    std::uint64_t suspectsSince = 0; ///< version of the asked host's quarantine that the asker has
+    /// By an entry host: what it noticed of requests under which targets ended, since it was told that the asked host
+    /// has the rest; all that it knows where the asked host has nothing of it yet.
+    std::vector<SuspectReport> suspects;
+    std::uint64_t suspectsUpTo = 0; ///< version of the asker's quarantine that the asked host has with them
+    MSGPACK_DEFINE(self, epoch, since, routingIndex, routingHeard, patience, confirmed, suspectsSince, suspects,
+                   suspectsUpTo);
 };
 
 /// Reply to path::FleetWatch.
@@ -45,7 +52,24 @@
     /// For entry hosts that have an older one: what changed since, where it is short; a long one is asked for apart, so
     /// that nothing else queues behind it.
     std::vector<std::string> routingChanges;
-    MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, remembered, routingIndex, routingChanges);
+    std::vector<SuspectReport> suspects; ///< that changed since the asker's FleetWatchCall::suspectsSince
+    std::uint64_t suspectsVersion = 0; ///< version of the told host's quarantine
+    std::uint64_t suspectsHeard = 0; ///< FleetWatchCall::suspectsUpTo of the ask
+    MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, remembered, routingIndex, routingChanges,
+                   suspects, suspectsVersion, suspectsHeard);
+};
+
+/// Body of path::FleetTrial: may a request that is shut out be tried once? The leading control host decides.
+struct FleetTrialCall {
+    std::string digest;
+    bool isForwarded = false; ///< by a control host that does not lead
+    MSGPACK_DEFINE(digest, isForwarded);
+};
+
+/// Reply to path::FleetTrial.
+struct FleetTrialReply {
+    bool isGranted = false;
+    MSGPACK_DEFINE(isGranted);
 };
 
 /// Body of path::FleetConfirm: a control host tells another one at once what its next ask would tell later.
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -71,13 +71,14 @@
         static_cast<std::uint64_t>(static_cast<double>(m_settings.linkBytesPerSecond) * LargeAnswersPart);
     m_client = std::make_unique<HttpClient>(m_settings.maxAnswerBytes, forLarge);
     ControlWatch::Hooks hooks;
-    hooks.describe = [this](const Address &, const std::string &) {
+    hooks.describe = [this](const Address &, const std::string &epoch) {
         const std::lock_guard lock(m_mutex);
         FleetWatchCall call;
         call.self = selfReport();
         call.routingIndex = m_routing.index;
         call.routingHeard = m_routingLag.newest();
         call.confirmed.routing = actsUpon();
+        describeSuspects(call, epoch);
         return call;
     };
     hooks.candidates = [this] {
@@ -113,6 +114,7 @@
 void GatewayDaemon::Impl::tick()
 {
     reduce(BalanceTick{});
+    tellSuspects();
     const TimePoint now = m_clock.now();
     if (knowsControlHosts()) {
         m_watch->poll(now);
@@ -121,6 +123,8 @@
     }
     const std::lock_guard lock(m_mutex);
     m_metrics.gauge("pepperlug_view_age_seconds", secondsOf(viewAge()));
+    m_metrics.gauge("pepperlug_suspects", static_cast<double>(m_balancer->quarantine().size()));
+    m_metrics.gauge("pepperlug_requests_shut_out", static_cast<double>(m_balancer->quarantine().shutOut()));
 }
 
 HostReport GatewayDaemon::Impl::selfReport()
@@ -275,6 +279,7 @@
         if (reply.isCurrent) {
             m_viewAsOf = receipt.askedAt;
         }
+        m_followed = receipt.from;
         for (const AgedReport<HostReport> &it : reply.changes.hosts) {
             if (it.report.role == HostRole::Control && it.report.presence == Presence::Ready && !it.isSilent) {
                 m_controlHosts[it.report.id] = it.report;
@@ -286,6 +291,7 @@
     if (!reply.changes.empty() || reply.isWhole || !reply.demand.empty()) {
         reduce(ReportsChanged{reply.changes, reply.isWhole, reply.demand, reply.remembered});
     }
+    onSuspectsTold(reply);
     followRouting(receipt.from, reply);
     tellAgeOfNews();
 }
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -70,6 +70,14 @@
     void tellAgeOfNews();
     std::uint64_t actsUpon() const;
 
+    // GatewaySuspects.cpp
+    void describeSuspects(FleetWatchCall &call, const std::string &epoch);
+    void onSuspectsTold(const FleetWatchReply &reply);
+    void tellSuspects();
+    void carryOut(const CheckTarget &effect);
+    void carryOut(const AskTrial &effect);
+    void carryOut(const SuspectChanged &effect);
+
     // GatewayRequests.cpp
     void onHttp(const HttpExchangePtr &exchange);
     bool onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, std::uint64_t length);
@@ -86,6 +94,12 @@
     void carryOut(const RefuseRequest &effect);
     AttemptEnded readResult(RequestId id, unsigned attempt, HttpResult &result);
 
+    /// What a control host has of this host's quarantine.
+    struct ToldSuspects {
+        std::string epoch; ///< of the control host's life
+        std::uint64_t version = 0; ///< of the quarantine
+    };
+
     FleetSettings m_settings;
     const Clock &m_clock;
     CallerDialectTable m_dialect;
@@ -108,6 +122,9 @@
     std::size_t m_seedsAsked = 0;
     TimePoint m_nextAskForControlHosts{};
     std::optional<TimePoint> m_viewAsOf; ///< all that a control host in touch with a majority knew then is known here
+    ToldSuspects m_toldSuspects;
+    bool m_hasSuspectsToTell = false; ///< noticed since the last ask
+    Address m_followed; ///< control host that replied last
     bool m_isStopping = false; ///< no caller is sent here any more
     bool m_isClosed = false; ///< no request is passed on any more
 
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -33,6 +33,7 @@
     request.path = open.terms.path;
     request.affinityKey = open.terms.affinityKey;
     request.deadline = open.terms.deadline;
+    request.digest = open.digest;
     m_metrics.count("pepperlug_requests");
     {
         const std::lock_guard lock(m_mutex);
@@ -212,6 +213,7 @@
             return;
         }
         open->calls.erase(attempt);
+        ended.isConnectionLost = result.isConnectionLost;
         ended.answerBytes = open->begunAttempt == attempt ? open->length : result.answer.body.size();
         m_events.decision("attempt-ended",
                           {{"request", open->terms.requestId},
--- /dev/null
+++ b/lib/Fleet/GatewaySuspects.cpp
@@ -0,0 +1,125 @@
+//===- GatewaySuspects.cpp - Requests that end targets, at an entry host ---===//
+//
+// What this host noticed goes to the control host that it follows with its asks, until a reply tells that it was heard;
+// a control host that has started anew is told all that is known here.
+//
+//===----------------------------------------------------------------------===//
+#include "GatewayImpl.h"
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+constexpr unsigned Ok = 200;
+/// The farthest way and back, and as much again where a busy target host takes its time. No answer is no evidence.
+constexpr Milliseconds CheckTimeout{350};
+/// A caller waits for it, so it is short: to the control host, on to the leading one and back, twice.
+constexpr Milliseconds TrialTimeout{400};
+
+const char *nameOf(Standing standing)
+{
+    switch (standing) {
+    case Standing::Free:
+        return "free";
+    case Standing::Suspected:
+        return "suspected";
+    case Standing::ShutOut:
+        return "shut-out";
+    case Standing::TrialDue:
+        return "trial-due";
+    }
+    return "free";
+}
+
+} // namespace
+
+// The mutex is held.
+void GatewayDaemon::Impl::describeSuspects(FleetWatchCall &call, const std::string &epoch)
+{
+    const bool hasHeard = !epoch.empty() && epoch == m_toldSuspects.epoch;
+    const Quarantine &quarantine = m_balancer->quarantine();
+    call.suspects =
+        quarantine.changedSince(hasHeard ? m_toldSuspects.version : 0, Quarantine::Reader::ControlHost, m_clock.now());
+    call.suspectsUpTo = quarantine.version();
+}
+
+void GatewayDaemon::Impl::onSuspectsTold(const FleetWatchReply &reply)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_toldSuspects = {reply.epoch, reply.suspectsHeard};
+    }
+    if (!reply.suspects.empty()) {
+        reduce(SuspectsTold{reply.suspects});
+    }
+}
+
+// Told with the next ask, up to half a second later, each end would cost a target more where a request comes ten times
+// a second.
+void GatewayDaemon::Impl::tellSuspects()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_hasSuspectsToTell) {
+            return;
+        }
+        m_hasSuspectsToTell = false;
+    }
+    m_watch->hurry();
+}
+
+void GatewayDaemon::Impl::carryOut(const CheckTarget &effect)
+{
+    const std::optional<Address> to = Address::parse(effect.address);
+    if (!to) {
+        return;
+    }
+    HttpCall call;
+    call.to = *to;
+    call.method = "GET";
+    call.resource = "/";
+    call.connectsOnly = true;
+    call.timeout = CheckTimeout;
+    call.connectTimeout = CheckTimeout;
+    m_metrics.count("pepperlug_target_checks");
+    m_client->start(std::move(call), [this, target = effect.target](const HttpResult &result) {
+        m_events.state("target-checked",
+                       {{"target", target.id}, {"refused", result.isRefused}, {"reason", result.reason}});
+        reduce(TargetChecked{target, result.isRefused});
+    });
+}
+
+void GatewayDaemon::Impl::carryOut(const AskTrial &effect)
+{
+    m_net.call(
+        m_followed, path::FleetTrial, encode(FleetTrialCall{effect.digest}), TrialTimeout,
+        [this, effect](const PeerReply &reply) {
+            FleetTrialReply decided;
+            std::string reason = reply.reason;
+            if (reply.delivered && reply.status == Ok) {
+                try {
+                    decided = decode<FleetTrialReply>(reply.body, "control host");
+                } catch (const Error &ex) {
+                    reason = ex.what();
+                }
+            }
+            m_events.state("trial", {{"digest", effect.digest}, {"granted", decided.isGranted}, {"reason", reason}});
+            reduce(TrialDecided{effect.id, decided.isGranted});
+        });
+}
+
+void GatewayDaemon::Impl::carryOut(const SuspectChanged &effect)
+{
+    m_hasSuspectsToTell |= effect.isOwn;
+    m_metrics.count("pepperlug_suspect_changes");
+    m_events.state("suspect",
+                   {{"digest", effect.digest},
+                    {"target", effect.target},
+                    {"ends", effect.ends},
+                    {"standing", nameOf(effect.standing)},
+                    {"noticed_here", effect.isOwn}});
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -25,6 +25,8 @@
 constexpr auto TimeToJudge = std::chrono::seconds(3);
 /// How often at most the file of what is known is written.
 constexpr Milliseconds RememberInterval{500};
+/// Between two looks for suspects that are too old; they are kept for minutes.
+constexpr std::chrono::seconds ForgetInterval{1};
 constexpr const char *RememberedFile = "remembered";
 constexpr std::size_t MaxTableBytes = 4UL << 20;
 constexpr Milliseconds LastAnswers{300};
@@ -116,6 +118,7 @@
         m_remembered = readRemembered(m_settings.dataFolder + "/" + RememberedFile);
         if (m_remembered) {
             m_rememberedHistory.append(viewOf(m_remembered->routing));
+            hearSuspects(m_remembered->suspects, false, m_clock.now());
         }
     } catch (const Error &ex) {
         // Only the time until everybody has reported is lost.
@@ -133,7 +136,8 @@
     if (m_remembered && now - m_startedAt > RememberedTime) {
         m_remembered.reset();
     }
-    const bool isNew = m_registry.changedVersion() != m_rememberedVersion || m_routing.index() != m_rememberedIndex;
+    const bool isNew = m_registry.changedVersion() != m_rememberedVersion || m_routing.index() != m_rememberedIndex
+        || m_quarantine.version() != m_rememberedSuspects;
     // Until this host knows more than the file does, the file stays.
     if (m_remembered || m_routing.index() == 0 || !isNew || now < m_nextRemember) {
         return;
@@ -141,7 +145,10 @@
     m_nextRemember = now + RememberInterval;
     m_rememberedVersion = m_registry.changedVersion();
     m_rememberedIndex = m_routing.index();
-    m_writer->post([this, remembered = rememberedOf(m_routing, m_registry)] {
+    m_rememberedSuspects = m_quarantine.version();
+    Remembered remembered = rememberedOf(m_routing, m_registry);
+    remembered.suspects = m_quarantine.changedSince(0, Quarantine::Reader::ControlHost, now);
+    m_writer->post([this, remembered = std::move(remembered)] {
         try {
             writeRemembered(m_settings.dataFolder + "/" + RememberedFile, remembered);
         } catch (const Error &ex) {
@@ -185,6 +192,10 @@
     }
     m_wasCurrent = isCurrent;
     m_registry.expire(now, isCurrent && now - m_currentSince > TimeToJudge);
+    if (now >= m_nextForget) {
+        m_quarantine.forget(now);
+        m_nextForget = now + ForgetInterval;
+    }
 }
 
 std::vector<Address> RegistryDaemon::Impl::knownControlHosts()
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -67,6 +67,10 @@
     void replyWatchers(TimePoint now);
     bool onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply);
 
+    // RegistrySuspects.cpp
+    void hearSuspects(const std::vector<SuspectReport> &suspects, bool isDirect, TimePoint now);
+    void onTrial(const IncomingCallPtr &call);
+
     // RegistryConfirmations.cpp
     void noteConfirmations(const FleetWatchCall &ask, bool isSameEpoch, TimePoint now);
     static bool hasNothing(const FleetWatchCall &ask);
@@ -158,6 +162,8 @@
     Registry m_registry;
     RoutingState m_routing;
     RoutingHistory m_history; ///< of m_routing, as entry hosts are told of it
+    Quarantine m_quarantine;
+    TimePoint m_nextForget{};
     NewsConfirmations m_confirmations;
     std::map<std::string, TakenConfirmation> m_takenConfirmations; ///< by peer address of the confirming host
     std::vector<OwedConfirmation> m_owed;
@@ -182,6 +188,7 @@
     TimePoint m_nextRemember{};
     std::uint64_t m_rememberedVersion = 0; ///< of the registry, when the file was written last
     std::uint64_t m_rememberedIndex = 0; ///< of the routing, likewise
+    std::uint64_t m_rememberedSuspects = 0; ///< version of the quarantine, likewise
     std::map<Address, std::unique_ptr<ControlWatch>> m_peers;
 
     PeerNet m_net;
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -17,6 +17,11 @@
 /// was met, departures of targets wait 16 ms behind them, less than for the next tick of their host.
 constexpr std::size_t ShortChanges = 8 * 1024;
 
+Quarantine::Reader readerOf(const FleetWatchCall &ask)
+{
+    return ask.self.role == HostRole::Entry ? Quarantine::Reader::EntryHost : Quarantine::Reader::ControlHost;
+}
+
 } // namespace
 
 void RegistryDaemon::Impl::onPeerCall(const IncomingCallPtr &call)
@@ -28,6 +33,7 @@
                                                              {path::FleetConfirm, &Impl::onConfirm},
                                                              {path::FleetRouting, &Impl::onRouting},
                                                              {path::FleetControlHosts, &Impl::onControlHosts},
+                                                             {path::FleetTrial, &Impl::onTrial},
                                                              {path::FleetJoin, &Impl::onJoin}};
         const auto it = Handlers.find(call->path());
         if (it != Handlers.end()) {
@@ -75,7 +81,12 @@
     const bool isSameEpoch = ask.epoch == m_epoch;
     if (!isSameEpoch) {
         ask.since = 0;
+        ask.suspectsSince = 0;
     }
+    hearSuspects(ask.suspects, true, now);
+    // An asker that knew an earlier life of this host may have left out what it told that one.
+    ask.suspectsUpTo = isSameEpoch || ask.epoch.empty() ? ask.suspectsUpTo : 0;
+    ask.suspects.clear();
     const bool isLate = !m_registry.receive(ask.self, now);
     heard.isNewest = isNewestOf(ask.self.peer, ask.self.id, ask.self.sequence);
     const bool isLivingEntry = ask.self.role == HostRole::Entry && ask.self.presence != Presence::Gone;
@@ -142,7 +153,8 @@
 
 bool RegistryDaemon::Impl::hasNews(const FleetWatchCall &call) const
 {
-    return call.since == 0 || m_registry.changedVersion() > call.since || m_history.index() > call.routingHeard;
+    return call.since == 0 || m_registry.changedVersion() > call.since || m_history.index() > call.routingHeard
+        || m_quarantine.hasChangedSince(call.suspectsSince, readerOf(call));
 }
 
 FleetWatchReply RegistryDaemon::Impl::makeReply(const FleetWatchCall &call, TimePoint now) const
@@ -154,6 +166,9 @@
     const bool isControl = call.self.role == HostRole::Control;
     reply.changes = isControl ? m_registry.heardSince(call.since, now) : m_registry.changedSince(call.since, now);
     reply.isWhole = call.since == 0;
+    reply.suspects = m_quarantine.changedSince(call.suspectsSince, readerOf(call), now);
+    reply.suspectsVersion = m_quarantine.version();
+    reply.suspectsHeard = call.suspectsUpTo;
     if (isControl) {
         return reply;
     }
@@ -206,6 +221,7 @@
             // Followers are told of changes alone, so what they have to come to is the newest of these.
             m_confirmations.merged(receipt.from.text(), reply.epoch, reply.version, m_registry.changedVersion());
         }
+        hearSuspects(reply.suspects, false, now);
         m_epochs[receipt.from] = reply.epoch;
         const bool hasDepartures =
             std::any_of(reply.changes.targets.begin(), reply.changes.targets.end(),
--- /dev/null
+++ b/lib/Fleet/RegistrySuspects.cpp
@@ -0,0 +1,63 @@
+//===- RegistrySuspects.cpp - Requests that end targets, at a control host -===//
+//
+// A control host passes on what entry hosts noticed, and what it remembers from before its restart. Which trials there
+// are is decided by the leading one alone, while it is sure that no other one leads.
+//
+//===----------------------------------------------------------------------===//
+#include "RegistryImpl.h"
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+constexpr unsigned Ok = 200;
+/// To the leading control host and back; half of what an entry host waits for all of it.
+constexpr Milliseconds ForwardTimeout{200};
+
+} // namespace
+
+// The mutex is held.
+void RegistryDaemon::Impl::hearSuspects(const std::vector<SuspectReport> &suspects, bool isDirect, TimePoint now)
+{
+    for (const SuspectReport &it : suspects) {
+        if (!m_quarantine.merge(it, isDirect, now)) {
+            continue;
+        }
+        m_events.state("suspect",
+                       {{"digest", it.digest}, {"ends", m_quarantine.endsUnder(it.digest)}, {"from_entry", isDirect}});
+    }
+    m_metrics.gauge("pepperlug_suspects", static_cast<double>(m_quarantine.size()));
+    m_metrics.gauge("pepperlug_requests_shut_out", static_cast<double>(m_quarantine.shutOut()));
+}
+
+void RegistryDaemon::Impl::onTrial(const IncomingCallPtr &call)
+{
+    auto ask = decode<FleetTrialCall>(call->body(), call->peer());
+    const ControlLogStatus status = m_log->status();
+    const TimePoint now = m_clock.now();
+    if (status.role == ControlRole::Leader) {
+        FleetTrialReply reply;
+        {
+            const std::lock_guard lock(m_mutex);
+            reply.isGranted = status.canRead(now) && m_quarantine.grantTrial(ask.digest, now);
+            replyWatchers(now);
+        }
+        m_events.state("trial", {{"digest", ask.digest}, {"granted", reply.isGranted}});
+        call->reply(Ok, encode(reply));
+        return;
+    }
+    const std::optional<Address> leader = Address::parse(status.leader);
+    if (ask.isForwarded || !leader) {
+        call->reply(Ok, encode(FleetTrialReply{}));
+        return;
+    }
+    ask.isForwarded = true;
+    m_net.call(*leader, path::FleetTrial, encode(ask), ForwardTimeout, [call](const PeerReply &reply) {
+        const bool isDecided = reply.delivered && reply.status == Ok;
+        call->reply(Ok, isDecided ? reply.body : encode(FleetTrialReply{}));
+    });
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Fleet/Remembered.cpp
+++ b/lib/Fleet/Remembered.cpp
@@ -16,14 +16,15 @@
 struct StoredRemembered {
     std::string routing; ///< RoutingState::snapshot()
     std::vector<TargetReport> targets;
-    MSGPACK_DEFINE(routing, targets);
+    std::vector<SuspectReport> suspects; ///< absent in files of earlier versions
+    MSGPACK_DEFINE(routing, targets, suspects);
 };
 
 } // namespace
 
 Remembered rememberedOf(const RoutingState &routing, const Registry &registry)
 {
-    Remembered remembered{routing, {}};
+    Remembered remembered{routing, {}, {}};
     for (const auto &[id, entry] : registry.targets()) {
         // How many hosts share a cold target is not known right after a restart, so none sends to it.
         const bool isWarm = entry.report.coldLeft <= Milliseconds(0);
@@ -36,7 +37,7 @@
 
 void writeRemembered(const std::string &path, const Remembered &remembered)
 {
-    replaceFile(path, encode(StoredRemembered{remembered.routing.snapshot(), remembered.targets}));
+    replaceFile(path, encode(StoredRemembered{remembered.routing.snapshot(), remembered.targets, remembered.suspects}));
 }
 
 std::optional<Remembered> readRemembered(const std::string &path)
@@ -49,6 +50,7 @@
     Remembered remembered;
     remembered.routing.restore(stored.routing);
     remembered.targets = std::move(stored.targets);
+    remembered.suspects = std::move(stored.suspects);
     return remembered;
 }
 
--- a/lib/Fleet/Remembered.h
+++ b/lib/Fleet/Remembered.h
@@ -10,7 +10,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "pepperlug/Registry.h"
+#include "pepperlug/Quarantine.h"
 #include "pepperlug/Routes.h"
 
 namespace pepperlug::fleet
@@ -19,6 +19,7 @@
 struct Remembered {
     RoutingState routing; ///< as it was agreed on
     std::vector<TargetReport> targets; ///< ready and warm ones
+    std::vector<SuspectReport> suspects; ///< ages as of the writing
 };
 
 Remembered rememberedOf(const RoutingState &routing, const Registry &registry);
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -199,6 +199,11 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeSending);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    if (call.connectsOnly) {
+        curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
     if (!call.fromIp.empty()) {
         curl_easy_setopt(easy, CURLOPT_INTERFACE, call.fromIp.c_str());
     }
