--- a/lib/Quarantine/Quarantine.cpp
+++ b/lib/Quarantine/Quarantine.cpp
@@ -16,7 +16,7 @@
 {
 
 /// With one end less, a request that had met a host's restart and one loss of its own would be taken for the cause;
-/// with one more it costs its fourth target. Drawn: QuarantineTest, "who is shut out".
+/// with one more it costs its fourth target. Drawn: SpreadTest.
 constexpr std::size_t EndsToShutOut = 3;
 constexpr std::size_t EndsToSuspect = EndsToShutOut - 1;
 /// Between the last end or trial and the next trial: each target that a trial ends takes up to ten requests along, so
