Tests: a shut-out request over restarts of all hosts, and one trial in the whole system

Over loopback with real daemons: the control host and an entry host end and start again; once the disk tells what is shut out, once the entry hosts that did not restart. The pause before the first trial is a setting of the daemons, so that a trial is seen within a second: one arrives, whichever host asks.

A crash in 1 of 3 runs of the new test was traced (gdb): the test's own thread that reports targets used the control host while the test had ended it.

--- a/include/pepperlug/Quarantine.h
+++ b/include/pepperlug/Quarantine.h
@@ -43,6 +43,11 @@
     MSGPACK_DEFINE(digest, ends, trials, trialAge);
 };
 
+/// Between the last end and the first trial of a request that is shut out; ten times as long to the next one, and
+/// again. Each target that a trial ends takes up to ten requests along: at first one a minute may be lost to it, then
+/// less.
+constexpr std::chrono::minutes FirstTrialPause{1};
+
 /// What may be done with a request.
 enum class Standing : std::uint8_t {
     Free,
@@ -60,6 +65,8 @@
         ControlHost, ///< needs what was noticed here, or told by the hosts that this one speaks for
     };
 
+    explicit Quarantine(Duration firstTrialPause = FirstTrialPause);
+
     /// A target ended under a request. Returns whether that is new.
     bool noteEnd(const std::string &digest, const Incarnation &target, TimePoint now);
     /// A target ran a request to its end and answered: the ends known so far are excused. Returns whether any was not.
@@ -102,7 +109,7 @@
 
     static std::size_t counted(const Suspect &suspect);
     static TimePoint newestEnd(const Suspect &suspect);
-    static std::optional<TimePoint> trialDueAt(const Suspect &suspect);
+    std::optional<TimePoint> trialDueAt(const Suspect &suspect) const;
     static bool addEnd(Suspect &suspect, const Incarnation &target, End end);
     static std::uint64_t newestFor(const Suspect &suspect, Reader reader);
     static bool isForgotten(const Suspect &suspect, const End &end, TimePoint now);
@@ -110,6 +117,7 @@
     void noteChange(Suspect &suspect, bool isDirect);
     void makeRoom();
 
+    Duration m_firstTrialPause;
     std::map<std::string, Suspect> m_suspects; ///< by digest
     std::uint64_t m_version = 0;
     std::uint64_t m_newestForEntryHosts = 0; ///< version of the last change that they are told
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -92,6 +92,7 @@
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
     , m_targets(m_settings)
+    , m_quarantine(m_settings.firstTrialPause)
     , m_link(m_settings.linkBytesPerSecond)
 {
     m_region = m_targets.regionOf(m_settings.zone);
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -44,6 +44,7 @@
     balance.linkBytesPerSecond = settings.linkBytesPerSecond;
     balance.seed = hash64(incarnation);
     balance.newsLease = settings.newsLease;
+    balance.firstTrialPause = settings.firstTrialPause;
     balance.policy = settings.policy;
     return balance;
 }
--- a/lib/Quarantine/Quarantine.cpp
+++ b/lib/Quarantine/Quarantine.cpp
@@ -19,9 +19,7 @@
 /// with one more it costs its fourth target. Drawn: SpreadTest.
 constexpr std::size_t EndsToShutOut = 3;
 constexpr std::size_t EndsToSuspect = EndsToShutOut - 1;
-/// Between the last end or trial and the next trial: each target that a trial ends takes up to ten requests along, so
-/// at first one a minute may be lost to it, then less and less.
-constexpr std::chrono::minutes FirstTrialPause{1};
+/// Of each pause before a trial to the next one.
 constexpr int TrialPauseFactor = 10;
 /// Ends that trials may cost in all. Then a request stays shut out until it is forgotten.
 constexpr unsigned MaxTrials = 3;
@@ -42,6 +40,11 @@
 
 } // namespace
 
+Quarantine::Quarantine(Duration firstTrialPause)
+    : m_firstTrialPause(firstTrialPause)
+{
+}
+
 std::size_t Quarantine::counted(const Suspect &suspect)
 {
     return static_cast<std::size_t>(
@@ -57,12 +60,12 @@
     return newest;
 }
 
-std::optional<TimePoint> Quarantine::trialDueAt(const Suspect &suspect)
+std::optional<TimePoint> Quarantine::trialDueAt(const Suspect &suspect) const
 {
     if (suspect.trials >= MaxTrials) {
         return std::nullopt;
     }
-    Duration pause = FirstTrialPause;
+    Duration pause = m_firstTrialPause;
     for (unsigned n = 0; n < suspect.trials; ++n) {
         pause *= TrialPauseFactor;
     }
--- a/unittests/EndingRequests/EndingRequestTest.cpp
+++ b/unittests/EndingRequests/EndingRequestTest.cpp
@@ -27,7 +27,8 @@
 class EndingSystem
 {
 public:
-    EndingSystem()
+    explicit EndingSystem(Duration firstTrialPause = FirstTrialPause)
+        : m_system(ControlLink::Direct, 2 * Patience, 2 * Patience, firstTrialPause)
     {
         nlohmann::json table = nlohmann::json::parse(System::tableText("r2", {"/p/"}));
         nlohmann::json &route = table["hosts"][0]["paths"][0];
@@ -39,14 +40,7 @@
             m_entryHosts.push_back(m_system.startEntryHost(n));
         }
         m_keeper = std::thread([this] { keepTargets(); });
-        REQUIRE(System::eventually([&] {
-            for (unsigned n = 0; n < EntryHosts; ++n) {
-                if (statusOf(n, "/p/x") != 200) {
-                    return false;
-                }
-            }
-            return true;
-        }));
+        REQUIRE(System::eventually([&] { return serves(); }));
     }
 
     ~EndingSystem()
@@ -55,6 +49,43 @@
         m_keeper.join();
     }
 
+    bool serves()
+    {
+        for (unsigned n = 0; n < EntryHosts; ++n) {
+            if (statusOf(n, "/p/x") != 200) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// Sends the request that ends targets until all entry hosts refuse it as not run.
+    bool becomesShutOut()
+    {
+        return System::eventually([&] {
+            unsigned refusals = 0;
+            for (unsigned n = 0; n < EntryHosts; ++n) {
+                refusals += statusOf(n, EndingPath) == 503;
+            }
+            return endings().size() >= EndsThatTell && refusals == EntryHosts;
+        });
+    }
+
+    /// The control host and one entry host end and start again; `forgets`: without what the disk holds of suspects.
+    void restart(bool forgets)
+    {
+        REQUIRE(System::eventually([&] { return m_system.rememberedSuspects() == 1; }));
+        {
+            const std::lock_guard lock(m_controlMutex);
+            m_system.endAll();
+            if (forgets) {
+                m_system.forgetSuspects();
+            }
+            m_system.start();
+        }
+        REQUIRE(System::eventually([&] { return serves(); }));
+    }
+
     unsigned statusOf(unsigned entryHost, const std::string &path)
     {
         const GatewayDaemon &host = entryHost == 0 ? *m_system.gateway : *m_entryHosts[entryHost - 1];
@@ -100,10 +131,12 @@
         }
         const nlohmann::json report{{"service", "s"}, {"addr", target.address()}, {"zone", "z1"},   {"version", "v1"},
                                     {"slots", 4},     {"state", "ready"},         {"coldLeftS", 0}, {"seq", sequence}};
+        const std::lock_guard lock(m_controlMutex);
         m_system.beat(target.id(), report.dump());
     }
 
     System m_system;
+    std::mutex m_controlMutex; ///< held while the control host is not there
     std::vector<std::unique_ptr<GatewayDaemon>> m_entryHosts;
     std::array<EndingTarget, 8> m_targets;
     std::map<std::string, int> m_roundsDown; ///< by address
@@ -139,3 +172,47 @@
         CHECK(system.statusOf(n, EndingPath) == 503);
     }
 }
+
+TEST_CASE("a request that is shut out stays so when the control host and an entry host start again")
+{
+    // Once the disk tells it, once the entry hosts that did not restart.
+    for (const bool forgets : {false, true}) {
+        EndingSystem system;
+        REQUIRE(system.becomesShutOut());
+        const std::size_t before = system.endings().size();
+        system.restart(forgets);
+        if (forgets) {
+            // The other entry hosts have to find the control host again before it can tell the one that started.
+            std::this_thread::sleep_for(TimeToLearn);
+        }
+        for (unsigned n = 0; n < EndingSystem::EntryHosts; ++n) {
+            CHECK(System::eventually([&] { return system.statusOf(n, "/p/x") == 200; }));
+            CHECK(system.statusOf(n, EndingPath) == 503);
+        }
+        CHECK(system.endings().size() == before);
+    }
+}
+
+TEST_CASE("after a pause one host may try a request that is shut out, once")
+{
+    constexpr auto Pause = 1s;
+    EndingSystem system(Pause);
+    REQUIRE(system.becomesShutOut());
+    const std::size_t before = system.endings().size();
+    REQUIRE(System::eventually([&] {
+        system.statusOf(0, EndingPath);
+        return system.endings().size() > before;
+    }));
+    // The next pause is ten times as long; callers come to all hosts at once meanwhile.
+    for (int round = 0; round < 10; ++round) {
+        std::vector<std::future<unsigned>> tries;
+        for (unsigned n = 0; n < EndingSystem::EntryHosts; ++n) {
+            tries.push_back(std::async(std::launch::async, [&system, n] { return system.statusOf(n, EndingPath); }));
+        }
+        for (std::future<unsigned> &it : tries) {
+            CHECK(it.get() == 503);
+        }
+        std::this_thread::sleep_for(100ms);
+    }
+    CHECK(system.endings().size() == before + 1);
+}
--- a/unittests/EndingRequests/SpreadTest.cpp
+++ b/unittests/EndingRequests/SpreadTest.cpp
@@ -344,7 +344,7 @@
         Control &control = m_controls[draw(m_plan.controlHosts)];
         const bool keepsDisk = ++m_controlRestarts % 2 == 0;
         const Quarantine disk = control.disk;
-        control.quarantine = {};
+        control.quarantine = Quarantine();
         control.has.clear();
         ++control.life;
         if (keepsDisk) {
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -159,7 +159,7 @@
     /// `acknowledge`: in what time operators expect an answer. By default one that no test waits for, since a machine
     /// that is busy may hold a host up.
     explicit System(ControlLink link = ControlLink::Direct, Duration newsLease = 2 * Patience,
-                    Duration acknowledge = 2 * Patience)
+                    Duration acknowledge = 2 * Patience, Duration firstTrialPause = FirstTrialPause)
         : m_folder(std::filesystem::temp_directory_path() / ("pepperlug-fleet-" + randomHex(8)))
     {
         std::filesystem::create_directories(m_folder);
@@ -170,6 +170,7 @@
         settings.bounds.retries = {0.2, 10s, 40};
         settings.bounds.acknowledge = acknowledge;
         settings.newsLease = newsLease;
+        settings.firstTrialPause = firstTrialPause;
         settings.maxBodyBytes = 1 << 20;
         settings.maxAnswerBytes = 1 << 20;
         FleetSettings &control = m_control;
@@ -243,12 +244,26 @@
         writeRemembered(m_control.dataFolder + "/remembered", remembered);
     }
 
+    /// The control host must have ended.
+    void forgetSuspects() const
+    {
+        std::optional<Remembered> remembered = readRemembered(m_control.dataFolder + "/remembered");
+        remembered.value().suspects.clear();
+        remember(*remembered);
+    }
+
     std::size_t rememberedTargets() const
     {
         const std::optional<Remembered> remembered = readRemembered(m_control.dataFolder + "/remembered");
         return remembered ? remembered->targets.size() : 0;
     }
 
+    std::size_t rememberedSuspects() const
+    {
+        const std::optional<Remembered> remembered = readRemembered(m_control.dataFolder + "/remembered");
+        return remembered ? remembered->suspects.size() : 0;
+    }
+
     Answer operatorCall(const std::string &path, const std::string &body, const std::string &base = {})
     {
         HttpCall call;
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -398,3 +398,25 @@
     CHECK(call(client, get).kind == HttpResult::Kind::Answered);
     CHECK(longestPart <= BoundedRead);
 }
+
+TEST_CASE("a connection alone tells whether anything listens, and sends nothing")
+{
+    std::atomic<std::size_t> bytes{0};
+    Address address;
+    HttpClient client(MaxAnswerBytes);
+    {
+        const RawServer server({[&](RawServer::Socket &socket) {
+            bytes = RawServer::readRequest(socket).size();
+        }});
+        address = server.address();
+        HttpCall check = callTo(address);
+        check.connectsOnly = true;
+        const HttpResult result = call(client, std::move(check));
+        CHECK(result.kind == HttpResult::Kind::Answered);
+        CHECK_FALSE(result.isRefused);
+    }
+    CHECK(bytes == 0);
+    HttpCall check = callTo(address);
+    check.connectsOnly = true;
+    CHECK(call(client, std::move(check)).isRefused);
+}
