Soak: a request that ends each target which runs it

It comes every 150 ms at any entry host, and ends the target that runs it, which starts again after 1.5 s; what it is held against, at hosts that were left alone, is 3 further ends at most and a clear 503 everywhere.

--- a/test/soak/Actors.cpp
+++ b/test/soak/Actors.cpp
@@ -109,9 +109,27 @@
         m_lastArrivalAtHome = m_lastArrival.load();
     }
     m_ledger.ran(id, m_id, request.body);
+    if (request.path() == EndingPath) {
+        end();
+        return;
+    }
     exchange->respond({Ok, {{"X-Request-Id", id}, {"X-Upstream-Seal", m_id + "." + id}}, Ledger::bodyOf(id)});
 }
 
+// No caller reaches the server any more; the object goes when the next incarnation takes its place.
+void Target::end()
+{
+    m_ledger.targetEnded();
+    m_endedAt = m_clock.now();
+    m_link.close();
+}
+
+std::optional<TimePoint> Target::endedAt() const
+{
+    const TimePoint at = m_endedAt;
+    return at == TimePoint{} ? std::nullopt : std::optional(at);
+}
+
 bool Target::report(const std::string &state)
 {
     HttpCall call;
@@ -144,7 +162,7 @@
 void Target::beat()
 {
     while (!m_stop) {
-        if (!m_isDraining) {
+        if (!m_isDraining && !endedAt()) {
             report("ready");
         }
         std::this_thread::sleep_for(BeatInterval);
@@ -202,17 +220,30 @@
 {
     constexpr std::size_t IdBytes = 8;
     const std::string id = randomHex(IdBytes);
-    SentRequest sent{mayRepeat, mayRepeat ? std::string() : "body of " + id};
+    return send(client, ledger, to, {mayRepeat, mayRepeat ? std::string() : "body of " + id}, id, prefix + id);
+}
+
+unsigned Callers::endTarget(HttpClient &client, Ledger &ledger, const Address &to)
+{
+    constexpr std::size_t IdBytes = 8;
+    // The id's first digit is the affinity key, which belongs to what makes it the same request.
+    const std::string id = "e" + randomHex(IdBytes);
+    return send(client, ledger, to, {true, {}}, id, EndingPath);
+}
+
+unsigned Callers::send(HttpClient &client, Ledger &ledger, const Address &to, const SentRequest &sent,
+                       const std::string &id, const std::string &path)
+{
     ledger.sent(id, sent);
     HttpCall call;
     call.to = to;
-    call.method = mayRepeat ? "GET" : "POST";
-    call.resource = prefix + id;
+    call.method = sent.mayRepeat ? "GET" : "POST";
+    call.resource = path;
     call.headers = {{"Host", "a.example"},
                     {"X-Request-Id", id},
                     {"Cookie", "X-Affinity-Key=" + id.substr(0, 1)},
                     {"X-Deadline-Ms", std::to_string(Milliseconds(CallerPatience).count())}};
-    if (!mayRepeat) {
+    if (!sent.mayRepeat) {
         call.body = std::make_shared<const std::string>(sent.body);
     }
     call.timeout = CallerPatience;
@@ -238,6 +269,32 @@
     }
 }
 
+//===-- EndingCaller ----------------------------------------------------------===//
+
+EndingCaller::EndingCaller(Ledger &ledger, std::vector<Address> entryHosts, std::uint64_t seed)
+    : m_ledger(ledger)
+    , m_entryHosts(std::move(entryHosts))
+    , m_thread([this, seed] { run(seed); })
+{
+}
+
+EndingCaller::~EndingCaller()
+{
+    m_stop = true;
+    m_thread.join();
+}
+
+void EndingCaller::run(std::uint64_t seed)
+{
+    constexpr auto Interval = 150ms;
+    std::mt19937_64 random(seed);
+    HttpClient client(MaxAnswer);
+    while (!m_stop) {
+        Callers::endTarget(client, m_ledger, m_entryHosts[random() % m_entryHosts.size()]);
+        std::this_thread::sleep_for(Interval);
+    }
+}
+
 //===-- Operator --------------------------------------------------------------===//
 
 Operator::Operator(Ledger &ledger, const ControlHosts &control)
--- a/test/soak/Actors.h
+++ b/test/soak/Actors.h
@@ -12,6 +12,8 @@
 
 /// Of the one route that has a home region.
 constexpr const char *HomePrefix = "/home/";
+/// A request to this path ends the target that runs it.
+constexpr const char *EndingPath = "/read/ends-targets";
 
 /// Waits for the answer of a call.
 HttpResult fetch(HttpClient &client, HttpCall call);
@@ -39,8 +41,11 @@
     /// When the newest under HomePrefix came.
     TimePoint lastArrivalAtHome() const;
     const std::string &zone() const;
+    /// When a request ended it.
+    std::optional<TimePoint> endedAt() const;
 
 private:
+    void end();
     void onRequest(const HttpExchangePtr &exchange);
     void beat();
     bool report(const std::string &state);
@@ -60,6 +65,7 @@
     std::atomic<unsigned> m_arrivals{0};
     std::atomic<TimePoint> m_lastArrival{TimePoint{}};
     std::atomic<TimePoint> m_lastArrivalAtHome{TimePoint{}};
+    std::atomic<TimePoint> m_endedAt{TimePoint{}};
     std::atomic<bool> m_isDraining{false};
     std::atomic<bool> m_stop{false};
     std::thread m_thread;
@@ -79,10 +85,14 @@
     static unsigned call(HttpClient &client, Ledger &ledger, const Address &to, bool mayRepeat);
     /// The same under a path of the caller's choice, which must be one that may be repeated.
     static unsigned read(HttpClient &client, Ledger &ledger, const Address &to, const std::string &prefix);
+    /// Sends the request that ends targets, each time under an id of its own.
+    static unsigned endTarget(HttpClient &client, Ledger &ledger, const Address &to);
 
 private:
     static unsigned send(HttpClient &client, Ledger &ledger, const Address &to, const std::string &prefix,
                          bool mayRepeat);
+    static unsigned send(HttpClient &client, Ledger &ledger, const Address &to, const SentRequest &sent,
+                         const std::string &id, const std::string &path);
     void run(std::uint64_t seed);
 
     Ledger &m_ledger;
@@ -91,6 +101,24 @@
     std::vector<std::thread> m_threads;
 };
 
+/// Sends the request that ends targets at any entry host, again and again.
+class EndingCaller
+{
+public:
+    EndingCaller(Ledger &ledger, std::vector<Address> entryHosts, std::uint64_t seed);
+    ~EndingCaller();
+    EndingCaller(const EndingCaller &) = delete;
+    EndingCaller &operator=(const EndingCaller &) = delete;
+
+private:
+    void run(std::uint64_t seed);
+
+    Ledger &m_ledger;
+    std::vector<Address> m_entryHosts;
+    std::atomic<bool> m_stop{false};
+    std::thread m_thread;
+};
+
 /// Puts configurations and evacuations, remembers what was acknowledged, and looks whether it is kept.
 class Operator
 {
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -38,6 +38,7 @@
 FaultProxy::FaultProxy(Address target, const Address &at)
     : m_target(std::move(target))
     , m_acceptor(m_context, {boost::asio::ip::make_address(at.ip), at.port})
+    , m_address{at.ip, m_acceptor.local_endpoint().port()}
 {
     accept();
     m_thread = std::thread([this] { m_context.run(); });
@@ -51,8 +52,7 @@
 
 Address FaultProxy::address() const
 {
-    const tcp::endpoint at = m_acceptor.local_endpoint();
-    return {at.address().to_string(), at.port()};
+    return m_address;
 }
 
 void FaultProxy::set(LinkFault fault)
@@ -71,6 +71,20 @@
     });
 }
 
+void FaultProxy::close()
+{
+    boost::asio::post(m_context, [this] {
+        boost::system::error_code ec; // it may be closed already
+        m_acceptor.close(ec);
+        for (const auto &weak : m_sessions) {
+            if (const auto session = weak.lock()) {
+                end(session, false);
+            }
+        }
+        m_sessions.clear();
+    });
+}
+
 void FaultProxy::narrow(std::uint64_t bytesPerSecond)
 {
     m_bytesPerSecond = bytesPerSecond;
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -32,6 +32,8 @@
 
     Address address() const;
     void set(LinkFault fault);
+    /// As when the process at the address ends: all connections do, and nothing listens there any more.
+    void close();
     /// Sets LinkFault::Narrow: each connection has so many bytes a second towards its caller.
     void narrow(std::uint64_t bytesPerSecond);
 
@@ -52,6 +54,7 @@
     std::atomic<std::uint64_t> m_bytesPerSecond{1}; ///< while narrow
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    Address m_address;
     std::vector<std::weak_ptr<Session>> m_sessions; ///< used on the proxy's thread only
     std::thread m_thread;
 };
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -61,6 +61,18 @@
     }
 }
 
+void Ledger::targetEnded()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_endedTargets;
+}
+
+unsigned Ledger::endedTargets() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_endedTargets;
+}
+
 void Ledger::fail(const std::string &rule, const std::string &what)
 {
     const std::lock_guard lock(m_mutex);
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -21,6 +21,10 @@
     void ran(const std::string &id, const std::string &target, const std::string &body);
     /// A caller got an answer, or with status 0 none.
     void answered(const std::string &id, unsigned status, bool isWhole);
+    /// A request ended the target that ran it.
+    void targetEnded();
+    /// How many it ended so far.
+    unsigned endedTargets() const;
     void fail(const std::string &rule, const std::string &what);
 
     /// What can only be said at the end: nothing that was told "not run" has run.
@@ -48,6 +52,7 @@
     unsigned m_refused = 0;
     unsigned m_failed = 0;
     unsigned m_unanswered = 0;
+    unsigned m_endedTargets = 0;
 };
 
 } // namespace pepperlug::soak
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -37,6 +37,13 @@
 /// to share with callers; the least passes the text of all added routes in 1.2 s, well within the time for news.
 constexpr std::uint64_t NarrowLeast = 250000;
 constexpr std::uint64_t NarrowMost = 500000;
+/// A request that ends targets is known everywhere so long after the third end, and sent no more often from then on.
+constexpr auto TimeToLearn = 3s;
+constexpr unsigned FurtherEnds = 3;
+/// Until the next incarnation of a target that a request ended.
+constexpr auto TimeDown = 1500ms;
+/// Sets the generator of the request that ends targets apart from the others.
+constexpr std::uint64_t EndingSeries = 0x656e64;
 /// Sets the generator of the faults between hosts apart from that of the others.
 constexpr std::uint64_t HostLinkSeries = 0x686f7374;
 
@@ -63,8 +70,10 @@
 class Soak
 {
 public:
-    Soak(std::uint64_t seed, const ClusterSettings &settings)
-        : m_random(seed)
+    Soak(std::uint64_t seed, const ClusterSettings &settings, bool endsTargets)
+        : m_seed(seed)
+        , m_endsTargets(endsTargets)
+        , m_random(seed)
         , m_linkRandom(seed ^ HostLinkSeries)
         , m_cluster(settings)
         , m_control(m_cluster.controlAddresses())
@@ -84,12 +93,20 @@
             return m_ledger.failures();
         }
         Callers callers(m_ledger, m_cluster.entryAddresses(), CallerThreads, m_random());
+        std::optional<EndingCaller> endingCaller;
+        if (m_endsTargets) {
+            endingCaller.emplace(m_ledger, m_cluster.entryAddresses(), m_seed ^ EndingSeries);
+        }
         for (const auto end = m_clock.now() + length; m_clock.now() < end;) {
             disturb();
             disturbNews();
             pass(Milliseconds(50 + m_random() % 700));
         }
         calmDown();
+        if (m_endsTargets) {
+            checkShutOut();
+        }
+        endingCaller.reset();
         checkDrain();
         checkNews();
         callers.stop();
@@ -169,10 +186,23 @@
             std::this_thread::sleep_for(Step);
             goOnUnlessAskedToEnd();
             endDue(m_clock.now());
+            replaceEnded(m_clock.now());
             keepUp();
         }
     }
 
+    void replaceEnded(TimePoint now)
+    {
+        for (std::size_t n = 0; n < m_targets.size(); ++n) {
+            const std::optional<TimePoint> ended = m_targets[n]->endedAt();
+            if (ended && now - *ended >= TimeDown) {
+                const std::string zone = m_targets[n]->zone();
+                m_targets.erase(m_targets.begin() + static_cast<std::ptrdiff_t>(n));
+                addTarget(zone);
+            }
+        }
+    }
+
     void endDue(TimePoint now)
     {
         while (!m_later.empty() && m_later.begin()->first <= now) {
@@ -426,6 +456,28 @@
         pass(CalmTime);
     }
 
+    // The request goes on coming; what it is to be held against binds hosts that were left alone for a while.
+    void checkShutOut()
+    {
+        pass(TimeToLearn);
+        const unsigned before = m_ledger.endedTargets();
+        for (const Address &host : m_cluster.entryAddresses()) {
+            constexpr unsigned Refused = 503;
+            const unsigned status = Callers::endTarget(m_client, m_ledger, host);
+            if (status != Refused) {
+                m_ledger.fail("shut-out",
+                              host.text() + " answers " + std::to_string(status) + " to a request under which "
+                                  + std::to_string(before) + " targets ended");
+            }
+        }
+        pass(2s);
+        const unsigned further = m_ledger.endedTargets() - before;
+        if (further > FurtherEnds) {
+            m_ledger.fail("shut-out", std::to_string(further) + " targets ended after it was known for long");
+        }
+        m_steps += "ended-" + std::to_string(before) + " ";
+    }
+
     void checkDrain()
     {
         Target &leaving = *m_targets.front();
@@ -572,6 +624,8 @@
         return true;
     }
 
+    std::uint64_t m_seed;
+    bool m_endsTargets; ///< a request that ends the targets which run it comes again and again
     std::mt19937_64 m_random;
     std::mt19937_64 m_linkRandom; ///< for faults between hosts, and for large routings
     SteadyClock m_clock;
@@ -591,7 +645,8 @@
 };
 
 /// Plays one seed; keeps its folder if something was broken. Returns whether all promises were kept.
-bool play(std::uint64_t seed, Duration length, ClusterSettings settings, const std::filesystem::path &folder)
+bool play(std::uint64_t seed, Duration length, ClusterSettings settings, const std::filesystem::path &folder,
+          bool endsTargets)
 {
     // One run in eight has as many hosts as a small machine bears.
     settings.entryHosts = seed % 8 == 7 ? ManyEntryHosts : 2 + static_cast<unsigned>(seed % 5);
@@ -601,7 +656,7 @@
     std::vector<std::string> failures;
     std::string summary;
     {
-        Soak soak(seed, settings);
+        Soak soak(seed, settings, endsTargets);
         failures = soak.run(length);
         summary = soak.summary();
     }
@@ -626,7 +681,8 @@
         "folder", "for logs of seeds that break something", cxxopts::value<std::string>()->default_value("soak"))(
         "seed", "the first seed", cxxopts::value<std::uint64_t>())("seeds", "how many, one after the other",
                                                                    cxxopts::value<unsigned>()->default_value("1"))(
-        "seconds", "of disturbance for each", cxxopts::value<unsigned>()->default_value("25"))("help", "this text");
+        "seconds", "of disturbance for each", cxxopts::value<unsigned>()->default_value("25"))(
+        "ending-request", "a request that ends each target which runs it comes again and again")("help", "this text");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0 || arguments.count("program") == 0) {
         std::cout << options.help();
@@ -644,7 +700,8 @@
     for (unsigned n = 0; n < arguments["seeds"].as<unsigned>(); ++n) {
         const auto length = std::chrono::seconds(arguments["seconds"].as<unsigned>());
         try {
-            allKept &= play(first + n, length, settings, arguments["folder"].as<std::string>());
+            allKept &= play(first + n, length, settings, arguments["folder"].as<std::string>(),
+                            arguments.count("ending-request") > 0);
         } catch (const Stopped &) {
             std::cout << "seed " << first + n << ": stopped midway" << std::endl;
             return 2;
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -418,5 +418,6 @@
     CHECK(bytes == 0);
     HttpCall check = callTo(address);
     check.connectsOnly = true;
-    CHECK(call(client, std::move(check)).isRefused);
+    const HttpResult result = call(client, std::move(check));
+    CHECK(result.isRefused);
 }
