--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -1,5 +1,6 @@
 //===- ControlWatch.cpp - A host that follows control hosts ---------------===//
 #include "ControlWatch.h"
+#include "../Daemon/HttpStatus.h"
 
 #include <algorithm>
 
@@ -122,7 +123,6 @@
 
 void ControlWatch::onReply(const Address &from, std::uint64_t number, const PeerReply &reply)
 {
-    constexpr unsigned Ok = 200;
     std::optional<FleetWatchReply> news;
     std::string reason = reply.reason;
     if (reply.delivered && reply.status == Ok) {
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -1,4 +1,5 @@
 //===- GatewayDaemon.cpp - Life of an entry host --------------------------===//
+#include "../Daemon/HttpStatus.h"
 #include "GatewayImpl.h"
 #include "MetricsServer.h"
 
@@ -25,8 +26,6 @@
 /// After a seed that did not tell. A seed that starts at the same time listens within about as long.
 constexpr Milliseconds PauseBetweenSeeds{150};
 constexpr std::size_t IncarnationBytes = 8;
-constexpr unsigned Ok = 200;
-constexpr unsigned Unavailable = 503;
 /// Callers that hold a directory answer still come for so long after this host has left it.
 constexpr Milliseconds LeastLeavingTime{2500};
 /// What is left of the grace time when the process ends in any case.
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -5,6 +5,7 @@
 // host go on beside them.
 //
 //===----------------------------------------------------------------------===//
+#include "../Daemon/HttpStatus.h"
 #include "GatewayImpl.h"
 
 namespace pepperlug::fleet
@@ -13,7 +14,6 @@
 namespace
 {
 
-constexpr unsigned Ok = 200;
 /// Time without a byte after which a fetch is given up; with the next reply it is begun anew. The farthest way and back
 /// takes 70 ms, and packets that wait much longer on a link are the exception.
 constexpr Milliseconds FetchSilence{1000};
--- a/lib/Fleet/GatewaySuspects.cpp
+++ b/lib/Fleet/GatewaySuspects.cpp
@@ -4,6 +4,7 @@
 // a control host that has started anew is told all that is known here.
 //
 //===----------------------------------------------------------------------===//
+#include "../Daemon/HttpStatus.h"
 #include "GatewayImpl.h"
 
 namespace pepperlug::fleet
@@ -12,7 +13,6 @@
 namespace
 {
 
-constexpr unsigned Ok = 200;
 /// The farthest way and back, and as much again where a busy target host takes its time. No answer is no evidence.
 constexpr Milliseconds CheckTimeout{350};
 /// A caller waits for it, so it is short: to the control host, on to the leading one and back, twice.
@@ -91,6 +91,7 @@
     });
 }
 
+// A host that serves has its routes from a control host, so one has replied.
 void GatewayDaemon::Impl::carryOut(const AskTrial &effect)
 {
     m_net.call(
--- a/lib/Fleet/MetricsServer.h
+++ b/lib/Fleet/MetricsServer.h
@@ -1,6 +1,7 @@
 //===- MetricsServer.h - The figures of a process, as text ------*- C++ -*-===//
 #pragma once
 
+#include "../Daemon/HttpStatus.h"
 #include "pepperlug/Http.h"
 
 namespace pepperlug::fleet
@@ -9,8 +10,6 @@
 /// Serves /metrics; the metrics must outlive the server.
 inline std::unique_ptr<HttpServer> serveMetrics(const Address &address, const Metrics &metrics, const Clock &clock)
 {
-    constexpr unsigned Ok = 200;
-    constexpr unsigned NotFound = 404;
     return std::make_unique<HttpServer>(address, 1, HttpLimits{}, clock, [&metrics](const HttpExchangePtr &exchange) {
         if (exchange->request().path() != "/metrics") {
             exchange->respond(jsonAnswer(NotFound, {{"reason", "no such page"}}));
--- a/lib/Fleet/RegistryConfirmations.cpp
+++ b/lib/Fleet/RegistryConfirmations.cpp
@@ -6,6 +6,7 @@
 // it likewise. Here is who has confirmed what, what this host owes to others, and what is acknowledged upon it.
 //
 //===----------------------------------------------------------------------===//
+#include "../Daemon/HttpStatus.h"
 #include "RegistryImpl.h"
 
 #include <algorithm>
@@ -16,7 +17,6 @@
 namespace
 {
 
-constexpr unsigned Ok = 200;
 /// A confirmation that takes longer has been overtaken by an ask.
 constexpr auto ConfirmTimeout = std::chrono::seconds(1);
 /// Part of the time in which operators expect an answer, for which a change waits for confirmations. The rest is for
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -1,4 +1,5 @@
 //===- RegistryPeers.cpp - What other hosts ask of a control host ---------===//
+#include "../Daemon/HttpStatus.h"
 #include "RegistryImpl.h"
 
 #include <algorithm>
@@ -10,9 +11,6 @@
 namespace
 {
 
-constexpr unsigned Ok = 200;
-constexpr unsigned BadRequest = 400;
-constexpr unsigned NotFound = 404;
 /// Changes of the routing that are no longer than this come with the reply. On a link of 4 Mbit/s, the narrowest that
 /// was met, departures of targets wait 16 ms behind them, less than for the next tick of their host.
 constexpr std::size_t ShortChanges = 8 * 1024;
--- a/lib/Fleet/RegistrySuspects.cpp
+++ b/lib/Fleet/RegistrySuspects.cpp
@@ -4,6 +4,7 @@
 // are is decided by the leading one alone, while it is sure that no other one leads.
 //
 //===----------------------------------------------------------------------===//
+#include "../Daemon/HttpStatus.h"
 #include "RegistryImpl.h"
 
 namespace pepperlug::fleet
@@ -12,7 +13,6 @@
 namespace
 {
 
-constexpr unsigned Ok = 200;
 /// To the leading control host and back; half of what an entry host waits for all of it.
 constexpr Milliseconds ForwardTimeout{200};
 
@@ -21,6 +21,9 @@
 // The mutex is held.
 void RegistryDaemon::Impl::hearSuspects(const std::vector<SuspectReport> &suspects, bool isDirect, TimePoint now)
 {
+    if (suspects.empty()) {
+        return;
+    }
     for (const SuspectReport &it : suspects) {
         if (!m_quarantine.merge(it, isDirect, now)) {
             continue;
