A failure that a target answers frees no request; gauges of control hosts follow what is forgotten

Cause: an answer excused all ends before it, also a 500 that a target gives to what it has not run to its end; then a request that ends targets would have come free by one faulty target. Found by reading; SuspicionTest failed to tell the two apart before (there was no such field). Gauges of suspects at control hosts were set at each ask and stayed after a suspect was forgotten.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -118,6 +118,7 @@
     std::optional<TargetLoad> load;
     std::uint64_t answerBytes = 0; ///< length of the body
     bool isConnectionLost = false; ///< Lost: the target's side ended the connection, or it was reset
+    bool isFailure = false; ///< Answered: by a status that tells of the target's own failure
 };
 
 /// What came of CheckTarget.
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -309,7 +309,9 @@
         m_stats[open.route.name].addAnswerBytes(event.answerBytes);
         m_stats[open.route.name].add(m_now - attempt.startedAt, attempt.fill);
         m_out->emplace_back(PassAnswer{open.request.id, event.attempt});
-        clear(open);
+        if (!event.isFailure) {
+            excuse(open);
+        }
         cancelAttempts(open);
         m_open.erase(it);
         return;
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -102,7 +102,7 @@
     bool isShutOut(const OpenRequest &open) const;
     bool maySpread(const OpenRequest &open, AttemptOutcome outcome) const;
     void suspect(const OpenRequest &open, const Attempt &attempt);
-    void clear(const OpenRequest &open);
+    void excuse(const OpenRequest &open);
     void tellChange(const std::string &digest, const std::string &target, bool isOwn);
     Milliseconds timeToTrial(const OpenRequest &open) const;
 
--- a/lib/Balance/Suspicion.cpp
+++ b/lib/Balance/Suspicion.cpp
@@ -58,7 +58,8 @@
     }
 }
 
-void Balancer::Impl::clear(const OpenRequest &open)
+// A target may answer a failure of its own to what it has not run to its end.
+void Balancer::Impl::excuse(const OpenRequest &open)
 {
     if (m_quarantine.noteAnswer(open.request.digest)) {
         tellChange(open.request.digest, {}, true);
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -1,5 +1,6 @@
 //===- GatewayRequests.cpp - Callers' requests at an entry host -----------===//
 #include "../Balance/RetryAdvice.h"
+#include "../Daemon/HttpStatus.h"
 #include "GatewayImpl.h"
 
 namespace pepperlug::fleet
@@ -199,6 +200,7 @@
         ended.outcome = AttemptOutcome::Lost;
     } else {
         ended.outcome = AttemptOutcome::Answered;
+        ended.isFailure = result.answer.status >= ServerErrors;
     }
     return ended;
 }
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -195,6 +195,8 @@
     m_registry.expire(now, isCurrent && now - m_currentSince > TimeToJudge);
     if (now >= m_nextForget) {
         m_quarantine.forget(now);
+        m_metrics.gauge("pepperlug_suspects", static_cast<double>(m_quarantine.size()));
+        m_metrics.gauge("pepperlug_requests_shut_out", static_cast<double>(m_quarantine.shutOut()));
         m_nextForget = now + ForgetInterval;
     }
 }
--- a/lib/Fleet/RegistrySuspects.cpp
+++ b/lib/Fleet/RegistrySuspects.cpp
@@ -21,9 +21,6 @@
 // The mutex is held.
 void RegistryDaemon::Impl::hearSuspects(const std::vector<SuspectReport> &suspects, bool isDirect, TimePoint now)
 {
-    if (suspects.empty()) {
-        return;
-    }
     for (const SuspectReport &it : suspects) {
         if (!m_quarantine.merge(it, isDirect, now)) {
             continue;
@@ -31,8 +28,6 @@
         m_events.state("suspect",
                        {{"digest", it.digest}, {"ends", m_quarantine.endsUnder(it.digest)}, {"from_entry", isDirect}});
     }
-    m_metrics.gauge("pepperlug_suspects", static_cast<double>(m_quarantine.size()));
-    m_metrics.gauge("pepperlug_requests_shut_out", static_cast<double>(m_quarantine.shutOut()));
 }
 
 void RegistryDaemon::Impl::onTrial(const IncomingCallPtr &call)
--- a/unittests/Balance/SuspicionTest.cpp
+++ b/unittests/Balance/SuspicionTest.cpp
@@ -197,6 +197,19 @@
     CHECK(host.find<StartAttempt>() != nullptr);
 }
 
+TEST_CASE("a failure that a target answers frees nothing")
+{
+    SuspectingHost host;
+    const RequestId sent = host.ask();
+    host.endTarget();
+    host.endTarget();
+    host.endTarget();
+    host.reduce(AttemptEnded{sent, 1, AttemptOutcome::Answered, {}, 0, false, true});
+    CHECK(host.find<PassAnswer>() != nullptr);
+    host.ask();
+    CHECK(host.refusal() == Refusal::ShutOut);
+}
+
 TEST_CASE("a trial is asked for once, holds nobody up, and is sent once")
 {
     SuspectingHost host;
