What a caller says of who it is belongs to what makes a request the same

Cause: with the affinity key alone, a request that ends targets for one caller's credentials would have shut out the same path for all others. Ruled out: the caller's address, which changes on the way. The dialect gives credentials and cookies. Found by reading; DialectTest.

--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -67,6 +67,7 @@
     std::string host;
     std::string path;
     std::string affinityKey; ///< empty: none
+    std::string caller; ///< what the caller says of who it is, the same with each try; empty: nothing
     std::optional<Duration> deadline; ///< time that the caller will wait
 };
 
--- a/include/pepperlug/Quarantine.h
+++ b/include/pepperlug/Quarantine.h
@@ -19,7 +19,7 @@
     std::string_view method;
     std::string_view host;
     std::string_view resource; ///< path and query as sent
-    std::string_view affinityKey; ///< empty: none
+    std::string_view caller; ///< what the caller says of who it is; a request may end targets for one caller alone
     std::string_view body;
 };
 
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -24,7 +24,7 @@
     OpenExchange open;
     open.exchange = exchange;
     open.terms = m_dialect.readRequest(http);
-    open.digest = digestOf({http.method, open.terms.host, http.resource, open.terms.affinityKey, http.body});
+    open.digest = digestOf({http.method, open.terms.host, http.resource, open.terms.caller, http.body});
     open.arrivedAt = m_clock.now();
     if (!http.body.empty()) {
         open.body = std::make_shared<const std::string>(http.body);
--- a/lib/Quarantine/RequestIdentity.cpp
+++ b/lib/Quarantine/RequestIdentity.cpp
@@ -17,7 +17,7 @@
 {
     std::string text;
     for (const std::string_view field :
-         {identity.method, identity.host, identity.resource, identity.affinityKey, identity.body}) {
+         {identity.method, identity.host, identity.resource, identity.caller, identity.body}) {
         text += std::to_string(field.size());
         text += ':';
         text += field;
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -249,6 +249,21 @@
     CHECK(terms.deadline == Duration(2500ms));
 }
 
+TEST_CASE("a caller is the same with each try, and another one with other credentials or cookies")
+{
+    const auto callerOf = [](const std::vector<HeaderField> &headers) {
+        HttpRequest it = request("GET", "/p/x");
+        it.headers = headers;
+        return Clients::readRequest(it).caller;
+    };
+    const std::string caller = callerOf({{"Cookie", "a=b"}, {"Authorization", "c"}, {"X-Request-Id", "q1"}});
+    CHECK(callerOf({{"Cookie", "a=b"}, {"Authorization", "c"}, {"X-Request-Id", "q2"}, {"X-Deadline-Ms", "9"}})
+          == caller);
+    CHECK(callerOf({{"Cookie", "a=c"}, {"Authorization", "c"}}) != caller);
+    CHECK(callerOf({{"Cookie", "a=b"}, {"Authorization", "d"}}) != caller);
+    CHECK(callerOf({{"Cookie", "c"}}) != callerOf({{"Authorization", "c"}}));
+}
+
 TEST_CASE("a target is told who is meant and what time is left, once")
 {
     const auto headers =
