An address belongs to the target that goes on reporting, not to whoever reported last

Cause: a report from an address ended every other incarnation there for good. Ruled out: hosts that knew the first life drop the late report by its sequence, as they should. Change: of those at an address the one that was heard last has it, the others are taken to be silent, not to have ended; the next report or renewal of the living one takes it back. Also after merges in any order, where the older one was taken for in use. Beside it the sum of what tenants ask for over entry hosts, which limits need.

--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -11,6 +11,7 @@
 #include "pepperlug/Codec.h"
 
 #include <limits>
+#include <unordered_map>
 
 namespace pepperlug::fleet
 {
@@ -60,6 +61,14 @@
     MSGPACK_DEFINE(service, slots);
 };
 
+/// Requests in a tenant's name that one entry host is asked for.
+struct TenantDemand {
+    std::uint64_t tenant = 0; ///< hash of its name
+    double perSecond = 0;
+    bool operator==(const TenantDemand &) const = default;
+    MSGPACK_DEFINE(tenant, perSecond);
+};
+
 /// What a host of the system says of itself. The id is drawn at each start.
 struct HostReport {
     std::string id;
@@ -71,7 +80,8 @@
     std::vector<ServiceDemand> demand;
     std::uint64_t sequence = 0;
     double linkUse = 0; ///< part of its link that its callers ask for, one way; 0 if it need not be minded
-    MSGPACK_DEFINE(id, role, zone, address, peer, presence, demand, sequence, linkUse);
+    std::vector<TenantDemand> tenants{}; ///< of tenants with a limit
+    MSGPACK_DEFINE(id, role, zone, address, peer, presence, demand, sequence, linkUse, tenants);
 };
 
 /// A report as one host passes it on to another.
@@ -173,6 +183,10 @@
     /// Load that live entry hosts report, summed by region.
     std::vector<RegionDemand> demand(const std::map<std::string, std::string> &regionOfZone) const;
 
+    /// Requests in each tenant's name that entry hosts are asked for, by the hash of the name. A host that has not ended
+    /// is taken to be asked for as much as it said last until `hold` after it was heard.
+    std::unordered_map<std::uint64_t, double> tenantDemand(TimePoint now, Duration hold) const;
+
     const std::map<std::string, TargetEntry> &targets() const;
     const std::map<std::string, HostEntry> &hosts() const;
     const TargetEntry *target(const std::string &id) const;
@@ -186,7 +200,8 @@
     bool renew(std::map<std::string, Entry<Report>> &table, const Renewal &renewal, TimePoint now);
     template <typename Report>
     void expireIn(std::map<std::string, Entry<Report>> &table, TimePoint now, Duration expiry, bool mayExpire);
-    void retireOthersAt(const TargetReport &report);
+    void settleAddress(const TargetReport &report);
+    static void settleAddress(const HostReport &report);
     void hearAgain(const TargetReport &report);
     template <typename Report>
     void noteChange(Entry<Report> &entry);
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -61,7 +61,9 @@
 
 bool isLoadAlike(const HostReport &old, const HostReport &report)
 {
-    return isAlike(old.demand, report.demand) && std::abs(old.linkUse - report.linkUse) < LinkUseTolerance;
+    // A host tells its tenants' demand anew only where it differs enough.
+    return isAlike(old.demand, report.demand) && std::abs(old.linkUse - report.linkUse) < LinkUseTolerance
+        && old.tenants == report.tenants;
 }
 
 // What was told stays until it differs enough to be told again; otherwise a slow rise would never be told.
@@ -73,6 +75,7 @@
 {
     report.demand = old.demand;
     report.linkUse = old.linkUse;
+    report.tenants = old.tenants;
 }
 
 bool isCold(const TargetReport &report)
@@ -211,7 +214,7 @@
 {
     const bool isTaken = take(m_targets, report, now, true);
     if (isTaken) {
-        retireOthersAt(report);
+        settleAddress(report);
     } else if (report.presence != Presence::Ready) {
         hearAgain(report);
     }
@@ -236,22 +239,37 @@
     return take(m_hosts, report, now, true);
 }
 
-// An address that a new incarnation reports is no longer that of an older one.
-void Registry::retireOthersAt(const TargetReport &report)
+// An address is that of the incarnation that was heard from last. A report may be late by the time of a cut, and come
+// after its author has ended and another one has taken its address; so the others have not ended by that, they are
+// taken to be silent. Whoever lives reports again and has the address from then on.
+void Registry::settleAddress(const TargetReport &report)
 {
     if (report.presence != Presence::Ready) {
         return;
     }
+    const auto isAt = [&](const TargetEntry &entry) {
+        return entry.report.presence == Presence::Ready && entry.report.address == report.address;
+    };
+    const TargetEntry *holder = nullptr;
+    for (const auto &[id, entry] : m_targets) {
+        if (isAt(entry) && (holder == nullptr || entry.heardAt >= holder->heardAt)) {
+            holder = &entry;
+        }
+    }
     for (auto &[id, entry] : m_targets) {
-        const bool isOther = id != report.id && entry.report.address == report.address;
-        if (isOther && entry.report.presence == Presence::Ready && entry.heardAt < m_targets[report.id].heardAt) {
-            entry.report.presence = Presence::Gone;
+        if (isAt(entry) && &entry != holder && !entry.isSilent) {
+            entry.isSilent = true;
             entry.heardVersion = ++m_version;
             noteChange(entry);
         }
     }
 }
 
+// An entry host has its address for itself.
+void Registry::settleAddress(const HostReport &)
+{
+}
+
 template <typename Report>
 bool Registry::renew(std::map<std::string, Entry<Report>> &table, const Renewal &renewal, TimePoint now)
 {
@@ -274,7 +292,9 @@
     report.sequence = renewal.sequence;
     // What the last report said of its future is counted from the renewal now.
     shorten(report, heardAt - it->second.heardAt);
-    take(table, report, heardAt, false);
+    if (take(table, report, heardAt, false)) {
+        settleAddress(report);
+    }
     return true;
 }
 
@@ -282,7 +302,7 @@
 {
     for (const AgedReport<TargetReport> &it : changes.targets) {
         if (take(m_targets, it.report, now - it.age, false)) {
-            retireOthersAt(it.report);
+            settleAddress(it.report);
         }
     }
     for (const AgedReport<HostReport> &it : changes.hosts) {
@@ -356,6 +376,28 @@
     return hosts;
 }
 
+std::unordered_map<std::uint64_t, double> Registry::tenantDemand(TimePoint now, Duration hold) const
+{
+    const auto isCounted = [&](const HostEntry &entry) {
+        const HostReport &report = entry.report;
+        return report.role == HostRole::Entry && report.presence != Presence::Gone && now - entry.heardAt <= hold;
+    };
+    std::unordered_map<std::string_view, const HostEntry *> newest; // by address: a host that starts again has another id
+    for (const auto &[id, entry] : m_hosts) {
+        if (isCounted(entry)) {
+            const HostEntry *&known = newest[entry.report.address];
+            known = known == nullptr || known->heardAt < entry.heardAt ? &entry : known;
+        }
+    }
+    std::unordered_map<std::uint64_t, double> sums;
+    for (const auto &[address, entry] : newest) {
+        for (const TenantDemand &it : entry->report.tenants) {
+            sums[it.tenant] += it.perSecond;
+        }
+    }
+    return sums;
+}
+
 std::vector<RegionDemand> Registry::demand(const std::map<std::string, std::string> &regionOfZone) const
 {
     std::map<std::pair<std::string, std::string>, double> slots;
