--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include "pepperlug/Quarantine.h"
-#include "pepperlug/Routes.h"
+#include "pepperlug/Quota.h"
 
 #include <set>
 #include <variant>
@@ -41,6 +41,7 @@
     std::string zone;
     std::map<std::string, std::string> regionOfZone;
     RetryTerms retries;
+    QuotaTerms quotas;
     double maxShift = 0.15; ///< part of a region's requests that may move to other regions from one window to the next
     Duration shiftWindow = std::chrono::seconds(2);
     std::uint64_t linkBytesPerSecond = 0; ///< of this host's link, both ways together; 0 if it need not be minded
@@ -80,6 +81,7 @@
     std::string affinityKey; ///< empty: none
     std::optional<Duration> deadline; ///< time that the caller will wait
     std::string digest{}; ///< digestOf() it; empty: it is like no other
+    std::string keyDigest{}; ///< digestOfSecret() of the caller's key; empty: it shows none
 };
 
 struct CallerLeft {
@@ -132,6 +134,11 @@
     std::vector<SuspectReport> suspects;
 };
 
+/// Control hosts told what all entry hosts together are asked for in tenants' names.
+struct TenantLoadsTold {
+    std::vector<TenantLoad> loads; ///< of those that come near their limits
+};
+
 /// What came of AskTrial.
 struct TrialDecided {
     RequestId id{};
@@ -142,7 +149,8 @@
 };
 
 using BalanceEvent = std::variant<RoutesChanged, ReportsChanged, NewsReceived, CallerRequest, CallerLeft, AnswerBegun,
-                                  AttemptEnded, TargetChecked, SuspectsTold, TrialDecided, BalanceTick>;
+                                  AttemptEnded, TargetChecked, SuspectsTold, TenantLoadsTold, TrialDecided,
+                                  BalanceTick>;
 
 //===-- Effects ---------------------------------------------------------------===//
 
@@ -154,7 +162,9 @@
     std::string zone;
     std::string service;
     std::uint64_t tableVersion = 0; ///< of the table whose route led there
-    bool hasHomes = false; ///< that route names home regions
+    bool hasHomes = false; ///< that route or the tenant names home regions
+    bool hasTenants = false; ///< that table has tenants, so the caller's key is not shown to the target
+    std::string tenant; ///< in whose name the caller asks; empty: nobody's
     Duration timeLeft{}; ///< of the caller's deadline and the route's time limit
     double fill = 0; ///< requests at the target over its slots, as believed
     Milliseconds loadAge{}; ///< of the belief
@@ -201,8 +211,10 @@
 enum class Refusal : std::uint8_t {
     NoConfiguration, ///< none is known yet
     NoRoute,
+    UnknownKey, ///< its route needs a key of a tenant, and it shows none
     RoutingLate, ///< no route that is known here, but there may be newer ones
-    RouteChanged, ///< its route was removed before it could be sent; not run
+    RouteChanged, ///< its route or its key was removed before it could be sent; not run
+    OverQuota, ///< its tenant has used up what it may
     NoTarget, ///< no usable target of the service
     Overloaded, ///< would not be served within the objective
     LinkFull, ///< this host's link has no room for an answer of this size
@@ -222,6 +234,7 @@
     Milliseconds retryAfter{}; ///< with a refusal that promises "not run"
     std::string route; ///< name; empty if none
     std::string lastTarget; ///< of the last attempt; empty if none
+    std::string tenant; ///< in whose name the caller asks; empty: nobody's, or not known yet
 };
 
 /// Close the caller's connection: the answer that was begun can't be finished.
@@ -261,6 +274,10 @@
     std::size_t usableTargets(TimePoint now) const;
     /// Requests under which targets ended.
     const Quarantine &quarantine() const;
+    /// What this host is asked for in tenants' names, to be told to control hosts.
+    std::vector<TenantDemand> tenantDemand(TimePoint now);
+    /// Whether that has grown so much that they should hear of it at once.
+    bool hasTenantSurged(TimePoint now) const;
 
 private:
     class Impl;
--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -23,6 +23,7 @@
     Duration grace = std::chrono::seconds(6); ///< from SIGTERM to the end
     Duration acknowledge = std::chrono::seconds(4); ///< in which operators expect an answer
     RetryTerms retries;
+    QuotaTerms quotas;
     double maxShift = 0.15;
     Duration reportInterval = Milliseconds(1500); ///< between two reports of a target
 };
@@ -69,6 +70,15 @@
     std::string affinityKey; ///< empty: none
     std::string caller; ///< what the caller says of who it is, the same with each try; empty: nothing
     std::optional<Duration> deadline; ///< time that the caller will wait
+    std::string keyDigest; ///< digestOfSecret() of the one key that it shows; empty: none, or none that can be one
+};
+
+/// What a request tells a target besides what its caller sent.
+struct TargetTerms {
+    std::string target; ///< incarnation that is meant
+    Duration timeLeft{};
+    bool hasTenants = false; ///< the caller's key and what it says of its tenant are left out
+    std::string tenant; ///< in whose name it asks; empty: nobody's
 };
 
 /// What the head and status of a target's answer say.
@@ -88,14 +98,14 @@
 
 template <typename T>
 concept CallerDialect = requires(const HttpRequest &request, const Answer &answer,
-                                 const std::vector<HeaderField> &headers, const std::string &text, Duration time,
-                                 const RefusalTerms &refusal)
+                                 const std::vector<HeaderField> &headers, const std::string &text,
+                                 const TargetTerms &terms, const RefusalTerms &refusal)
 {
     {
         T::readRequest(request)
         } -> std::same_as<CallerTerms>;
     {
-        T::targetHeaders(headers, text, time)
+        T::targetHeaders(headers, terms)
         } -> std::same_as<std::vector<HeaderField>>;
     {
         T::answersRequest(headers, text)
@@ -114,9 +124,8 @@
 /// The functions of a dialect, for code that is compiled once.
 struct CallerDialectTable {
     CallerTerms (*readRequest)(const HttpRequest &request);
-    /// Headers for a target: the caller's, the incarnation that is meant, and the time that is left.
-    std::vector<HeaderField> (*targetHeaders)(const std::vector<HeaderField> &headers, const std::string &target,
-                                              Duration timeLeft);
+    /// Headers for a target: the caller's, and those of the terms.
+    std::vector<HeaderField> (*targetHeaders)(const std::vector<HeaderField> &headers, const TargetTerms &terms);
     /// Whether the head of an answer belongs to the request with this id.
     bool (*answersRequest)(const std::vector<HeaderField> &headers, const std::string &requestId);
     AnswerTerms (*readAnswer)(const Answer &answer);
--- a/include/pepperlug/Routes.h
+++ b/include/pepperlug/Routes.h
@@ -11,6 +11,7 @@
 #include "pepperlug/Codec.h"
 
 #include <set>
+#include <unordered_map>
 
 namespace pepperlug::fleet
 {
@@ -41,8 +42,29 @@
     unsigned attempts = 1; ///< targets that one request may be sent to
     bool sticky = false; ///< targets that lately saw the same affinity key are faster
     std::vector<std::string> homeRegions; ///< empty: any
+    bool isPublic = false; ///< needs no key, though the table has tenants
     bool operator==(const Route &) const = default;
-    MSGPACK_DEFINE(name, host, prefix, kind, timeout, objective, priority, services, attempts, sticky, homeRegions);
+    MSGPACK_DEFINE(name, host, prefix, kind, timeout, objective, priority, services, attempts, sticky, homeRegions,
+                   isPublic);
+};
+
+/// How many requests a tenant may have run, over all hosts together.
+struct TenantLimit {
+    double perSecond = 0; ///< 0: no limit
+    double burst = 0; ///< requests on top
+    bool operator==(const TenantLimit &) const = default;
+    MSGPACK_DEFINE(perSecond, burst);
+};
+
+/// Who may ask where a table has tenants: whoever shows one of the keys of one of them.
+struct Tenant {
+    std::string name;
+    std::vector<std::string> keyDigests; ///< digestOfSecret() of each key; the keys themselves are not kept
+    std::optional<unsigned> priority{}; ///< goes before that of the route
+    TenantLimit limit{};
+    std::vector<std::string> homeRegions{}; ///< empty: any; binds besides that of the route
+    bool operator==(const Tenant &) const = default;
+    MSGPACK_DEFINE(name, keyDigests, priority, limit, homeRegions);
 };
 
 /// How the targets of a service behave.
@@ -71,24 +93,30 @@
     std::vector<ServiceTraits> services;
     std::vector<Route> routes;
     CallerLimits limits;
+    std::vector<Tenant> tenants{}; ///< empty: callers need no key
 
     /// Route with the longest prefix of the path among those of the host; null if there is none.
     const Route *match(std::string_view host, std::string_view path) const;
     const ServiceTraits *service(std::string_view name) const;
     std::size_t routesWithHomes() const;
+    /// Whether some requests may be served in some regions only, by their route or their tenant.
+    bool hasHomes() const;
 };
 
-/// Finds the routes of a table that no longer changes, without walking all of them.
+/// Finds the routes and tenants of a table that no longer changes, without walking all of them.
 class RouteIndex
 {
 public:
     explicit RouteIndex(std::shared_ptr<const RouteTable> table);
     /// The same as RouteTable::match.
     const Route *match(std::string_view host, std::string_view path) const;
+    /// Tenant that holds a key, by the key's digest; null if none does.
+    const Tenant *tenantOf(const std::string &keyDigest) const;
 
 private:
     std::shared_ptr<const RouteTable> m_table; ///< owns all that is pointed to below
     std::map<std::string_view, std::vector<const Route *>> m_hosts; ///< routes of each host, sorted by prefix
+    std::unordered_map<std::string_view, const Tenant *> m_tenants; ///< by the digest of each key
 };
 
 /// Every fault of a table; `file` names its source in the findings.
@@ -149,7 +177,7 @@
     std::uint64_t index = 0;
     std::shared_ptr<const RouteTable> table; ///< null: none was put
     std::set<std::string> evacuatedZones;
-    std::optional<std::uint64_t> routesDigest{}; ///< of the table's routes; nothing: it has not been computed
+    std::optional<std::uint64_t> digest{}; ///< of the table's routes and tenants; nothing: it has not been computed
 };
 
 /// The newest routing, and how it came about, as it is told to hosts that know an older one.
--- a/include/pepperlug/Support.h
+++ b/include/pepperlug/Support.h
@@ -11,6 +11,7 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <cmath>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -248,6 +249,41 @@
 };
 
 /// 64-bit hash (xxHash) of a text, the same on every host.
+/// What arrives a second, as a mean that fades.
+class ArrivalRate
+{
+public:
+    explicit ArrivalRate(std::chrono::duration<double> timeConstant = std::chrono::seconds(2))
+        : m_timeConstant(timeConstant)
+    {
+    }
+
+    void add(TimePoint now, double amount)
+    {
+        fade(now);
+        m_amount += amount;
+    }
+
+    double perSecond(TimePoint now) const
+    {
+        ArrivalRate faded = *this;
+        faded.fade(now);
+        return faded.m_amount / m_timeConstant.count();
+    }
+
+private:
+    void fade(TimePoint now)
+    {
+        const std::chrono::duration<double> passed = now - m_at;
+        m_amount *= std::exp(-passed / m_timeConstant);
+        m_at = now;
+    }
+
+    std::chrono::duration<double> m_timeConstant;
+    double m_amount = 0;
+    TimePoint m_at{};
+};
+
 std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
 /// A number in (0, 1) that is spread evenly where the hash is: its upper 53 bits, which a double holds exactly, and a
@@ -260,6 +296,9 @@
 
 /// BLAKE2b-256 of a text as lower-case hex.
 std::string digestHex(std::string_view text);
+/// 16 bytes that stand for a secret of a caller wherever it is kept, told or compared; they don't lead back to it, and
+/// differ from every other digest of the same text.
+std::string digestOfSecret(std::string_view secret);
 
 /// An ed25519 key pair as lower-case hex.
 struct KeyPair {
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -56,10 +56,14 @@
         return "no-configuration";
     case Refusal::NoRoute:
         return "no-route";
+    case Refusal::UnknownKey:
+        return "unknown-key";
     case Refusal::RoutingLate:
         return "routing-late";
     case Refusal::RouteChanged:
         return "route-changed";
+    case Refusal::OverQuota:
+        return "over-quota";
     case Refusal::NoTarget:
         return "no-target";
     case Refusal::Overloaded:
@@ -90,6 +94,7 @@
     , m_random(m_settings.seed)
     , m_targets(m_settings)
     , m_quarantine(m_settings.firstTrialPause)
+    , m_quotas(m_settings.quotas, m_settings.seed)
     , m_link(m_settings.linkBytesPerSecond)
 {
     m_region = m_targets.regionOf(m_settings.zone);
@@ -117,6 +122,7 @@
 void Balancer::Impl::on(const ReportsChanged &event)
 {
     m_targets.apply(event.changes, m_now);
+    m_quotas.setEntryHosts(m_targets.entryHosts());
     m_targets.remember(event.remembered, m_now);
     if (!event.demand.empty()) {
         m_targets.setDemand(event.demand);
@@ -141,7 +147,12 @@
         refuse(open, mayHaveMissedRoutes() ? Refusal::RoutingLate : Refusal::NoRoute);
         return;
     }
-    adopt(open, *route);
+    const Asker asker = askerOf(event, *route);
+    if (!asker.isAllowed) {
+        refuse(open, mayHaveMissedRoutes() ? Refusal::RoutingLate : Refusal::UnknownKey);
+        return;
+    }
+    adopt(open, *route, asker.tenant);
     if (m_isSuspended) {
         refuse(open, Refusal::RoutingLate);
         return;
@@ -164,6 +175,10 @@
         refuse(open, placement.refusal, std::chrono::duration_cast<Duration>(work * excess));
         return;
     }
+    if (!isWithinQuota(open)) {
+        refuse(open, Refusal::OverQuota);
+        return;
+    }
     OpenRequest &kept = m_open[static_cast<std::uint64_t>(event.id)] = std::move(open);
     startAttempt(kept, placement);
 }
@@ -188,6 +203,8 @@
     effect.service = open.service;
     effect.tableVersion = open.tableVersion;
     effect.hasHomes = !open.route.homeRegions.empty();
+    effect.hasTenants = !m_table->tenants.empty();
+    effect.tenant = open.tenant;
     effect.timeLeft = open.until - m_now;
     effect.fill = placement.fill;
     effect.loadAge = target.load ? std::chrono::duration_cast<Milliseconds>(m_now - target.loadAt) : Milliseconds(-1);
@@ -208,7 +225,10 @@
     }
     const Milliseconds least = leastRetryAfter(open.route);
     const Milliseconds drain = std::chrono::duration_cast<Milliseconds>(drainTime);
-    const Milliseconds base = m_settings.policy.advisesByQueue ? std::clamp(drain, least, LongestRetryAfter) : least;
+    Milliseconds base = m_settings.policy.advisesByQueue ? std::clamp(drain, least, LongestRetryAfter) : least;
+    if (reason == Refusal::OverQuota) {
+        base = m_quotas.retryAfter(open.tenant);
+    }
     return base + Milliseconds(static_cast<Milliseconds::rep>(m_random() % static_cast<std::uint64_t>(base.count())));
 }
 
@@ -219,9 +239,12 @@
     effect.reason = reason;
     effect.route = open.route.name;
     effect.lastTarget = open.lastTarget;
-    if (promisesNotRun(reason) && reason != Refusal::NoRoute) {
+    effect.tenant = open.tenant;
+    const bool mayComeBack = promisesNotRun(reason) && reason != Refusal::NoRoute && reason != Refusal::UnknownKey;
+    if (mayComeBack) {
         effect.retryAfter = retryAfter(open, reason, drainTime);
     }
+    giveQuotaBack(open, reason);
     m_out->emplace_back(std::move(effect));
 }
 
@@ -485,4 +508,14 @@
     return m_impl->quarantine();
 }
 
+std::vector<TenantDemand> Balancer::tenantDemand(TimePoint now)
+{
+    return m_impl->tenantDemand(now);
+}
+
+bool Balancer::hasTenantSurged(TimePoint now) const
+{
+    return m_impl->hasTenantSurged(now);
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -29,6 +29,8 @@
     bool maySend(RequestId id, unsigned attempt) const;
     std::size_t usableTargets(TimePoint now) const;
     const Quarantine &quarantine() const;
+    std::vector<TenantDemand> tenantDemand(TimePoint now);
+    bool hasTenantSurged(TimePoint now) const;
 
 private:
     struct Attempt {
@@ -41,7 +43,11 @@
 
     struct OpenRequest {
         CallerRequest request;
-        Route route;
+        Route route; ///< with the tenant's priority, and the homes of both
+        std::string tenant; ///< in whose name it is made; empty: nobody's
+        TenantLimit limit;
+        bool isCharged = false; ///< counted towards the limit
+        bool hasNoHome = false; ///< no region may serve its route and its tenant
         std::uint64_t tableVersion = 0; ///< of the table that the route is from
         std::string service;
         std::uint64_t affinity = 0;
@@ -58,6 +64,12 @@
         bool isTrial = false; ///< may be sent once although it is shut out
     };
 
+    /// Who makes a request, by the table in force.
+    struct Asker {
+        const Tenant *tenant = nullptr;
+        bool isAllowed = true;
+    };
+
     /// A target that a request may go to, or why there is none.
     struct Placement {
         TargetState *target = nullptr;
@@ -90,9 +102,16 @@
     void suspendIfLate();
     bool mayHaveMissedRoutes() const;
     const Route *routeInForce(const OpenRequest &open) const;
-    void adopt(OpenRequest &open, const Route &route);
+    Asker askerOf(const CallerRequest &request, const Route &route) const;
+    void adopt(OpenRequest &open, const Route &route, const Tenant *tenant);
+    static void adoptTenant(OpenRequest &open, const Tenant *tenant);
     bool followRoutes(OpenRequest &open);
-    static bool leadsTo(const Route &route, const TargetState &target);
+    static bool leadsTo(const Route &route, const Tenant *tenant, const TargetState &target);
+
+    // Quotas.cpp
+    void on(const TenantLoadsTold &event);
+    bool isWithinQuota(OpenRequest &open);
+    void giveQuotaBack(const OpenRequest &open, Refusal reason);
 
     // Suspicion.cpp
     void on(const TargetChecked &event);
@@ -132,6 +151,7 @@
     std::map<std::string, RetryBudget> m_budgets; ///< by service
     std::map<std::string, RouteStats> m_stats; ///< by route
     Quarantine m_quarantine;
+    QuotaShares m_quotas;
     /// Requests whose connection ended at a target of which it is not known yet whether it has ended: their digests.
     std::map<Incarnation, std::set<std::string>> m_unchecked;
     LinkBudget m_link;
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -22,6 +22,7 @@
 constexpr int PatienceInWork = 3;
 constexpr Milliseconds LeastPatience{600};
 constexpr Milliseconds PlanInterval{200};
+constexpr unsigned LeastUrgent = std::numeric_limits<unsigned>::max();
 
 } // namespace
 
@@ -80,14 +81,22 @@
     return placement;
 }
 
-// Asked with every request, and a table may have hundreds of routes.
+// Asked with every request, and a table may have hundreds of routes. A tenant's priority goes before that of a route.
 void Balancer::Impl::findUrgentPriorities()
 {
     m_urgentPriority.clear();
+    std::optional<unsigned> ofTenants;
+    bool isRouteAsked = m_table->tenants.empty();
+    for (const Tenant &tenant : m_table->tenants) {
+        isRouteAsked |= !tenant.priority;
+        ofTenants = std::min(ofTenants.value_or(LeastUrgent), tenant.priority.value_or(LeastUrgent));
+    }
     for (const Route &route : m_table->routes) {
+        const unsigned own = isRouteAsked || route.isPublic ? route.priority : LeastUrgent;
+        const unsigned priority = std::min(own, ofTenants.value_or(LeastUrgent));
         for (const WeightedService &it : route.services) {
-            const auto [place, isNew] = m_urgentPriority.try_emplace(it.service, route.priority);
-            place->second = std::min(place->second, route.priority);
+            const auto [place, isNew] = m_urgentPriority.try_emplace(it.service, priority);
+            place->second = std::min(place->second, priority);
         }
     }
 }
@@ -135,6 +144,9 @@
 
 Balancer::Impl::Placement Balancer::Impl::place(const OpenRequest &open)
 {
+    if (open.hasNoHome) {
+        return {nullptr, 0, Refusal::NoTarget};
+    }
     if (!fitsLink(open)) {
         return {nullptr, 0, Refusal::LinkFull};
     }
--- /dev/null
+++ b/lib/Balance/Quotas.cpp
@@ -0,0 +1,43 @@
+//===- Quotas.cpp - Limits of tenants, at an entry host -------------------===//
+//
+// A request counts once, when it is about to be sent for the first time: what is refused for another reason uses up
+// nothing, and a second attempt or one beside the first is the same request.
+//
+//===----------------------------------------------------------------------===//
+#include "Impl.h"
+
+namespace pepperlug::fleet
+{
+
+void Balancer::Impl::on(const TenantLoadsTold &event)
+{
+    m_quotas.told(event.loads, m_now);
+}
+
+bool Balancer::Impl::isWithinQuota(OpenRequest &open)
+{
+    if (open.limit.perSecond <= 0 || open.isCharged) {
+        return true;
+    }
+    open.isCharged = m_quotas.admit(open.tenant, open.limit, m_now);
+    return open.isCharged;
+}
+
+void Balancer::Impl::giveQuotaBack(const OpenRequest &open, Refusal reason)
+{
+    if (open.isCharged && promisesNotRun(reason)) {
+        m_quotas.giveBack(open.tenant, m_now);
+    }
+}
+
+std::vector<TenantDemand> Balancer::Impl::tenantDemand(TimePoint now)
+{
+    return m_quotas.demand(now);
+}
+
+bool Balancer::Impl::hasTenantSurged(TimePoint now) const
+{
+    return m_quotas.hasSurged(now);
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Balance/RouteStats.h
+++ b/lib/Balance/RouteStats.h
@@ -95,37 +95,6 @@
     unsigned m_deadlineCount = 0;
 };
 
-/// What arrives a second, as a mean that fades.
-class ArrivalRate
-{
-public:
-    void add(TimePoint now, double amount)
-    {
-        fade(now);
-        m_amount += amount;
-    }
-
-    double perSecond(TimePoint now) const
-    {
-        ArrivalRate faded = *this;
-        faded.fade(now);
-        return faded.m_amount / TimeConstant.count();
-    }
-
-private:
-    static constexpr std::chrono::duration<double> TimeConstant{2.0};
-
-    void fade(TimePoint now)
-    {
-        const std::chrono::duration<double> passed = now - m_at;
-        m_amount *= std::exp(-passed / TimeConstant);
-        m_at = now;
-    }
-
-    double m_amount = 0;
-    TimePoint m_at{};
-};
-
 /// Bounds the part of the requests that leave their region besides the plan.
 class ShiftAllowance
 {
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -25,6 +25,7 @@
 void Balancer::Impl::on(const NewsReceived &event)
 {
     m_lastNews = event;
+    m_quotas.heardAsOf(event.askedAt);
     suspendIfLate();
 }
 
@@ -64,10 +65,41 @@
     return m_routeIndex->match(open.request.host, open.request.path);
 }
 
+// A key is asked for at each send like a route: it may have been taken away or given to another tenant meanwhile.
+Balancer::Impl::Asker Balancer::Impl::askerOf(const CallerRequest &request, const Route &route) const
+{
+    if (m_table->tenants.empty()) {
+        return {};
+    }
+    const Tenant *tenant = m_routeIndex->tenantOf(request.keyDigest);
+    return {tenant, tenant != nullptr || route.isPublic};
+}
+
+// Where route and tenant both name homes, both bind.
+void Balancer::Impl::adoptTenant(OpenRequest &open, const Tenant *tenant)
+{
+    open.hasNoHome = false;
+    open.tenant = tenant != nullptr ? tenant->name : std::string();
+    open.limit = tenant != nullptr ? tenant->limit : TenantLimit{};
+    if (tenant == nullptr) {
+        return;
+    }
+    open.route.priority = tenant->priority.value_or(open.route.priority);
+    std::vector<std::string> &homes = open.route.homeRegions;
+    const std::vector<std::string> &others = tenant->homeRegions;
+    if (homes.empty() || others.empty()) {
+        homes.insert(homes.end(), others.begin(), others.end());
+        return;
+    }
+    std::erase_if(homes, [&](const std::string &it) { return std::ranges::find(others, it) == others.end(); });
+    open.hasNoHome = homes.empty();
+}
+
 // A service that the route leads to by its new table as well is kept, so that parts of a split keep their weights.
-void Balancer::Impl::adopt(OpenRequest &open, const Route &route)
+void Balancer::Impl::adopt(OpenRequest &open, const Route &route, const Tenant *tenant)
 {
     open.route = route;
+    adoptTenant(open, tenant);
     open.tableVersion = m_table->version;
     const auto isKept = [&](const WeightedService &it) {
         return it.service == open.service && it.weight > 0;
@@ -95,19 +127,21 @@
         return true;
     }
     const Route *route = routeInForce(open);
-    if (route == nullptr) {
+    const Asker asker = route == nullptr ? Asker{nullptr, false} : askerOf(open.request, *route);
+    if (!asker.isAllowed) {
         return false;
     }
-    adopt(open, *route);
+    adopt(open, *route, asker.tenant);
     return true;
 }
 
-bool Balancer::Impl::leadsTo(const Route &route, const TargetState &target)
+bool Balancer::Impl::leadsTo(const Route &route, const Tenant *tenant, const TargetState &target)
 {
     const auto isItsService = [&](const WeightedService &it) {
         return it.service == target.report.service && it.weight > 0;
     };
-    return TargetSet::isHome(route.homeRegions, target)
+    const bool isHomeOfTenant = tenant == nullptr || TargetSet::isHome(tenant->homeRegions, target);
+    return isHomeOfTenant && TargetSet::isHome(route.homeRegions, target)
         && std::any_of(route.services.begin(), route.services.end(), isItsService);
 }
 
@@ -125,7 +159,10 @@
         return false;
     }
     const Route *route = routeInForce(open);
-    return route != nullptr && leadsTo(*route, *target);
+    const Asker asker = route == nullptr ? Asker{nullptr, false} : askerOf(open.request, *route);
+    // What is about to leave names the tenant that held the key when the target was chosen.
+    const bool isSameAsker = open.tenant == (asker.tenant != nullptr ? asker.tenant->name : std::string());
+    return asker.isAllowed && isSameAsker && leadsTo(*route, asker.tenant, *target);
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Balance/Suspicion.cpp
+++ b/lib/Balance/Suspicion.cpp
@@ -126,6 +126,9 @@
         open.affinity = 0; // the emptiest target: if it ends, the fewest others are lost with it
         placement = place(open);
     }
+    if (placement.target != nullptr && !isWithinQuota(open)) {
+        placement = {nullptr, 0, Refusal::OverQuota};
+    }
     if (placement.target == nullptr) {
         refuse(open, placement.refusal);
         m_open.erase(it);
--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -70,6 +70,7 @@
             m_epoch.clear();
             m_since = 0;
             m_suspectsSince = 0;
+            m_loadsSince = 0;
         }
         m_control = to;
         m_moveOn = false;
@@ -90,6 +91,7 @@
     const std::lock_guard lock(m_mutex);
     call.since = m_since;
     call.suspectsSince = m_suspectsSince;
+    call.loadsSince = m_loadsSince;
     return call;
 }
 
@@ -155,6 +157,7 @@
         m_epoch = news->epoch;
         m_since = isAllTaken ? news->version : 0;
         m_suspectsSince = news->suspectsVersion;
+        m_loadsSince = news->loadsVersion;
     }
     m_isAsking = false;
 }
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "pepperlug/Quarantine.h"
-#include "pepperlug/Routes.h"
+#include "pepperlug/Quota.h"
 
 namespace pepperlug::fleet::path
 {
@@ -35,8 +35,9 @@
     /// has the rest; all that it knows where the asked host has nothing of it yet.
     std::vector<SuspectReport> suspects;
     std::uint64_t suspectsUpTo = 0; ///< version of the asker's quarantine that the asked host has with them
+    std::uint64_t loadsSince = 0; ///< version of the asked host's QuotaSums that the asker has
     MSGPACK_DEFINE(self, epoch, since, routingIndex, routingHeard, patience, confirmed, suspectsSince, suspects,
-                   suspectsUpTo);
+                   suspectsUpTo, loadsSince);
 };
 
 /// Reply to path::FleetWatch.
@@ -55,8 +56,10 @@
     std::vector<SuspectReport> suspects; ///< that changed since the asker's FleetWatchCall::suspectsSince
     std::uint64_t suspectsVersion = 0; ///< version of the told host's quarantine
     std::uint64_t suspectsHeard = 0; ///< FleetWatchCall::suspectsUpTo of the ask
+    std::uint64_t loadsVersion = 0; ///< for entry hosts: version of the told host's QuotaSums
+    std::vector<TenantLoad> loads; ///< for entry hosts: all of them, where the asker has another version
     MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, remembered, routingIndex, routingChanges,
-                   suspects, suspectsVersion, suspectsHeard);
+                   suspects, suspectsVersion, suspectsHeard, loadsVersion, loads);
 };
 
 /// Body of path::FleetTrial: may a request that is shut out be tried once? The leading control host decides.
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -27,6 +27,8 @@
 /// After a seed that did not tell. A seed that starts at the same time listens within about as long.
 constexpr Milliseconds PauseBetweenSeeds{150};
 constexpr std::size_t IncarnationBytes = 8;
+/// Between two asks that are made at once since a tenant's requests have grown.
+constexpr Milliseconds SurgeInterval{200};
 /// Callers that hold a directory answer still come for so long after this host has left it.
 constexpr Milliseconds LeastLeavingTime{2500};
 /// What is left of the grace time when the process ends in any case.
@@ -40,6 +42,7 @@
     balance.zone = settings.zone;
     balance.regionOfZone = settings.regionOfZone;
     balance.retries = settings.bounds.retries;
+    balance.quotas = settings.bounds.quotas;
     balance.maxShift = settings.bounds.maxShift;
     balance.linkBytesPerSecond = settings.linkBytesPerSecond;
     balance.seed = hash64(incarnation);
@@ -116,6 +119,7 @@
 {
     reduce(BalanceTick{});
     tellSuspects();
+    tellSurges();
     const TimePoint now = m_clock.now();
     if (knowsControlHosts()) {
         m_watch->poll(now);
@@ -126,6 +130,20 @@
     m_metrics.gauge("pepperlug_view_age_seconds", secondsOf(viewAge()));
 }
 
+// With the next ask, up to half a second later, control hosts would hear of a crowd when it has used up the limit.
+void GatewayDaemon::Impl::tellSurges()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const TimePoint now = m_clock.now();
+        if (now < m_nextSurge || !m_balancer->hasTenantSurged(now)) {
+            return;
+        }
+        m_nextSurge = now + SurgeInterval;
+    }
+    m_watch->hurry();
+}
+
 HostReport GatewayDaemon::Impl::selfReport()
 {
     HostReport report;
@@ -138,6 +156,7 @@
     report.presence = m_isClosed ? Presence::Gone : (m_isStopping ? Presence::Draining : Presence::Ready);
     report.demand = m_balancer->demand(m_clock.now());
     report.linkUse = m_balancer->linkUse(m_clock.now());
+    report.tenants = m_balancer->tenantDemand(m_clock.now());
     report.sequence = ++m_sequence;
     return report;
 }
@@ -284,10 +303,30 @@
         reduce(ReportsChanged{reply.changes, reply.isWhole, reply.demand, reply.remembered});
     }
     onSuspectsTold(reply);
+    onLoadsTold(reply);
     followRouting(receipt.from, reply);
     tellAgeOfNews();
 }
 
+void GatewayDaemon::Impl::onLoadsTold(const FleetWatchReply &reply)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const LoadsPosition told{reply.epoch, reply.loadsVersion};
+        if (told == m_toldLoads) {
+            return;
+        }
+        m_toldLoads = told;
+    }
+    for (const TenantLoad &it : reply.loads) {
+        if (it.part < 1) {
+            m_events.decision("tenant-limited",
+                              {{"tenant_hash", it.tenant}, {"per_s", it.perSecond}, {"part", it.part}});
+        }
+    }
+    reduce(TenantLoadsTold{reply.loads});
+}
+
 bool GatewayDaemon::Impl::isReady()
 {
     const std::lock_guard lock(m_mutex);
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -61,6 +61,8 @@
     void logReply(const NewsReceipt &receipt, const FleetWatchReply &reply);
     Milliseconds viewAge() const;
     void onLink(const Address &control, bool isLost, const std::string &reason);
+    void onLoadsTold(const FleetWatchReply &reply);
+    void tellSurges();
     void onReadiness(const HttpExchangePtr &exchange);
     bool isReady();
     bool closeIfIdle();
@@ -104,6 +106,13 @@
         std::uint64_t version = 0; ///< of the quarantine
     };
 
+    /// Which loads of tenants were told last.
+    struct LoadsPosition {
+        std::string epoch; ///< of the control host's life
+        std::uint64_t version = 0;
+        bool operator==(const LoadsPosition &) const = default;
+    };
+
     FleetSettings m_settings;
     const Clock &m_clock;
     CallerDialectTable m_dialect;
@@ -128,6 +137,8 @@
     std::optional<TimePoint> m_viewAsOf; ///< all that a control host in touch with a majority knew then is known here
     ToldSuspects m_toldSuspects;
     bool m_hasSuspectsToTell = false; ///< noticed since the last ask
+    LoadsPosition m_toldLoads;
+    TimePoint m_nextSurge{};
     Address m_followed; ///< control host that replied last
     bool m_isStopping = false; ///< no caller is sent here any more
     bool m_isClosed = false; ///< no request is passed on any more
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -33,6 +33,7 @@
     request.affinityKey = open.terms.affinityKey;
     request.deadline = open.terms.deadline;
     request.digest = open.digest;
+    request.keyDigest = open.terms.keyDigest;
     m_metrics.count("pepperlug_requests");
     {
         const std::lock_guard lock(m_mutex);
@@ -87,7 +88,9 @@
     call.to = *to;
     call.method = http.method;
     call.resource = http.resource;
-    call.headers = m_dialect.targetHeaders(endToEndHeaders(http.headers), effect.target, effect.timeLeft);
+    call.headers =
+        m_dialect.targetHeaders(endToEndHeaders(http.headers),
+                                {effect.target, effect.timeLeft, effect.hasTenants, effect.tenant});
     call.body = open.body;
     call.timeout = effect.timeLeft + ClientMargin;
     call.connectTimeout = std::min<Duration>(ConnectTimeout, effect.timeLeft);
@@ -118,6 +121,7 @@
                        {"address", effect.address},
                        {"zone", effect.zone},
                        {"service", effect.service},
+                       {"tenant", effect.tenant},
                        {"key", open.terms.affinityKey},
                        {"fill", effect.fill},
                        {"load_age_ms", effect.loadAge.count()},
@@ -301,6 +305,7 @@
                        {"digest", open->digest},
                        {"reason", nameOf(effect.reason)},
                        {"route", effect.route},
+                       {"tenant", effect.tenant},
                        {"target", effect.lastTarget},
                        {"table", m_balancer->tableVersion()},
                        {"view_age_ms", viewAge().count()},
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -99,6 +99,7 @@
                         {"table", after.table->version},
                         {"routes", after.table->routes.size()},
                         {"routes_with_homes", after.table->routesWithHomes()},
+                        {"tenants", after.table->tenants.size()},
                         {"evacuated", after.evacuatedZones},
                         {"from", from.text()}});
         m_metrics.gauge("pepperlug_routing_index", static_cast<double>(after.index));
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -105,6 +105,7 @@
         replyWatchers(now);
         settle(now);
         followCallers(now);
+        followQuotas(now);
         remember(now);
     }
     askToJoin(now);
@@ -118,6 +119,7 @@
         if (m_remembered) {
             m_rememberedHistory.append(viewOf(m_remembered->routing));
             hearSuspects(m_remembered->suspects, false, m_clock.now());
+            m_quotas.recall(m_remembered->loads);
         }
     } catch (const Error &ex) {
         // Only the time until everybody has reported is lost.
@@ -136,7 +138,7 @@
         m_remembered.reset();
     }
     const bool isNew = m_registry.changedVersion() != m_rememberedVersion || m_routing.index() != m_rememberedIndex
-        || m_quarantine.version() != m_rememberedSuspects;
+        || m_quarantine.version() != m_rememberedSuspects || m_quotas.version() != m_rememberedLoads;
     // Until this host knows more than the file does, the file stays.
     if (m_remembered || m_routing.index() == 0 || !isNew || now < m_nextRemember) {
         return;
@@ -145,8 +147,10 @@
     m_rememberedVersion = m_registry.changedVersion();
     m_rememberedIndex = m_routing.index();
     m_rememberedSuspects = m_quarantine.version();
+    m_rememberedLoads = m_quotas.version();
     Remembered remembered = rememberedOf(m_routing, m_registry);
     remembered.suspects = m_quarantine.changedSince(0, Quarantine::Reader::ControlHost, now);
+    remembered.loads = m_quotas.loads();
     m_writer->post([this, remembered = std::move(remembered)] {
         try {
             writeRemembered(m_settings.dataFolder + "/" + RememberedFile, remembered);
@@ -338,7 +342,7 @@
         return;
     }
     const RoutingView &view = m_history.view();
-    m_hasHomes = view.table && view.table->routesWithHomes() > 0;
+    m_hasHomes = view.table && view.table->hasHomes();
 }
 
 void RegistryDaemon::Impl::statusChanged(const ControlLogStatus &status)
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -63,6 +63,7 @@
     void onRouting(const IncomingCallPtr &call);
     const RoutingHistory &historyFor(bool knowsNothing) const;
     bool hasNews(const FleetWatchCall &call) const;
+    bool hasLoadsFor(const FleetWatchCall &call) const;
     FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now) const;
     void replyWatchers(TimePoint now);
     bool onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply);
@@ -106,6 +107,7 @@
     std::vector<std::string> entryHostsFor(const std::string &zone);
     std::vector<std::string> liveEntryHosts(const std::string &region) const;
     void followCallers(TimePoint now);
+    void followQuotas(TimePoint now);
     void publishRouting();
     RoutingView viewOf(const RoutingState &routing) const;
 
@@ -163,13 +165,15 @@
     RoutingState m_routing;
     RoutingHistory m_history; ///< of m_routing, as entry hosts are told of it
     Quarantine m_quarantine;
+    QuotaSums m_quotas;
+    TimePoint m_nextQuotas{};
     NewsConfirmations m_confirmations;
     std::map<std::string, TakenConfirmation> m_takenConfirmations; ///< by peer address of the confirming host
     std::vector<OwedConfirmation> m_owed;
     std::map<Address, std::string> m_epochs; ///< of other control hosts, as of their last reply
     CallerShares m_shares;
     TimePoint m_nextShares{};
-    bool m_hasHomes = true; ///< some route of the table has home regions, or there is no table yet
+    bool m_hasHomes = true; ///< some route or tenant of the table has home regions, or there is no table yet
     std::uint64_t m_sequence = 0;
     bool m_isLeaving = false;
     std::vector<Watcher> m_watchers;
@@ -188,6 +192,7 @@
     std::uint64_t m_rememberedVersion = 0; ///< of the registry, when the file was written last
     std::uint64_t m_rememberedIndex = 0; ///< of the routing, likewise
     std::uint64_t m_rememberedSuspects = 0; ///< version of the quarantine, likewise
+    std::uint64_t m_rememberedLoads = 0; ///< version of the sums of tenants' requests, likewise
     std::map<Address, std::unique_ptr<ControlWatch>> m_peers;
 
     PeerNet m_net;
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -80,6 +80,7 @@
     if (!isSameEpoch) {
         ask.since = 0;
         ask.suspectsSince = 0;
+        ask.loadsSince = 0;
     }
     hearSuspects(ask.suspects, true, now);
     // An asker that knew an earlier life of this host may have left out what it told that one.
@@ -152,7 +153,12 @@
 bool RegistryDaemon::Impl::hasNews(const FleetWatchCall &call) const
 {
     return call.since == 0 || m_registry.changedVersion() > call.since || m_history.index() > call.routingHeard
-        || m_quarantine.hasChangedSince(call.suspectsSince, readerOf(call));
+        || m_quarantine.hasChangedSince(call.suspectsSince, readerOf(call)) || hasLoadsFor(call);
+}
+
+bool RegistryDaemon::Impl::hasLoadsFor(const FleetWatchCall &call) const
+{
+    return call.self.role == HostRole::Entry && m_quotas.version() != call.loadsSince;
 }
 
 FleetWatchReply RegistryDaemon::Impl::makeReply(const FleetWatchCall &call, TimePoint now) const
@@ -171,6 +177,10 @@
         return reply;
     }
     reply.demand = m_registry.demand(m_settings.regionOfZone);
+    reply.loadsVersion = m_quotas.version();
+    if (hasLoadsFor(call)) {
+        reply.loads = m_quotas.loads();
+    }
     const bool knowsNothing = call.routingIndex == 0 && call.since == 0;
     if (knowsNothing && m_remembered) {
         reply.remembered = unheardOf(m_remembered->targets, m_registry);
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds DeparturePatience{900};
 constexpr Milliseconds DirectoryTimeToLive{1000};
 constexpr Milliseconds SharesInterval{250};
+constexpr Milliseconds QuotasInterval{100};
 /// Bytes of a text from outside that a line or an answer repeats.
 constexpr std::size_t LongestReason = 200;
 
@@ -249,6 +250,17 @@
     m_shares.follow(regions, now);
 }
 
+// A host that has just started has heard of a part of the entry hosts only, and would let too much pass.
+void RegistryDaemon::Impl::followQuotas(TimePoint now)
+{
+    const std::shared_ptr<const RouteTable> &table = m_history.view().table;
+    if (now < m_nextQuotas || !table || table->tenants.empty() || !knowsFollowers(now)) {
+        return;
+    }
+    m_nextQuotas = now + QuotasInterval;
+    m_quotas.follow(table->tenants, m_registry.tenantDemand(now, QuotaHold), now);
+}
+
 std::vector<std::string> RegistryDaemon::Impl::liveEntryHosts(const std::string &region) const
 {
     std::vector<std::string> addresses;
--- a/lib/Fleet/Remembered.cpp
+++ b/lib/Fleet/Remembered.cpp
@@ -17,7 +17,8 @@
     std::string routing; ///< RoutingState::snapshot()
     std::vector<TargetReport> targets;
     std::vector<SuspectReport> suspects; ///< absent in files of earlier versions
-    MSGPACK_DEFINE(routing, targets, suspects);
+    std::vector<TenantLoad> loads; ///< likewise
+    MSGPACK_DEFINE(routing, targets, suspects, loads);
 };
 
 } // namespace
@@ -37,7 +38,8 @@
 
 void writeRemembered(const std::string &path, const Remembered &remembered)
 {
-    replaceFile(path, encode(StoredRemembered{remembered.routing.snapshot(), remembered.targets, remembered.suspects}));
+    replaceFile(path, encode(StoredRemembered{remembered.routing.snapshot(), remembered.targets, remembered.suspects,
+                                              remembered.loads}));
 }
 
 std::optional<Remembered> readRemembered(const std::string &path)
@@ -51,6 +53,7 @@
     remembered.routing.restore(stored.routing);
     remembered.targets = std::move(stored.targets);
     remembered.suspects = std::move(stored.suspects);
+    remembered.loads = std::move(stored.loads);
     return remembered;
 }
 
--- a/lib/Fleet/Remembered.h
+++ b/lib/Fleet/Remembered.h
@@ -11,7 +11,7 @@
 #pragma once
 
 #include "pepperlug/Quarantine.h"
-#include "pepperlug/Routes.h"
+#include "pepperlug/Quota.h"
 
 namespace pepperlug::fleet
 {
@@ -20,6 +20,7 @@
     RoutingState routing; ///< as it was agreed on
     std::vector<TargetReport> targets; ///< ready and warm ones
     std::vector<SuspectReport> suspects; ///< ages as of the writing
+    std::vector<TenantLoad> loads{}; ///< of tenants near their limits
 };
 
 Remembered rememberedOf(const RoutingState &routing, const Registry &registry);
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -31,6 +31,9 @@
     bounds.retries.ratio = reader.number("retry_ratio", 0, 10, 0.1);
     bounds.retries.window = readSeconds(reader, "retry_window_s", 10);
     bounds.retries.slack = reader.number("retry_slack", 0, 1e6, 10);
+    bounds.quotas.window = readSeconds(reader, "quota_window_s", 5);
+    bounds.quotas.excess = reader.number("quota_excess", 0, 10, 0);
+    bounds.quotas.slack = reader.number("quota_slack", 0, 1e6, 0);
     bounds.maxShift = reader.number("max_shift", 0, 1, 0.15);
     bounds.reportInterval = readSeconds(reader, "report_interval_s", 1.5);
     return bounds;
--- /dev/null
+++ b/lib/Quota/QuotaSums.cpp
@@ -0,0 +1,107 @@
+//===- QuotaSums.cpp - What all hosts are asked for, and may pass ---------===//
+#include "pepperlug/Quota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// Part of its limit from which on hosts are told of a tenant.
+constexpr double NearLimit = 0.4;
+/// Mean time until a change of what is asked has come to control hosts, and of the part to all entry hosts.
+constexpr std::chrono::duration<double> ReactionTime{0.8};
+/// The burst is spent as long as it lasts for so many reaction times more.
+constexpr double Foresight = 2;
+/// In which hosts pass less to make up for what was too much, and the least of the limit's rate that passes meanwhile.
+constexpr std::chrono::duration<double> RepayTime{1.0};
+constexpr double LeastRepayingRate = 0.2;
+/// Differences that hosts are told of: of the part that may pass, and of what is asked for.
+constexpr double PartTolerance = 0.05;
+constexpr double AskedTolerance = 0.3;
+
+} // namespace
+
+// The burst is used up before anything is refused, but for what still comes until the hosts hear that it is.
+double QuotaSums::partOf(const TenantLimit &limit, double asked, double level)
+{
+    const double excess = asked - limit.perSecond;
+    const bool hasBurst = level >= 0 && level > excess * ReactionTime.count() * Foresight;
+    if (asked <= 0 || hasBurst) {
+        return 1;
+    }
+    const double repaid = std::min(0.0, level) / RepayTime.count();
+    const double rate = std::max(limit.perSecond * LeastRepayingRate, limit.perSecond + repaid);
+    return std::min(1.0, rate / asked);
+}
+
+void QuotaSums::follow(Bucket &bucket, const TenantLimit &limit, double asked, std::chrono::duration<double> passed)
+{
+    bucket.partInUse += (bucket.part - bucket.partInUse) * -std::expm1(-passed / ReactionTime);
+    const double gain = (limit.perSecond - asked * bucket.partInUse) * passed.count();
+    const double most = limit.burst;
+    bucket.level = std::clamp(bucket.level + gain, -most, most);
+    bucket.part = partOf(limit, asked, bucket.level);
+}
+
+void QuotaSums::follow(const std::vector<Tenant> &tenants, const std::unordered_map<std::uint64_t, double> &asked,
+                       TimePoint now)
+{
+    const std::chrono::duration<double> passed = now - m_followedAt.value_or(now);
+    m_followedAt = now;
+    std::unordered_map<std::uint64_t, Bucket> buckets;
+    std::vector<TenantLoad> loads;
+    for (const Tenant &tenant : tenants) {
+        const std::uint64_t hash = tenantHash(tenant.name);
+        const auto sum = asked.find(hash);
+        if (tenant.limit.perSecond <= 0 || sum == asked.end()) {
+            continue;
+        }
+        // A burst of which nothing is known, as after a restart, may have been used up a moment ago.
+        const auto known = m_buckets.find(hash);
+        Bucket bucket = known == m_buckets.end() ? Bucket{} : known->second;
+        follow(bucket, tenant.limit, sum->second, passed);
+        buckets.emplace(hash, bucket);
+        if (sum->second > tenant.limit.perSecond * NearLimit) {
+            loads.push_back({hash, sum->second, bucket.part});
+        }
+    }
+    std::ranges::sort(loads, {}, &TenantLoad::tenant);
+    m_buckets = std::move(buckets);
+    m_loads = std::move(loads);
+    if (isWorthTelling(m_loads)) {
+        m_toldLoads = m_loads;
+        ++m_version;
+    }
+}
+
+bool QuotaSums::isWorthTelling(const std::vector<TenantLoad> &loads) const
+{
+    return !std::ranges::equal(loads, m_toldLoads, [](const TenantLoad &now, const TenantLoad &told) {
+        const bool isPartAlike = std::abs(now.part - told.part) <= PartTolerance * told.part;
+        const bool isAskedAlike = std::abs(now.perSecond - told.perSecond) <= AskedTolerance * told.perSecond;
+        return now.tenant == told.tenant && isPartAlike && isAskedAlike;
+    });
+}
+
+void QuotaSums::recall(std::vector<TenantLoad> loads)
+{
+    m_loads = std::move(loads);
+    m_toldLoads = m_loads;
+    ++m_version;
+}
+
+const std::vector<TenantLoad> &QuotaSums::loads() const
+{
+    return m_loads;
+}
+
+std::uint64_t QuotaSums::version() const
+{
+    return m_version;
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Routes/RouteTable.cpp
+++ b/lib/Routes/RouteTable.cpp
@@ -2,6 +2,7 @@
 #include "pepperlug/Routes.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace pepperlug::fleet
@@ -47,6 +48,47 @@
     }
 }
 
+// Names the field and the place, never a key.
+void checkTenant(const Tenant &tenant, const std::string &path, const std::string &file, Findings &findings)
+{
+    const auto fault = [&](const std::string &key, const std::string &reason) {
+        findings.push_back({file, path + key, reason});
+    };
+    const auto isAmount = [](double value) {
+        return std::isfinite(value) && value >= 0;
+    };
+    if (tenant.name.empty()) {
+        fault(".name", "must not be empty");
+    }
+    if (!isAmount(tenant.limit.perSecond)) {
+        fault(".limit.perSecond", "must be a number not below 0");
+    }
+    if (!isAmount(tenant.limit.burst)) {
+        fault(".limit.burst", "must be a number not below 0");
+    }
+}
+
+void checkTenants(const RouteTable &table, const std::string &file, Findings &findings)
+{
+    std::set<std::string_view> names;
+    std::map<std::string_view, std::size_t> holders; // of each key
+    for (std::size_t n = 0; n < table.tenants.size(); ++n) {
+        const Tenant &tenant = table.tenants[n];
+        const std::string path = "tenants[" + std::to_string(n) + "]";
+        checkTenant(tenant, path, file, findings);
+        if (!names.insert(tenant.name).second) {
+            findings.push_back({file, path + ".name", "\"" + tenant.name + "\" is given twice"});
+        }
+        for (std::size_t key = 0; key < tenant.keyDigests.size(); ++key) {
+            const auto [holder, isNew] = holders.emplace(tenant.keyDigests[key], n);
+            if (!isNew) {
+                findings.push_back({file, path + ".keys[" + std::to_string(key) + "]",
+                                    "is also a key of tenants[" + std::to_string(holder->second) + "]"});
+            }
+        }
+    }
+}
+
 /// Bytes that two texts have in common at their beginning.
 std::size_t sharedLength(std::string_view a, std::string_view b)
 {
@@ -74,6 +116,14 @@
         std::count_if(routes.begin(), routes.end(), [](const Route &it) { return !it.homeRegions.empty(); }));
 }
 
+bool RouteTable::hasHomes() const
+{
+    const auto isBound = [](const Tenant &it) {
+        return !it.homeRegions.empty();
+    };
+    return routesWithHomes() > 0 || std::any_of(tenants.begin(), tenants.end(), isBound);
+}
+
 const ServiceTraits *RouteTable::service(std::string_view name) const
 {
     const auto it = std::find_if(services.begin(), services.end(),
@@ -98,6 +148,17 @@
         std::stable_sort(routes.begin(), routes.end(), isBefore);
         routes.erase(std::unique(routes.begin(), routes.end(), isSame), routes.end());
     }
+    for (const Tenant &tenant : m_table->tenants) {
+        for (const std::string &digest : tenant.keyDigests) {
+            m_tenants.emplace(digest, &tenant);
+        }
+    }
+}
+
+const Tenant *RouteIndex::tenantOf(const std::string &keyDigest) const
+{
+    const auto it = m_tenants.find(keyDigest);
+    return it == m_tenants.end() ? nullptr : it->second;
 }
 
 // What stands in order between a prefix of the path and the path begins with that prefix too. So the last route that is
@@ -144,6 +205,7 @@
             findings.push_back({file, path, "another route has the same host and prefix"});
         }
     }
+    checkTenants(table, file, findings);
     return findings;
 }
 
--- a/lib/Routes/RoutingNews.cpp
+++ b/lib/Routes/RoutingNews.cpp
@@ -1,7 +1,7 @@
 //===- RoutingNews.cpp - Routing told as differences ----------------------===//
 //
-// A change holds what is short as a whole, and of the routes only those that
-// differ. Changes are encoded and compressed once, when they come about, and are
+// A change holds what is short as a whole, and of the routes and tenants only
+// those that differ. Changes are encoded and compressed once, when they come about, and are
 // sent to all readers as they are.
 //
 //===----------------------------------------------------------------------===//
@@ -46,8 +46,15 @@
     std::set<std::string> evacuatedZones;
     std::vector<RoutePlace> removed;
     std::vector<Route> put; ///< added or changed
-    std::uint64_t routesDigest = 0; ///< of all routes that it leads to
-    MSGPACK_DEFINE(fromIndex, index, hasTable, version, services, limits, evacuatedZones, removed, put, routesDigest);
+    std::uint64_t digest = 0; ///< of all routes and tenants that it leads to
+    std::vector<std::string> removedTenants; ///< names
+    std::vector<Tenant> putTenants; ///< added or changed
+    MSGPACK_DEFINE(fromIndex, index, hasTable, version, services, limits, evacuatedZones, removed, put, digest,
+                   removedTenants, putTenants);
+    bool keepsRoutesAndTenants() const
+    {
+        return removed.empty() && put.empty() && removedTenants.empty() && putTenants.empty();
+    }
 };
 
 //===-- Bytes -----------------------------------------------------------------===//
@@ -180,12 +187,13 @@
 //===-- Making a change -------------------------------------------------------===//
 
 // An index names a table only as long as there is one history. A difference that is laid upon another table would give
-// one that nobody put, and all would take it for current; so each change names the routes that it leads to. The sum
+// one that nobody put, and all would take it for current; so each change names the routes that it leads to, and the tenants. The sum
 // does not depend on their order, so a change of a few routes costs these alone, 0.3 us each: to apply a change of one
 // route in 4,000 takes 1.8 ms with it and without, to make it 13 ms in place of 12.
-std::uint64_t digestOf(const Route &route)
+template <typename Entry>
+std::uint64_t digestOf(const Entry &entry)
 {
-    return hash64(encode(route));
+    return hash64(encode(entry));
 }
 
 using RoutesByPlace = std::map<RoutePlace, const Route *>;
@@ -208,36 +216,60 @@
     return places;
 }
 
-std::uint64_t digestOf(const RouteTable *table)
+using TenantsByName = std::map<std::string, const Tenant *>;
+
+TenantsByName tenantsByName(const RouteTable *table)
+{
+    TenantsByName names;
+    if (table == nullptr) {
+        return names;
+    }
+    for (const Tenant &tenant : table->tenants) {
+        names.emplace(tenant.name, &tenant);
+    }
+    return names;
+}
+
+std::uint64_t digestOfTable(const RouteTable *table)
 {
     std::uint64_t sum = 0;
     for (const auto &[place, route] : routesByPlace(table)) {
         sum += digestOf(*route);
     }
+    for (const auto &[name, tenant] : tenantsByName(table)) {
+        sum += digestOf(*tenant);
+    }
     return sum;
 }
 
-// Where there is no table any more, all its routes are gone without being listed.
-void compareRoutes(RoutingChange &change, const RouteTable *from, const RouteTable *to)
+/// What of a map has to be put and removed to make another one of it.
+template <typename Key, typename Entry>
+void compare(const std::map<Key, const Entry *> &before, const std::map<Key, const Entry *> &after,
+             std::vector<Key> &removed, std::vector<Entry> &put)
 {
-    if (from == to || to == nullptr) {
-        return;
-    }
-    const RoutesByPlace before = routesByPlace(from);
-    const RoutesByPlace after = routesByPlace(to);
-    for (const auto &[place, route] : after) {
-        const auto it = before.find(place);
-        if (it == before.end() || *it->second != *route) {
-            change.put.push_back(*route);
+    for (const auto &[key, entry] : after) {
+        const auto it = before.find(key);
+        if (it == before.end() || *it->second != *entry) {
+            put.push_back(*entry);
         }
     }
-    for (const auto &[place, route] : before) {
-        if (!after.contains(place)) {
-            change.removed.push_back(place);
+    for (const auto &[key, entry] : before) {
+        if (!after.contains(key)) {
+            removed.push_back(key);
         }
     }
 }
 
+// Where there is no table any more, all that it held is gone without being listed.
+void compareTables(RoutingChange &change, const RouteTable *from, const RouteTable *to)
+{
+    if (from == to || to == nullptr) {
+        return;
+    }
+    compare(routesByPlace(from), routesByPlace(to), change.removed, change.put);
+    compare(tenantsByName(from), tenantsByName(to), change.removedTenants, change.putTenants);
+}
+
 // The digest of the newer view is known.
 RoutingChange changeBetween(const RoutingView &from, const RoutingView &to)
 {
@@ -251,8 +283,8 @@
         change.services = to.table->services;
         change.limits = to.table->limits;
     }
-    change.routesDigest = to.routesDigest.value_or(0);
-    compareRoutes(change, from.table.get(), to.table.get());
+    change.digest = to.digest.value_or(0);
+    compareTables(change, from.table.get(), to.table.get());
     return change;
 }
 
@@ -266,7 +298,7 @@
     ViewBuilder(const RoutingView &from, const std::string &peer)
         : m_view(from)
         , m_peer(peer)
-        , m_digest(from.routesDigest ? *from.routesDigest : digestOf(from.table.get()))
+        , m_digest(from.digest ? *from.digest : digestOfTable(from.table.get()))
     {
     }
 
@@ -282,7 +314,7 @@
         if (change.hasTable && !keepsTable) {
             applyToTable(change);
         }
-        if (m_digest != change.routesDigest) {
+        if (m_digest != change.digest) {
             throw Error(ApplyStep, m_peer,
                         "it was not made for the routes of index " + std::to_string(change.fromIndex));
         }
@@ -294,9 +326,12 @@
             for (auto &[place, route] : m_routes) {
                 m_draft->routes.push_back(std::move(route));
             }
+            for (auto &[name, tenant] : m_tenants) {
+                m_draft->tenants.push_back(std::move(tenant));
+            }
             m_view.table = std::move(m_draft);
         }
-        m_view.routesDigest = m_digest;
+        m_view.digest = m_digest;
         return std::move(m_view);
     }
 
@@ -312,7 +347,7 @@
 
     bool isTableKept(const RoutingChange &change) const
     {
-        if (change.fromIndex == 0 || m_draft || !m_view.table || !change.removed.empty() || !change.put.empty()) {
+        if (change.fromIndex == 0 || m_draft || !m_view.table || !change.keepsRoutesAndTenants()) {
             return false;
         }
         const RouteTable &table = *m_view.table;
@@ -324,6 +359,7 @@
         m_view.table.reset();
         m_draft.reset();
         m_routes.clear();
+        m_tenants.clear();
         m_digest = 0;
     }
 
@@ -336,6 +372,9 @@
         for (const Route &route : m_view.table->routes) {
             m_routes.emplace(placeOf(route), route);
         }
+        for (const Tenant &tenant : m_view.table->tenants) {
+            m_tenants.emplace(tenant.name, tenant);
+        }
     }
 
     void applyToTable(RoutingChange &change)
@@ -346,28 +385,46 @@
         m_draft->version = change.version;
         m_draft->services = std::move(change.services);
         m_draft->limits = change.limits;
-        for (const RoutePlace &place : change.removed) {
-            if (!take(place)) {
-                throw Error(ApplyStep, m_peer, "it removes a route that there is not: " + place.host + place.prefix);
+        replace(m_routes, change.removed, change.put, placeOf);
+        replace(m_tenants, change.removedTenants, change.putTenants, [](const Tenant &it) { return it.name; });
+    }
+
+    template <typename Key, typename Entry, typename KeyOf>
+    void replace(std::map<Key, Entry> &entries, const std::vector<Key> &removed, std::vector<Entry> &put, KeyOf keyOf)
+    {
+        for (const Key &key : removed) {
+            if (!take(entries, key)) {
+                throw Error(ApplyStep, m_peer, "it removes what there is not: " + textOf(key));
             }
         }
-        for (Route &route : change.put) {
-            RoutePlace place = placeOf(route);
-            take(place);
-            m_digest += digestOf(route);
-            m_routes.emplace(std::move(place), std::move(route));
+        for (Entry &entry : put) {
+            Key key = keyOf(entry);
+            take(entries, key);
+            m_digest += digestOf(entry);
+            entries.emplace(std::move(key), std::move(entry));
         }
     }
 
-    // Removes a route; false if there is none.
-    bool take(const RoutePlace &place)
+    static std::string textOf(const RoutePlace &place)
+    {
+        return "route " + place.host + place.prefix;
+    }
+
+    static std::string textOf(const std::string &name)
+    {
+        return "tenant " + name;
+    }
+
+    // Removes an entry; false if there is none.
+    template <typename Key, typename Entry>
+    bool take(std::map<Key, Entry> &entries, const Key &key)
     {
-        const auto it = m_routes.find(place);
-        if (it == m_routes.end()) {
+        const auto it = entries.find(key);
+        if (it == entries.end()) {
             return false;
         }
         m_digest -= digestOf(it->second);
-        m_routes.erase(it);
+        entries.erase(it);
         return true;
     }
 
@@ -375,7 +432,8 @@
     const std::string &m_peer;
     std::shared_ptr<RouteTable> m_draft; ///< without its routes; null: the table is the view's
     std::map<RoutePlace, Route> m_routes; ///< of the draft
-    std::uint64_t m_digest = 0; ///< of the routes of the draft, or of the view's table
+    std::map<std::string, Tenant> m_tenants; ///< of the draft, by name
+    std::uint64_t m_digest = 0; ///< of the routes and tenants of the draft, or of the view's table
 };
 
 } // namespace
@@ -388,7 +446,7 @@
         return;
     }
     const bool isSameTable = view.table == m_newest.table;
-    view.routesDigest = isSameTable ? m_newest.routesDigest.value_or(0) : digestOf(view.table.get());
+    view.digest = isSameTable ? m_newest.digest.value_or(0) : digestOfTable(view.table.get());
     std::string whole = encodeChange(changeBetween({}, view));
     std::string data;
     if (m_newest.index != 0) {
--- a/lib/Support/Crypto.cpp
+++ b/lib/Support/Crypto.cpp
@@ -51,6 +51,17 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
+std::string digestOfSecret(std::string_view secret)
+{
+    constexpr std::string_view Key = "pepperlug: secrets of callers";
+    static_assert(Key.size() >= crypto_generichash_KEYBYTES_MIN && Key.size() <= crypto_generichash_KEYBYTES_MAX);
+    initSodium();
+    std::string out(crypto_generichash_BYTES_MIN, '\0');
+    crypto_generichash(reinterpret_cast<unsigned char *>(out.data()), out.size(), bytesOf(secret), secret.size(),
+                       bytesOf(Key), Key.size());
+    return out;
+}
+
 std::string digestHex(std::string_view text)
 {
     initSodium();
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -82,6 +82,13 @@
         return m_runs;
     }
 
+    /// Of the request that it ran last.
+    std::optional<std::string> lastHeader(const std::string &name)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_last.header(name);
+    }
+
     /// Requests are kept unanswered until release().
     void hold()
     {
@@ -116,6 +123,7 @@
         ++m_runs;
         {
             const std::lock_guard lock(m_mutex);
+            m_last = exchange->request();
             if (m_holds) {
                 m_held.push_back(exchange);
                 return;
@@ -142,6 +150,7 @@
     std::atomic<int> m_runs{0};
     std::mutex m_mutex;
     bool m_holds = false;
+    HttpRequest m_last;
     std::vector<HttpExchangePtr> m_held;
     HttpServer m_server;
 };
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -266,11 +266,99 @@
 
 TEST_CASE("a target is told who is meant and what time is left, once")
 {
-    const auto headers =
-        Clients::targetHeaders({{"X-Deadline-Ms", "9000"}, {"X-Expect-Instance", "evil"}, {"A", "b"}}, "i-1", 1234ms);
+    const auto headers = Clients::targetHeaders(
+        {{"X-Deadline-Ms", "9000"}, {"X-Expect-Instance", "evil"}, {"A", "b"}}, {"i-1", 1234ms, false, {}});
     CHECK(headers == std::vector<HeaderField>{{"A", "b"}, {"X-Deadline-Ms", "1234"}, {"X-Expect-Instance", "i-1"}});
 }
 
+TEST_CASE("a target is told the tenant that holds the key, never the key nor what the caller says of it")
+{
+    const std::vector<HeaderField> sent{
+        {"Api-Key", "secret"}, {"x-tenant", "someone"}, {"X-Tenant", "another"}, {"api-key", "second"}, {"A", "b"}};
+    const std::vector<HeaderField> rest{{"A", "b"}, {"X-Deadline-Ms", "1000"}, {"X-Expect-Instance", "i-1"}};
+    std::vector<HeaderField> named = rest;
+    named.push_back({"X-Tenant", "holder"});
+    CHECK(Clients::targetHeaders(sent, {"i-1", 1s, true, "holder"}) == named);
+    CHECK(Clients::targetHeaders(sent, {"i-1", 1s, true, {}}) == rest); // a public route, without a key
+}
+
+TEST_CASE("a caller's key is read only where it is the one key that it shows")
+{
+    const auto digestOf = [](const std::vector<HeaderField> &headers) {
+        HttpRequest it = request("GET", "/p/x");
+        it.headers = headers;
+        return Clients::readRequest(it).keyDigest;
+    };
+    CHECK(digestOf({{"Api-Key", "k1"}}) == digestOfSecret("k1"));
+    CHECK(digestOf({{"api-key", "k1"}}) == digestOfSecret("k1"));
+    CHECK(digestOf({{"Api-Key", "k1"}}) != digestOfSecret("k2"));
+    CHECK(digestOf({}).empty());
+    CHECK(digestOf({{"Api-Key", ""}}).empty());
+    CHECK(digestOf({{"Api-Key", "k1"}, {"Api-Key", "k2"}}).empty());
+    CHECK(digestOf({{"Api-Key", std::string(10'000, 'k')}}).empty());
+    CHECK(digestOf({{"Api-Key", "\xff\x01"}}) != digestOfSecret("k1"));
+}
+
+TEST_CASE("tenants of a configuration are read, their keys as digests")
+{
+    const auto tableWith = [](const std::string &tenants) {
+        return Control::readTable(TableText.substr(0, TableText.size() - 1) + ",\"tenants\":" + tenants + "}");
+    };
+    const RouteTable table = tableWith(
+        R"([{"name":"t1","apiKeys":["k1","k2"],"prio":0,"ratePerS":4.5,"burst":9,"homeRegions":["x"]},
+            {"name":"t2","apiKeys":[]}])");
+    REQUIRE(table.tenants.size() == 2);
+    CHECK(table.tenants[0].keyDigests == std::vector{digestOfSecret("k1"), digestOfSecret("k2")});
+    CHECK(table.tenants[0].priority == 0U);
+    CHECK(table.tenants[0].limit == TenantLimit{4.5, 9});
+    CHECK(table.tenants[0].homeRegions == std::vector<std::string>{"x"});
+    CHECK_FALSE(table.tenants[1].priority);
+    CHECK(table.tenants[1].limit == TenantLimit{});
+    CHECK(tableWith("null").tenants.empty());
+    std::string many = "[";
+    for (int n = 0; n < 10'000; ++n) {
+        many += std::string(n > 0 ? "," : "") + R"({"name":"n)" + std::to_string(n) + R"(","apiKeys":["key)" + std::to_string(n)
+            + R"("]})";
+    }
+    const RouteTable large = tableWith(many + "]");
+    CHECK(large.tenants.size() == 10'000);
+    CHECK(checkRouteTable(large, "f").empty());
+}
+
+TEST_CASE("a broken tenant is an error that names the field and never a key")
+{
+    const auto reasonOf = [](const std::string &tenants) -> std::string {
+        try {
+            Control::readTable(TableText.substr(0, TableText.size() - 1) + ",\"tenants\":" + tenants + "}");
+            return "";
+        } catch (const Error &ex) {
+            return ex.what();
+        }
+    };
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {R"([{"apiKeys":["hidden"]}])", "name"},
+        {R"([{"name":"","apiKeys":["hidden"]}])", "name"},
+        {R"([{"name":7,"apiKeys":["hidden"]}])", "name"},
+        {R"([{"name":"t","apiKeys":"hidden"}])", "apiKeys"},
+        {R"([{"name":"t","apiKeys":["hidden",7]}])", "apiKeys[1]"},
+        {R"([{"name":"t","apiKeys":["hidden",""]}])", "apiKeys[1]"},
+        {R"([{"name":"t","apiKeys":["hidden"],"ratePerS":-1}])", "ratePerS"},
+        {R"([{"name":"t","apiKeys":["hidden"],"ratePerS":"5"}])", "ratePerS"},
+        {R"([{"name":"t","apiKeys":["hidden"],"burst":-1}])", "burst"},
+        {R"([{"name":"t","apiKeys":["hidden"],"prio":"high"}])", "must be number"},
+        {R"(["hidden"])", "tenants[0]"},
+        {R"({"t":["hidden"]})", "tenants"},
+        {R"([{"name":"t","apiKeys":["hidden"],"ratePerS":hidden}])", "byte"},
+        {R"([{"name":"t","apiKeys":["hidden)", "byte"},
+    };
+    for (const auto &[tenants, field] : cases) {
+        const std::string reason = reasonOf(tenants);
+        CAPTURE(tenants, reason);
+        CHECK(reason.find(field) != std::string::npos);
+        CHECK(reason.find("hidden") == std::string::npos);
+    }
+}
+
 TEST_CASE("what an answer says")
 {
     CHECK(Clients::answersRequest({{"x-request-id", "q1"}}, "q1"));
@@ -290,10 +378,11 @@
 TEST_CASE("only what has not run is refused with a promise")
 {
     for (const Refusal reason :
-         {Refusal::NoConfiguration, Refusal::NoTarget, Refusal::Overloaded, Refusal::LinkFull, Refusal::NotReached,
+         {Refusal::UnknownKey, Refusal::OverQuota, Refusal::RouteChanged, Refusal::NoConfiguration, Refusal::NoTarget, Refusal::Overloaded, Refusal::LinkFull, Refusal::NotReached,
           Refusal::Stopping, Refusal::NoRoute, Refusal::RoutingLate, Refusal::Lost, Refusal::TimedOut}) {
         const Answer answer = Clients::refusal({"q1", reason, 150ms});
-        const bool promises = answer.status == 503 || answer.status == 404;
+        const bool promises =
+            answer.status == 503 || answer.status == 429 || answer.status == 404 || answer.status == 401;
         CHECK(promises == promisesNotRun(reason));
         CHECK(headerOf(answer, "X-Request-Id") == "q1");
         CHECK(headerOf(answer, "Retry-After") == "0.150");
--- a/unittests/Routes/RoutesTest.cpp
+++ b/unittests/Routes/RoutesTest.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <limits>
+
 using namespace pepperlug;
 using namespace pepperlug::fleet;
 using namespace std::chrono_literals;
@@ -122,9 +124,65 @@
     {
         bad.routes[0].prefix = "/a";
     }
+    SECTION("a key that two tenants share")
+    {
+        bad.tenants = {{"t1", {"k1", "k2"}}, {"t2", {"k3", "k2"}}};
+    }
+    SECTION("a key that a tenant has twice")
+    {
+        bad.tenants = {{"t1", {"k1", "k1"}}};
+    }
+    SECTION("two tenants of one name")
+    {
+        bad.tenants = {{"t1", {"k1"}}, {"t1", {"k2"}}};
+    }
+    SECTION("a tenant without a name")
+    {
+        bad.tenants = {{"", {"k1"}}};
+    }
+    SECTION("a rate below 0")
+    {
+        bad.tenants = {{"t1", {"k1"}, {}, {-1, 0}}};
+    }
+    SECTION("a burst that is no number")
+    {
+        bad.tenants = {{"t1", {"k1"}, {}, {1, std::numeric_limits<double>::quiet_NaN()}}};
+    }
     CHECK(checkRouteTable(bad, "f").size() == 1);
 }
 
+TEST_CASE("a key that two tenants share is told by its place, never by itself")
+{
+    RouteTable bad = table();
+    bad.tenants = {{"t1", {"secret"}}, {"t2", {"other", "secret"}}};
+    const Finding finding = checkRouteTable(bad, "f").at(0);
+    CHECK(finding.path == "tenants[1].keys[1]");
+    CHECK(finding.reason == "is also a key of tenants[0]");
+}
+
+TEST_CASE("an index finds the tenant that holds a key")
+{
+    auto shared = std::make_shared<RouteTable>(table());
+    shared->tenants = {{"t1", {"k1", "k2"}}, {"t2", {}}, {"t3", {"k3"}}};
+    const RouteIndex index(shared);
+    CHECK(index.tenantOf("k2")->name == "t1");
+    CHECK(index.tenantOf("k3")->name == "t3");
+    CHECK(index.tenantOf("k") == nullptr);
+    CHECK(index.tenantOf("") == nullptr);
+}
+
+TEST_CASE("homes of a tenant alone are homes of the table")
+{
+    RouteTable bound = table();
+    for (Route &it : bound.routes) {
+        it.homeRegions.clear();
+    }
+    CHECK_FALSE(bound.hasHomes());
+    bound.tenants = {{"t1", {"k1"}, {}, {}, {"r1"}}};
+    CHECK(bound.hasHomes());
+    CHECK(bound.routesWithHomes() == 0);
+}
+
 TEST_CASE("a weight below 0 is a finding although the sum is positive")
 {
     RouteTable bad = table();
--- a/unittests/Routes/RoutingNewsTest.cpp
+++ b/unittests/Routes/RoutingNewsTest.cpp
@@ -78,6 +78,15 @@
     return a.routes.size() == b.routes.size() && sorted(a) == sorted(b);
 }
 
+bool hasSameTenants(const RouteTable &a, const RouteTable &b)
+{
+    const auto sorted = [](std::vector<Tenant> tenants) {
+        std::ranges::sort(tenants, {}, &Tenant::name);
+        return tenants;
+    };
+    return sorted(a.tenants) == sorted(b.tenants);
+}
+
 bool isSame(const RoutingView &a, const RoutingView &b)
 {
     if (a.index != b.index || a.evacuatedZones != b.evacuatedZones || !a.table != !b.table) {
@@ -85,7 +94,8 @@
     }
     return !a.table
         || (a.table->version == b.table->version && a.table->services == b.table->services
-            && a.table->limits == b.table->limits && hasSameRoutes(*a.table, *b.table));
+            && a.table->limits == b.table->limits && hasSameRoutes(*a.table, *b.table)
+            && hasSameTenants(*a.table, *b.table));
 }
 
 std::size_t bytesIn(const std::vector<std::string> &changes)
@@ -129,7 +139,7 @@
     RoutingView next()
     {
         m_index += *rc::gen::inRange<std::uint64_t>(1, 4);
-        change(*rc::gen::inRange(0, 12));
+        change(*rc::gen::inRange(0, 15));
         RoutingView view{m_index, nullptr, m_evacuated};
         if (m_hasTable) {
             view.table = std::make_shared<RouteTable>(m_table);
@@ -162,6 +172,13 @@
         case 7:
             addRoute();
             break;
+        case 12:
+            addTenant();
+            break;
+        case 13:
+        case 14:
+            changeTenant(what);
+            break;
         default:
             changeRoute(what);
         }
@@ -180,6 +197,26 @@
         ++m_added;
     }
 
+    void addTenant()
+    {
+        const std::string name = "t" + std::to_string(m_table.version);
+        m_table.tenants.push_back({name, {digestOfSecret(name)}, 1, {5, 5}});
+    }
+
+    void changeTenant(int what)
+    {
+        if (m_table.tenants.empty()) {
+            return;
+        }
+        const auto n = *rc::gen::inRange<std::size_t>(0, m_table.tenants.size());
+        if (what == 13) {
+            m_table.tenants.erase(m_table.tenants.begin() + static_cast<std::ptrdiff_t>(n));
+            return;
+        }
+        m_table.tenants[n].keyDigests.clear();
+        m_table.tenants[n].limit.perSecond += 1;
+    }
+
     void changeRoute(int what)
     {
         if (m_table.routes.empty()) {
@@ -309,6 +346,53 @@
     CHECK(bytesIn(history.since(1)) < 1024);
 }
 
+TEST_CASE("a key taken away from one of 76 tenants is told in less than 300 bytes")
+{
+    RouteTable table = tableOf(40, 1);
+    for (unsigned n = 0; n < 76; ++n) {
+        const std::string name = "tenant-" + std::to_string(n);
+        table.tenants.push_back({name, {digestOfSecret(name), digestOfSecret(name + "'s second")}, 1, {40, 40}});
+    }
+    RoutingHistory history;
+    history.append(viewOf(1, table));
+    const std::size_t limits = bytesIn(history.since(0));
+    table.version = 2;
+    table.tenants[7].keyDigests.pop_back();
+    history.append(viewOf(2, table));
+    // Services and limits are told whole with each change; the tenants are not.
+    RoutingHistory without;
+    RouteTable plain = tableOf(40, 1);
+    without.append(viewOf(1, plain));
+    plain.version = 2;
+    without.append(viewOf(2, plain));
+    CHECK(bytesIn(history.since(1)) < bytesIn(without.since(1)) + 300);
+    CHECK(limits > 76 * 2 * 16);
+    const RoutingView reader = applyRoutingChanges(viewOf(1, [&] {
+                                                       RouteTable old = table;
+                                                       old.version = 1;
+                                                       old.tenants[7].keyDigests.push_back(
+                                                           digestOfSecret("tenant-7's second"));
+                                                       return old;
+                                                   }()),
+                                                   history.since(1), Peer);
+    CHECK(isSame(reader, history.view()));
+}
+
+TEST_CASE("a change for other tenants under the reader's index is an error")
+{
+    RouteTable table = tableOf(4, 1);
+    table.tenants = {{"t1", {"k1"}}};
+    RoutingHistory history;
+    history.append(viewOf(3, table));
+    table.version = 2;
+    table.limits.bodyBytes += 1;
+    history.append(viewOf(4, table));
+    RouteTable other = table;
+    other.version = 1;
+    other.tenants = {{"t1", {"k2"}}};
+    CHECK_THROWS_AS(applyRoutingChanges(viewOf(3, other), history.since(3), Peer), Error);
+}
+
 TEST_CASE("1,400 added routes are told in less than 60 KB")
 {
     RoutingHistory history;
