--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -148,9 +148,9 @@
 struct BalanceTick {
 };
 
-using BalanceEvent = std::variant<RoutesChanged, ReportsChanged, NewsReceived, CallerRequest, CallerLeft, AnswerBegun,
-                                  AttemptEnded, TargetChecked, SuspectsTold, TenantLoadsTold, TrialDecided,
-                                  BalanceTick>;
+using BalanceEvent =
+    std::variant<RoutesChanged, ReportsChanged, NewsReceived, CallerRequest, CallerLeft, AnswerBegun, AttemptEnded,
+                 TargetChecked, SuspectsTold, TenantLoadsTold, TrialDecided, BalanceTick>;
 
 //===-- Effects ---------------------------------------------------------------===//
 
--- a/include/pepperlug/Quota.h
+++ b/include/pepperlug/Quota.h
@@ -37,8 +37,8 @@
 /// What control hosts tell of a tenant that comes near its limit.
 struct TenantLoad {
     std::uint64_t tenant = 0; ///< tenantHash()
-    double perSecond = 0; ///< requests that all entry hosts together are asked for
-    double part = 1; ///< of them that may pass
+    float perSecond = 0; ///< requests that all entry hosts together are asked for
+    float part = 1; ///< of them that may pass
     MSGPACK_DEFINE(tenant, perSecond, part);
 };
 
@@ -76,7 +76,8 @@
     /// A control host with a majority was heard: what it told holds as of then.
     void heardAsOf(TimePoint at);
     void setEntryHosts(std::size_t count);
-    /// What this host is asked for, to be told to control hosts.
+    /// What this host is asked for, to be told to control hosts. Stays the same for a while, so that they need not pass
+    /// it on, unless a limit binds or is about to.
     std::vector<TenantDemand> demand(TimePoint now);
     /// Whether some tenant asks for so much more than was told that control hosts should hear of it at once.
     bool hasSurged(TimePoint now) const;
@@ -109,6 +110,7 @@
     bool isHeard(TimePoint now) const;
     bool isSmall(const TenantLimit &limit) const;
     double askedRate(const Share &share, TimePoint now) const;
+    void retell(TimePoint now);
     double partOfDemand(const Share &share) const;
     Allowance allowance(const Share &share, TimePoint now) const;
     void refill(Share &share, TimePoint now) const;
@@ -120,6 +122,7 @@
     std::unordered_map<std::uint64_t, TenantLoad> m_loads; ///< as told last
     std::optional<TimePoint> m_heardAsOf;
     std::optional<TimePoint> m_countsSince; ///< first request of any tenant
+    TimePoint m_nextRetell{};
     std::size_t m_entryHosts = 1;
 };
 static_assert(QuotaPolicy<QuotaShares>);
@@ -141,13 +144,15 @@
 
 private:
     struct Bucket {
-        double level = 0; ///< requests that may pass beyond the limit's rate, as believed; below 0, that passed too much
+        double level =
+            0; ///< requests that may pass beyond the limit's rate, as believed; below 0, that passed too much
         double part = 1;
         double partInUse = 1; ///< as hosts have come to it
     };
 
     static double partOf(const TenantLimit &limit, double asked, double level);
     static void follow(Bucket &bucket, const TenantLimit &limit, double asked, std::chrono::duration<double> passed);
+    bool isUrgent(const std::vector<TenantLoad> &loads) const;
     bool isWorthTelling(const std::vector<TenantLoad> &loads) const;
 
     std::unordered_map<std::uint64_t, Bucket> m_buckets;
@@ -155,6 +160,7 @@
     std::vector<TenantLoad> m_toldLoads; ///< as of the version
     std::uint64_t m_version = 1;
     std::optional<TimePoint> m_followedAt;
+    TimePoint m_nextTelling{};
 };
 
 } // namespace pepperlug::fleet
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -64,7 +64,7 @@
 /// Requests in a tenant's name that one entry host is asked for.
 struct TenantDemand {
     std::uint64_t tenant = 0; ///< hash of its name
-    double perSecond = 0;
+    float perSecond = 0;
     bool operator==(const TenantDemand &) const = default;
     MSGPACK_DEFINE(tenant, perSecond);
 };
@@ -183,8 +183,8 @@
     /// Load that live entry hosts report, summed by region.
     std::vector<RegionDemand> demand(const std::map<std::string, std::string> &regionOfZone) const;
 
-    /// Requests in each tenant's name that entry hosts are asked for, by the hash of the name. A host that has not ended
-    /// is taken to be asked for as much as it said last until `hold` after it was heard.
+    /// Requests in each tenant's name that entry hosts are asked for, by the hash of the name. A host that has not
+    /// ended is taken to be asked for as much as it said last until `hold` after it was heard.
     std::unordered_map<std::uint64_t, double> tenantDemand(TimePoint now, Duration hold) const;
 
     const std::map<std::string, TargetEntry> &targets() const;
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -88,9 +88,8 @@
     call.to = *to;
     call.method = http.method;
     call.resource = http.resource;
-    call.headers =
-        m_dialect.targetHeaders(endToEndHeaders(http.headers),
-                                {effect.target, effect.timeLeft, effect.hasTenants, effect.tenant});
+    call.headers = m_dialect.targetHeaders(endToEndHeaders(http.headers),
+                                           {effect.target, effect.timeLeft, effect.hasTenants, effect.tenant});
     call.body = open.body;
     call.timeout = effect.timeLeft + ClientMargin;
     call.connectTimeout = std::min<Duration>(ConnectTimeout, effect.timeLeft);
--- a/lib/Fleet/Remembered.cpp
+++ b/lib/Fleet/Remembered.cpp
@@ -38,8 +38,9 @@
 
 void writeRemembered(const std::string &path, const Remembered &remembered)
 {
-    replaceFile(path, encode(StoredRemembered{remembered.routing.snapshot(), remembered.targets, remembered.suspects,
-                                              remembered.loads}));
+    replaceFile(path,
+                encode(StoredRemembered{remembered.routing.snapshot(), remembered.targets, remembered.suspects,
+                                        remembered.loads}));
 }
 
 std::optional<Remembered> readRemembered(const std::string &path)
--- a/lib/Quota/QuotaShares.cpp
+++ b/lib/Quota/QuotaShares.cpp
@@ -25,11 +25,13 @@
 constexpr double LimitTolerance = 0.003;
 /// Demand below it, a second, is not told: one request fades to it in 4 s.
 constexpr double LeastDemand = 0.02;
+/// Between two times that it is told anew while no limit binds.
+constexpr Milliseconds RetellInterval{1000};
 /// Demand that has so much doubled is told at once: by these many requests a second, and this part of the limit.
 constexpr double SurgeRequests = 3;
 constexpr double SurgePart = 0.05;
 /// A tenant that control hosts don't speak of is asked for less than this part of its limit.
-constexpr double UntoldPart = 0.4;
+constexpr double UntoldPart = 0.5;
 /// Requests that may pass at once besides the share of the burst: how many come together by chance at a host that gets
 /// few.
 constexpr double ChanceDepth = 5;
@@ -37,13 +39,14 @@
 constexpr double LeastDepth = 1;
 constexpr double MostCredit = 2;
 constexpr double NoBound = std::numeric_limits<double>::max();
-/// What a small limit allows in this time may pass besides, so it needs no bound at each host until control hosts react.
+/// What a small limit allows in this time may pass besides, so it needs no bound at each host until control hosts
+/// react.
 constexpr std::chrono::duration<double> CrowdTime{2};
 /// A rate is told as if requests had come for so long at least.
 constexpr std::chrono::duration<double> LeastCounted{0.5};
 /// Of the allowed excess, what hosts may use while what they are told is not in time; and what hosts may that hear
 /// nothing for long, all together.
-constexpr double HeardExcess = 0.5;
+constexpr double HeardExcess = 0.25;
 constexpr double AloneExcess = 0.5;
 constexpr Milliseconds ShortestQuotaAdvice{500};
 constexpr Milliseconds LongestQuotaAdvice{5000};
@@ -127,7 +130,7 @@
 double QuotaShares::partOfDemand(const Share &share) const
 {
     const double untold = share.limit.perSecond * UntoldPart;
-    const double asked = share.load ? std::max(share.load->perSecond, untold) : untold;
+    const double asked = share.load ? std::max<double>(share.load->perSecond, untold) : untold;
     return std::min(1.0, share.toldDemand / asked);
 }
 
@@ -138,7 +141,8 @@
 {
     const double part = partOfDemand(share);
     if (isHeard(now)) {
-        const double wide = std::max(part * (1 + m_terms.excess * HeardExcess), 1.0 / static_cast<double>(m_entryHosts));
+        const double wide =
+            std::max(part * (1 + m_terms.excess * HeardExcess), 1.0 / static_cast<double>(m_entryHosts));
         const double depth = isSmall(share.limit) ? NoBound : share.limit.burst * wide + ChanceDepth;
         return {share.limit.perSecond * wide, depth};
     }
@@ -196,23 +200,32 @@
     m_entryHosts = std::max<std::size_t>(1, count);
 }
 
-std::vector<TenantDemand> QuotaShares::demand(TimePoint now)
+void QuotaShares::retell(TimePoint now)
 {
-    std::vector<TenantDemand> demand;
-    for (auto it = m_shares.begin(); it != m_shares.end();) {
-        Share &share = it->second;
+    const bool isLimited = std::any_of(m_shares.begin(), m_shares.end(),
+                                       [](const auto &it) { return it.second.load && it.second.load->part < 1; });
+    if (now < m_nextRetell && !isLimited && !hasSurged(now)) {
+        return;
+    }
+    m_nextRetell = now + RetellInterval;
+    for (auto &[hash, share] : m_shares) {
         const double asked = askedRate(share, now);
-        const double tolerance =
-            std::max(share.toldDemand * DemandTolerance, share.limit.perSecond * LimitTolerance);
+        const double tolerance = std::max(share.toldDemand * DemandTolerance, share.limit.perSecond * LimitTolerance);
         if (std::abs(asked - share.toldDemand) > tolerance) {
             share.toldDemand = asked;
         }
-        if (asked < LeastDemand) {
-            it = m_shares.erase(it);
-            continue;
+    }
+    std::erase_if(m_shares, [&](const auto &it) { return askedRate(it.second, now) < LeastDemand; });
+}
+
+std::vector<TenantDemand> QuotaShares::demand(TimePoint now)
+{
+    retell(now);
+    std::vector<TenantDemand> demand;
+    for (const auto &[hash, share] : m_shares) {
+        if (share.toldDemand > 0) {
+            demand.push_back({hash, static_cast<float>(share.toldDemand)});
         }
-        demand.push_back({it->first, share.toldDemand});
-        ++it;
     }
     std::ranges::sort(demand, {}, &TenantDemand::tenant);
     return demand;
--- a/lib/Quota/QuotaSums.cpp
+++ b/lib/Quota/QuotaSums.cpp
@@ -11,7 +11,7 @@
 {
 
 /// Part of its limit from which on hosts are told of a tenant.
-constexpr double NearLimit = 0.4;
+constexpr double NearLimit = 0.5;
 /// Mean time until a change of what is asked has come to control hosts, and of the part to all entry hosts.
 constexpr std::chrono::duration<double> ReactionTime{0.8};
 /// The burst is spent as long as it lasts for so many reaction times more.
@@ -22,6 +22,9 @@
 /// Differences that hosts are told of: of the part that may pass, and of what is asked for.
 constexpr double PartTolerance = 0.05;
 constexpr double AskedTolerance = 0.3;
+/// Between two times that hosts are told of them, unless the part falls below this part of what was told.
+constexpr Milliseconds TellInterval{500};
+constexpr double UrgentPart = 0.9;
 
 } // namespace
 
@@ -66,18 +69,31 @@
         follow(bucket, tenant.limit, sum->second, passed);
         buckets.emplace(hash, bucket);
         if (sum->second > tenant.limit.perSecond * NearLimit) {
-            loads.push_back({hash, sum->second, bucket.part});
+            loads.push_back({hash, static_cast<float>(sum->second), static_cast<float>(bucket.part)});
         }
     }
     std::ranges::sort(loads, {}, &TenantLoad::tenant);
     m_buckets = std::move(buckets);
     m_loads = std::move(loads);
-    if (isWorthTelling(m_loads)) {
+    const bool isTold = isUrgent(m_loads) || (now >= m_nextTelling && isWorthTelling(m_loads));
+    if (isTold) {
         m_toldLoads = m_loads;
+        m_nextTelling = now + TellInterval;
         ++m_version;
     }
 }
 
+// A limit that binds, or binds harder, can't wait: what passes until hosts hear of it is too much.
+bool QuotaSums::isUrgent(const std::vector<TenantLoad> &loads) const
+{
+    const auto toldPart = [&](std::uint64_t tenant) {
+        const auto it = std::ranges::lower_bound(m_toldLoads, tenant, {}, &TenantLoad::tenant);
+        return it != m_toldLoads.end() && it->tenant == tenant ? it->part : 1;
+    };
+    return std::any_of(loads.begin(), loads.end(),
+                       [&](const TenantLoad &it) { return it.part < toldPart(it.tenant) * UrgentPart; });
+}
+
 bool QuotaSums::isWorthTelling(const std::vector<TenantLoad> &loads) const
 {
     return !std::ranges::equal(loads, m_toldLoads, [](const TenantLoad &now, const TenantLoad &told) {
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -382,7 +382,8 @@
         const HostReport &report = entry.report;
         return report.role == HostRole::Entry && report.presence != Presence::Gone && now - entry.heardAt <= hold;
     };
-    std::unordered_map<std::string_view, const HostEntry *> newest; // by address: a host that starts again has another id
+    std::unordered_map<std::string_view, const HostEntry *>
+        newest; // by address: a host that starts again has another id
     for (const auto &[id, entry] : m_hosts) {
         if (isCounted(entry)) {
             const HostEntry *&known = newest[entry.report.address];
--- a/lib/Routes/RoutingNews.cpp
+++ b/lib/Routes/RoutingNews.cpp
@@ -187,9 +187,9 @@
 //===-- Making a change -------------------------------------------------------===//
 
 // An index names a table only as long as there is one history. A difference that is laid upon another table would give
-// one that nobody put, and all would take it for current; so each change names the routes that it leads to, and the tenants. The sum
-// does not depend on their order, so a change of a few routes costs these alone, 0.3 us each: to apply a change of one
-// route in 4,000 takes 1.8 ms with it and without, to make it 13 ms in place of 12.
+// one that nobody put, and all would take it for current; so each change names the routes that it leads to, and the
+// tenants. The sum does not depend on their order, so a change of a few routes costs these alone, 0.3 us each: to apply
+// a change of one route in 4,000 takes 1.8 ms with it and without, to make it 13 ms in place of 12.
 template <typename Entry>
 std::uint64_t digestOf(const Entry &entry)
 {
--- a/unittests/Balance/TenantTest.cpp
+++ b/unittests/Balance/TenantTest.cpp
@@ -241,15 +241,16 @@
     host.putTable();
     const auto asked = [&] {
         const std::vector<TenantDemand> demand = host.balancer.tenantDemand(host.now);
-        return demand.empty() ? 0 : demand.front().perSecond;
+        return demand.empty() ? 0.0F : demand.front().perSecond;
     };
     const RequestId id = host.ask("/read/x", "k1");
-    const double once = asked();
+    const float once = asked();
     CHECK(once > 0);
     host.end(id, 1, AttemptOutcome::Shed); // a second attempt begins
     REQUIRE(host.find<StartAttempt>() != nullptr);
     CHECK(asked() == once);
     host.end(id, 2, AttemptOutcome::NotSent);
     REQUIRE(host.refusal());
+    host.now += 1s;
     CHECK(asked() == 0);
 }
--- a/unittests/Fleet/TenantsTest.cpp
+++ b/unittests/Fleet/TenantsTest.cpp
@@ -162,17 +162,16 @@
 {
     System system;
     FakeTarget target("i-1");
-    const nlohmann::json tenant{{"name", "t1"}, {"apiKeys", nlohmann::json::array({FirstKey})}, {"ratePerS", 1}, {"burst", 1}};
-    REQUIRE(System::eventually([&] {
-        return system.operatorCall("/api/Config.Put", tableWith("r2", listOf({tenant})), "0").status == 200;
-    }));
+    const nlohmann::json tenant{
+        {"name", "t1"}, {"apiKeys", nlohmann::json::array({FirstKey})}, {"ratePerS", 1}, {"burst", 1}};
+    REQUIRE(System::eventually(
+        [&] { return system.operatorCall("/api/Config.Put", tableWith("r2", listOf({tenant})), "0").status == 200; }));
     system.beat("i-1", target, 1);
     REQUIRE(system.becomesReady());
     Caller caller(system);
     // Control hosts hear of what is asked, and tell which part of it may pass.
     CHECK(caller.becomes(429, "/p/x", {{"Api-Key", FirstKey}}));
-    CHECK(System::eventually([&] {
-        return system.metrics().body.find("pepperlug_refusals{reason=\"over-quota\"}") != std::string::npos;
-    }));
+    CHECK(System::eventually(
+        [&] { return system.metrics().body.find("pepperlug_refusals{reason=\"over-quota\"}") != std::string::npos; }));
     CHECK(caller.becomes(200, "/p/x", {{"Api-Key", FirstKey}}));
 }
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -266,8 +266,8 @@
 
 TEST_CASE("a target is told who is meant and what time is left, once")
 {
-    const auto headers = Clients::targetHeaders(
-        {{"X-Deadline-Ms", "9000"}, {"X-Expect-Instance", "evil"}, {"A", "b"}}, {"i-1", 1234ms, false, {}});
+    const auto headers = Clients::targetHeaders({{"X-Deadline-Ms", "9000"}, {"X-Expect-Instance", "evil"}, {"A", "b"}},
+                                                {"i-1", 1234ms, false, {}});
     CHECK(headers == std::vector<HeaderField>{{"A", "b"}, {"X-Deadline-Ms", "1234"}, {"X-Expect-Instance", "i-1"}});
 }
 
@@ -317,8 +317,8 @@
     CHECK(tableWith("null").tenants.empty());
     std::string many = "[";
     for (int n = 0; n < 10'000; ++n) {
-        many += std::string(n > 0 ? "," : "") + R"({"name":"n)" + std::to_string(n) + R"(","apiKeys":["key)" + std::to_string(n)
-            + R"("]})";
+        many += std::string(n > 0 ? "," : "") + R"({"name":"n)" + std::to_string(n) + R"(","apiKeys":["key)"
+            + std::to_string(n) + R"("]})";
     }
     const RouteTable large = tableWith(many + "]");
     CHECK(large.tenants.size() == 10'000);
@@ -378,8 +378,9 @@
 TEST_CASE("only what has not run is refused with a promise")
 {
     for (const Refusal reason :
-         {Refusal::UnknownKey, Refusal::OverQuota, Refusal::RouteChanged, Refusal::NoConfiguration, Refusal::NoTarget, Refusal::Overloaded, Refusal::LinkFull, Refusal::NotReached,
-          Refusal::Stopping, Refusal::NoRoute, Refusal::RoutingLate, Refusal::Lost, Refusal::TimedOut}) {
+         {Refusal::UnknownKey, Refusal::OverQuota, Refusal::RouteChanged, Refusal::NoConfiguration, Refusal::NoTarget,
+          Refusal::Overloaded, Refusal::LinkFull, Refusal::NotReached, Refusal::Stopping, Refusal::NoRoute,
+          Refusal::RoutingLate, Refusal::Lost, Refusal::TimedOut}) {
         const Answer answer = Clients::refusal({"q1", reason, 150ms});
         const bool promises =
             answer.status == 503 || answer.status == 429 || answer.status == 404 || answer.status == 401;
--- a/unittests/Quota/QuotaNetwork.h
+++ b/unittests/Quota/QuotaNetwork.h
@@ -156,10 +156,9 @@
     {
         std::size_t reached = 0;
         for (unsigned n = 0; n < m_controls.size(); ++n) {
-            reached += m_controls[n].isUp
-                    && isBehindCut(n, m_controls.size()) == isBehindCut(control, m_controls.size())
-                ? 1
-                : 0;
+            reached +=
+                m_controls[n].isUp && isBehindCut(n, m_controls.size()) == isBehindCut(control, m_controls.size()) ? 1
+                                                                                                                   : 0;
         }
         return m_controls[control].isUp && reached * 2 > m_controls.size();
     }
@@ -255,8 +254,8 @@
         }
         for (unsigned n = 0; n < m_entries.size(); ++n) {
             Entry &entry = m_entries[n];
-            const bool isHurried = entry.policy && m_now >= entry.nextAsk - AskInterval + SurgeInterval
-                && entry.policy->hasSurged(m_now);
+            const bool isHurried =
+                entry.policy && m_now >= entry.nextAsk - AskInterval + SurgeInterval && entry.policy->hasSurged(m_now);
             if (entry.policy && (isHurried || m_now >= entry.nextAsk)) {
                 askControl(n);
             }
@@ -345,7 +344,8 @@
         std::deque<TimePoint> window;
         const TimePoint settled = m_start + m_plan.lowerAt + m_plan.terms.window + LoweredApplies;
         const TenantLimit limit = m_plan.lowerAt > Duration(0) ? m_plan.lowered : m_plan.limit;
-        const double bound = (limit.perSecond * secondsOf(m_plan.terms.window) + limit.burst) * (1 + m_plan.terms.excess)
+        const double bound =
+            (limit.perSecond * secondsOf(m_plan.terms.window) + limit.burst) * (1 + m_plan.terms.excess)
             + m_plan.terms.slack;
         for (const TimePoint it : m_passedAt) {
             window.push_back(it);
--- a/unittests/Quota/QuotaTest.cpp
+++ b/unittests/Quota/QuotaTest.cpp
@@ -61,7 +61,8 @@
     }
 }
 
-/// Proper requests that may be refused in all, and one for so many more: what users allow for wrong refusals of any kind.
+/// Proper requests that may be refused in all, and one for so many more: what users allow for wrong refusals of any
+/// kind.
 constexpr unsigned MostWrong = 5;
 constexpr unsigned RequestsToOneWrong = 500;
 /// Part of the tries within the limit that may be refused where nothing that hosts are told can be in time.
--- a/unittests/Registry/RegistryTest.cpp
+++ b/unittests/Registry/RegistryTest.cpp
@@ -145,7 +145,7 @@
 
 TEST_CASE("what tenants ask for is summed over hosts, also over one that is not heard for a while")
 {
-    const auto hostReport = [](const std::string &id, const std::string &address, double perSecond) {
+    const auto hostReport = [](const std::string &id, const std::string &address, float perSecond) {
         HostReport it;
         it.id = id;
         it.zone = "z1";
--- a/unittests/Routes/RoutingNewsTest.cpp
+++ b/unittests/Routes/RoutingNewsTest.cpp
@@ -367,14 +367,15 @@
     without.append(viewOf(2, plain));
     CHECK(bytesIn(history.since(1)) < bytesIn(without.since(1)) + 300);
     CHECK(limits > 76 * 2 * 16);
-    const RoutingView reader = applyRoutingChanges(viewOf(1, [&] {
-                                                       RouteTable old = table;
-                                                       old.version = 1;
-                                                       old.tenants[7].keyDigests.push_back(
-                                                           digestOfSecret("tenant-7's second"));
-                                                       return old;
-                                                   }()),
-                                                   history.since(1), Peer);
+    const RoutingView reader =
+        applyRoutingChanges(viewOf(1,
+                                   [&] {
+                                       RouteTable old = table;
+                                       old.version = 1;
+                                       old.tenants[7].keyDigests.push_back(digestOfSecret("tenant-7's second"));
+                                       return old;
+                                   }()),
+                            history.since(1), Peer);
     CHECK(isSame(reader, history.view()));
 }
 
