Read again: one way to ask who makes a request, no bound where none is needed, one copy of times and texts

- askerOf() takes the route as it was found, none included, in place of the same condition at two of its three callers; an asker knows its name.
- A small limit that hears control hosts is not counted in tokens at all, in place of tokens without end that refill() had to know of.
- Up to where something was told is one type for suspects and for loads.
- Control hosts write what they remember for the sums of tenants only where a limit binds or did: the file of all targets was written twice a second since sums move all the time.

--- a/include/pepperlug/Quota.h
+++ b/include/pepperlug/Quota.h
@@ -142,6 +142,8 @@
     const std::vector<TenantLoad> &loads() const;
     /// Rises whenever hosts should hear of the loads; 1 at first.
     std::uint64_t version() const;
+    /// Whether some limit lets less than all pass.
+    bool binds() const;
 
 private:
     struct Bucket {
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -147,12 +147,12 @@
         refuse(open, mayHaveMissedRoutes() ? Refusal::RoutingLate : Refusal::NoRoute);
         return;
     }
-    const Asker asker = askerOf(event, *route);
+    const Asker asker = askerOf(event, route);
     if (!asker.isAllowed) {
         refuse(open, mayHaveMissedRoutes() ? Refusal::RoutingLate : Refusal::UnknownKey);
         return;
     }
-    adopt(open, *route, asker.tenant);
+    adopt(open, *route, asker);
     if (m_isSuspended) {
         refuse(open, Refusal::RoutingLate);
         return;
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -68,6 +68,11 @@
     struct Asker {
         const Tenant *tenant = nullptr;
         bool isAllowed = true;
+        /// Of the tenant; empty: nobody's.
+        std::string name() const
+        {
+            return tenant != nullptr ? tenant->name : std::string();
+        }
     };
 
     /// A target that a request may go to, or why there is none.
@@ -102,9 +107,9 @@
     void suspendIfLate();
     bool mayHaveMissedRoutes() const;
     const Route *routeInForce(const OpenRequest &open) const;
-    Asker askerOf(const CallerRequest &request, const Route &route) const;
-    void adopt(OpenRequest &open, const Route &route, const Tenant *tenant);
-    static void adoptTenant(OpenRequest &open, const Tenant *tenant);
+    Asker askerOf(const CallerRequest &request, const Route *route) const;
+    void adopt(OpenRequest &open, const Route &route, const Asker &asker);
+    static void adoptTenant(OpenRequest &open, const Asker &asker);
     bool followRoutes(OpenRequest &open);
     static bool leadsTo(const Route &route, const Tenant *tenant, const TargetState &target);
 
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-/// A host that has heard nothing for so many leases is cut off, as far as it can know: an ask that fails is given up
-/// after 1.2 s, and the next control host is asked. Nobody waits for it any more, so it serves on.
-constexpr int CutOffLeases = 2;
 /// Time that an answer needs back to its caller.
 constexpr Milliseconds WayBack{20};
 
@@ -44,6 +41,7 @@
         return;
     }
     const bool isLate = m_lastNews->isComing && m_now - *m_lastNews->behindSince > m_settings.newsLease;
+    // Nobody waits for a host that is cut off, so it serves on.
     const bool isCutOff = m_now - m_lastNews->askedAt > CutOffLeases * m_settings.newsLease;
     m_isSuspended = !isCutOff && (isLate || m_isSuspended);
 }
@@ -66,20 +64,21 @@
 }
 
 // A key is asked for at each send like a route: it may have been taken away or given to another tenant meanwhile.
-Balancer::Impl::Asker Balancer::Impl::askerOf(const CallerRequest &request, const Route &route) const
+Balancer::Impl::Asker Balancer::Impl::askerOf(const CallerRequest &request, const Route *route) const
 {
-    if (m_table->tenants.empty()) {
-        return {};
+    if (route == nullptr || m_table->tenants.empty()) {
+        return {nullptr, route != nullptr};
     }
     const Tenant *tenant = m_routeIndex->tenantOf(request.keyDigest);
-    return {tenant, tenant != nullptr || route.isPublic};
+    return {tenant, tenant != nullptr || route->isPublic};
 }
 
 // Where route and tenant both name homes, both bind.
-void Balancer::Impl::adoptTenant(OpenRequest &open, const Tenant *tenant)
+void Balancer::Impl::adoptTenant(OpenRequest &open, const Asker &asker)
 {
+    const Tenant *tenant = asker.tenant;
     open.hasNoHome = false;
-    open.tenant = tenant != nullptr ? tenant->name : std::string();
+    open.tenant = asker.name();
     open.limit = tenant != nullptr ? tenant->limit : TenantLimit{};
     if (tenant == nullptr) {
         return;
@@ -96,10 +95,10 @@
 }
 
 // A service that the route leads to by its new table as well is kept, so that parts of a split keep their weights.
-void Balancer::Impl::adopt(OpenRequest &open, const Route &route, const Tenant *tenant)
+void Balancer::Impl::adopt(OpenRequest &open, const Route &route, const Asker &asker)
 {
     open.route = route;
-    adoptTenant(open, tenant);
+    adoptTenant(open, asker);
     open.tableVersion = m_table->version;
     const auto isKept = [&](const WeightedService &it) {
         return it.service == open.service && it.weight > 0;
@@ -127,11 +126,11 @@
         return true;
     }
     const Route *route = routeInForce(open);
-    const Asker asker = route == nullptr ? Asker{nullptr, false} : askerOf(open.request, *route);
+    const Asker asker = askerOf(open.request, route);
     if (!asker.isAllowed) {
         return false;
     }
-    adopt(open, *route, asker.tenant);
+    adopt(open, *route, asker);
     return true;
 }
 
@@ -159,10 +158,9 @@
         return false;
     }
     const Route *route = routeInForce(open);
-    const Asker asker = route == nullptr ? Asker{nullptr, false} : askerOf(open.request, *route);
+    const Asker asker = askerOf(open.request, route);
     // What is about to leave names the tenant that held the key when the target was chosen.
-    const bool isSameAsker = open.tenant == (asker.tenant != nullptr ? asker.tenant->name : std::string());
-    return asker.isAllowed && isSameAsker && leadsTo(*route, asker.tenant, *target);
+    return asker.isAllowed && open.tenant == asker.name() && leadsTo(*route, asker.tenant, *target);
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -312,7 +312,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        const LoadsPosition told{reply.epoch, reply.loadsVersion};
+        const ToldVersion told{reply.epoch, reply.loadsVersion};
         if (told == m_toldLoads) {
             return;
         }
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -100,17 +100,11 @@
     void carryOut(const RefuseRequest &effect);
     AttemptEnded readResult(RequestId id, unsigned attempt, HttpResult &result);
 
-    /// What a control host has of this host's quarantine.
-    struct ToldSuspects {
-        std::string epoch; ///< of the control host's life
-        std::uint64_t version = 0; ///< of the quarantine
-    };
-
-    /// Which loads of tenants were told last.
-    struct LoadsPosition {
+    /// Up to where something was told, between this host and one life of a control host.
+    struct ToldVersion {
         std::string epoch; ///< of the control host's life
         std::uint64_t version = 0;
-        bool operator==(const LoadsPosition &) const = default;
+        bool operator==(const ToldVersion &) const = default;
     };
 
     FleetSettings m_settings;
@@ -135,9 +129,9 @@
     std::size_t m_seedsAsked = 0;
     TimePoint m_nextAskForControlHosts{};
     std::optional<TimePoint> m_viewAsOf; ///< all that a control host in touch with a majority knew then is known here
-    ToldSuspects m_toldSuspects;
+    ToldVersion m_toldSuspects; ///< of this host's quarantine, by this host
     bool m_hasSuspectsToTell = false; ///< noticed since the last ask
-    LoadsPosition m_toldLoads;
+    ToldVersion m_toldLoads; ///< of the loads of tenants, by the control host
     TimePoint m_nextSurge{};
     Address m_followed; ///< control host that replied last
     bool m_isStopping = false; ///< no caller is sent here any more
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -137,8 +137,10 @@
     if (m_remembered && now - m_startedAt > RememberedTime) {
         m_remembered.reset();
     }
+    // Sums move all the time; they are worth a write of the file only where a limit binds, or did when it was written.
+    const bool hasNewLimits = m_quotas.version() != m_rememberedLoads && (m_quotas.binds() || m_remembersLimits);
     const bool isNew = m_registry.changedVersion() != m_rememberedVersion || m_routing.index() != m_rememberedIndex
-        || m_quarantine.version() != m_rememberedSuspects || m_quotas.version() != m_rememberedLoads;
+        || m_quarantine.version() != m_rememberedSuspects || hasNewLimits;
     // Until this host knows more than the file does, the file stays.
     if (m_remembered || m_routing.index() == 0 || !isNew || now < m_nextRemember) {
         return;
@@ -148,6 +150,7 @@
     m_rememberedIndex = m_routing.index();
     m_rememberedSuspects = m_quarantine.version();
     m_rememberedLoads = m_quotas.version();
+    m_remembersLimits = m_quotas.binds();
     Remembered remembered = rememberedOf(m_routing, m_registry);
     remembered.suspects = m_quarantine.changedSince(0, Quarantine::Reader::ControlHost, now);
     remembered.loads = m_quotas.loads();
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -193,6 +193,7 @@
     std::uint64_t m_rememberedIndex = 0; ///< of the routing, likewise
     std::uint64_t m_rememberedSuspects = 0; ///< version of the quarantine, likewise
     std::uint64_t m_rememberedLoads = 0; ///< version of the sums of tenants' requests, likewise
+    bool m_remembersLimits = false; ///< some limit bound then
     std::map<Address, std::unique_ptr<ControlWatch>> m_peers;
 
     PeerNet m_net;
--- a/lib/Quota/QuotaShares.cpp
+++ b/lib/Quota/QuotaShares.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace pepperlug::fleet
 {
@@ -17,9 +16,8 @@
 namespace
 {
 
-/// Without word from a control host with a majority for longer, this host goes by its own share alone: an ask that
-/// fails is given up after 1.2 s, and the next control host is asked.
-constexpr Duration HeardTime = 2 * NewsLease;
+/// Without word from a control host with a majority for longer, this host goes by its own share alone.
+constexpr Duration HeardTime = CutOffLeases * NewsLease;
 /// What a host is asked for is told anew when it differs by this part, or by this part of the tenant's limit.
 constexpr double DemandTolerance = 0.25;
 constexpr double LimitTolerance = 0.003;
@@ -38,7 +36,6 @@
 /// The same of a host without word; its share of a small limit is less than one.
 constexpr double LeastDepth = 1;
 constexpr double MostCredit = 2;
-constexpr double NoBound = std::numeric_limits<double>::max();
 /// What a small limit allows in this time may pass besides, so it needs no bound at each host until control hosts
 /// react.
 constexpr std::chrono::duration<double> CrowdTime{2};
@@ -92,8 +89,12 @@
     m_countsSince = m_countsSince.value_or(now);
     Share &share = shareOf(tenant, limit);
     share.asked.add(now, 1);
+    const bool isInTouch = isHeard(now);
+    if (isInTouch && isSmall(limit)) {
+        return passPart(share);
+    }
     refill(share, now);
-    const bool passes = share.tokens >= 1 && (!isHeard(now) || passPart(share));
+    const bool passes = share.tokens >= 1 && (!isInTouch || passPart(share));
     share.tokens -= passes ? 1 : 0;
     return passes;
 }
@@ -143,8 +144,7 @@
     if (isHeard(now)) {
         const double wide =
             std::max(part * (1 + m_terms.excess * HeardExcess), 1.0 / static_cast<double>(m_entryHosts));
-        const double depth = isSmall(share.limit) ? NoBound : share.limit.burst * wide + ChanceDepth;
-        return {share.limit.perSecond * wide, depth};
+        return {share.limit.perSecond * wide, share.limit.burst * wide + ChanceDepth};
     }
     const bool isHeld = now - *m_heardAsOf <= QuotaHold;
     const double narrow = part * (isHeld ? 1 : m_terms.excess * AloneExcess);
@@ -154,9 +154,9 @@
 void QuotaShares::refill(Share &share, TimePoint now) const
 {
     const auto [perSecond, depth] = allowance(share, now);
-    const bool isFull = share.tokensAt == TimePoint{} || depth == NoBound;
+    const bool isNew = share.tokensAt == TimePoint{};
     const double gained = perSecond * secondsOf(now - share.tokensAt);
-    share.tokens = isFull ? depth : std::min(depth, share.tokens + gained);
+    share.tokens = isNew ? depth : std::min(depth, share.tokens + gained);
     const bool isAloneSince = !isHeard(now) && share.tokensAt < *m_heardAsOf + HeardTime;
     if (isAloneSince) {
         // Many hosts may be alone at the same time, each with a share of less than one request.
--- a/lib/Quota/QuotaSums.cpp
+++ b/lib/Quota/QuotaSums.cpp
@@ -120,4 +120,9 @@
     return m_version;
 }
 
+bool QuotaSums::binds() const
+{
+    return std::any_of(m_loads.begin(), m_loads.end(), [](const TenantLoad &it) { return it.part < 1; });
+}
+
 } // namespace pepperlug::fleet
--- a/unittests/Quota/QuotaTest.cpp
+++ b/unittests/Quota/QuotaTest.cpp
@@ -61,6 +61,17 @@
     }
 }
 
+/// The same for tenants that ask for so many times their limit.
+template <typename Check>
+void atEachSizeOverLimit(double times, const std::function<void(QuotaPlan &)> &happens, Check check)
+{
+    const auto andAsksTooMuch = [&](QuotaPlan &plan) {
+        happens(plan);
+        plan.perSecond = plan.limit.perSecond * times;
+    };
+    atEachSize(andAsksTooMuch, check);
+}
+
 /// Proper requests that may be refused in all, and one for so many more: what users allow for wrong refusals of any
 /// kind.
 constexpr unsigned MostWrong = 5;
@@ -123,12 +134,8 @@
 {
     atEachSize([](QuotaPlan &plan) { plan.shiftAt = 10s; }, checkKeepsAndServes);
     // Also where the limit binds.
-    atEachSize(
-        [](QuotaPlan &plan) {
-            plan.shiftAt = 10s;
-            plan.perSecond = plan.limit.perSecond * 2;
-        },
-        checkKeeps);
+    atEachSizeOverLimit(
+        2, [](QuotaPlan &plan) { plan.shiftAt = 10s; }, checkKeeps);
 }
 
 TEST_CASE("a limit lowered far below what is asked for holds one window after hosts have it, and is used")
@@ -153,13 +160,13 @@
 {
     for (const Duration length : {Duration(5s), Duration(30s)}) {
         for (const double part : {0.17, 0.5}) {
-            atEachSize(
+            atEachSizeOverLimit(
+                2,
                 [&](QuotaPlan &plan) {
                     plan.hostsInUse = plan.entryHosts;
                     plan.cutAt = 5s;
                     plan.cutFor = length;
                     plan.cutPart = part;
-                    plan.perSecond = plan.limit.perSecond * 2;
                 },
                 checkKeeps);
         }
@@ -182,23 +189,15 @@
 
 TEST_CASE("after all hosts have ended at once a limit that was binding holds")
 {
-    atEachSize(
-        [](QuotaPlan &plan) {
-            plan.killAt = 15s;
-            plan.perSecond = plan.limit.perSecond * 3;
-        },
-        checkKeeps);
+    atEachSizeOverLimit(
+        3, [](QuotaPlan &plan) { plan.killAt = 15s; }, checkKeeps);
 }
 
 TEST_CASE("restarts in series neither starve a tenant nor let more pass")
 {
     atEachSize([](QuotaPlan &plan) { plan.restartInterval = 300ms; }, checkKeepsAndServes);
-    atEachSize(
-        [](QuotaPlan &plan) {
-            plan.restartInterval = 300ms;
-            plan.perSecond = plan.limit.perSecond * 2;
-        },
-        checkKeeps);
+    atEachSizeOverLimit(
+        2, [](QuotaPlan &plan) { plan.restartInterval = 300ms; }, checkKeeps);
 }
 
 TEST_CASE("a host that wakes after a long time without word goes by its share")
