LIMIT: a failing test, a target's limit over three entry hosts

Three entry hosts, a control host and three targets over loopback; one target names a limit of 2.0 requests a second in each answer.

--- /dev/null
+++ b/unittests/Backpressure/BackpressureSystem.h
@@ -0,0 +1,154 @@
+//===- BackpressureSystem.h - Targets that ask for less, over loopback -*- C++ -*-===//
+//
+// Three entry hosts, a control host and three targets at the sockets, under requests with affinity keys that come to
+// all entry hosts in turn.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "Fleet/System.h"
+
+namespace pepperlug::fleet::test
+{
+
+class BackpressureSystem
+{
+public:
+    using Times = std::vector<std::chrono::steady_clock::time_point>;
+    static constexpr unsigned EntryHosts = 3;
+
+    BackpressureSystem()
+    {
+        nlohmann::json table = nlohmann::json::parse(System::tableText("r2", {"/p/"}));
+        table["hosts"][0]["paths"][0]["sticky"] = true;
+        REQUIRE(System::eventually(
+            [&] { return m_system.operatorCall("/api/Config.Put", table.dump(), "0").status == 200; }));
+        for (unsigned n = 1; n < EntryHosts; ++n) {
+            m_entryHosts.push_back(m_system.startEntryHost(n));
+        }
+        m_keeper = std::thread([this] { keepTargets(); });
+        REQUIRE(System::eventually([&] { return isEachUsed(); }));
+    }
+
+    ~BackpressureSystem()
+    {
+        m_stop = true;
+        m_keeper.join();
+    }
+
+    BackpressureSystem(const BackpressureSystem &) = delete;
+    BackpressureSystem &operator=(const BackpressureSystem &) = delete;
+
+    /// Sends requests to all entry hosts in turn for a while. Returns how many succeeded.
+    unsigned drive(Duration time, Duration pause = 5ms)
+    {
+        unsigned served = 0;
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            const Answer answer = send();
+            ++m_sent;
+            if (answer.status == 200) {
+                ++served;
+            } else {
+                m_refusals[std::to_string(answer.status) + " " + answer.body]++;
+            }
+            std::this_thread::sleep_for(pause);
+        }
+        return served;
+    }
+
+    Answer send()
+    {
+        const unsigned turn = m_turn++;
+        return sendTo(turn % EntryHosts);
+    }
+
+    Answer sendTo(unsigned entryHost)
+    {
+        constexpr unsigned Keys = 30;
+        const unsigned number = m_requests++;
+        const GatewayDaemon &host = entryHost == 0 ? *m_system.gateway : *m_entryHosts[entryHost - 1];
+        return m_system.get(host.callersAddress(), "/p/x", "try-" + std::to_string(number),
+                            {{"Cookie", "X-Affinity-Key=" + std::to_string(number % Keys)}});
+    }
+
+    FakeTarget &target(std::size_t number)
+    {
+        return *m_targets.at(number);
+    }
+
+    unsigned sent() const
+    {
+        return m_sent;
+    }
+
+    /// Answers that drive() got without success, by status and body.
+    std::string refusals() const
+    {
+        std::string text;
+        for (const auto &[answer, count] : m_refusals) {
+            text += std::to_string(count) + " times " + answer + "\n";
+        }
+        return text;
+    }
+
+    /// Most arrivals in any span of a length, from a moment on.
+    static std::size_t mostIn(const Times &arrivals, Duration span, std::chrono::steady_clock::time_point from)
+    {
+        std::size_t most = 0;
+        for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+            if (*first < from) {
+                continue;
+            }
+            const auto end = std::upper_bound(first, arrivals.end(), *first + span);
+            most = std::max(most, static_cast<std::size_t>(end - first));
+        }
+        return most;
+    }
+
+    static std::size_t countFrom(const Times &arrivals, std::chrono::steady_clock::time_point from)
+    {
+        return static_cast<std::size_t>(arrivals.end() - std::lower_bound(arrivals.begin(), arrivals.end(), from));
+    }
+
+private:
+    bool isEachUsed()
+    {
+        constexpr unsigned Round = 90;
+        for (unsigned n = 0; n < Round; ++n) {
+            send();
+        }
+        return std::all_of(m_targets.begin(), m_targets.end(), [](const auto &it) { return it->runs() > 0; });
+    }
+
+    void keepTargets()
+    {
+        int sequence = 0;
+        while (!m_stop) {
+            ++sequence;
+            for (std::size_t n = 0; n < m_targets.size(); ++n) {
+                m_system.beat(idOf(n), *m_targets[n], sequence);
+            }
+            std::this_thread::sleep_for(200ms);
+        }
+    }
+
+    static std::string idOf(std::size_t number)
+    {
+        return "i-" + std::to_string(number);
+    }
+
+    System m_system;
+    std::vector<std::unique_ptr<GatewayDaemon>> m_entryHosts;
+    std::array<std::unique_ptr<FakeTarget>, 3> m_targets{
+        std::make_unique<FakeTarget>(idOf(0)), std::make_unique<FakeTarget>(idOf(1)),
+        std::make_unique<FakeTarget>(idOf(2))};
+    std::atomic<unsigned> m_requests{0};
+    unsigned m_turn = 0;
+    unsigned m_sent = 0;
+    std::map<std::string, unsigned> m_refusals;
+    std::atomic<bool> m_stop{false};
+    std::thread m_keeper;
+};
+
+} // namespace pepperlug::fleet::test
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -82,6 +82,20 @@
         return m_runs;
     }
 
+    /// When requests came that named this target, whether it ran them or not.
+    std::vector<std::chrono::steady_clock::time_point> arrivals()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_arrivals;
+    }
+
+    /// Headers of all later answers, besides those that each answer bears.
+    void setAnswerHeaders(std::vector<HeaderField> headers)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_answerHeaders = std::move(headers);
+    }
+
     /// Of the request that it ran last.
     std::optional<std::string> lastHeader(const std::string &name)
     {
@@ -112,6 +126,7 @@
     std::atomic<bool> answersForAnother{false};
     std::atomic<std::size_t> bodyBytes{0}; ///< length of answers; 0 for a short one
     std::atomic<bool> breaksOff{false}; ///< ends its connection in the middle of an answer
+    std::atomic<bool> sheds{false}; ///< answers 503 and runs nothing
 
 private:
     void onRequest(const HttpExchangePtr &exchange)
@@ -120,9 +135,14 @@
             exchange->respond({421, {{"X-Request-Id", *exchange->request().header("X-Request-Id")}}, {}});
             return;
         }
+        if (sheds) {
+            shed(exchange);
+            return;
+        }
         ++m_runs;
         {
             const std::lock_guard lock(m_mutex);
+            m_arrivals.push_back(std::chrono::steady_clock::now());
             m_last = exchange->request();
             if (m_holds) {
                 m_held.push_back(exchange);
@@ -132,10 +152,25 @@
         answer(exchange);
     }
 
+    void shed(const HttpExchangePtr &exchange)
+    {
+        Answer answer{503, {{"X-Request-Id", *exchange->request().header("X-Request-Id")}, {"X-Not-Executed", "1"}}, {}};
+        {
+            const std::lock_guard lock(m_mutex);
+            m_arrivals.push_back(std::chrono::steady_clock::now());
+            answer.headers.insert(answer.headers.end(), m_answerHeaders.begin(), m_answerHeaders.end());
+        }
+        exchange->respond(answer);
+    }
+
     void answer(const HttpExchangePtr &exchange)
     {
         const std::string id = answersForAnother ? "another" : exchange->request().header("X-Request-Id").value_or("");
-        const Answer head{200, {{"X-Request-Id", id}, {"X-Upstream-Seal", "seal"}}, {}};
+        Answer head{200, {{"X-Request-Id", id}, {"X-Upstream-Seal", "seal"}}, {}};
+        {
+            const std::lock_guard lock(m_mutex);
+            head.headers.insert(head.headers.end(), m_answerHeaders.begin(), m_answerHeaders.end());
+        }
         if (breaksOff) {
             exchange->begin(head, bodyBytes);
             exchange->more(std::string(bodyBytes / 2, 'x'));
@@ -151,6 +186,8 @@
     std::mutex m_mutex;
     bool m_holds = false;
     HttpRequest m_last;
+    std::vector<std::chrono::steady_clock::time_point> m_arrivals;
+    std::vector<HeaderField> m_answerHeaders;
     std::vector<HttpExchangePtr> m_held;
     HttpServer m_server;
 };
@@ -285,13 +322,15 @@
         return fetchOnce(m_client, call).answer;
     }
 
-    Answer get(const Address &to, const std::string &path, const std::string &id = "q")
+    Answer get(const Address &to, const std::string &path, const std::string &id = "q",
+               const std::vector<HeaderField> &further = {})
     {
         HttpCall call;
         call.to = to;
         call.method = "GET";
         call.resource = path;
         call.headers = {{"Host", "a.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "5000"}};
+        call.headers.insert(call.headers.end(), further.begin(), further.end());
         call.timeout = 10s;
         return fetchOnce(m_client, call).answer;
     }
