--- a/include/pepperlug/Backpressure.h
+++ b/include/pepperlug/Backpressure.h
@@ -1,7 +1,8 @@
 //===- pepperlug/Backpressure.h - What targets ask of those who send -*- C++ -*-===//
 //
-// What a target asks for in its answers: a limit on the requests a second that it
-// takes from all entry hosts together.
+// A target in need names in its answers how many requests a second it takes from
+// all entry hosts together. Every host keeps a table of the limits that are named
+// and tells the others what it heard. Pure: time is passed in.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -17,4 +18,55 @@
     std::string unreadable; ///< header and value that can't be read, shortened; empty: none
 };
 
+/// What one host tells another of a target.
+struct BackpressureReport {
+    Incarnation target;
+    bool isLimited = false; ///< false: it has stopped to name a limit
+    double perSecond = 0; ///< the limit
+    Milliseconds age{}; ///< since an answer said so
+    MSGPACK_DEFINE(target, isLimited, perSecond, age);
+};
+
+class BackpressureTable
+{
+public:
+    /// Takes what a target's answer asks for; `sentAt`: when the request was sent. Returns whether other hosts should
+    /// hear of it at once.
+    bool hear(const Incarnation &target, const BackpressureSignal &signal, TimePoint sentAt, TimePoint now);
+    /// Takes what another host told. `isDirect`: this host speaks for the other one towards control hosts. Returns
+    /// whether the limit is another one now.
+    bool merge(const BackpressureReport &report, bool isDirect, TimePoint now);
+    /// Drops limits that nothing has named for long; to be called regularly. Returns their targets.
+    std::vector<Incarnation> forget(TimePoint now);
+
+    /// Requests a second; nothing while none is named.
+    std::optional<double> limitOf(const Incarnation &target) const;
+    /// What changed since a version, for a reader; with version 0 all that is known.
+    std::vector<BackpressureReport> changedSince(std::uint64_t version, NewsReader reader, TimePoint now) const;
+    bool hasChangedSince(std::uint64_t version, NewsReader reader) const;
+    std::uint64_t version() const;
+    /// Targets that name a limit.
+    std::size_t limited() const;
+
+private:
+    struct Entry {
+        std::optional<double> limit;
+        TimePoint limitSince{}; ///< when this limit was heard first
+        TimePoint asOf{}; ///< when an answer named it last, or showed that none is named any more
+        unsigned unnamed = 0; ///< answers in a row that name no limit, and came late enough to lift it
+        TimePoint toldAt{}; ///< asOf, as other hosts were told it last
+        std::uint64_t directVersion = 0; ///< at the last change that this host tells control hosts
+        std::uint64_t changedVersion = 0; ///< at the last change
+    };
+
+    static std::uint64_t newestFor(const Entry &entry, NewsReader reader);
+    void setLimit(Entry &entry, std::optional<double> limit, TimePoint asOf, TimePoint now);
+    bool noteUnnamed(Entry &entry, TimePoint now);
+    void noteChange(Entry &entry, bool isDirect);
+
+    std::map<Incarnation, Entry> m_entries;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_directVersion = 0; ///< of the last change that this host tells control hosts
+};
+
 } // namespace pepperlug::fleet
--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -39,6 +39,7 @@
 };
 
 struct BalanceSettings {
+    std::string host; ///< HostReport::id of this host
     std::string zone;
     std::map<std::string, std::string> regionOfZone;
     RetryTerms retries;
@@ -130,6 +131,18 @@
     bool isRefused = false; ///< nothing listens at its address
 };
 
+/// The head of a target's answer is there, also of one that nobody waits for any more.
+struct TargetSignalled {
+    Incarnation target;
+    BackpressureSignal signal;
+    TimePoint sentAt{}; ///< when the request was sent, or earlier
+};
+
+/// Control hosts told what targets ask for in answers to other hosts.
+struct BackpressureTold {
+    std::vector<BackpressureReport> reports;
+};
+
 /// Another host told of requests under which targets ended.
 struct SuspectsTold {
     std::vector<SuspectReport> suspects;
@@ -149,9 +162,9 @@
 struct BalanceTick {
 };
 
-using BalanceEvent =
-    std::variant<RoutesChanged, ReportsChanged, NewsReceived, CallerRequest, CallerLeft, AnswerBegun, AttemptEnded,
-                 TargetChecked, SuspectsTold, TenantLoadsTold, TrialDecided, BalanceTick>;
+using BalanceEvent = std::variant<RoutesChanged, ReportsChanged, NewsReceived, CallerRequest, CallerLeft, AnswerBegun,
+                                  AttemptEnded, TargetSignalled, BackpressureTold, TargetChecked, SuspectsTold,
+                                  TenantLoadsTold, TrialDecided, BalanceTick>;
 
 //===-- Effects ---------------------------------------------------------------===//
 
@@ -159,6 +172,7 @@
     RequestId id{};
     unsigned attempt = 0; ///< 1 for the first
     std::string target;
+    Milliseconds targetStartedAt{}; ///< with the target's id, one incarnation
     std::string address;
     std::string zone;
     std::string service;
@@ -197,6 +211,13 @@
     bool isOwn = false; ///< noticed here, so other hosts have to be told
 };
 
+/// What this host knows of a target's limit has changed.
+struct LimitChanged {
+    std::string target;
+    std::optional<double> perSecond; ///< nothing: it is not limited any more
+    bool isOwn = false; ///< heard here, so other hosts have to be told
+};
+
 /// Pass on the head of the answer that an attempt gets, and its body as it comes.
 struct PassHead {
     RequestId id{};
@@ -218,6 +239,7 @@
     OverQuota, ///< its tenant has used up what it may
     NoTarget, ///< no usable target of the service
     Overloaded, ///< would not be served within the objective
+    Backpressure, ///< targets asked for less than comes
     LinkFull, ///< this host's link has no room for an answer of this size
     ShutOut, ///< targets ended under it, wherever it ran; not run
     NotReached, ///< no target could be reached in time; not run
@@ -244,8 +266,8 @@
     Refusal reason{}; ///< Lost or TimedOut
 };
 
-using BalanceEffect = std::variant<StartAttempt, CancelAttempt, CheckTarget, AskTrial, SuspectChanged, PassHead,
-                                   PassAnswer, AbortAnswer, RefuseRequest>;
+using BalanceEffect = std::variant<StartAttempt, CancelAttempt, CheckTarget, AskTrial, SuspectChanged, LimitChanged,
+                                   PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
 using BalanceEffects = std::vector<BalanceEffect>;
 
 class Balancer
@@ -275,6 +297,8 @@
     std::size_t usableTargets(TimePoint now) const;
     /// Requests under which targets ended.
     const Quarantine &quarantine() const;
+    /// What targets ask for.
+    const BackpressureTable &backpressure() const;
     /// What this host is asked for in tenants' names, to be told to control hosts.
     std::vector<TenantDemand> tenantDemand(TimePoint now);
     /// Whether that has grown so much that they should hear of it at once.
--- a/include/pepperlug/Quarantine.h
+++ b/include/pepperlug/Quarantine.h
@@ -60,12 +60,6 @@
 class Quarantine
 {
 public:
-    /// Who reads what is new.
-    enum class Reader : std::uint8_t {
-        EntryHost, ///< needs requests under which at least two targets ended, whoever noticed
-        ControlHost, ///< needs what was noticed here, or told by the hosts that this one speaks for
-    };
-
     explicit Quarantine(Duration firstTrialPause = FirstTrialPause);
 
     /// A target ended under a request. Returns whether that is new.
@@ -85,9 +79,10 @@
     std::optional<Duration> untilTrial(const std::string &digest, TimePoint now) const;
     /// Ends that speak against a request.
     std::size_t endsUnder(const std::string &digest) const;
-    /// What changed since a version, for a reader; with version 0 all that matters to it.
-    std::vector<SuspectReport> changedSince(std::uint64_t version, Reader reader, TimePoint now) const;
-    bool hasChangedSince(std::uint64_t version, Reader reader) const;
+    /// What changed since a version, for a reader; with version 0 all that matters to it. To an entry host a request
+    /// matters once at least two targets ended under it.
+    std::vector<SuspectReport> changedSince(std::uint64_t version, NewsReader reader, TimePoint now) const;
+    bool hasChangedSince(std::uint64_t version, NewsReader reader) const;
     std::uint64_t version() const;
     std::size_t size() const;
     /// Requests that are shut out.
@@ -112,7 +107,7 @@
     static TimePoint newestEnd(const Suspect &suspect);
     std::optional<TimePoint> trialDueAt(const Suspect &suspect) const;
     static bool addEnd(Suspect &suspect, const Incarnation &target, End end);
-    static std::uint64_t newestFor(const Suspect &suspect, Reader reader);
+    static std::uint64_t newestFor(const Suspect &suspect, NewsReader reader);
     static bool isForgotten(const Suspect &suspect, const End &end, TimePoint now);
     Suspect &suspectOf(const std::string &digest);
     void noteChange(Suspect &suspect, bool isDirect);
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -115,6 +115,12 @@
     }
 };
 
+/// Who reads what is new in a table that hosts keep together.
+enum class NewsReader : std::uint8_t {
+    EntryHost, ///< needs what matters to requests, whoever noticed it
+    ControlHost, ///< needs what was noticed here, or told by the hosts that this one speaks for
+};
+
 /// What the entry hosts of one region ask of one service, all together.
 struct RegionDemand {
     std::string region;
--- /dev/null
+++ b/lib/Backpressure/Backpressure.cpp
@@ -0,0 +1,167 @@
+//===- Backpressure.cpp - Limits that targets name ------------------------===//
+//
+// Answers overtake each other, and some targets name their limit in a part of their answers only. So a limit is lifted
+// by answers without one only where their requests were sent well after the limit was named last, and of two limits the
+// lower one holds until an answer came to a request that was sent after the first was known.
+//
+//===----------------------------------------------------------------------===//
+#include "pepperlug/Backpressure.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// From the last answer that named a limit to the first request whose answer may lift it.
+constexpr std::chrono::seconds LiftDelay{1};
+/// Such answers in a row that lift it.
+constexpr unsigned AnswersToLift = 2;
+/// A limit that no answer has named for longer is forgotten.
+constexpr std::chrono::seconds LimitMemory{30};
+/// Others are told again that a limit is still named; several times within LimitMemory.
+constexpr std::chrono::seconds RenewInterval{5};
+/// A limit that moves by less than this part is not worth a message.
+constexpr double LimitTolerance = 0.1;
+/// Requests a second that a target gets at least, whatever it names, so that it is heard when it takes more again.
+constexpr double LeastLimit = 0.05;
+
+bool isAlike(const std::optional<double> &lhs, const std::optional<double> &rhs)
+{
+    if (!lhs || !rhs) {
+        return lhs.has_value() == rhs.has_value();
+    }
+    return std::abs(*lhs - *rhs) <= LimitTolerance * std::max(*lhs, *rhs);
+}
+
+} // namespace
+
+void BackpressureTable::setLimit(Entry &entry, std::optional<double> limit, TimePoint asOf, TimePoint now)
+{
+    if (entry.limit != limit) {
+        entry.limitSince = now;
+    }
+    entry.limit = limit;
+    entry.asOf = asOf;
+    entry.unnamed = 0;
+}
+
+bool BackpressureTable::noteUnnamed(Entry &entry, TimePoint now)
+{
+    if (++entry.unnamed < AnswersToLift) {
+        return false;
+    }
+    setLimit(entry, std::nullopt, now, now);
+    noteChange(entry, true);
+    return true;
+}
+
+void BackpressureTable::noteChange(Entry &entry, bool isDirect)
+{
+    entry.toldAt = entry.asOf;
+    entry.changedVersion = ++m_version;
+    if (isDirect) {
+        entry.directVersion = m_version;
+        m_directVersion = m_version;
+    }
+}
+
+bool BackpressureTable::hear(const Incarnation &target, const BackpressureSignal &signal, TimePoint sentAt,
+                             TimePoint now)
+{
+    const auto known = m_entries.find(target);
+    if (!signal.perSecond) {
+        const bool tellsOfLift = known != m_entries.end() && known->second.limit && signal.unreadable.empty()
+            && sentAt - known->second.asOf >= LiftDelay;
+        return tellsOfLift && noteUnnamed(known->second, now);
+    }
+    double limit = std::max(*signal.perSecond, LeastLimit);
+    Entry &entry = known != m_entries.end() ? known->second : m_entries[target];
+    const std::optional<double> before = entry.limit;
+    if (before && sentAt < entry.limitSince) {
+        limit = std::min(limit, *before);
+    }
+    setLimit(entry, limit, now, now);
+    const bool isNew = !isAlike(before, entry.limit);
+    if (isNew || now - entry.toldAt >= RenewInterval) {
+        noteChange(entry, true);
+    }
+    return isNew;
+}
+
+bool BackpressureTable::merge(const BackpressureReport &report, bool isDirect, TimePoint now)
+{
+    const TimePoint asOf = now - report.age;
+    const auto known = m_entries.find(report.target);
+    const bool isOld = known == m_entries.end() ? !report.isLimited : asOf <= known->second.asOf;
+    const bool isReadable = std::isfinite(report.perSecond) && (!report.isLimited || report.perSecond > 0);
+    if (isOld || !isReadable) {
+        return false;
+    }
+    Entry &entry = m_entries[report.target];
+    const std::optional<double> before = entry.limit;
+    setLimit(entry, report.isLimited ? std::optional(report.perSecond) : std::nullopt, asOf, now);
+    const bool isNew = !isAlike(before, entry.limit);
+    if (isNew || asOf - entry.toldAt >= RenewInterval / 2) {
+        noteChange(entry, isDirect);
+    }
+    return before != entry.limit;
+}
+
+std::vector<Incarnation> BackpressureTable::forget(TimePoint now)
+{
+    std::vector<Incarnation> forgotten;
+    std::erase_if(m_entries, [&](const auto &it) {
+        const bool isOver = now - it.second.asOf > LimitMemory;
+        if (isOver) {
+            forgotten.push_back(it.first);
+        }
+        return isOver;
+    });
+    return forgotten;
+}
+
+std::optional<double> BackpressureTable::limitOf(const Incarnation &target) const
+{
+    const auto it = m_entries.find(target);
+    return it == m_entries.end() ? std::nullopt : it->second.limit;
+}
+
+std::uint64_t BackpressureTable::newestFor(const Entry &entry, NewsReader reader)
+{
+    return reader == NewsReader::ControlHost ? entry.directVersion : entry.changedVersion;
+}
+
+std::vector<BackpressureReport> BackpressureTable::changedSince(std::uint64_t version, NewsReader reader,
+                                                                TimePoint now) const
+{
+    std::vector<BackpressureReport> reports;
+    for (const auto &[target, entry] : m_entries) {
+        if (version == 0 || newestFor(entry, reader) > version) {
+            const auto age = std::chrono::duration_cast<Milliseconds>(now - entry.asOf);
+            reports.push_back({target, entry.limit.has_value(), entry.limit.value_or(0), age});
+        }
+    }
+    return reports;
+}
+
+bool BackpressureTable::hasChangedSince(std::uint64_t version, NewsReader reader) const
+{
+    return (reader == NewsReader::ControlHost ? m_directVersion : m_version) > version;
+}
+
+std::uint64_t BackpressureTable::version() const
+{
+    return m_version;
+}
+
+std::size_t BackpressureTable::limited() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [](const auto &it) { return it.second.limit.has_value(); }));
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -68,6 +68,8 @@
         return "no-target";
     case Refusal::Overloaded:
         return "overloaded";
+    case Refusal::Backpressure:
+        return "backpressure";
     case Refusal::LinkFull:
         return "link-full";
     case Refusal::ShutOut:
@@ -130,6 +132,7 @@
     if (event.isWhole) {
         m_targets.doubtOthers(event.changes, m_now);
     }
+    followLimits();
     followPlans();
 }
 
@@ -172,7 +175,8 @@
     const Placement placement = place(open);
     if (placement.target == nullptr) {
         const double excess = std::max(0.0, placement.fill - placement.admissibleFill);
-        refuse(open, placement.refusal, std::chrono::duration_cast<Duration>(work * excess));
+        const Duration drainTime = std::chrono::duration_cast<Duration>(work * excess);
+        refuse(open, placement.refusal, std::max(drainTime, placement.untilRoom));
         return;
     }
     if (!isWithinQuota(open)) {
@@ -190,14 +194,19 @@
     const unsigned number = ++open.started;
     const double bytes = m_stats[open.route.name].answerBytes() + HeadBytes;
     m_link.take(bytes, m_now);
-    open.attempts[number] = {
-        {target.report.id, target.report.startedAt}, target.report.address, m_now, placement.fill, bytes};
+    open.attempts[number] = {{target.report.id, target.report.startedAt},
+                             target.report.address,
+                             m_now,
+                             placement.fill,
+                             bytes,
+                             target.limit.has_value()};
     open.tried.insert(target.report.id);
     open.lastTarget = target.report.id;
     StartAttempt effect;
     effect.id = open.request.id;
     effect.attempt = number;
     effect.target = target.report.id;
+    effect.targetStartedAt = target.report.startedAt;
     effect.address = target.report.address;
     effect.zone = target.report.zone;
     effect.service = open.service;
@@ -226,6 +235,9 @@
     const Milliseconds least = leastRetryAfter(open.route);
     const Milliseconds drain = std::chrono::duration_cast<Milliseconds>(drainTime);
     Milliseconds base = m_settings.policy.advisesByQueue ? std::clamp(drain, least, LongestRetryAfter) : least;
+    if (reason == Refusal::Backpressure) {
+        base = std::clamp(drain, least, LongestBackpressureAdvice);
+    }
     if (reason == Refusal::OverQuota) {
         base = m_quotas.retryAfter(open.tenant);
     }
@@ -321,6 +333,9 @@
     const Attempt attempt = ended->second;
     open.attempts.erase(ended);
     m_targets.attemptEnded(attempt.target, event.outcome, event.load, m_now);
+    if (attempt.isPaced && (event.outcome == AttemptOutcome::NotSent || event.outcome == AttemptOutcome::Withdrawn)) {
+        m_targets.giveLimitBack(attempt.target);
+    }
     if (isCertainlyNotRun(event.outcome)) {
         m_link.take(-attempt.expectedBytes, m_now);
     }
@@ -328,6 +343,7 @@
         m_link.take(static_cast<double>(event.answerBytes) + HeadBytes - attempt.expectedBytes, m_now);
         m_stats[open.route.name].addAnswerBytes(event.answerBytes);
         m_stats[open.route.name].add(m_now - attempt.startedAt, attempt.fill);
+        noteWork(open, m_now - attempt.startedAt);
         m_out->emplace_back(PassAnswer{open.request.id, event.attempt});
         if (!event.isFailure) {
             excuse(open);
@@ -419,6 +435,7 @@
     hedgeSilent();
     followPlans();
     m_quarantine.forget(m_now);
+    forgetLimits();
 }
 
 std::size_t Balancer::Impl::open() const
@@ -508,6 +525,11 @@
     return m_impl->quarantine();
 }
 
+const BackpressureTable &Balancer::backpressure() const
+{
+    return m_impl->backpressure();
+}
+
 std::vector<TenantDemand> Balancer::tenantDemand(TimePoint now)
 {
     return m_impl->tenantDemand(now);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -29,6 +29,7 @@
     bool maySend(RequestId id, unsigned attempt) const;
     std::size_t usableTargets(TimePoint now) const;
     const Quarantine &quarantine() const;
+    const BackpressureTable &backpressure() const;
     std::vector<TenantDemand> tenantDemand(TimePoint now);
     bool hasTenantSurged(TimePoint now) const;
 
@@ -39,6 +40,7 @@
         TimePoint startedAt{};
         double fill = 0;
         double expectedBytes = 0; ///< counted for its answer
+        bool isPaced = false; ///< taken from this host's part of the target's limit
     };
 
     struct OpenRequest {
@@ -81,6 +83,7 @@
         double fill = 0;
         Refusal refusal{};
         double admissibleFill = 1;
+        Duration untilRoom{}; ///< Refusal::Backpressure: until a target takes one more
     };
 
     // Balancer.cpp
@@ -118,6 +121,13 @@
     bool isWithinQuota(OpenRequest &open);
     void giveQuotaBack(const OpenRequest &open, Refusal reason);
 
+    // Backpressures.cpp
+    void on(const TargetSignalled &event);
+    void on(const BackpressureTold &event);
+    void followLimits();
+    void forgetLimits();
+    void noteWork(const OpenRequest &open, Duration took);
+
     // Suspicion.cpp
     void on(const TargetChecked &event);
     void on(const SuspectsTold &event);
@@ -157,12 +167,14 @@
     std::map<std::string, RouteStats> m_stats; ///< by route
     Quarantine m_quarantine;
     QuotaShares m_quotas;
+    BackpressureTable m_backpressure;
     /// Requests whose connection ended at a target of which it is not known yet whether it has ended: their digests.
     std::map<Incarnation, std::set<std::string>> m_unchecked;
     LinkBudget m_link;
     std::map<std::string, ArrivalRate> m_arrivals; ///< by service: slots that requests keep busy
     ArrivalRate m_askedBytes;
     std::map<std::string, ShiftAllowance> m_overflow; ///< by service
+    std::map<std::string, double> m_meanWork; ///< by service: s, of the answers lately
     std::map<std::string, std::vector<double>> m_turns; ///< by route: what each part of a split is owed
     TimePoint m_now{};
     TimePoint m_planDue{};
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -72,9 +72,12 @@
     query.admissibleFill = admissibleFill(open, !region.empty() && region != m_region);
     Placement placement;
     placement.admissibleFill = query.admissibleFill;
-    placement.target = m_targets.choose(query, m_now);
+    query.isUrgent = isMostUrgent(open.route);
+    const TargetChoice choice = m_targets.choose(query, m_now);
+    placement.target = choice.target;
     if (placement.target == nullptr) {
-        placement.refusal = Refusal::NoTarget;
+        placement.refusal = choice.untilRoom ? Refusal::Backpressure : Refusal::NoTarget;
+        placement.untilRoom = choice.untilRoom.value_or(Duration(0));
         return placement;
     }
     placement.fill = (placement.target->believedRequests(m_now) + 1) / placement.target->slots();
@@ -155,13 +158,15 @@
     if (planned.target != nullptr && planned.fill <= planned.admissibleFill) {
         return planned;
     }
-    const bool regionIsDead = planned.target == nullptr;
-    const Placement overloaded{nullptr, planned.fill, Refusal::Overloaded, planned.admissibleFill};
-    if (!regionIsDead && open.affinity != 0 && !open.isReturning) {
+    const bool isHeldBack = planned.target == nullptr && planned.refusal == Refusal::Backpressure;
+    const bool regionIsDead = planned.target == nullptr && !isHeldBack;
+    const Placement overloaded =
+        isHeldBack ? planned : Placement{nullptr, planned.fill, Refusal::Overloaded, planned.admissibleFill};
+    if (!regionIsDead && !isHeldBack && open.affinity != 0 && !open.isReturning) {
         return overloaded;
     }
     // A returning caller is served by whoever has room, at the price of a target that has to learn its key.
-    Placement other = placeIn(open, {}, regionIsDead);
+    Placement other = placeIn(open, {}, regionIsDead || isHeldBack);
     if (other.target == nullptr) {
         return regionIsDead ? other : overloaded;
     }
@@ -184,7 +189,9 @@
     const double window = std::chrono::duration<double>(m_settings.shiftWindow).count();
     const double step = m_settings.maxShift / window / 2;
     for (const ServiceTraits &service : m_table->services) {
-        const std::map<std::string, double> capacity = m_targets.capacity(service.name, m_now);
+        const auto work = m_meanWork.find(service.name);
+        const std::map<std::string, double> capacity = m_targets.capacity(
+            service.name, work == m_meanWork.end() ? std::nullopt : std::optional(work->second), m_now);
         std::map<std::string, double> demand = m_targets.demand(service.name);
         double sum = 0;
         for (const auto &[region, slots] : demand) {
--- a/lib/Balance/RetryAdvice.h
+++ b/lib/Balance/RetryAdvice.h
@@ -19,6 +19,8 @@
 /// half used: of 1,634 callers that meet a full one 982 are taken by the next host 20 ms later. When they were told to
 /// wait a part of the objective as many were taken, 130 to 270 ms later with an objective of 400 ms.
 constexpr Milliseconds ElsewhereRetryAfter{20};
+/// Where targets asked for less: until one has room. Nobody is told to wait for longer than most callers have.
+constexpr Milliseconds LongestBackpressureAdvice{5000};
 /// Where no routing is known yet, so that no objective is.
 constexpr Milliseconds StartRetryAfter{300};
 
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -157,6 +157,10 @@
     if (target == nullptr || !m_targets.takesWork(*target)) {
         return false;
     }
+    const bool isBeyondLimit = target->limit && !started->second.isPaced;
+    if (isBeyondLimit) {
+        return false; // the limit was heard after the target was chosen
+    }
     const Route *route = routeInForce(open);
     const Asker asker = askerOf(open.request, route);
     // What is about to leave names the tenant that held the key when the target was chosen.
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -99,11 +99,13 @@
     }
     for (const AgedReport<HostReport> &it : changes.hosts) {
         const bool isLive = it.report.presence == Presence::Ready && !it.isSilent;
+        const std::size_t before = m_entryHosts.size();
         if (it.report.role == HostRole::Entry && isLive) {
             m_entryHosts[it.report.id] = it.report;
         } else {
             m_entryHosts.erase(it.report.id);
         }
+        m_entryHostsVersion += m_entryHosts.size() != before ? 1 : 0;
     }
 }
 
@@ -246,10 +248,11 @@
     return *std::min_element(first.begin(), first.end(), isEmptier);
 }
 
-TargetState *TargetSet::choose(const TargetQuery &query, TimePoint now)
+TargetChoice TargetSet::choose(const TargetQuery &query, TimePoint now)
 {
     std::vector<TargetState *> open;
     std::vector<TargetState *> blocked;
+    std::optional<Duration> untilRoom;
     for (auto &[id, target] : m_targets) {
         const bool fits = target.report.service == query.service
             && (query.homeRegions == nullptr || isHome(*query.homeRegions, target))
@@ -257,18 +260,76 @@
         if (!fits || !isUsable(target, now) || (target.isCold(now) && !mayWarm(target, now))) {
             continue;
         }
+        if (const std::optional<Duration> wait = untilLimitAllows(target, query, now)) {
+            untilRoom = std::min(untilRoom.value_or(*wait), *wait);
+            continue;
+        }
         const bool isDoubtful = now < target.blockedUntil || target.isSuspect(now, query.patience);
         (isDoubtful ? blocked : open).push_back(&target);
     }
     if (!open.empty()) {
-        return chooseAmong(open, query, now);
+        return {chooseAmong(open, query, now), std::nullopt};
     }
     // All failed lately: the one whose turn to be tried again comes first.
     const auto it =
         std::min_element(blocked.begin(), blocked.end(), [](const TargetState *lhs, const TargetState *rhs) {
             return lhs->blockedUntil < rhs->blockedUntil;
         });
-    return it == blocked.end() ? nullptr : *it;
+    return it == blocked.end() ? TargetChoice{nullptr, untilRoom} : TargetChoice{*it, std::nullopt};
+}
+
+void TargetSet::setLimit(const Incarnation &incarnation, std::optional<double> perSecond)
+{
+    TargetState *target = find(incarnation);
+    if (target == nullptr) {
+        return;
+    }
+    if (!perSecond) {
+        target->bucket = {};
+    }
+    target->limit = perSecond;
+}
+
+void TargetSet::giveLimitBack(const Incarnation &incarnation)
+{
+    TargetState *target = find(incarnation);
+    if (target != nullptr) {
+        target->bucket.giveBack();
+    }
+}
+
+// How many live entry hosts come before this one by rendezvous hashing for the target.
+std::size_t TargetSet::limitRank(TargetState &target) const
+{
+    if (target.rankedAt != m_entryHostsVersion) {
+        const std::uint64_t own = hash64(m_settings.host, target.hash);
+        target.limitRank =
+            static_cast<std::size_t>(std::count_if(m_entryHosts.begin(), m_entryHosts.end(), [&](const auto &it) {
+                return it.first != m_settings.host && hash64(it.first, target.hash) < own;
+            }));
+        target.rankedAt = m_entryHostsVersion;
+    }
+    return target.limitRank;
+}
+
+// Nothing if a request may go there now. Less urgent requests leave one that is saved up to urgent ones.
+std::optional<Duration> TargetSet::untilLimitAllows(TargetState &target, const TargetQuery &query, TimePoint now) const
+{
+    if (!target.limit) {
+        return std::nullopt;
+    }
+    const std::size_t hosts = m_entryHosts.size() + (m_entryHosts.contains(m_settings.host) ? 0 : 1);
+    const std::size_t owners = ownersOf(*target.limit, hosts);
+    if (limitRank(target) >= owners) {
+        // An owner may have room; how soon is not known here.
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / *target.limit));
+    }
+    if (!target.bucket.isStarted()) {
+        target.bucket.start(unitInterval(hash64(target.report.id, m_settings.seed)), now);
+    }
+    const LimitShare share = shareOf(*target.limit, owners);
+    const double wanted = query.isUrgent ? 1 : 2;
+    return target.bucket.has(wanted, share, now) ? std::nullopt : std::optional(target.bucket.until(wanted, share));
 }
 
 TargetState *TargetSet::find(const Incarnation &incarnation)
@@ -296,6 +357,9 @@
     if (interval) {
         target.coldTokenAt = now + *interval;
     }
+    if (target.limit) {
+        target.bucket.take();
+    }
 }
 
 void TargetSet::attemptCancelled(const Incarnation &incarnation)
@@ -363,13 +427,16 @@
     target.blockedUntil = now + std::min<Duration>(FirstBlock * (1 << doublings), LongestBlock);
 }
 
-std::map<std::string, double> TargetSet::capacity(std::string_view service, TimePoint now) const
+std::map<std::string, double> TargetSet::capacity(std::string_view service, std::optional<double> work,
+                                                  TimePoint now) const
 {
     std::map<std::string, double> slots;
     for (const auto &[id, target] : m_targets) {
-        if (target.report.service == service && isUsable(target, now)) {
-            slots[target.region] += target.slots();
+        if (target.report.service != service || !isUsable(target, now)) {
+            continue;
         }
+        const bool isLimited = target.limit && work;
+        slots[target.region] += isLimited ? std::min(target.slots(), *target.limit * *work) : target.slots();
     }
     return slots;
 }
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "LimitShare.h"
 #include "pepperlug/Balance.h"
 
 #include <unordered_map>
@@ -31,6 +32,10 @@
     std::optional<TimePoint> awaitingSince; ///< requests are there, and nothing came back since then
     unsigned failures = 0; ///< in a row
     TimePoint blockedUntil{};
+    std::optional<double> limit; ///< requests a second that it takes from all hosts together
+    LimitBucket bucket; ///< of this host's part of the limit
+    std::size_t limitRank = 0; ///< of this host among those that may share the limit
+    std::uint64_t rankedAt = 0; ///< version of the entry hosts as of the rank; 0: not ranked yet
 
     /// Requests there, of all hosts, as believed.
     double believedRequests(TimePoint now) const;
@@ -49,6 +54,14 @@
     std::string region; ///< empty: any
     Duration patience{}; ///< silence after which a target with requests is not trusted
     double admissibleFill = 1; ///< requests over slots, this one included, up to which it would be answered in time
+    bool isUrgent = false; ///< no route of the service is more urgent
+};
+
+/// Where a request may go.
+struct TargetChoice {
+    TargetState *target = nullptr; ///< null if there is none
+    /// With no target: until one has room that was left out for what it asks for alone; nothing if none was.
+    std::optional<Duration> untilRoom;
 };
 
 class TargetSet
@@ -65,8 +78,8 @@
     void setTable(std::shared_ptr<const RouteTable> table);
     void setEvacuatedZones(const std::set<std::string> &zones, TimePoint now);
 
-    /// Best target for a request; null if none is usable.
-    TargetState *choose(const TargetQuery &query, TimePoint now);
+    /// Best target for a request.
+    TargetChoice choose(const TargetQuery &query, TimePoint now);
     /// Null if it is not known, or has started again since.
     TargetState *find(const Incarnation &incarnation);
     const TargetState *find(const Incarnation &incarnation) const;
@@ -83,8 +96,14 @@
     /// No connection to it could be made.
     void noteUnreachable(const Incarnation &incarnation, TimePoint now);
 
-    /// Slots of usable targets by region.
-    std::map<std::string, double> capacity(std::string_view service, TimePoint now) const;
+    /// A target names a limit of requests a second, or none any more.
+    void setLimit(const Incarnation &incarnation, std::optional<double> perSecond);
+    /// A request that was taken from this host's part of a limit was not sent.
+    void giveLimitBack(const Incarnation &incarnation);
+
+    /// Slots of usable targets by region. Of a limited target no more than its limit keeps busy, with requests that
+    /// take `work` seconds each; nothing: that is not known.
+    std::map<std::string, double> capacity(std::string_view service, std::optional<double> work, TimePoint now) const;
     /// What the entry hosts of each region ask of a service.
     std::map<std::string, double> demand(std::string_view service) const;
     std::size_t usable(TimePoint now) const;
@@ -98,6 +117,8 @@
     static void blockAfterFailures(TargetState &target, TimePoint now);
     static void setColdUntil(TargetState &target, TimePoint until, TimePoint now);
     bool mayWarm(TargetState &target, TimePoint now) const;
+    std::size_t limitRank(TargetState &target) const;
+    std::optional<Duration> untilLimitAllows(TargetState &target, const TargetQuery &query, TimePoint now) const;
     std::size_t warmers(const TargetState &target) const;
     bool isWarmer(const TargetState &target) const;
     bool warmsZone(const HostReport &host, const TargetState &target) const;
@@ -108,6 +129,7 @@
     std::set<std::string> m_evacuated;
     std::unordered_map<std::string, TargetState> m_targets;
     std::map<std::string, HostReport> m_entryHosts; ///< live ones, by id
+    std::uint64_t m_entryHostsVersion = 1; ///< rises when one comes or goes
     std::vector<RegionDemand> m_demand;
 };
 
--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -70,6 +70,7 @@
             m_epoch.clear();
             m_since = 0;
             m_suspectsSince = 0;
+            m_backpressureSince = 0;
             m_loadsSince = 0;
         }
         m_control = to;
@@ -90,7 +91,8 @@
     call.epoch = epoch;
     const std::lock_guard lock(m_mutex);
     call.since = m_since;
-    call.suspectsSince = m_suspectsSince;
+    call.suspects.since = m_suspectsSince;
+    call.backpressure.since = m_backpressureSince;
     call.loadsSince = m_loadsSince;
     return call;
 }
@@ -156,7 +158,8 @@
         // Only now may an ask or a sign of life say that this host acts upon it.
         m_epoch = news->epoch;
         m_since = isAllTaken ? news->version : 0;
-        m_suspectsSince = news->suspectsVersion;
+        m_suspectsSince = news->suspects.version;
+        m_backpressureSince = news->backpressure.version;
         m_loadsSince = news->loadsVersion;
     }
     m_isAsking = false;
--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -61,6 +61,7 @@
     std::string m_epoch;
     std::uint64_t m_since = 0;
     std::uint64_t m_suspectsSince = 0;
+    std::uint64_t m_backpressureSince = 0;
     std::uint64_t m_loadsSince = 0;
     bool m_isAsking = false;
     bool m_isLost = true;
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -1,6 +1,7 @@
 //===- FleetMessages.h - What hosts of a fleet say to each other -*- C++ -*-===//
 #pragma once
 
+#include "pepperlug/Backpressure.h"
 #include "pepperlug/Quarantine.h"
 #include "pepperlug/Quota.h"
 
@@ -18,6 +19,26 @@
 namespace pepperlug::fleet
 {
 
+/// What a host tells another one from a table that hosts keep together, and asks of the other one's.
+template <typename Report>
+struct NewsOffer {
+    std::uint64_t since = 0; ///< version of the asked host's table that the asker has
+    /// By an entry host: what it noticed since it was told that the asked host has the rest; all that it knows where
+    /// the asked host has nothing of it yet.
+    std::vector<Report> reports;
+    std::uint64_t upTo = 0; ///< version of the asker's table that the asked host has with them
+    MSGPACK_DEFINE(since, reports, upTo);
+};
+
+/// What is replied to a NewsOffer.
+template <typename Report>
+struct NewsAnswer {
+    std::vector<Report> reports; ///< that changed since NewsOffer::since
+    std::uint64_t version = 0; ///< of the told host's table
+    std::uint64_t heard = 0; ///< NewsOffer::upTo of the ask
+    MSGPACK_DEFINE(reports, version, heard);
+};
+
 /// Body of path::FleetWatch: a host says that it lives and asks for what it has not got yet. Also of path::FleetAlive,
 /// which says the same and asks for nothing, while the reply to an ask is still on its way.
 struct FleetWatchCall {
@@ -30,14 +51,11 @@
     /// By a control host: news of the asked host that it and all its followers have. By an entry host: the log index
     /// such that it decides nothing by an older routing.
     NewsPosition confirmed;
-    std::uint64_t suspectsSince = 0; ///< version of the asked host's quarantine that the asker has
-    /// By an entry host: what it noticed of requests under which targets ended, since it was told that the asked host
-    /// has the rest; all that it knows where the asked host has nothing of it yet.
-    std::vector<SuspectReport> suspects;
-    std::uint64_t suspectsUpTo = 0; ///< version of the asker's quarantine that the asked host has with them
+    NewsOffer<SuspectReport> suspects; ///< requests under which targets ended
+    NewsOffer<BackpressureReport> backpressure; ///< what targets ask for in their answers
     std::uint64_t loadsSince = 0; ///< version of the asked host's QuotaSums that the asker has
-    MSGPACK_DEFINE(self, epoch, since, routingIndex, routingHeard, patience, confirmed, suspectsSince, suspects,
-                   suspectsUpTo, loadsSince);
+    MSGPACK_DEFINE(self, epoch, since, routingIndex, routingHeard, patience, confirmed, suspects, backpressure,
+                   loadsSince);
 };
 
 /// Reply to path::FleetWatch.
@@ -53,13 +71,12 @@
     /// For entry hosts that have an older one: what changed since, where it is short; a long one is asked for apart, so
     /// that nothing else queues behind it.
     std::vector<std::string> routingChanges;
-    std::vector<SuspectReport> suspects; ///< that changed since the asker's FleetWatchCall::suspectsSince
-    std::uint64_t suspectsVersion = 0; ///< version of the told host's quarantine
-    std::uint64_t suspectsHeard = 0; ///< FleetWatchCall::suspectsUpTo of the ask
+    NewsAnswer<SuspectReport> suspects;
+    NewsAnswer<BackpressureReport> backpressure;
     std::uint64_t loadsVersion = 0; ///< for entry hosts: version of the told host's QuotaSums
     std::vector<TenantLoad> loads; ///< for entry hosts: all of them, where the asker has another version
     MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, remembered, routingIndex, routingChanges,
-                   suspects, suspectsVersion, suspectsHeard, loadsVersion, loads);
+                   suspects, backpressure, loadsVersion, loads);
 };
 
 /// Body of path::FleetTrial: may a request that is shut out be tried once? The leading control host decides.
--- /dev/null
+++ b/lib/Fleet/GatewayBackpressure.cpp
@@ -0,0 +1,58 @@
+//===- GatewayBackpressure.cpp - What targets ask for, at an entry host ---===//
+#include "GatewayImpl.h"
+
+namespace pepperlug::fleet
+{
+
+nlohmann::json GatewayDaemon::Impl::describeSignal(const BackpressureSignal &signal)
+{
+    nlohmann::json fields = nlohmann::json::object();
+    if (signal.perSecond) {
+        m_metrics.count("pepperlug_target_signals{kind=\"limit\"}");
+        fields["limit_per_s"] = *signal.perSecond;
+    }
+    if (!signal.unreadable.empty()) {
+        m_metrics.count("pepperlug_target_signals{kind=\"unreadable\"}");
+        fields["unreadable"] = signal.unreadable;
+    }
+    return fields;
+}
+
+// The mutex is held.
+void GatewayDaemon::Impl::describeBackpressure(FleetWatchCall &call, const std::string &epoch)
+{
+    const BackpressureTable &table = m_balancer->backpressure();
+    offerNews(call.backpressure, table, m_toldBackpressure, epoch, m_clock.now());
+    m_metrics.gauge("pepperlug_targets_limited", static_cast<double>(table.limited()));
+}
+
+void GatewayDaemon::Impl::onBackpressureTold(const FleetWatchReply &reply)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_toldBackpressure = {reply.epoch, reply.backpressure.heard};
+    }
+    if (!reply.backpressure.reports.empty()) {
+        reduce(BackpressureTold{reply.backpressure.reports});
+    }
+}
+
+// Only what certainly comes from the target: another incarnation may have its address.
+void GatewayDaemon::Impl::onTargetSignal(const Incarnation &target, const Answer &answer, TimePoint sentAt)
+{
+    const AnswerTerms terms = m_dialect.readAnswer(answer);
+    if (!terms.isWrongTarget && (terms.isComplete || !terms.isExecuted)) {
+        reduce(TargetSignalled{target, terms.backpressure, sentAt});
+    }
+}
+
+void GatewayDaemon::Impl::carryOut(const LimitChanged &effect)
+{
+    m_hasNewsToTell |= effect.isOwn;
+    m_events.state("target-limit",
+                   {{"target", effect.target},
+                    {"limit_per_s", effect.perSecond ? nlohmann::json(*effect.perSecond) : nlohmann::json()},
+                    {"noticed_here", effect.isOwn}});
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -39,6 +39,7 @@
 BalanceSettings balanceSettings(const FleetSettings &settings, const std::string &incarnation)
 {
     BalanceSettings balance;
+    balance.host = incarnation;
     balance.zone = settings.zone;
     balance.regionOfZone = settings.regionOfZone;
     balance.retries = settings.bounds.retries;
@@ -83,6 +84,7 @@
         call.routingHeard = m_routingLag.newest();
         call.confirmed.routing = actsUpon();
         describeSuspects(call, epoch);
+        describeBackpressure(call, epoch);
         return call;
     };
     hooks.candidates = [this] {
@@ -118,7 +120,7 @@
 void GatewayDaemon::Impl::tick()
 {
     reduce(BalanceTick{});
-    tellSuspects();
+    tellNews();
     tellSurges();
     const TimePoint now = m_clock.now();
     if (knowsControlHosts()) {
@@ -130,6 +132,20 @@
     m_metrics.gauge("pepperlug_view_age_seconds", secondsOf(viewAge()));
 }
 
+// Told with the next ask, up to half a second later, a request that ends targets would cost further ones, and a target
+// that asks for less would get as much as before.
+void GatewayDaemon::Impl::tellNews()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_hasNewsToTell) {
+            return;
+        }
+        m_hasNewsToTell = false;
+    }
+    m_watch->hurry();
+}
+
 // With the next ask, up to half a second later, control hosts would hear of a crowd when it has used up the limit.
 void GatewayDaemon::Impl::tellSurges()
 {
@@ -303,6 +319,7 @@
         reduce(ReportsChanged{reply.changes, reply.isWhole, reply.demand, reply.remembered});
     }
     onSuspectsTold(reply);
+    onBackpressureTold(reply);
     onLoadsTold(reply);
     followRouting(receipt.from, reply);
     tellAgeOfNews();
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -10,6 +10,7 @@
 #include "../Daemon/TaskThread.h"
 #include "ControlWatch.h"
 #include "EventLog.h"
+#include "NewsExchange.h"
 #include "pepperlug/Fleet.h"
 #include "pepperlug/Quarantine.h"
 #include "RoutingLag.h"
@@ -63,6 +64,7 @@
     void onLink(const Address &control, bool isLost, const std::string &reason);
     void onLoadsTold(const FleetWatchReply &reply);
     void tellSurges();
+    void tellNews();
     void onReadiness(const HttpExchangePtr &exchange);
     bool isReady();
     bool closeIfIdle();
@@ -76,10 +78,15 @@
     void tellAgeOfNews();
     std::uint64_t actsUpon() const;
 
+    // GatewayBackpressure.cpp
+    void describeBackpressure(FleetWatchCall &call, const std::string &epoch);
+    void onBackpressureTold(const FleetWatchReply &reply);
+    void onTargetSignal(const Incarnation &target, const Answer &answer, TimePoint sentAt);
+    void carryOut(const LimitChanged &effect);
+
     // GatewaySuspects.cpp
     void describeSuspects(FleetWatchCall &call, const std::string &epoch);
     void onSuspectsTold(const FleetWatchReply &reply);
-    void tellSuspects();
     void carryOut(const CheckTarget &effect);
     void carryOut(const AskTrial &effect);
     void carryOut(const SuspectChanged &effect);
@@ -88,7 +95,7 @@
     void onHttp(const HttpExchangePtr &exchange);
     bool onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, std::uint64_t length);
     void onAnswerPart(RequestId id, unsigned attempt, std::string_view part);
-    void onAttemptEnded(RequestId id, unsigned attempt, const std::string &target, HttpResult result);
+    void onAttemptEnded(RequestId id, unsigned attempt, const Incarnation &target, HttpResult result);
     void reduce(const BalanceEvent &event);
     /// Null if it has ended; the mutex is held.
     OpenExchange *findOpen(RequestId id);
@@ -98,16 +105,9 @@
     void carryOut(const PassAnswer &effect);
     void carryOut(const AbortAnswer &effect);
     void carryOut(const RefuseRequest &effect);
-    nlohmann::json describeBackpressure(const BackpressureSignal &signal);
+    nlohmann::json describeSignal(const BackpressureSignal &signal);
     AttemptEnded readResult(RequestId id, unsigned attempt, HttpResult &result);
 
-    /// Up to where something was told, between this host and one life of a control host.
-    struct ToldVersion {
-        std::string epoch; ///< of the control host's life
-        std::uint64_t version = 0;
-        bool operator==(const ToldVersion &) const = default;
-    };
-
     FleetSettings m_settings;
     const Clock &m_clock;
     CallerDialectTable m_dialect;
@@ -131,7 +131,8 @@
     TimePoint m_nextAskForControlHosts{};
     std::optional<TimePoint> m_viewAsOf; ///< all that a control host in touch with a majority knew then is known here
     ToldVersion m_toldSuspects; ///< of this host's quarantine, by this host
-    bool m_hasSuspectsToTell = false; ///< noticed since the last ask
+    ToldVersion m_toldBackpressure; ///< of what targets ask for, by this host
+    bool m_hasNewsToTell = false; ///< of both, noticed since the last ask
     ToldVersion m_toldLoads; ///< of the loads of tenants, by the control host
     TimePoint m_nextSurge{};
     Address m_followed; ///< control host that replied last
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -105,7 +105,10 @@
     };
     const RequestId id = effect.id;
     const unsigned attempt = effect.attempt;
-    call.onLargeHead = [this, id, attempt](const Answer &head, std::uint64_t length) {
+    const Incarnation target{effect.target, effect.targetStartedAt};
+    const TimePoint sentAt = m_clock.now();
+    call.onLargeHead = [this, id, attempt, target, sentAt](const Answer &head, std::uint64_t length) {
+        onTargetSignal(target, head, sentAt);
         return onAnswerBegun(id, attempt, head, length);
     };
     call.onPart = [this, id, attempt](std::string_view part) {
@@ -129,10 +132,12 @@
                        {"has_homes", effect.hasHomes},
                        {"view_age_ms", viewAge().count()},
                        {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
-    open.calls[attempt] =
-        m_client->start(std::move(call), [this, id, attempt, target = effect.target](HttpResult result) {
-            onAttemptEnded(id, attempt, target, std::move(result));
-        });
+    open.calls[attempt] = m_client->start(std::move(call), [this, id, attempt, target, sentAt](HttpResult result) {
+        if (result.kind == HttpResult::Kind::Answered) {
+            onTargetSignal(target, result.answer, sentAt);
+        }
+        onAttemptEnded(id, attempt, target, std::move(result));
+    });
 }
 
 void GatewayDaemon::Impl::carryOut(const CancelAttempt &effect)
@@ -179,20 +184,6 @@
     }
 }
 
-nlohmann::json GatewayDaemon::Impl::describeBackpressure(const BackpressureSignal &signal)
-{
-    nlohmann::json fields = nlohmann::json::object();
-    if (signal.perSecond) {
-        m_metrics.count("pepperlug_target_signals{kind=\"limit\"}");
-        fields["limit_per_s"] = *signal.perSecond;
-    }
-    if (!signal.unreadable.empty()) {
-        m_metrics.count("pepperlug_target_signals{kind=\"unreadable\"}");
-        fields["unreadable"] = signal.unreadable;
-    }
-    return fields;
-}
-
 AttemptEnded GatewayDaemon::Impl::readResult(RequestId id, unsigned attempt, HttpResult &result)
 {
     AttemptEnded ended{id, attempt, AttemptOutcome::Lost, {}, 0};
@@ -220,7 +211,7 @@
     return ended;
 }
 
-void GatewayDaemon::Impl::onAttemptEnded(RequestId id, unsigned attempt, const std::string &target, HttpResult result)
+void GatewayDaemon::Impl::onAttemptEnded(RequestId id, unsigned attempt, const Incarnation &target, HttpResult result)
 {
     AttemptEnded ended = readResult(id, attempt, result);
     {
@@ -236,13 +227,13 @@
                           {{"request", open->terms.requestId},
                            {"digest", open->digest},
                            {"attempt", attempt},
-                           {"target", target},
+                           {"target", target.id},
                            {"outcome", nameOf(ended.outcome)},
                            {"status", result.answer.status},
                            {"reason", result.reason},
                            {"connection_ended", result.isConnectionLost},
                            {"refused", result.isRefused},
-                           {"signal", describeBackpressure(m_dialect.readAnswer(result.answer).backpressure)}});
+                           {"signal", describeSignal(m_dialect.readAnswer(result.answer).backpressure)}});
         if (ended.outcome == AttemptOutcome::Answered) {
             open->answer = std::move(result.answer);
         }
--- a/lib/Fleet/GatewaySuspects.cpp
+++ b/lib/Fleet/GatewaySuspects.cpp
@@ -22,11 +22,8 @@
 // The mutex is held.
 void GatewayDaemon::Impl::describeSuspects(FleetWatchCall &call, const std::string &epoch)
 {
-    const bool hasHeard = !epoch.empty() && epoch == m_toldSuspects.epoch;
     const Quarantine &quarantine = m_balancer->quarantine();
-    call.suspects =
-        quarantine.changedSince(hasHeard ? m_toldSuspects.version : 0, Quarantine::Reader::ControlHost, m_clock.now());
-    call.suspectsUpTo = quarantine.version();
+    offerNews(call.suspects, quarantine, m_toldSuspects, epoch, m_clock.now());
     m_metrics.gauge("pepperlug_suspects", static_cast<double>(quarantine.size()));
     m_metrics.gauge("pepperlug_requests_shut_out", static_cast<double>(quarantine.shutOut()));
 }
@@ -35,27 +32,13 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_toldSuspects = {reply.epoch, reply.suspectsHeard};
+        m_toldSuspects = {reply.epoch, reply.suspects.heard};
     }
-    if (!reply.suspects.empty()) {
-        reduce(SuspectsTold{reply.suspects});
+    if (!reply.suspects.reports.empty()) {
+        reduce(SuspectsTold{reply.suspects.reports});
     }
 }
 
-// Told with the next ask, up to half a second later, each end would cost a target more where a request comes ten times
-// a second.
-void GatewayDaemon::Impl::tellSuspects()
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        if (!m_hasSuspectsToTell) {
-            return;
-        }
-        m_hasSuspectsToTell = false;
-    }
-    m_watch->hurry();
-}
-
 void GatewayDaemon::Impl::carryOut(const CheckTarget &effect)
 {
     const std::optional<Address> to = Address::parse(effect.address);
@@ -91,7 +74,7 @@
 
 void GatewayDaemon::Impl::carryOut(const SuspectChanged &effect)
 {
-    m_hasSuspectsToTell |= effect.isOwn;
+    m_hasNewsToTell |= effect.isOwn;
     m_metrics.count("pepperlug_suspect_changes");
     m_events.state("suspect",
                    {{"digest", effect.digest},
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -152,7 +152,7 @@
     m_rememberedLoads = m_quotas.version();
     m_remembersLimits = m_quotas.binds();
     Remembered remembered = rememberedOf(m_routing, m_registry);
-    remembered.suspects = m_quarantine.changedSince(0, Quarantine::Reader::ControlHost, now);
+    remembered.suspects = m_quarantine.changedSince(0, NewsReader::ControlHost, now);
     remembered.loads = m_quotas.loads();
     m_writer->post([this, remembered = std::move(remembered)] {
         try {
@@ -198,6 +198,7 @@
     }
     m_wasCurrent = isCurrent;
     m_registry.expire(now, isCurrent && now - m_currentSince > TimeToJudge);
+    m_backpressure.forget(now);
     if (m_quarantine.forget(now)) {
         m_metrics.gauge("pepperlug_suspects", static_cast<double>(m_quarantine.size()));
         m_metrics.gauge("pepperlug_requests_shut_out", static_cast<double>(m_quarantine.shutOut()));
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -5,6 +5,7 @@
 #include "ControlLog.h"
 #include "ControlWatch.h"
 #include "EventLog.h"
+#include "NewsExchange.h"
 #include "pepperlug/Fleet.h"
 #include "Remembered.h"
 
@@ -68,6 +69,8 @@
     void replyWatchers(TimePoint now);
     bool onPeerNews(const NewsReceipt &receipt, const FleetWatchReply &reply);
 
+    void hearBackpressure(const std::vector<BackpressureReport> &reports, bool isDirect, TimePoint now);
+
     // RegistrySuspects.cpp
     void hearSuspects(const std::vector<SuspectReport> &suspects, bool isDirect, TimePoint now);
     void onTrial(const IncomingCallPtr &call);
@@ -165,6 +168,7 @@
     RoutingState m_routing;
     RoutingHistory m_history; ///< of m_routing, as entry hosts are told of it
     Quarantine m_quarantine;
+    BackpressureTable m_backpressure;
     QuotaSums m_quotas;
     TimePoint m_nextQuotas{};
     NewsConfirmations m_confirmations;
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -15,9 +15,9 @@
 /// was met, departures of targets wait 16 ms behind them, less than for the next tick of their host.
 constexpr std::size_t ShortChanges = 8 * 1024;
 
-Quarantine::Reader readerOf(const FleetWatchCall &ask)
+NewsReader readerOf(const FleetWatchCall &ask)
 {
-    return ask.self.role == HostRole::Entry ? Quarantine::Reader::EntryHost : Quarantine::Reader::ControlHost;
+    return ask.self.role == HostRole::Entry ? NewsReader::EntryHost : NewsReader::ControlHost;
 }
 
 } // namespace
@@ -79,13 +79,10 @@
     const bool isSameEpoch = ask.epoch == m_epoch;
     if (!isSameEpoch) {
         ask.since = 0;
-        ask.suspectsSince = 0;
         ask.loadsSince = 0;
     }
-    hearSuspects(ask.suspects, true, now);
-    // An asker that knew an earlier life of this host may have left out what it told that one.
-    ask.suspectsUpTo = isSameEpoch || ask.epoch.empty() ? ask.suspectsUpTo : 0;
-    ask.suspects.clear();
+    hearSuspects(takeOffered(ask.suspects, isSameEpoch, ask.epoch.empty()), true, now);
+    hearBackpressure(takeOffered(ask.backpressure, isSameEpoch, ask.epoch.empty()), true, now);
     const bool isLate = !m_registry.receive(ask.self, now);
     heard.isNewest = isNewestOf(ask.self.peer, ask.self.id, ask.self.sequence);
     const bool isLivingEntry = ask.self.role == HostRole::Entry && ask.self.presence != Presence::Gone;
@@ -107,6 +104,22 @@
     return heard;
 }
 
+// The mutex is held.
+void RegistryDaemon::Impl::hearBackpressure(const std::vector<BackpressureReport> &reports, bool isDirect,
+                                            TimePoint now)
+{
+    for (const BackpressureReport &it : reports) {
+        if (!m_backpressure.merge(it, isDirect, now)) {
+            continue;
+        }
+        m_events.state("target-limit",
+                       {{"target", it.target.id},
+                        {"limit_per_s", it.isLimited ? nlohmann::json(it.perSecond) : nlohmann::json()},
+                        {"age_ms", it.age.count()},
+                        {"from_entry", isDirect}});
+    }
+}
+
 void RegistryDaemon::Impl::onWatch(const IncomingCallPtr &call)
 {
     const TimePoint now = m_clock.now();
@@ -153,7 +166,8 @@
 bool RegistryDaemon::Impl::hasNews(const FleetWatchCall &call) const
 {
     return call.since == 0 || m_registry.changedVersion() > call.since || m_history.index() > call.routingHeard
-        || m_quarantine.hasChangedSince(call.suspectsSince, readerOf(call)) || hasLoadsFor(call);
+        || m_quarantine.hasChangedSince(call.suspects.since, readerOf(call))
+        || m_backpressure.hasChangedSince(call.backpressure.since, readerOf(call)) || hasLoadsFor(call);
 }
 
 bool RegistryDaemon::Impl::hasLoadsFor(const FleetWatchCall &call) const
@@ -170,9 +184,8 @@
     const bool isControl = call.self.role == HostRole::Control;
     reply.changes = isControl ? m_registry.heardSince(call.since, now) : m_registry.changedSince(call.since, now);
     reply.isWhole = call.since == 0;
-    reply.suspects = m_quarantine.changedSince(call.suspectsSince, readerOf(call), now);
-    reply.suspectsVersion = m_quarantine.version();
-    reply.suspectsHeard = call.suspectsUpTo;
+    reply.suspects = answerNews(call.suspects, m_quarantine, readerOf(call), now);
+    reply.backpressure = answerNews(call.backpressure, m_backpressure, readerOf(call), now);
     if (isControl) {
         return reply;
     }
@@ -229,7 +242,8 @@
             // Followers are told of changes alone, so what they have to come to is the newest of these.
             m_confirmations.merged(receipt.from.text(), reply.epoch, reply.version, m_registry.changedVersion());
         }
-        hearSuspects(reply.suspects, false, now);
+        hearSuspects(reply.suspects.reports, false, now);
+        hearBackpressure(reply.backpressure.reports, false, now);
         m_epochs[receipt.from] = reply.epoch;
         const bool hasDepartures =
             std::any_of(reply.changes.targets.begin(), reply.changes.targets.end(),
--- a/lib/Quarantine/Quarantine.cpp
+++ b/lib/Quarantine/Quarantine.cpp
@@ -265,19 +265,19 @@
     return it == m_suspects.end() ? 0 : counted(it->second);
 }
 
-std::uint64_t Quarantine::newestFor(const Suspect &suspect, Reader reader)
+std::uint64_t Quarantine::newestFor(const Suspect &suspect, NewsReader reader)
 {
-    if (reader == Reader::ControlHost) {
+    if (reader == NewsReader::ControlHost) {
         return suspect.directVersion;
     }
     return suspect.mattersToEntryHosts ? suspect.changedVersion : 0;
 }
 
-std::vector<SuspectReport> Quarantine::changedSince(std::uint64_t version, Reader reader, TimePoint now) const
+std::vector<SuspectReport> Quarantine::changedSince(std::uint64_t version, NewsReader reader, TimePoint now) const
 {
     std::vector<SuspectReport> reports;
     for (const auto &[digest, suspect] : m_suspects) {
-        const bool isWhole = version == 0 && reader == Reader::ControlHost;
+        const bool isWhole = version == 0 && reader == NewsReader::ControlHost;
         if (!isWhole && newestFor(suspect, reader) <= version) {
             continue;
         }
@@ -290,9 +290,9 @@
     return reports;
 }
 
-bool Quarantine::hasChangedSince(std::uint64_t version, Reader reader) const
+bool Quarantine::hasChangedSince(std::uint64_t version, NewsReader reader) const
 {
-    return (reader == Reader::ControlHost ? m_newestForControlHosts : m_newestForEntryHosts) > version;
+    return (reader == NewsReader::ControlHost ? m_newestForControlHosts : m_newestForEntryHosts) > version;
 }
 
 std::uint64_t Quarantine::version() const
--- /dev/null
+++ b/unittests/Balance/BackpressureTest.cpp
@@ -0,0 +1,203 @@
+//===- BackpressureTest.cpp - One entry host, and targets that ask for less -------===//
+#include "BalanceFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+
+namespace
+{
+
+class BackpressureHost : public Host
+{
+public:
+    BackpressureHost()
+        : Host(settings())
+    {
+        useTable();
+        report(entryOf("self", "z1"));
+    }
+
+    static BalanceSettings settings()
+    {
+        BalanceSettings it = settingsOf("z1", 1);
+        it.host = "self";
+        return it;
+    }
+
+    void nameLimit(const std::string &target, double perSecond)
+    {
+        TargetSignalled event{{target, 0ms}, {}, now};
+        event.signal.perSecond = perSecond;
+        reduce(event);
+    }
+
+    /// Sends a request, and has it answered at once. Returns the target; empty if it was refused.
+    std::string send(const std::string &path = "/once/", const std::string &key = {})
+    {
+        const RequestId id = request(path, key);
+        const auto *attempt = find<StartAttempt>();
+        const std::string target = attempt != nullptr ? attempt->target : std::string();
+        if (attempt != nullptr) {
+            end(id, 1, AttemptOutcome::Answered);
+        }
+        return target;
+    }
+};
+
+} // namespace
+
+TEST_CASE("where all targets are limited a request beyond that is refused at once, with the time until there is room")
+{
+    BackpressureHost host;
+    host.report(Host::targetOf("t1"));
+    host.nameLimit("t1", 0.5);
+    host.now += 10s;
+    while (!host.send().empty()) { }
+    const auto *refusal = host.find<RefuseRequest>();
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->reason == Refusal::Backpressure);
+    CHECK(promisesNotRun(refusal->reason));
+    CHECK(refusal->retryAfter >= 1s);
+    CHECK(refusal->retryAfter <= 4s);
+    host.now += 4s;
+    CHECK(host.send() == "t1");
+}
+
+TEST_CASE("a request that waits for a connection to a target that names a limit meanwhile goes elsewhere")
+{
+    BackpressureHost host;
+    host.report(Host::targetOf("t1"));
+    const RequestId id = host.request("/once/");
+    CHECK(host.balancer.maySend(id, 1));
+    host.nameLimit("t1", 0.01);
+    CHECK_FALSE(host.balancer.maySend(id, 1));
+    host.report(Host::targetOf("t2"));
+    host.end(id, 1, AttemptOutcome::Withdrawn);
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->target == "t2");
+}
+
+TEST_CASE("what was not sent uses up nothing of a limit")
+{
+    BackpressureHost host;
+    host.report(Host::targetOf("t1"));
+    host.nameLimit("t1", 0.05);
+    host.now += 1h;
+    while (!host.send().empty()) { }
+    host.now += 25s;
+    const RequestId id = host.request("/once/");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.balancer.maySend(id, 1));
+    host.end(id, 1, AttemptOutcome::NotSent);
+    host.now += 1s; // past the block of a target that was not reached
+    CHECK(host.send() == "t1");
+    CHECK(host.send().empty());
+}
+
+TEST_CASE("a host that does not share a target's limit sends it nothing, and comes back when the limit is lifted")
+{
+    BackpressureHost host;
+    for (int n = 0; n < 40; ++n) {
+        host.report(Host::entryOf("entry-" + std::to_string(n), "z1"));
+    }
+    constexpr unsigned Targets = 60;
+    for (unsigned n = 0; n < Targets; ++n) {
+        const std::string id = "t" + std::to_string(n);
+        host.report(Host::targetOf(id));
+        host.nameLimit(id, 1);
+    }
+    CHECK(host.send().empty());
+    host.now += 1h; // what this host may save up is there
+    std::set<std::string> used;
+    for (unsigned n = 0; n < 10 * Targets; ++n) {
+        const std::string target = host.send();
+        if (!target.empty()) {
+            used.insert(target);
+        }
+    }
+    // Four of 41 hosts share each limit.
+    CHECK(!used.empty());
+    CHECK(used.size() <= Targets / 4);
+    for (unsigned n = 0; n < Targets; ++n) {
+        BackpressureReport lifted{{"t" + std::to_string(n), 0ms}, false, 0, 0ms};
+        host.reduce(BackpressureTold{{lifted}});
+    }
+    std::set<std::string> after;
+    for (unsigned n = 0; n < 10 * Targets; ++n) {
+        after.insert(host.send("/once/", "k" + std::to_string(n)));
+    }
+    CHECK(after.size() > Targets * 3 / 4);
+}
+
+TEST_CASE("a limit that is known before its target holds from its first report on")
+{
+    BackpressureHost host;
+    host.reduce(BackpressureTold{{{{"t1", 0ms}, true, 0.05, 0ms}}});
+    host.report(Host::targetOf("t1"));
+    unsigned sent = 0;
+    for (int n = 0; n < 100; ++n) {
+        sent += host.send().empty() ? 0 : 1;
+    }
+    CHECK(sent <= 1);
+    // Its next incarnation names none.
+    TargetReport next = Host::targetOf("t1");
+    next.startedAt = 5000ms;
+    host.report(next);
+    CHECK(host.send() == "t1");
+    CHECK(host.send() == "t1");
+}
+
+TEST_CASE("urgent requests get what is saved up of a limit, others leave one")
+{
+    BackpressureHost host;
+    host.table.routes[0].priority = 1;
+    host.table.routes[1].priority = 0;
+    host.useTable();
+    host.report(Host::targetOf("t1"));
+    host.nameLimit("t1", 1);
+    while (!host.send("/once/").empty()) { }
+    host.now += 1h;
+    while (!host.send("/read/").empty()) { }
+    CHECK(host.send("/once/") == "t1");
+    CHECK(host.send("/once/").empty());
+}
+
+TEST_CASE("a limited target counts for less in the plan of regions")
+{
+    BackpressureHost host;
+    host.report(Host::entryOf("far", "z3"));
+    constexpr unsigned Targets = 10;
+    for (unsigned n = 0; n < Targets; ++n) {
+        host.report(Host::targetOf("near" + std::to_string(n), "z1", 4));
+        host.report(Host::targetOf("far" + std::to_string(n), "z3", 4));
+    }
+    const auto partAbroad = [&] {
+        unsigned abroad = 0;
+        constexpr unsigned Requests = 400;
+        for (unsigned n = 0; n < Requests; ++n) {
+            host.now += 10ms;
+            const RequestId id = host.request("/once/", "k" + std::to_string(n));
+            const auto *attempt = host.find<StartAttempt>();
+            if (attempt == nullptr) {
+                continue;
+            }
+            abroad += attempt->zone == "z3" ? 1 : 0;
+            host.now += 10ms;
+            host.end(id, 1, AttemptOutcome::Answered);
+        }
+        return static_cast<double>(abroad) / Requests;
+    };
+    RegionDemand demand{"r1", "s", 30};
+    host.reduce(ReportsChanged{{}, false, {demand, {"r2", "s", 1}}});
+    const double before = partAbroad();
+    for (unsigned n = 0; n < Targets; ++n) {
+        host.reduce(BackpressureTold{{{{"near" + std::to_string(n), 0ms}, true, 1, 0ms}}});
+    }
+    for (int n = 0; n < 100; ++n) {
+        host.now += 200ms;
+        host.reduce(BalanceTick{});
+    }
+    CHECK(partAbroad() > before + 0.3);
+}
--- /dev/null
+++ b/unittests/Balance/LimitedTargetsTest.cpp
@@ -0,0 +1,304 @@
+//===- LimitedTargetsTest.cpp - Targets that name a limit, over many entry hosts ---===//
+//
+// A drawn network: entry hosts that decide as in the product, targets that answer after a while, and news that takes
+// its time. One target names a limit for a part of the time.
+//
+//===----------------------------------------------------------------------===//
+#include "BalanceFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+
+namespace
+{
+
+constexpr double Excess = 0.5; ///< part of the limit that may be exceeded in a window
+constexpr double Slack = 5; ///< requests besides
+constexpr Duration Window = 4s;
+constexpr Duration TimeToLearn = 3s;
+
+struct LimitPlan {
+    unsigned entryHosts = 9;
+    double limit = 2;
+    double perSecond = 300; ///< requests to all targets
+    double crowdFactor = 1; ///< so many times the requests come for 3 s
+    bool hasRestarts = false; ///< an entry host starts again every second
+    bool isNamedAlways = true; ///< false: in four of five answers
+    std::uint64_t seed = 1;
+};
+
+class LimitNetwork
+{
+public:
+    static constexpr unsigned Targets = 24;
+    static constexpr unsigned Keys = 120;
+    static constexpr Duration NamedAt = 5s;
+    static constexpr Duration LiftedAt = 35s;
+    static constexpr Duration CrowdAt = 20s;
+    static constexpr Duration End = 70s;
+
+    explicit LimitNetwork(const LimitPlan &plan)
+        : m_plan(plan)
+        , m_random(plan.seed)
+    {
+        for (unsigned n = 0; n < plan.entryHosts; ++n) {
+            m_hosts.push_back(nullptr);
+            start(n);
+        }
+        for (unsigned n = 0; n < plan.entryHosts; ++n) {
+            tellHosts(n);
+        }
+    }
+
+    void run()
+    {
+        const TimePoint end = m_start + End;
+        for (m_now = m_start; m_now < end; m_now += Step) {
+            callersAsk();
+            targetsAnswer();
+            if ((m_now - m_start) % NewsInterval < Step) {
+                exchangeNews();
+            }
+            if (m_plan.hasRestarts && (m_now - m_start) % RestartInterval < Step) {
+                restart(m_random() % m_hosts.size());
+            }
+        }
+    }
+
+    /// Most requests at the limited target in a window, between two times after the start.
+    std::size_t mostIn(Duration from, Duration to) const
+    {
+        std::size_t most = 0;
+        for (auto first = m_arrivals.begin(); first != m_arrivals.end(); ++first) {
+            if (*first < m_start + from || *first > m_start + to) {
+                continue;
+            }
+            const auto end = std::upper_bound(first, m_arrivals.end(), std::min(*first + Window, m_start + to));
+            most = std::max(most, static_cast<std::size_t>(end - first));
+        }
+        return most;
+    }
+
+    double rateIn(Duration from, Duration to) const
+    {
+        const auto count = std::count_if(m_arrivals.begin(), m_arrivals.end(),
+                                         [&](TimePoint it) { return it >= m_start + from && it < m_start + to; });
+        return static_cast<double>(count) / secondsOf(to - from);
+    }
+
+    unsigned refused() const
+    {
+        return m_refused;
+    }
+
+private:
+    static constexpr Duration Step = 10ms;
+    static constexpr Duration Work = 200ms;
+    static constexpr Duration NewsInterval = 250ms;
+    static constexpr Duration RestartInterval = 1s;
+
+    struct Entry {
+        std::string id;
+        unsigned life = 0;
+        std::unique_ptr<Host> host;
+        std::uint64_t told = 0; ///< version of its table that the control host has
+        std::uint64_t heard = 0; ///< version of the control host's table that it has
+    };
+
+    struct Sent {
+        unsigned host = 0;
+        unsigned life = 0;
+        StartAttempt attempt;
+        TimePoint at{};
+    };
+
+    static std::string targetId(unsigned number)
+    {
+        return "t" + std::to_string(number);
+    }
+
+    void start(unsigned n)
+    {
+        auto entry = std::make_unique<Entry>();
+        entry->life = ++m_lives;
+        entry->id = "entry-" + std::to_string(n) + "#" + std::to_string(entry->life);
+        BalanceSettings settings = Host::settingsOf("z1", m_random());
+        settings.host = entry->id;
+        entry->host = std::make_unique<Host>(settings);
+        entry->host->now = m_now;
+        entry->host->useTable();
+        for (unsigned target = 0; target < Targets; ++target) {
+            entry->host->report(Host::targetOf(targetId(target), "z1", 16));
+        }
+        m_hosts[n] = std::move(entry);
+    }
+
+    void tellHosts(unsigned n)
+    {
+        for (const auto &it : m_hosts) {
+            m_hosts[n]->host->report(Host::entryOf(it->id, "z1"));
+        }
+    }
+
+    void restart(unsigned n)
+    {
+        const std::string before = m_hosts[n]->id;
+        start(n);
+        tellHosts(n);
+        HostReport gone = Host::entryOf(before, "z1");
+        gone.presence = Presence::Gone;
+        for (const auto &it : m_hosts) {
+            it->host->report(gone);
+            it->host->report(Host::entryOf(m_hosts[n]->id, "z1"));
+        }
+    }
+
+    void callersAsk()
+    {
+        const Duration since = m_now - m_start;
+        const bool isCrowd = since >= CrowdAt && since < CrowdAt + 3s;
+        const double mean = m_plan.perSecond * (isCrowd ? m_plan.crowdFactor : 1) * secondsOf(Step);
+        const int count = std::poisson_distribution<int>(mean)(m_random);
+        for (int n = 0; n < count; ++n) {
+            const auto host = static_cast<unsigned>(m_random() % m_hosts.size());
+            Host &entry = *m_hosts[host]->host;
+            entry.now = m_now;
+            entry.request("/read/", "key" + std::to_string(m_random() % Keys));
+            carryOut(host);
+        }
+    }
+
+    void carryOut(unsigned host)
+    {
+        const BalanceEffects effects = m_hosts[host]->host->effects;
+        for (const BalanceEffect &it : effects) {
+            if (const auto *attempt = std::get_if<StartAttempt>(&it)) {
+                if (attempt->target == targetId(0)) {
+                    m_arrivals.push_back(m_now);
+                }
+                m_sent.push_back({host, m_hosts[host]->life, *attempt, m_now});
+            }
+            const bool isSteady = m_now - m_start > 2s && m_plan.crowdFactor <= 1;
+            m_refused += isSteady && std::holds_alternative<RefuseRequest>(it) ? 1 : 0;
+        }
+    }
+
+    bool namesLimit()
+    {
+        const Duration since = m_now - m_start;
+        const bool isNamed = since >= NamedAt && since < LiftedAt;
+        return isNamed && (m_plan.isNamedAlways || m_random() % 5 > 0);
+    }
+
+    void targetsAnswer()
+    {
+        while (!m_sent.empty() && m_sent.front().at + Work <= m_now) {
+            const Sent sent = m_sent.front();
+            m_sent.pop_front();
+            if (m_hosts[sent.host]->life != sent.life) {
+                continue;
+            }
+            Host &entry = *m_hosts[sent.host]->host;
+            entry.now = m_now;
+            TargetSignalled signalled{{sent.attempt.target, sent.attempt.targetStartedAt}, {}, sent.at};
+            if (sent.attempt.target == targetId(0) && namesLimit()) {
+                signalled.signal.perSecond = m_plan.limit;
+            }
+            entry.reduce(signalled);
+            entry.reduce(AttemptEnded{sent.attempt.id, sent.attempt.attempt, AttemptOutcome::Answered, {}, 0});
+            carryOut(sent.host);
+        }
+    }
+
+    void exchangeNews()
+    {
+        for (const auto &it : m_hosts) {
+            const BackpressureTable &table = it->host->balancer.backpressure();
+            for (const BackpressureReport &report : table.changedSince(it->told, NewsReader::ControlHost, m_now)) {
+                m_control.merge(report, true, m_now);
+            }
+            it->told = table.version();
+        }
+        for (const auto &it : m_hosts) {
+            it->host->now = m_now;
+            const auto reports = m_control.changedSince(it->heard, NewsReader::EntryHost, m_now);
+            it->heard = m_control.version();
+            if (!reports.empty()) {
+                it->host->reduce(BackpressureTold{reports});
+            }
+            it->host->reduce(BalanceTick{});
+        }
+    }
+
+    LimitPlan m_plan;
+    std::mt19937_64 m_random;
+    TimePoint m_start{1000s};
+    TimePoint m_now = m_start;
+    std::vector<std::unique_ptr<Entry>> m_hosts;
+    BackpressureTable m_control;
+    std::deque<Sent> m_sent;
+    std::vector<TimePoint> m_arrivals; ///< at the limited target
+    unsigned m_refused = 0;
+    unsigned m_lives = 0;
+};
+
+double allowed(double limit)
+{
+    return limit * secondsOf(Window) * (1 + Excess) + Slack;
+}
+
+std::vector<LimitPlan> plans()
+{
+    std::vector<LimitPlan> all;
+    for (const double limit : {0.2, 0.5, 1.5, 4.0}) {
+        all.push_back({9, limit});
+        all.push_back({66, limit});
+    }
+    all.push_back({9, 2, 300, 4});
+    all.push_back({66, 2, 300, 4});
+    all.push_back({9, 2, 300, 1, true});
+    all.push_back({66, 2, 300, 1, true});
+    all.push_back({9, 2, 300, 1, false, false});
+    all.push_back({66, 2, 300, 1, false, false});
+    return all;
+}
+
+} // namespace
+
+// Guards against a limited target being sent more than its limit by all entry hosts together, or nothing at all.
+TEST_CASE("entry hosts together keep a target's limit in a crowd, over restarts, and where it is named now and then")
+{
+    for (LimitPlan plan : plans()) {
+        for (plan.seed = 1; plan.seed <= 3; ++plan.seed) {
+            LimitNetwork network(plan);
+            network.run();
+            CAPTURE(plan.entryHosts, plan.limit, plan.crowdFactor, plan.hasRestarts, plan.isNamedAlways, plan.seed);
+            const Duration from = LimitNetwork::NamedAt + TimeToLearn;
+            const double before = network.rateIn(2s, LimitNetwork::NamedAt);
+            CHECK(before > plan.limit);
+            CHECK(static_cast<double>(network.mostIn(from, LimitNetwork::LiftedAt)) <= allowed(plan.limit));
+            const double limited = network.rateIn(from, LimitNetwork::LiftedAt);
+            CHECK(limited > 0);
+            CHECK(limited <= plan.limit + Slack / secondsOf(LimitNetwork::LiftedAt - from));
+            CHECK(network.refused() == 0);
+            CHECK(network.rateIn(LimitNetwork::LiftedAt + 20s, LimitNetwork::End) > before / 2);
+        }
+    }
+}
+
+TEST_CASE("of nine entry hosts the owners of a limit use more than half of it", "[use]")
+{
+    for (const double limit : {0.5, 1.5, 2.2, 4.0}) {
+        LimitPlan plan;
+        plan.limit = limit;
+        LimitNetwork network(plan);
+        network.run();
+        const double rate = network.rateIn(LimitNetwork::NamedAt + TimeToLearn, LimitNetwork::LiftedAt);
+        CAPTURE(limit, rate);
+        CHECK(rate > limit / 2);
+    }
+}
