--- a/unittests/Backpressure/BackpressureSystem.h
+++ b/unittests/Backpressure/BackpressureSystem.h
@@ -39,30 +39,26 @@
     BackpressureSystem(const BackpressureSystem &) = delete;
     BackpressureSystem &operator=(const BackpressureSystem &) = delete;
 
-    /// Sends requests to all entry hosts in turn for a while. Returns how many succeeded.
-    unsigned drive(Duration time, Duration pause = 5ms)
+    /// Sends requests for a while, to all entry hosts in turn or to the first of them alone. Returns how many
+    /// succeeded.
+    unsigned drive(Duration time, unsigned entryHosts = EntryHosts)
     {
+        constexpr auto Pause = 5ms;
         unsigned served = 0;
         const auto end = std::chrono::steady_clock::now() + time;
         while (std::chrono::steady_clock::now() < end) {
-            const Answer answer = send();
+            const Answer answer = sendTo(m_turn++ % entryHosts);
             ++m_sent;
             if (answer.status == 200) {
                 ++served;
             } else {
                 m_refusals[std::to_string(answer.status) + " " + answer.body]++;
             }
-            std::this_thread::sleep_for(pause);
+            std::this_thread::sleep_for(Pause);
         }
         return served;
     }
 
-    Answer send()
-    {
-        const unsigned turn = m_turn++;
-        return sendTo(turn % EntryHosts);
-    }
-
     Answer sendTo(unsigned entryHost)
     {
         constexpr unsigned Keys = 30;
@@ -116,7 +112,7 @@
     {
         constexpr unsigned Round = 90;
         for (unsigned n = 0; n < Round; ++n) {
-            if (send().status != 200) {
+            if (sendTo(n % EntryHosts).status != 200) {
                 return false; // an entry host has no configuration yet
             }
         }
