BUDGET: a target that asks an entry host for a rest gets nothing from it meanwhile

Callers: seven of 24 targets turned all away for 9 s; half of all requests at the service went to them, 143 of those in the lines were refused as overloaded.

The time that a target adds when it turns a request away was read by nobody. A shed ends a row of failures, and the load that was told fades in a second, so that the target which answers at once looked the emptiest of all and drew requests (44 a second at one that had 11 before).

Change: a rest holds for the host that was asked, until its end and a part more that differs from host to host; then one request at a time until the target has run one. What waits for a connection is not sent. Where all rest, the request is refused at once as not run, with the time until the first is back. A resting target is no room in the plan of regions. A rest of more than five minutes counts as five.

Evidence: of 359 attempts at targets that shed 328 were first attempts; none was on its way when the rest began, which excludes repeats and connections.

--- a/include/pepperlug/Backpressure.h
+++ b/include/pepperlug/Backpressure.h
@@ -2,7 +2,8 @@
 //
 // A target in need names in its answers how many requests a second it takes from
 // all entry hosts together. Every host keeps a table of the limits that are named
-// and tells the others what it heard. Pure: time is passed in.
+// and tells the others what it heard. One that turns a request away may ask the
+// host that sent it for a rest. Pure: time is passed in.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -15,6 +16,7 @@
 /// What one answer of a target asks for.
 struct BackpressureSignal {
     std::optional<double> perSecond; ///< requests that it takes from all hosts together; nothing: it names no limit
+    std::optional<std::chrono::duration<double>> rest; ///< in which it wants nothing from the host that it answered
     std::string unreadable; ///< header and value that can't be read, shortened; empty: none
 };
 
--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -211,6 +211,12 @@
     bool isOwn = false; ///< noticed here, so other hosts have to be told
 };
 
+/// A target has asked this host for a rest.
+struct RestBegun {
+    std::string target;
+    Milliseconds length{}; ///< until this host sends there again
+};
+
 /// What this host knows of a target's limit has changed.
 struct LimitChanged {
     std::string target;
@@ -266,8 +272,8 @@
     Refusal reason{}; ///< Lost or TimedOut
 };
 
-using BalanceEffect = std::variant<StartAttempt, CancelAttempt, CheckTarget, AskTrial, SuspectChanged, LimitChanged,
-                                   PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
+using BalanceEffect = std::variant<StartAttempt, CancelAttempt, CheckTarget, AskTrial, SuspectChanged, RestBegun,
+                                   LimitChanged, PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
 using BalanceEffects = std::vector<BalanceEffect>;
 
 class Balancer
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -26,6 +26,13 @@
 constexpr Milliseconds FirstBlock{700};
 constexpr Milliseconds LongestBlock{4000};
 constexpr unsigned FailuresToBlock = 3;
+/// A longer rest counts as this one: a target must not be lost for good by one answer.
+constexpr std::chrono::minutes LongestRest{5};
+/// Part of a rest over which hosts that were asked for it at the same moment come back, and the longest such time.
+constexpr double ReturnPart = 0.25;
+constexpr std::chrono::seconds LongestReturn{1};
+/// A caller is told to come back after so long where a target that has rested runs its first request.
+constexpr Milliseconds FirstAfterRest{200};
 
 } // namespace
 
@@ -47,6 +54,11 @@
     return inFlight + others * std::exp2(-halves);
 }
 
+bool TargetState::isResting(TimePoint now) const
+{
+    return now < restUntil;
+}
+
 bool TargetState::isCold(TimePoint now) const
 {
     return now < coldUntil;
@@ -252,7 +264,7 @@
 {
     std::vector<TargetState *> open;
     std::vector<TargetState *> blocked;
-    std::optional<Duration> untilRoom;
+    std::optional<Duration> soonest;
     for (auto &[id, target] : m_targets) {
         const bool fits = target.report.service == query.service
             && (query.homeRegions == nullptr || isHome(*query.homeRegions, target))
@@ -260,8 +272,8 @@
         if (!fits || !isUsable(target, now) || (target.isCold(now) && !mayWarm(target, now))) {
             continue;
         }
-        if (const std::optional<Duration> wait = untilLimitAllows(target, query, now)) {
-            untilRoom = std::min(untilRoom.value_or(*wait), *wait);
+        if (const std::optional<Duration> wait = untilRoom(target, query, now)) {
+            soonest = std::min(soonest.value_or(*wait), *wait);
             continue;
         }
         const bool isDoubtful = now < target.blockedUntil || target.isSuspect(now, query.patience);
@@ -275,7 +287,36 @@
         std::min_element(blocked.begin(), blocked.end(), [](const TargetState *lhs, const TargetState *rhs) {
             return lhs->blockedUntil < rhs->blockedUntil;
         });
-    return it == blocked.end() ? TargetChoice{nullptr, untilRoom} : TargetChoice{*it, std::nullopt};
+    return it == blocked.end() ? TargetChoice{nullptr, soonest} : TargetChoice{*it, std::nullopt};
+}
+
+// Extends a rest that has begun, and never shortens it.
+Duration TargetSet::startRest(const Incarnation &incarnation, std::chrono::duration<double> rest, TimePoint now)
+{
+    TargetState *target = find(incarnation);
+    if (target == nullptr) {
+        return Duration(0);
+    }
+    const std::chrono::duration<double> asked = std::min<std::chrono::duration<double>>(rest, LongestRest);
+    const std::chrono::duration<double> spread =
+        std::min<std::chrono::duration<double>>(asked * ReturnPart, LongestReturn);
+    const double place = unitInterval(hash64(incarnation.id, m_settings.seed));
+    target->restUntil = std::max(target->restUntil, now + std::chrono::duration_cast<Duration>(asked + spread * place));
+    target->hasRested = true;
+    return target->restUntil - now;
+}
+
+// Nothing if the target asks for nothing that forbids a request now. After a rest it gets one at a time until it has
+// run one.
+std::optional<Duration> TargetSet::untilRoom(TargetState &target, const TargetQuery &query, TimePoint now) const
+{
+    if (target.isResting(now)) {
+        return target.restUntil - now;
+    }
+    if (target.hasRested && target.inFlight > 0) {
+        return FirstAfterRest;
+    }
+    return untilLimitAllows(target, query, now);
 }
 
 void TargetSet::setLimit(const Incarnation &incarnation, std::optional<double> perSecond)
@@ -389,6 +430,7 @@
     switch (outcome) {
     case AttemptOutcome::Answered:
     case AttemptOutcome::Shed:
+        target->hasRested &= outcome == AttemptOutcome::Shed;
         target->failures = 0;
         target->awaitingSince = target->inFlight > 0 ? std::optional(now) : std::nullopt;
         return;
@@ -432,7 +474,7 @@
 {
     std::map<std::string, double> slots;
     for (const auto &[id, target] : m_targets) {
-        if (target.report.service != service || !isUsable(target, now)) {
+        if (target.report.service != service || !isUsable(target, now) || target.isResting(now)) {
             continue;
         }
         const bool isLimited = target.limit && work;
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -32,6 +32,8 @@
     std::optional<TimePoint> awaitingSince; ///< requests are there, and nothing came back since then
     unsigned failures = 0; ///< in a row
     TimePoint blockedUntil{};
+    TimePoint restUntil{}; ///< this host sends it nothing until then
+    bool hasRested = false; ///< and has not run a request of this host since
     std::optional<double> limit; ///< requests a second that it takes from all hosts together
     LimitBucket bucket; ///< of this host's part of the limit
     std::size_t limitRank = 0; ///< of this host among those that may share the limit
@@ -41,6 +43,7 @@
     double believedRequests(TimePoint now) const;
     double slots() const;
     bool isCold(TimePoint now) const;
+    bool isResting(TimePoint now) const;
     /// Whether it has kept this host waiting for so long without any answer that it may have stopped.
     bool isSuspect(TimePoint now, Duration patience) const;
 };
@@ -96,6 +99,8 @@
     /// No connection to it could be made.
     void noteUnreachable(const Incarnation &incarnation, TimePoint now);
 
+    /// A target wants nothing from this host for a while. Returns for how long it gets nothing.
+    Duration startRest(const Incarnation &incarnation, std::chrono::duration<double> rest, TimePoint now);
     /// A target names a limit of requests a second, or none any more.
     void setLimit(const Incarnation &incarnation, std::optional<double> perSecond);
     /// A request that was taken from this host's part of a limit was not sent.
@@ -118,6 +123,7 @@
     static void setColdUntil(TargetState &target, TimePoint until, TimePoint now);
     bool mayWarm(TargetState &target, TimePoint now) const;
     std::size_t limitRank(TargetState &target) const;
+    std::optional<Duration> untilRoom(TargetState &target, const TargetQuery &query, TimePoint now) const;
     std::optional<Duration> untilLimitAllows(TargetState &target, const TargetQuery &query, TimePoint now) const;
     std::size_t warmers(const TargetState &target) const;
     bool isWarmer(const TargetState &target) const;
--- a/lib/Fleet/GatewayBackpressure.cpp
+++ b/lib/Fleet/GatewayBackpressure.cpp
@@ -11,6 +11,10 @@
         m_metrics.count("pepperlug_target_signals{kind=\"limit\"}");
         fields["limit_per_s"] = *signal.perSecond;
     }
+    if (signal.rest) {
+        m_metrics.count("pepperlug_target_signals{kind=\"rest\"}");
+        fields["rest_s"] = signal.rest->count();
+    }
     if (!signal.unreadable.empty()) {
         m_metrics.count("pepperlug_target_signals{kind=\"unreadable\"}");
         fields["unreadable"] = signal.unreadable;
@@ -46,6 +50,11 @@
     }
 }
 
+void GatewayDaemon::Impl::carryOut(const RestBegun &effect)
+{
+    m_events.decision("target-rests", {{"target", effect.target}, {"for_ms", effect.length.count()}});
+}
+
 void GatewayDaemon::Impl::carryOut(const LimitChanged &effect)
 {
     m_hasNewsToTell |= effect.isOwn;
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -82,6 +82,7 @@
     void describeBackpressure(FleetWatchCall &call, const std::string &epoch);
     void onBackpressureTold(const FleetWatchReply &reply);
     void onTargetSignal(const Incarnation &target, const Answer &answer, TimePoint sentAt);
+    void carryOut(const RestBegun &effect);
     void carryOut(const LimitChanged &effect);
 
     // GatewaySuspects.cpp
--- a/unittests/Balance/BackpressureTest.cpp
+++ b/unittests/Balance/BackpressureTest.cpp
@@ -33,6 +33,15 @@
         reduce(event);
     }
 
+    /// A target turns a request away and asks for a rest.
+    void turnAway(RequestId id, const std::string &target, std::chrono::duration<double> rest)
+    {
+        TargetSignalled event{{target, 0ms}, {}, now};
+        event.signal.rest = rest;
+        reduce(event);
+        end(id, 1, AttemptOutcome::Shed);
+    }
+
     /// Sends a request, and has it answered at once. Returns the target; empty if it was refused.
     std::string send(const std::string &path = "/once/", const std::string &key = {})
     {
@@ -201,3 +210,96 @@
     }
     CHECK(partAbroad() > before + 0.3);
 }
+
+TEST_CASE("a target that asked for a rest gets nothing meanwhile, then one request at a time until it has run one")
+{
+    BackpressureHost host;
+    host.report(Host::targetOf("t1"));
+    host.turnAway(host.request("/once/"), "t1", 3s);
+    host.now += 2900ms;
+    CHECK(host.send().empty());
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::Backpressure);
+    host.now += 1s;
+    const RequestId first = host.request("/once/");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.balancer.maySend(first, 1));
+    CHECK(host.send().empty());
+    host.end(first, 1, AttemptOutcome::Answered);
+    CHECK(host.find<PassAnswer>() != nullptr);
+    host.request("/once/");
+    CHECK(host.find<StartAttempt>() != nullptr);
+    host.request("/once/");
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
+TEST_CASE("hosts that were asked for a rest at the same moment come back one after the other")
+{
+    std::set<TimePoint> returns;
+    constexpr unsigned Hosts = 20;
+    for (unsigned n = 0; n < Hosts; ++n) {
+        BalanceSettings settings = BackpressureHost::settings();
+        settings.seed = 1 + n;
+        Host host(settings);
+        host.useTable();
+        host.report(Host::targetOf("t1"));
+        const RequestId id = host.request("/once/");
+        TargetSignalled event{{"t1", 0ms}, {}, host.now};
+        event.signal.rest = 3s;
+        host.reduce(event);
+        host.end(id, 1, AttemptOutcome::Shed);
+        const TimePoint told = host.now;
+        do {
+            host.now += 10ms;
+            host.request("/once/");
+        } while (host.find<StartAttempt>() == nullptr);
+        CHECK(host.now - told >= 3s);
+        CHECK(host.now - told <= 4s);
+        returns.insert(host.now);
+    }
+    CHECK(returns.size() > Hosts / 2);
+}
+
+TEST_CASE("a request that waits for a connection to a target that asks for a rest meanwhile is not sent")
+{
+    BackpressureHost host;
+    host.report(Host::targetOf("t1"));
+    const RequestId waiting = host.request("/once/");
+    const RequestId other = host.request("/once/");
+    host.turnAway(other, "t1", 3s);
+    CHECK_FALSE(host.balancer.maySend(waiting, 1));
+}
+
+TEST_CASE("a rest of a year does not lose a target for good, and a shorter one does not end a longer one")
+{
+    BackpressureHost host;
+    host.report(Host::targetOf("t1"));
+    host.turnAway(host.request("/once/"), "t1", 365 * 24h);
+    host.now += 6min;
+    const RequestId second = host.request("/once/");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    host.turnAway(second, "t1", 10s);
+    TargetSignalled shorter{{"t1", 0ms}, {}, host.now};
+    shorter.signal.rest = 1s;
+    host.reduce(shorter);
+    host.now += 9s;
+    CHECK(host.send().empty());
+    host.now += 3s;
+    CHECK(host.send() == "t1");
+}
+
+TEST_CASE("a rest ends with the incarnation that asked for it")
+{
+    BackpressureHost host;
+    host.report(Host::targetOf("t1"));
+    host.turnAway(host.request("/once/"), "t1", 1min);
+    TargetReport next = Host::targetOf("t1");
+    next.startedAt = 5000ms;
+    host.report(next);
+    CHECK(host.send() == "t1");
+    // What the earlier one said late is not the next one's.
+    TargetSignalled late{{"t1", 0ms}, {}, host.now};
+    late.signal.rest = 1min;
+    host.reduce(late);
+    CHECK(host.send() == "t1");
+}
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -402,6 +402,22 @@
     CHECK_FALSE(read({{"Server-Limit", "2"}, {"Server-Limit", "3"}}).perSecond);
 }
 
+TEST_CASE("a target asks for a rest with 503 and a time in seconds")
+{
+    const auto read = [](unsigned status, const std::string &value) {
+        return Clients::readAnswer({status, {{"X-Not-Executed", "full"}, {"Retry-After", value}}, {}}).backpressure;
+    };
+    CHECK(read(503, "3").rest == 3s);
+    CHECK(read(503, "0.25").rest == 250ms);
+    CHECK_FALSE(read(429, "3").rest);
+    CHECK_FALSE(read(200, "3").rest);
+    for (const std::string value : {"", "-3", "nan", "1e999", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        CAPTURE(value);
+        CHECK_FALSE(read(503, value).rest);
+        CHECK(read(503, value).unreadable.find("Retry-After: ") == 0);
+    }
+}
+
 TEST_CASE("only what has not run is refused with a promise")
 {
     for (const Refusal reason :
