DRAIN: a target that says in its answers that it leaves gets nothing new

Change: kept by incarnation beside the limits, told to all hosts, final: no report and no late answer takes it back. What waits for a connection goes elsewhere.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -217,10 +217,11 @@
     Milliseconds length{}; ///< until this host sends there again
 };
 
-/// What this host knows of a target's limit has changed.
-struct LimitChanged {
+/// What this host knows of a target's limit has changed, or it leaves.
+struct BackpressureChanged {
     std::string target;
-    std::optional<double> perSecond; ///< nothing: it is not limited any more
+    std::optional<double> perSecond; ///< nothing: it is not limited
+    bool isLeaving = false;
     bool isOwn = false; ///< heard here, so other hosts have to be told
 };
 
@@ -273,7 +274,7 @@
 };
 
 using BalanceEffect = std::variant<StartAttempt, CancelAttempt, CheckTarget, AskTrial, SuspectChanged, RestBegun,
-                                   LimitChanged, PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
+                                   BackpressureChanged, PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
 using BalanceEffects = std::vector<BalanceEffect>;
 
 class Balancer
--- a/lib/Backpressure/Backpressure.cpp
+++ b/lib/Backpressure/Backpressure.cpp
@@ -1,4 +1,4 @@
-//===- Backpressure.cpp - Limits that targets name ------------------------===//
+//===- Backpressure.cpp - What targets ask for in their answers ------------===//
 //
 // Answers overtake each other, and some targets name their limit in a part of their answers only. So a limit is lifted
 // by answers without one only where their requests were sent well after the limit was named last, and of two limits the
@@ -22,6 +22,8 @@
 constexpr unsigned AnswersToLift = 2;
 /// A limit that no answer has named for longer is forgotten.
 constexpr std::chrono::seconds LimitMemory{30};
+/// Longer than a target takes to end that has said that it leaves.
+constexpr std::chrono::minutes LeavingMemory{10};
 /// Others are told again that a limit is still named; several times within LimitMemory.
 constexpr std::chrono::seconds RenewInterval{5};
 /// A limit that moves by less than this part is not worth a message.
@@ -71,6 +73,24 @@
 
 bool BackpressureTable::hear(const Incarnation &target, const BackpressureSignal &signal, TimePoint sentAt,
                              TimePoint now)
+{
+    const bool hasLimitNews = hearLimit(target, signal, sentAt, now);
+    return (signal.isLeaving && hearLeaving(target, now)) || hasLimitNews;
+}
+
+bool BackpressureTable::hearLeaving(const Incarnation &target, TimePoint now)
+{
+    Entry &entry = m_entries[target];
+    if (entry.leavingSince) {
+        return false;
+    }
+    entry.leavingSince = now;
+    noteChange(entry, true);
+    return true;
+}
+
+bool BackpressureTable::hearLimit(const Incarnation &target, const BackpressureSignal &signal, TimePoint sentAt,
+                                  TimePoint now)
 {
     const auto known = m_entries.find(target);
     if (!signal.perSecond) {
@@ -93,12 +113,30 @@
 }
 
 bool BackpressureTable::merge(const BackpressureReport &report, bool isDirect, TimePoint now)
+{
+    const bool hasLimitNews = mergeLimit(report, isDirect, now);
+    return mergeLeaving(report, isDirect, now) || hasLimitNews;
+}
+
+bool BackpressureTable::mergeLeaving(const BackpressureReport &report, bool isDirect, TimePoint now)
+{
+    if (!report.isLeaving || isLeaving(report.target)) {
+        return false;
+    }
+    Entry &entry = m_entries[report.target];
+    entry.leavingSince = now;
+    noteChange(entry, isDirect);
+    return true;
+}
+
+bool BackpressureTable::mergeLimit(const BackpressureReport &report, bool isDirect, TimePoint now)
 {
     const TimePoint asOf = now - report.age;
     const auto known = m_entries.find(report.target);
-    const bool isOld = known == m_entries.end() ? !report.isLimited : asOf <= known->second.asOf;
+    const bool isKnownLimit = known != m_entries.end() && known->second.limit;
+    const bool isOld = known != m_entries.end() && asOf <= known->second.asOf;
     const bool isReadable = std::isfinite(report.perSecond) && (!report.isLimited || report.perSecond > 0);
-    if (isOld || !isReadable) {
+    if (isOld || !isReadable || (!report.isLimited && !isKnownLimit)) {
         return false;
     }
     Entry &entry = m_entries[report.target];
@@ -114,12 +152,16 @@
 std::vector<Incarnation> BackpressureTable::forget(TimePoint now)
 {
     std::vector<Incarnation> forgotten;
-    std::erase_if(m_entries, [&](const auto &it) {
-        const bool isOver = now - it.second.asOf > LimitMemory;
-        if (isOver) {
-            forgotten.push_back(it.first);
+    for (auto &[target, entry] : m_entries) {
+        if (entry.limit && now - entry.asOf > LimitMemory) {
+            entry.limit.reset();
+            forgotten.push_back(target);
         }
-        return isOver;
+    }
+    std::erase_if(m_entries, [now](const auto &it) {
+        const Entry &entry = it.second;
+        const bool isLeavingKept = entry.leavingSince && now - *entry.leavingSince <= LeavingMemory;
+        return !isLeavingKept && now - entry.asOf > LimitMemory;
     });
     return forgotten;
 }
@@ -130,6 +172,12 @@
     return it == m_entries.end() ? std::nullopt : it->second.limit;
 }
 
+bool BackpressureTable::isLeaving(const Incarnation &target) const
+{
+    const auto it = m_entries.find(target);
+    return it != m_entries.end() && it->second.leavingSince.has_value();
+}
+
 std::uint64_t BackpressureTable::newestFor(const Entry &entry, NewsReader reader)
 {
     return reader == NewsReader::ControlHost ? entry.directVersion : entry.changedVersion;
@@ -142,7 +190,8 @@
     for (const auto &[target, entry] : m_entries) {
         if (version == 0 || newestFor(entry, reader) > version) {
             const auto age = std::chrono::duration_cast<Milliseconds>(now - entry.asOf);
-            reports.push_back({target, entry.limit.has_value(), entry.limit.value_or(0), age});
+            reports.push_back(
+                {target, entry.limit.has_value(), entry.limit.value_or(0), age, entry.leavingSince.has_value()});
         }
     }
     return reports;
--- a/lib/Balance/Backpressures.cpp
+++ b/lib/Balance/Backpressures.cpp
@@ -19,41 +19,49 @@
         m_out->emplace_back(RestBegun{event.target.id, std::chrono::duration_cast<Milliseconds>(length)});
     }
     const std::optional<double> before = m_backpressure.limitOf(event.target);
-    const bool isNew = m_backpressure.hear(event.target, event.signal, event.sentAt, m_now);
-    const std::optional<double> limit = m_backpressure.limitOf(event.target);
-    if (limit != before) {
-        m_targets.setLimit(event.target, limit);
-    }
-    if (isNew) {
-        m_out->emplace_back(LimitChanged{event.target.id, limit, true});
+    if (m_backpressure.hear(event.target, event.signal, event.sentAt, m_now)) {
+        tellBackpressure(event.target, true);
+    } else if (m_backpressure.limitOf(event.target) != before) {
+        m_targets.setLimit(event.target, m_backpressure.limitOf(event.target));
     }
 }
 
 void Balancer::Impl::on(const BackpressureTold &event)
 {
     for (const BackpressureReport &it : event.reports) {
-        if (!m_backpressure.merge(it, false, m_now)) {
-            continue;
+        if (m_backpressure.merge(it, false, m_now)) {
+            tellBackpressure(it.target, false);
         }
-        const std::optional<double> limit = m_backpressure.limitOf(it.target);
-        m_targets.setLimit(it.target, limit);
-        m_out->emplace_back(LimitChanged{it.target.id, limit, false});
     }
 }
 
-// A limit may be known before the target is.
-void Balancer::Impl::followLimits()
+void Balancer::Impl::applyBackpressure(const Incarnation &target)
+{
+    m_targets.setLimit(target, m_backpressure.limitOf(target));
+    if (m_backpressure.isLeaving(target)) {
+        m_targets.setLeaving(target);
+    }
+}
+
+void Balancer::Impl::tellBackpressure(const Incarnation &target, bool isOwn)
+{
+    applyBackpressure(target);
+    m_out->emplace_back(
+        BackpressureChanged{target.id, m_backpressure.limitOf(target), m_backpressure.isLeaving(target), isOwn});
+}
+
+// What a target asks for may be known before the target is.
+void Balancer::Impl::followBackpressure()
 {
     for (const BackpressureReport &it : m_backpressure.changedSince(0, NewsReader::EntryHost, m_now)) {
-        m_targets.setLimit(it.target, m_backpressure.limitOf(it.target));
+        applyBackpressure(it.target);
     }
 }
 
 void Balancer::Impl::forgetLimits()
 {
     for (const Incarnation &it : m_backpressure.forget(m_now)) {
-        m_targets.setLimit(it, std::nullopt);
-        m_out->emplace_back(LimitChanged{it.id, std::nullopt, false});
+        tellBackpressure(it, false);
     }
 }
 
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -132,7 +132,7 @@
     if (event.isWhole) {
         m_targets.doubtOthers(event.changes, m_now);
     }
-    followLimits();
+    followBackpressure();
     followPlans();
 }
 
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -124,7 +124,9 @@
     // Backpressures.cpp
     void on(const TargetSignalled &event);
     void on(const BackpressureTold &event);
-    void followLimits();
+    void followBackpressure();
+    void applyBackpressure(const Incarnation &target);
+    void tellBackpressure(const Incarnation &target, bool isOwn);
     void forgetLimits();
     void noteWork(const OpenRequest &open, Duration took);
 
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -159,7 +159,7 @@
 
 bool TargetSet::takesWork(const TargetState &target) const
 {
-    return target.report.presence == Presence::Ready && !m_evacuated.contains(target.report.zone);
+    return target.report.presence == Presence::Ready && !target.isLeaving && !m_evacuated.contains(target.report.zone);
 }
 
 bool TargetSet::isUsable(const TargetState &target, TimePoint now) const
@@ -331,6 +331,14 @@
     target->limit = perSecond;
 }
 
+void TargetSet::setLeaving(const Incarnation &incarnation)
+{
+    TargetState *target = find(incarnation);
+    if (target != nullptr) {
+        target->isLeaving = true;
+    }
+}
+
 void TargetSet::giveLimitBack(const Incarnation &incarnation)
 {
     TargetState *target = find(incarnation);
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -32,6 +32,7 @@
     std::optional<TimePoint> awaitingSince; ///< requests are there, and nothing came back since then
     unsigned failures = 0; ///< in a row
     TimePoint blockedUntil{};
+    bool isLeaving = false; ///< it said so in an answer
     TimePoint restUntil{}; ///< this host sends it nothing until then
     bool hasRested = false; ///< and has not run a request of this host since
     std::optional<double> limit; ///< requests a second that it takes from all hosts together
@@ -103,6 +104,8 @@
     Duration startRest(const Incarnation &incarnation, std::chrono::duration<double> rest, TimePoint now);
     /// A target names a limit of requests a second, or none any more.
     void setLimit(const Incarnation &incarnation, std::optional<double> perSecond);
+    /// A target says in its answers that it leaves.
+    void setLeaving(const Incarnation &incarnation);
     /// A request that was taken from this host's part of a limit was not sent.
     void giveLimitBack(const Incarnation &incarnation);
 
--- a/lib/Fleet/GatewayBackpressure.cpp
+++ b/lib/Fleet/GatewayBackpressure.cpp
@@ -11,6 +11,10 @@
         m_metrics.count("pepperlug_target_signals{kind=\"limit\"}");
         fields["limit_per_s"] = *signal.perSecond;
     }
+    if (signal.isLeaving) {
+        m_metrics.count("pepperlug_target_signals{kind=\"leaving\"}");
+        fields["leaving"] = true;
+    }
     if (signal.rest) {
         m_metrics.count("pepperlug_target_signals{kind=\"rest\"}");
         fields["rest_s"] = signal.rest->count();
@@ -55,11 +59,12 @@
     m_events.decision("target-rests", {{"target", effect.target}, {"for_ms", effect.length.count()}});
 }
 
-void GatewayDaemon::Impl::carryOut(const LimitChanged &effect)
+void GatewayDaemon::Impl::carryOut(const BackpressureChanged &effect)
 {
     m_hasNewsToTell |= effect.isOwn;
-    m_events.state("target-limit",
+    m_events.state("target-signal",
                    {{"target", effect.target},
+                    {"leaving", effect.isLeaving},
                     {"limit_per_s", effect.perSecond ? nlohmann::json(*effect.perSecond) : nlohmann::json()},
                     {"noticed_here", effect.isOwn}});
 }
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -83,7 +83,7 @@
     void onBackpressureTold(const FleetWatchReply &reply);
     void onTargetSignal(const Incarnation &target, const Answer &answer, TimePoint sentAt);
     void carryOut(const RestBegun &effect);
-    void carryOut(const LimitChanged &effect);
+    void carryOut(const BackpressureChanged &effect);
 
     // GatewaySuspects.cpp
     void describeSuspects(FleetWatchCall &call, const std::string &epoch);
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -112,8 +112,9 @@
         if (!m_backpressure.merge(it, isDirect, now)) {
             continue;
         }
-        m_events.state("target-limit",
+        m_events.state("target-signal",
                        {{"target", it.target.id},
+                        {"leaving", it.isLeaving},
                         {"limit_per_s", it.isLimited ? nlohmann::json(it.perSecond) : nlohmann::json()},
                         {"age_ms", it.age.count()},
                         {"from_entry", isDirect}});
--- a/unittests/Backpressure/BackpressureTableTest.cpp
+++ b/unittests/Backpressure/BackpressureTableTest.cpp
@@ -139,3 +139,28 @@
     CHECK(table.forget(Start + 40s) == std::vector<Incarnation>{Target});
     CHECK_FALSE(table.limitOf(Target));
 }
+
+TEST_CASE("that a target leaves is told to all, whatever is known of its limit, and kept for its incarnation")
+{
+    BackpressureTable table;
+    BackpressureSignal signal = limitOf(2);
+    signal.isLeaving = true;
+    CHECK(hear(table, signal, Start));
+    CHECK_FALSE(hear(table, signal, Start + 1s));
+    CHECK(table.isLeaving(Target));
+    CHECK_FALSE(table.isLeaving({"t1", 2000ms}));
+    BackpressureTable other;
+    hear(other, limitOf(2), Start + 1s);
+    for (const BackpressureReport &it : allOf(table, Start)) {
+        CHECK(other.merge(it, false, Start + 2s));
+        CHECK_FALSE(other.merge(it, false, Start + 2s));
+    }
+    CHECK(other.isLeaving(Target));
+    // The limit goes, the departure stays until the target has surely ended.
+    CHECK(table.forget(Start + 1min) == std::vector<Incarnation>{Target});
+    CHECK(table.forget(Start + 1min).empty());
+    CHECK(table.isLeaving(Target));
+    CHECK_FALSE(table.limitOf(Target));
+    table.forget(Start + 11min);
+    CHECK_FALSE(table.isLeaving(Target));
+}
--- a/unittests/Balance/BackpressureTest.cpp
+++ b/unittests/Balance/BackpressureTest.cpp
@@ -303,3 +303,36 @@
     host.reduce(late);
     CHECK(host.send() == "t1");
 }
+
+TEST_CASE("a target that leaves by its own word gets nothing new, also by a report that says ready")
+{
+    BackpressureHost host;
+    host.report(Host::targetOf("t1"));
+    const RequestId waiting = host.request("/once/");
+    TargetSignalled event{{"t1", 0ms}, {}, host.now};
+    event.signal.isLeaving = true;
+    host.reduce(event);
+    REQUIRE(host.find<BackpressureChanged>() != nullptr);
+    CHECK(host.find<BackpressureChanged>()->isOwn);
+    CHECK(host.find<BackpressureChanged>()->isLeaving);
+    CHECK_FALSE(host.balancer.maySend(waiting, 1));
+    TargetReport report = Host::targetOf("t1");
+    report.sequence = 9;
+    host.report(report);
+    CHECK(host.send().empty());
+    // An answer that was made before and comes late takes nothing back.
+    host.reduce(TargetSignalled{{"t1", 0ms}, {}, host.now});
+    CHECK(host.send().empty());
+    report.startedAt = 5000ms;
+    host.report(report);
+    CHECK(host.send() == "t1");
+}
+
+TEST_CASE("a host that is told that a target leaves sends it nothing, also where it hears of the target later")
+{
+    BackpressureHost host;
+    const BackpressureReport leaving{{"t1", 0ms}, false, 0, 0ms, true};
+    host.reduce(BackpressureTold{{leaving}});
+    host.report(Host::targetOf("t1"));
+    CHECK(host.send().empty());
+}
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -418,6 +418,16 @@
     }
 }
 
+TEST_CASE("a target says in its answers that it leaves")
+{
+    const auto isLeaving = [](const std::vector<HeaderField> &headers) {
+        return Clients::readAnswer({200, headers, {}}).backpressure.isLeaving;
+    };
+    CHECK(isLeaving({{"server-leaving", "1"}}));
+    CHECK_FALSE(isLeaving({{"Server-Leaving", "0"}}));
+    CHECK_FALSE(isLeaving({}));
+}
+
 TEST_CASE("only what has not run is refused with a promise")
 {
     for (const Refusal reason :
