Soak: targets that name limits, ask for rests and say that they leave

The stand-in targets ask at random while everything is disturbed; in the calm at the end one names a limit, one asks for rests and one leaves, and what comes to them is held against what they asked for, by the entry host that each request was sent to.

--- a/test/soak/Actors.cpp
+++ b/test/soak/Actors.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t MaxAnswer = 4UL << 20;
 constexpr unsigned Ok = 200;
+constexpr unsigned Unavailable = 503;
 constexpr unsigned Slots = 8;
 constexpr auto BeatInterval = 400ms;
 constexpr auto CallTime = 1s;
@@ -105,6 +106,14 @@
     }
     ++m_arrivals;
     m_lastArrival = m_clock.now();
+    const TargetAsks asks = noteArrival(id);
+    if (asks.rest) {
+        exchange->respond(
+            {Unavailable,
+             {{"X-Request-Id", id}, {"X-Not-Executed", "full"}, {"Retry-After", std::to_string(secondsOf(*asks.rest))}},
+             {}});
+        return;
+    }
     if (request.path().starts_with(HomePrefix)) {
         m_lastArrivalAtHome = m_lastArrival.load();
     }
@@ -113,7 +122,35 @@
         end();
         return;
     }
-    exchange->respond({Ok, {{"X-Request-Id", id}, {"X-Upstream-Seal", m_id + "." + id}}, Ledger::bodyOf(id)});
+    Answer answer{Ok, {{"X-Request-Id", id}, {"X-Upstream-Seal", m_id + "." + id}}, Ledger::bodyOf(id)};
+    if (asks.perSecond) {
+        answer.headers.push_back({"Server-Limit", std::to_string(*asks.perSecond)});
+    }
+    if (asks.isLeaving) {
+        answer.headers.push_back({"Server-Leaving", "1"});
+    }
+    exchange->respond(answer);
+}
+
+void Target::ask(const TargetAsks &asks)
+{
+    const std::lock_guard lock(m_mutex);
+    m_asks = asks;
+    m_arrivalsSinceAsk.clear();
+}
+
+std::vector<TargetArrival> Target::arrivalsSinceAsk()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_arrivalsSinceAsk;
+}
+
+TargetAsks Target::noteArrival(const std::string &id)
+{
+    const std::string entryHost = m_ledger.entryHostOf(id);
+    const std::lock_guard lock(m_mutex);
+    m_arrivalsSinceAsk.push_back({m_clock.now(), entryHost});
+    return m_asks;
 }
 
 // No caller reaches the server any more; the object goes when the next incarnation takes its place.
@@ -234,7 +271,9 @@
 unsigned Callers::send(HttpClient &client, Ledger &ledger, const Address &to, const SentRequest &sent,
                        const std::string &id, const std::string &path)
 {
-    ledger.sent(id, sent);
+    SentRequest noted = sent;
+    noted.entryHost = to.text();
+    ledger.sent(id, noted);
     HttpCall call;
     call.to = to;
     call.method = sent.mayRepeat ? "GET" : "POST";
--- a/test/soak/Actors.h
+++ b/test/soak/Actors.h
@@ -21,6 +21,19 @@
 /// Where control hosts take reports and orders.
 using ControlHosts = std::vector<Address>;
 
+/// What a target asks for in its answers.
+struct TargetAsks {
+    std::optional<double> perSecond; ///< limit over all entry hosts
+    std::optional<Duration> rest; ///< it turns all away and asks each entry host for a rest
+    bool isLeaving = false;
+};
+
+/// A request that came to a target.
+struct TargetArrival {
+    TimePoint at{};
+    std::string entryHost;
+};
+
 /// One incarnation of a target: runs requests, and reports itself through a thread of its own.
 class Target
 {
@@ -34,6 +47,10 @@
     FaultProxy &link();
     /// Says that it drains, until that is acknowledged or the time is over. Returns whether it was.
     bool drain(Duration patience);
+    /// From now on its answers ask for this.
+    void ask(const TargetAsks &asks);
+    /// Requests that came since the last ask().
+    std::vector<TargetArrival> arrivalsSinceAsk();
     /// Requests that came since.
     unsigned arrivals() const;
     /// When the newest of them came.
@@ -46,6 +63,7 @@
 
 private:
     void end();
+    TargetAsks noteArrival(const std::string &id);
     void onRequest(const HttpExchangePtr &exchange);
     void beat();
     bool report(const std::string &state);
@@ -62,6 +80,8 @@
     std::mutex m_mutex; ///< guards what follows
     std::uint64_t m_sequence = 0;
     std::size_t m_next = 0;
+    TargetAsks m_asks;
+    std::vector<TargetArrival> m_arrivalsSinceAsk;
     std::atomic<unsigned> m_arrivals{0};
     std::atomic<TimePoint> m_lastArrival{TimePoint{}};
     std::atomic<TimePoint> m_lastArrivalAtHome{TimePoint{}};
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -61,6 +61,13 @@
     }
 }
 
+std::string Ledger::entryHostOf(const std::string &id) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(id);
+    return it == m_entries.end() ? std::string() : it->second.request.entryHost;
+}
+
 void Ledger::targetEnded()
 {
     const std::lock_guard lock(m_mutex);
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -10,6 +10,7 @@
 struct SentRequest {
     bool mayRepeat = false;
     std::string body;
+    std::string entryHost{}; ///< address that it was sent to
 };
 
 /// Collects what happened at all sockets and finds what must never happen. Safe to use from all threads.
@@ -21,6 +22,8 @@
     void ran(const std::string &id, const std::string &target, const std::string &body);
     /// A caller got an answer, or with status 0 none.
     void answered(const std::string &id, unsigned status, bool isWhole);
+    /// Entry host that a request was sent to; empty if nobody sent it.
+    std::string entryHostOf(const std::string &id) const;
     /// A request ended the target that ran it.
     void targetEnded();
     /// How many it ended so far.
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "Actors.h"
+#include "BackpressureCheck.h"
 #include "Cluster.h"
 
 #include <csignal>
@@ -47,6 +48,15 @@
 /// Sets the generator of the faults between hosts apart from that of the others.
 constexpr std::uint64_t HostLinkSeries = 0x686f7374;
 
+/// Sets the generator of what targets ask for apart from that of the others.
+constexpr std::uint64_t AsksSeries = 0x61736b73;
+
+/// What a seed plays besides the faults that each plays.
+struct SoakOptions {
+    bool endsTargets = false; ///< a request that ends each target which runs it
+    bool hasBackpressure = false; ///< targets that name limits, ask for rests, and say that they leave
+};
+
 /// Set by a signal: the soak ends its processes before it ends itself.
 volatile std::sig_atomic_t stopAsked = 0;
 
@@ -70,11 +80,12 @@
 class Soak
 {
 public:
-    Soak(std::uint64_t seed, const ClusterSettings &settings, bool endsTargets)
+    Soak(std::uint64_t seed, const ClusterSettings &settings, const SoakOptions &options)
         : m_seed(seed)
-        , m_endsTargets(endsTargets)
+        , m_options(options)
         , m_random(seed)
         , m_linkRandom(seed ^ HostLinkSeries)
+        , m_asksRandom(seed ^ AsksSeries)
         , m_cluster(settings)
         , m_control(m_cluster.controlAddresses())
         , m_operator(m_ledger, m_control)
@@ -94,19 +105,25 @@
         }
         Callers callers(m_ledger, m_cluster.entryAddresses(), CallerThreads, m_random());
         std::optional<EndingCaller> endingCaller;
-        if (m_endsTargets) {
+        if (m_options.endsTargets) {
             endingCaller.emplace(m_ledger, m_cluster.entryAddresses(), m_seed ^ EndingSeries);
         }
         for (const auto end = m_clock.now() + length; m_clock.now() < end;) {
             disturb();
             disturbNews();
+            if (m_options.hasBackpressure) {
+                letOneAsk();
+            }
             pass(Milliseconds(50 + m_random() % 700));
         }
         calmDown();
-        if (m_endsTargets) {
+        if (m_options.endsTargets) {
             checkShutOut();
         }
         endingCaller.reset();
+        if (m_options.hasBackpressure) {
+            checkBackpressure();
+        }
         checkDrain();
         checkNews();
         callers.stop();
@@ -173,6 +190,63 @@
         (this->*it.step)();
     }
 
+    // Some target asks for something, or stops asking. What was said that it leaves is not taken back.
+    void letOneAsk()
+    {
+        Target &target = *m_targets[m_asksRandom() % m_targets.size()];
+        constexpr unsigned Kinds = 3;
+        constexpr double MostPerSecond = 20;
+        TargetAsks asks;
+        switch (m_asksRandom() % Kinds) {
+        case 0:
+            asks.perSecond = MostPerSecond * unitInterval(m_asksRandom());
+            break;
+        case 1:
+            asks.rest = Milliseconds(500 + m_asksRandom() % 2500);
+            break;
+        default:
+            break;
+        }
+        m_steps += "asks ";
+        target.ask(asks);
+    }
+
+    void checkBackpressure()
+    {
+        constexpr double Limit = 3;
+        constexpr auto LimitTime = 8s;
+        constexpr auto Rest = 2s;
+        constexpr auto LeavingTime = 4s;
+        for (const std::unique_ptr<Target> &it : m_targets) {
+            it->ask({});
+        }
+        pass(CalmTime);
+        Target &limited = *m_targets[0];
+        Target &resting = *m_targets[1];
+        Target &leaving = *m_targets[2];
+        const TimePoint askedAt = m_clock.now();
+        limited.ask({Limit, std::nullopt, false});
+        resting.ask({std::nullopt, Rest, false});
+        leaving.ask({std::nullopt, std::nullopt, true});
+        pass(LeavingTime);
+        failUnlessEmpty("leaving", brokenDeparture(leaving.arrivalsSinceAsk(), askedAt));
+        pass(LimitTime - LeavingTime);
+        failUnlessEmpty("limit", brokenLimit(limited.arrivalsSinceAsk(), Limit, askedAt));
+        failUnlessEmpty("rest", brokenRest(resting.arrivalsSinceAsk(), Rest));
+        if (limited.arrivalsSinceAsk().empty() || resting.arrivalsSinceAsk().empty()) {
+            m_ledger.fail("limit", "a target that asks for less gets nothing at all");
+        }
+        limited.ask({});
+        resting.ask({});
+    }
+
+    void failUnlessEmpty(const std::string &rule, const std::string &broken)
+    {
+        if (!broken.empty()) {
+            m_ledger.fail(rule, broken);
+        }
+    }
+
     Process &anyOf(const std::vector<Process *> &hosts)
     {
         return *hosts[m_random() % hosts.size()];
@@ -625,9 +699,10 @@
     }
 
     std::uint64_t m_seed;
-    bool m_endsTargets; ///< a request that ends the targets which run it comes again and again
+    SoakOptions m_options;
     std::mt19937_64 m_random;
     std::mt19937_64 m_linkRandom; ///< for faults between hosts, and for large routings
+    std::mt19937_64 m_asksRandom; ///< for what targets ask for
     SteadyClock m_clock;
     Ledger m_ledger;
     Cluster m_cluster;
@@ -646,7 +721,7 @@
 
 /// Plays one seed; keeps its folder if something was broken. Returns whether all promises were kept.
 bool play(std::uint64_t seed, Duration length, ClusterSettings settings, const std::filesystem::path &folder,
-          bool endsTargets)
+          const SoakOptions &options)
 {
     // One run in eight has as many hosts as a small machine bears.
     settings.entryHosts = seed % 8 == 7 ? ManyEntryHosts : 2 + static_cast<unsigned>(seed % 5);
@@ -656,7 +731,7 @@
     std::vector<std::string> failures;
     std::string summary;
     {
-        Soak soak(seed, settings, endsTargets);
+        Soak soak(seed, settings, options);
         failures = soak.run(length);
         summary = soak.summary();
     }
@@ -682,7 +757,8 @@
         "seed", "the first seed", cxxopts::value<std::uint64_t>())("seeds", "how many, one after the other",
                                                                    cxxopts::value<unsigned>()->default_value("1"))(
         "seconds", "of disturbance for each", cxxopts::value<unsigned>()->default_value("25"))(
-        "ending-request", "a request that ends each target which runs it comes again and again")("help", "this text");
+        "ending-request", "a request that ends each target which runs it comes again and again")(
+        "backpressure", "targets name limits, ask for rests, and say that they leave")("help", "this text");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0 || arguments.count("program") == 0) {
         std::cout << options.help();
@@ -701,7 +777,7 @@
         const auto length = std::chrono::seconds(arguments["seconds"].as<unsigned>());
         try {
             allKept &= play(first + n, length, settings, arguments["folder"].as<std::string>(),
-                            arguments.count("ending-request") > 0);
+                            {arguments.count("ending-request") > 0, arguments.count("backpressure") > 0});
         } catch (const Stopped &) {
             std::cout << "seed " << first + n << ": stopped midway" << std::endl;
             return 2;
