--- a/unittests/Balance/BackpressureTest.cpp
+++ b/unittests/Balance/BackpressureTest.cpp
@@ -47,7 +47,7 @@
     {
         const RequestId id = request(path, key);
         const auto *attempt = find<StartAttempt>();
-        const std::string target = attempt != nullptr ? attempt->target : std::string();
+        std::string target = attempt != nullptr ? attempt->target : std::string();
         if (attempt != nullptr) {
             end(id, 1, AttemptOutcome::Answered);
         }
