--- a/lib/Balance/Backpressures.cpp
+++ b/lib/Balance/Backpressures.cpp
@@ -65,7 +65,7 @@
     }
 }
 
-// Of the time at a target, in slots that a request a second keeps busy.
+// What a limit of requests a second keeps busy of a target's slots depends on how long they take.
 void Balancer::Impl::noteWork(const OpenRequest &open, Duration took)
 {
     const auto [mean, isNew] = m_meanWork.try_emplace(open.service, secondsOf(took));
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -158,17 +158,17 @@
     if (planned.target != nullptr && planned.fill <= planned.admissibleFill) {
         return planned;
     }
-    const bool isHeldBack = planned.target == nullptr && planned.refusal == Refusal::Backpressure;
-    const bool regionIsDead = planned.target == nullptr && !isHeldBack;
-    const Placement overloaded =
-        isHeldBack ? planned : Placement{nullptr, planned.fill, Refusal::Overloaded, planned.admissibleFill};
-    if (!regionIsDead && !isHeldBack && open.affinity != 0 && !open.isReturning) {
-        return overloaded;
+    const bool hasTarget = planned.target != nullptr;
+    const bool regionIsDead = !hasTarget && planned.refusal == Refusal::NoTarget;
+    const Placement noRoom =
+        hasTarget ? Placement{nullptr, planned.fill, Refusal::Overloaded, planned.admissibleFill} : planned;
+    if (hasTarget && open.affinity != 0 && !open.isReturning) {
+        return noRoom;
     }
     // A returning caller is served by whoever has room, at the price of a target that has to learn its key.
-    Placement other = placeIn(open, {}, regionIsDead || isHeldBack);
+    Placement other = placeIn(open, {}, !hasTarget);
     if (other.target == nullptr) {
-        return regionIsDead ? other : overloaded;
+        return regionIsDead ? other : noRoom;
     }
     const bool isAbroad = other.target->region != m_region;
     if (other.fill > admissibleFill(open, isAbroad)) {
@@ -176,7 +176,7 @@
     }
     const bool mayMove = regionIsDead || !isAbroad
         || m_overflow[open.service].take(m_now, m_settings.shiftWindow, m_settings.maxShift * OverflowPart);
-    return mayMove ? other : overloaded;
+    return mayMove ? other : noRoom;
 }
 
 void Balancer::Impl::followPlans()
