One count of changes for the tables that hosts keep together

Backpressure and Quarantine each kept the versions at which an entry and the table changed last for each kind of reader. NewsVersions in Registry serves both. No change of what is told; the tests of both tables are as they were.

--- a/include/pepperlug/Backpressure.h
+++ b/include/pepperlug/Backpressure.h
@@ -61,11 +61,9 @@
         TimePoint asOf{}; ///< when an answer named it last, or showed that none is named any more
         unsigned unnamed = 0; ///< answers in a row that name no limit, and came late enough to lift it
         TimePoint toldAt{}; ///< asOf, as other hosts were told it last
-        std::uint64_t directVersion = 0; ///< at the last change that this host tells control hosts
-        std::uint64_t changedVersion = 0; ///< at the last change
+        NewsMark changedAt;
     };
 
-    static std::uint64_t newestFor(const Entry &entry, NewsReader reader);
     void setLimit(Entry &entry, std::optional<double> limit, TimePoint asOf, TimePoint now);
     bool hearLimit(const Incarnation &target, const BackpressureSignal &signal, TimePoint sentAt, TimePoint now);
     bool hearLeaving(const Incarnation &target, TimePoint now);
@@ -75,8 +73,7 @@
     void noteChange(Entry &entry, bool isDirect);
 
     std::map<Incarnation, Entry> m_entries;
-    std::uint64_t m_version = 0;
-    std::uint64_t m_directVersion = 0; ///< of the last change that this host tells control hosts
+    NewsVersions m_versions;
 };
 
 } // namespace pepperlug::fleet
--- a/include/pepperlug/Quarantine.h
+++ b/include/pepperlug/Quarantine.h
@@ -98,8 +98,7 @@
         std::map<Incarnation, End> ends;
         unsigned trials = 0;
         TimePoint trialAt{}; ///< of the newest
-        std::uint64_t directVersion = 0; ///< at the last change that this host tells control hosts
-        std::uint64_t changedVersion = 0; ///< at the last change
+        NewsMark changedAt;
         bool mattersToEntryHosts = false; ///< they are told of it, also that it is free again
     };
 
@@ -107,7 +106,6 @@
     static TimePoint newestEnd(const Suspect &suspect);
     std::optional<TimePoint> trialDueAt(const Suspect &suspect) const;
     static bool addEnd(Suspect &suspect, const Incarnation &target, End end);
-    static std::uint64_t newestFor(const Suspect &suspect, NewsReader reader);
     static bool isForgotten(const Suspect &suspect, const End &end, TimePoint now);
     Suspect &suspectOf(const std::string &digest);
     void noteChange(Suspect &suspect, bool isDirect);
@@ -115,9 +113,7 @@
 
     Duration m_firstTrialPause;
     std::map<std::string, Suspect> m_suspects; ///< by digest
-    std::uint64_t m_version = 0;
-    std::uint64_t m_newestForEntryHosts = 0; ///< version of the last change that they are told
-    std::uint64_t m_newestForControlHosts = 0; ///< likewise
+    NewsVersions m_versions;
     TimePoint m_nextForget{};
 };
 
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -121,6 +121,45 @@
     ControlHost, ///< needs what was noticed here, or told by the hosts that this one speaks for
 };
 
+/// Versions of such a table at which an entry of it changed last; 0: never.
+struct NewsMark {
+    std::uint64_t forEntryHosts = 0;
+    std::uint64_t forControlHosts = 0;
+    std::uint64_t newestFor(NewsReader reader) const
+    {
+        return reader == NewsReader::ControlHost ? forControlHosts : forEntryHosts;
+    }
+};
+
+/// Counts the changes of such a table.
+class NewsVersions
+{
+public:
+    /// An entry has changed. `isDirect`: noticed here, or told by a host that this one speaks for.
+    void note(NewsMark &entry, bool isDirect, bool mattersToEntryHosts)
+    {
+        ++m_version;
+        for (NewsMark *it : {&entry, &m_newest}) {
+            it->forControlHosts = isDirect ? m_version : it->forControlHosts;
+            it->forEntryHosts = mattersToEntryHosts ? m_version : it->forEntryHosts;
+        }
+    }
+
+    bool hasChangedSince(std::uint64_t version, NewsReader reader) const
+    {
+        return m_newest.newestFor(reader) > version;
+    }
+
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
+private:
+    std::uint64_t m_version = 0;
+    NewsMark m_newest;
+};
+
 /// What the entry hosts of one region ask of one service, all together.
 struct RegionDemand {
     std::string region;
--- a/lib/Backpressure/Backpressure.cpp
+++ b/lib/Backpressure/Backpressure.cpp
@@ -64,11 +64,7 @@
 void BackpressureTable::noteChange(Entry &entry, bool isDirect)
 {
     entry.toldAt = entry.asOf;
-    entry.changedVersion = ++m_version;
-    if (isDirect) {
-        entry.directVersion = m_version;
-        m_directVersion = m_version;
-    }
+    m_versions.note(entry.changedAt, isDirect, true);
 }
 
 bool BackpressureTable::hear(const Incarnation &target, const BackpressureSignal &signal, TimePoint sentAt,
@@ -178,17 +174,12 @@
     return it != m_entries.end() && it->second.leavingSince.has_value();
 }
 
-std::uint64_t BackpressureTable::newestFor(const Entry &entry, NewsReader reader)
-{
-    return reader == NewsReader::ControlHost ? entry.directVersion : entry.changedVersion;
-}
-
 std::vector<BackpressureReport> BackpressureTable::changedSince(std::uint64_t version, NewsReader reader,
                                                                 TimePoint now) const
 {
     std::vector<BackpressureReport> reports;
     for (const auto &[target, entry] : m_entries) {
-        if (version == 0 || newestFor(entry, reader) > version) {
+        if (version == 0 || entry.changedAt.newestFor(reader) > version) {
             const auto age = std::chrono::duration_cast<Milliseconds>(now - entry.asOf);
             reports.push_back(
                 {target, entry.limit.has_value(), entry.limit.value_or(0), age, entry.leavingSince.has_value()});
@@ -199,12 +190,12 @@
 
 bool BackpressureTable::hasChangedSince(std::uint64_t version, NewsReader reader) const
 {
-    return (reader == NewsReader::ControlHost ? m_directVersion : m_version) > version;
+    return m_versions.hasChangedSince(version, reader);
 }
 
 std::uint64_t BackpressureTable::version() const
 {
-    return m_version;
+    return m_versions.version();
 }
 
 std::size_t BackpressureTable::limited() const
--- a/lib/Quarantine/Quarantine.cpp
+++ b/lib/Quarantine/Quarantine.cpp
@@ -115,15 +115,8 @@
 
 void Quarantine::noteChange(Suspect &suspect, bool isDirect)
 {
-    suspect.changedVersion = ++m_version;
-    if (isDirect) {
-        suspect.directVersion = m_version;
-        m_newestForControlHosts = m_version;
-    }
     suspect.mattersToEntryHosts |= counted(suspect) >= EndsToSuspect;
-    if (suspect.mattersToEntryHosts) {
-        m_newestForEntryHosts = m_version;
-    }
+    m_versions.note(suspect.changedAt, isDirect, suspect.mattersToEntryHosts);
 }
 
 Quarantine::Suspect &Quarantine::suspectOf(const std::string &digest)
@@ -265,20 +258,12 @@
     return it == m_suspects.end() ? 0 : counted(it->second);
 }
 
-std::uint64_t Quarantine::newestFor(const Suspect &suspect, NewsReader reader)
-{
-    if (reader == NewsReader::ControlHost) {
-        return suspect.directVersion;
-    }
-    return suspect.mattersToEntryHosts ? suspect.changedVersion : 0;
-}
-
 std::vector<SuspectReport> Quarantine::changedSince(std::uint64_t version, NewsReader reader, TimePoint now) const
 {
     std::vector<SuspectReport> reports;
     for (const auto &[digest, suspect] : m_suspects) {
         const bool isWhole = version == 0 && reader == NewsReader::ControlHost;
-        if (!isWhole && newestFor(suspect, reader) <= version) {
+        if (!isWhole && suspect.changedAt.newestFor(reader) <= version) {
             continue;
         }
         SuspectReport report{digest, {}, suspect.trials, ageOf(suspect.trialAt, now)};
@@ -292,12 +277,12 @@
 
 bool Quarantine::hasChangedSince(std::uint64_t version, NewsReader reader) const
 {
-    return (reader == NewsReader::ControlHost ? m_newestForControlHosts : m_newestForEntryHosts) > version;
+    return m_versions.hasChangedSince(version, reader);
 }
 
 std::uint64_t Quarantine::version() const
 {
-    return m_version;
+    return m_versions.version();
 }
 
 std::size_t Quarantine::size() const
