One token bucket for the link's budget and for limits of targets

LimitBucket repeated how LinkBudget fills. Both are a TokenBucket now. No change of what is decided; LinkLoadTest, BackpressureTest and LimitedTargetsTest as they were.

--- a/lib/Balance/LinkBudget.h
+++ b/lib/Balance/LinkBudget.h
@@ -1,9 +1,7 @@
 //===- LinkBudget.h - What answers may ask of a host's link -----*- C++ -*-===//
 #pragma once
 
-#include "pepperlug/Support.h"
-
-#include <algorithm>
+#include "TokenBucket.h"
 
 namespace pepperlug::fleet
 {
@@ -16,23 +14,23 @@
 public:
     /// `bytesPerSecond`: of the link; 0 for one that need not be minded.
     explicit LinkBudget(std::uint64_t bytesPerSecond)
-        : m_rate(static_cast<double>(bytesPerSecond) * UsedPart)
-        , m_bytes(m_rate * Burst.count())
+        : m_terms{static_cast<double>(bytesPerSecond) * UsedPart,
+                  static_cast<double>(bytesPerSecond) * UsedPart * Burst.count()}
+        , m_bytes(m_terms.depth)
     {
     }
 
     /// Whether an answer of this size may be asked for now. The first one may always be, however long it is.
     bool has(double bytes, TimePoint now)
     {
-        refill(now);
-        return m_rate <= 0 || m_bytes >= std::min(bytes, m_rate * Burst.count());
+        return m_terms.perSecond <= 0 || m_bytes.has(bytes, m_terms, now);
     }
 
     /// Counts an answer of this size; a negative one gives back what was counted too much.
     void take(double bytes, TimePoint now)
     {
-        refill(now);
-        m_bytes = std::min(m_bytes - bytes, m_rate * Burst.count());
+        m_bytes.refill(m_terms, now);
+        m_bytes.take(bytes);
     }
 
 private:
@@ -42,16 +40,8 @@
     /// time shuts out the next for a second.
     static constexpr std::chrono::duration<double> Burst{0.7};
 
-    void refill(TimePoint now)
-    {
-        const std::chrono::duration<double> passed = std::max(Duration(0), now - m_at);
-        m_bytes = std::min(m_bytes + m_rate * passed.count(), m_rate * Burst.count());
-        m_at = std::max(m_at, now);
-    }
-
-    double m_rate;
-    double m_bytes;
-    TimePoint m_at{};
+    BucketTerms m_terms;
+    TokenBucket m_bytes;
 };
 
 } // namespace pepperlug::fleet
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -326,7 +326,7 @@
         return;
     }
     if (!perSecond) {
-        target->bucket = {};
+        target->bucket.reset();
     }
     target->limit = perSecond;
 }
@@ -342,8 +342,8 @@
 void TargetSet::giveLimitBack(const Incarnation &incarnation)
 {
     TargetState *target = find(incarnation);
-    if (target != nullptr) {
-        target->bucket.giveBack();
+    if (target != nullptr && target->bucket) {
+        target->bucket->take(-1);
     }
 }
 
@@ -373,12 +373,13 @@
         // An owner may have room; how soon is not known here.
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / *target.limit));
     }
-    if (!target.bucket.isStarted()) {
-        target.bucket.start(unitInterval(hash64(target.report.id, m_settings.seed)), now);
+    if (!target.bucket) {
+        // With a part of one request, so that owners that hear of a limit at once do not all send at once.
+        target.bucket.emplace(unitInterval(hash64(target.report.id, m_settings.seed)));
     }
-    const LimitShare share = shareOf(*target.limit, owners);
+    const BucketTerms share = shareOf(*target.limit, owners);
     const double wanted = query.isUrgent ? 1 : 2;
-    return target.bucket.has(wanted, share, now) ? std::nullopt : std::optional(target.bucket.until(wanted, share));
+    return target.bucket->has(wanted, share, now) ? std::nullopt : std::optional(target.bucket->until(wanted, share));
 }
 
 TargetState *TargetSet::find(const Incarnation &incarnation)
@@ -406,8 +407,8 @@
     if (interval) {
         target.coldTokenAt = now + *interval;
     }
-    if (target.limit) {
-        target.bucket.take();
+    if (target.bucket) {
+        target.bucket->take(1);
     }
 }
 
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -36,7 +36,8 @@
     TimePoint restUntil{}; ///< this host sends it nothing until then
     bool hasRested = false; ///< and has not run a request of this host since
     std::optional<double> limit; ///< requests a second that it takes from all hosts together
-    LimitBucket bucket; ///< of this host's part of the limit
+    /// Requests of this host's part of the limit; nothing until one was considered.
+    std::optional<TokenBucket> bucket;
     std::size_t limitRank = 0; ///< of this host among those that may share the limit
     std::uint64_t rankedAt = 0; ///< version of the entry hosts as of the rank; 0: not ranked yet
 
