Entry host: an answer's head is read once, and news of both tables is taken by one function

Each answer was read by the dialect up to three times, on the way of each request: for what it asks for, for its outcome and for its line. It is read once where it comes in. What control hosts tell of suspects and of backpressure was taken by two functions that differed in a name. describeSignal() counted too, and is called countSignal(). No change of what is decided, counted or logged.

--- a/lib/Fleet/GatewayBackpressure.cpp
+++ b/lib/Fleet/GatewayBackpressure.cpp
@@ -4,7 +4,7 @@
 namespace pepperlug::fleet
 {
 
-nlohmann::json GatewayDaemon::Impl::describeSignal(const BackpressureSignal &signal)
+nlohmann::json GatewayDaemon::Impl::countSignal(const BackpressureSignal &signal)
 {
     nlohmann::json fields = nlohmann::json::object();
     if (signal.perSecond) {
@@ -34,21 +34,9 @@
     m_metrics.gauge("pepperlug_targets_limited", static_cast<double>(table.limited()));
 }
 
-void GatewayDaemon::Impl::onBackpressureTold(const FleetWatchReply &reply)
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        m_toldBackpressure = {reply.epoch, reply.backpressure.heard};
-    }
-    if (!reply.backpressure.reports.empty()) {
-        reduce(BackpressureTold{reply.backpressure.reports});
-    }
-}
-
 // Only what certainly comes from the target: another incarnation may have its address.
-void GatewayDaemon::Impl::onTargetSignal(const Incarnation &target, const Answer &answer, TimePoint sentAt)
+void GatewayDaemon::Impl::onTargetSignal(const Incarnation &target, const AnswerTerms &terms, TimePoint sentAt)
 {
-    const AnswerTerms terms = m_dialect.readAnswer(answer);
     if (!terms.isWrongTarget && (terms.isComplete || !terms.isExecuted)) {
         reduce(TargetSignalled{target, terms.backpressure, sentAt});
     }
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -318,8 +318,8 @@
     if (!reply.changes.empty() || reply.isWhole || !reply.demand.empty()) {
         reduce(ReportsChanged{reply.changes, reply.isWhole, reply.demand, reply.remembered});
     }
-    onSuspectsTold(reply);
-    onBackpressureTold(reply);
+    takeNews<SuspectsTold>(reply.suspects, reply.epoch, m_toldSuspects);
+    takeNews<BackpressureTold>(reply.backpressure, reply.epoch, m_toldBackpressure);
     onLoadsTold(reply);
     followRouting(receipt.from, reply);
     tellAgeOfNews();
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -65,6 +65,18 @@
     void onLoadsTold(const FleetWatchReply &reply);
     void tellSurges();
     void tellNews();
+    /// Takes what a control host tells of a table that hosts keep together, as an event of the balancer.
+    template <typename Event, typename Report>
+    void takeNews(const NewsAnswer<Report> &news, const std::string &epoch, ToldVersion &told)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            told = {epoch, news.heard};
+        }
+        if (!news.reports.empty()) {
+            reduce(Event{news.reports});
+        }
+    }
     void onReadiness(const HttpExchangePtr &exchange);
     bool isReady();
     bool closeIfIdle();
@@ -80,23 +92,24 @@
 
     // GatewayBackpressure.cpp
     void describeBackpressure(FleetWatchCall &call, const std::string &epoch);
-    void onBackpressureTold(const FleetWatchReply &reply);
-    void onTargetSignal(const Incarnation &target, const Answer &answer, TimePoint sentAt);
+    void onTargetSignal(const Incarnation &target, const AnswerTerms &terms, TimePoint sentAt);
     void carryOut(const RestBegun &effect);
     void carryOut(const BackpressureChanged &effect);
 
     // GatewaySuspects.cpp
     void describeSuspects(FleetWatchCall &call, const std::string &epoch);
-    void onSuspectsTold(const FleetWatchReply &reply);
     void carryOut(const CheckTarget &effect);
     void carryOut(const AskTrial &effect);
     void carryOut(const SuspectChanged &effect);
 
     // GatewayRequests.cpp
     void onHttp(const HttpExchangePtr &exchange);
-    bool onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, std::uint64_t length);
+    bool onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, const AnswerTerms &terms,
+                       std::uint64_t length);
     void onAnswerPart(RequestId id, unsigned attempt, std::string_view part);
-    void onAttemptEnded(RequestId id, unsigned attempt, const Incarnation &target, HttpResult result);
+    /// `terms`: of the answer, if there is one.
+    void onAttemptEnded(RequestId id, unsigned attempt, const Incarnation &target, const AnswerTerms &terms,
+                        HttpResult result);
     void reduce(const BalanceEvent &event);
     /// Null if it has ended; the mutex is held.
     OpenExchange *findOpen(RequestId id);
@@ -106,8 +119,9 @@
     void carryOut(const PassAnswer &effect);
     void carryOut(const AbortAnswer &effect);
     void carryOut(const RefuseRequest &effect);
-    nlohmann::json describeSignal(const BackpressureSignal &signal);
-    AttemptEnded readResult(RequestId id, unsigned attempt, HttpResult &result);
+    /// Counts what an answer asks for, and returns it for a line.
+    nlohmann::json countSignal(const BackpressureSignal &signal);
+    AttemptEnded readResult(RequestId id, unsigned attempt, const AnswerTerms &terms, HttpResult &result);
 
     FleetSettings m_settings;
     const Clock &m_clock;
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -108,8 +108,9 @@
     const Incarnation target{effect.target, effect.targetStartedAt};
     const TimePoint sentAt = m_clock.now();
     call.onLargeHead = [this, id, attempt, target, sentAt](const Answer &head, std::uint64_t length) {
-        onTargetSignal(target, head, sentAt);
-        return onAnswerBegun(id, attempt, head, length);
+        const AnswerTerms terms = m_dialect.readAnswer(head);
+        onTargetSignal(target, terms, sentAt);
+        return onAnswerBegun(id, attempt, head, terms, length);
     };
     call.onPart = [this, id, attempt](std::string_view part) {
         onAnswerPart(id, attempt, part);
@@ -133,10 +134,12 @@
                        {"view_age_ms", viewAge().count()},
                        {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
     open.calls[attempt] = m_client->start(std::move(call), [this, id, attempt, target, sentAt](HttpResult result) {
+        AnswerTerms terms;
         if (result.kind == HttpResult::Kind::Answered) {
-            onTargetSignal(target, result.answer, sentAt);
+            terms = m_dialect.readAnswer(result.answer);
+            onTargetSignal(target, terms, sentAt);
         }
-        onAttemptEnded(id, attempt, target, std::move(result));
+        onAttemptEnded(id, attempt, target, terms, std::move(result));
     });
 }
 
@@ -154,9 +157,9 @@
 }
 
 // Only an answer that would be passed on whole is begun; all others come whole first.
-bool GatewayDaemon::Impl::onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, std::uint64_t length)
+bool GatewayDaemon::Impl::onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, const AnswerTerms &terms,
+                                        std::uint64_t length)
 {
-    const AnswerTerms terms = m_dialect.readAnswer(head);
     if (terms.isWrongTarget || !terms.isExecuted || !terms.isComplete) {
         return false;
     }
@@ -184,7 +187,8 @@
     }
 }
 
-AttemptEnded GatewayDaemon::Impl::readResult(RequestId id, unsigned attempt, HttpResult &result)
+AttemptEnded GatewayDaemon::Impl::readResult(RequestId id, unsigned attempt, const AnswerTerms &terms,
+                                             HttpResult &result)
 {
     AttemptEnded ended{id, attempt, AttemptOutcome::Lost, {}, 0};
     if (result.kind == HttpResult::Kind::NotSent) {
@@ -195,7 +199,6 @@
         ended.outcome = result.timedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
         return ended;
     }
-    const AnswerTerms terms = m_dialect.readAnswer(result.answer);
     ended.load = terms.load;
     if (terms.isWrongTarget) {
         ended.outcome = AttemptOutcome::WrongTarget;
@@ -211,9 +214,10 @@
     return ended;
 }
 
-void GatewayDaemon::Impl::onAttemptEnded(RequestId id, unsigned attempt, const Incarnation &target, HttpResult result)
+void GatewayDaemon::Impl::onAttemptEnded(RequestId id, unsigned attempt, const Incarnation &target,
+                                         const AnswerTerms &terms, HttpResult result)
 {
-    AttemptEnded ended = readResult(id, attempt, result);
+    AttemptEnded ended = readResult(id, attempt, terms, result);
     {
         const std::lock_guard lock(m_mutex);
         OpenExchange *const open = findOpen(id);
@@ -233,7 +237,7 @@
                            {"reason", result.reason},
                            {"connection_ended", result.isConnectionLost},
                            {"refused", result.isRefused},
-                           {"signal", describeSignal(m_dialect.readAnswer(result.answer).backpressure)}});
+                           {"signal", countSignal(terms.backpressure)}});
         if (ended.outcome == AttemptOutcome::Answered) {
             open->answer = std::move(result.answer);
         }
--- a/lib/Fleet/GatewaySuspects.cpp
+++ b/lib/Fleet/GatewaySuspects.cpp
@@ -28,17 +28,6 @@
     m_metrics.gauge("pepperlug_requests_shut_out", static_cast<double>(quarantine.shutOut()));
 }
 
-void GatewayDaemon::Impl::onSuspectsTold(const FleetWatchReply &reply)
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        m_toldSuspects = {reply.epoch, reply.suspects.heard};
-    }
-    if (!reply.suspects.reports.empty()) {
-        reduce(SuspectsTold{reply.suspects.reports});
-    }
-}
-
 void GatewayDaemon::Impl::carryOut(const CheckTarget &effect)
 {
     const std::optional<Address> to = Address::parse(effect.address);
