--- a/include/pepperlug/Support.h
+++ b/include/pepperlug/Support.h
@@ -294,6 +294,19 @@
     return (static_cast<double>(hash >> LowBits) + 0.5) * 0x1p-53;
 }
 
+/// Bytes that compressed data may expand to: the longest message between hosts.
+constexpr std::size_t MaxExpandedBytes = 64 * 1024 * 1024;
+
+/// What a compressed text costs.
+enum class Compression : std::uint8_t {
+    Fast, ///< least processor time
+    Balanced,
+};
+/// Compresses a text in zlib's format.
+std::string compressed(const std::string &text, Compression compression);
+/// Expands compressed data. Throws Error with the step and the peer that sent the data.
+std::string expanded(const std::string &data, const char *step, const std::string &peer);
+
 /// BLAKE2b-256 of a text as lower-case hex.
 std::string digestHex(std::string_view text);
 /// 16 bytes that stand for a secret of a caller wherever it is kept, told or compared; they don't lead back to it, and
--- a/lib/Routes/RoutingUpdates.cpp
+++ b/lib/Routes/RoutingUpdates.cpp
@@ -7,8 +7,6 @@
 //===----------------------------------------------------------------------===//
 #include "pepperlug/Routes.h"
 
-#include <zlib.h>
-
 #include <algorithm>
 
 namespace pepperlug::fleet
@@ -17,13 +15,8 @@
 namespace
 {
 
-/// Bytes that a change may expand to: the longest message between hosts.
-constexpr std::size_t MaxExpandedBytes = 64 * 1024 * 1024;
-/// Bytes by which the output buffer grows: a change of a few routes fits into one step, and MaxExpandedBytes is a
-/// multiple of it.
-constexpr std::size_t ExpandStepBytes = 64 * 1024;
-/// Z_BEST_COMPRESSION takes 23 ms instead of 6 ms for a table of 4,200 routes and saves only 1 %.
-constexpr int CompressionLevel = Z_DEFAULT_COMPRESSION;
+/// The best compression takes 23 ms instead of 6 ms for a table of 4,200 routes and saves only 1 %.
+constexpr Compression ChangeCompression = Compression::Balanced;
 
 constexpr const char *DecodeStep = "decode routing change";
 constexpr const char *ApplyStep = "apply routing change";
@@ -58,97 +51,6 @@
     }
 };
 
-//===-- Compression -----------------------------------------------------------===//
-
-Bytef *bytesOf(std::string &text)
-{
-    return reinterpret_cast<Bytef *>(text.data());
-}
-
-// zlib does not write to its input, but its interface takes a pointer to mutable bytes.
-Bytef *bytesOf(const std::string &text)
-{
-    return const_cast<Bytef *>(reinterpret_cast<const Bytef *>(text.data()));
-}
-
-std::string compressed(const std::string &text)
-{
-    uLongf size = compressBound(text.size());
-    std::string data(size, '\0');
-    const int ec = compress2(bytesOf(data), &size, bytesOf(text), text.size(), CompressionLevel);
-    if (ec != Z_OK) {
-        throw Error("compress routing change", "", zError(ec));
-    }
-    data.resize(size);
-    return data;
-}
-
-/// A zlib stream to expand data from; ended by the destructor.
-class ExpandStream
-{
-public:
-    explicit ExpandStream(const std::string &data)
-    {
-        m_stream.next_in = bytesOf(data);
-        m_stream.avail_in = static_cast<uInt>(data.size());
-        const int ec = inflateInit(&m_stream);
-        if (ec != Z_OK) {
-            throw Error("expand routing change", "", zError(ec));
-        }
-    }
-
-    ~ExpandStream()
-    {
-        inflateEnd(&m_stream);
-    }
-
-    ExpandStream(const ExpandStream &) = delete;
-    ExpandStream &operator=(const ExpandStream &) = delete;
-
-    /// Appends up to ExpandStepBytes to the text. Returns zlib's code.
-    int readStep(std::string &text)
-    {
-        const std::size_t size = text.size();
-        text.resize(size + ExpandStepBytes);
-        m_stream.next_out = bytesOf(text) + size;
-        m_stream.avail_out = ExpandStepBytes;
-        const int ec = inflate(&m_stream, Z_NO_FLUSH);
-        text.resize(text.size() - m_stream.avail_out);
-        return ec;
-    }
-
-    bool isAtEnd() const
-    {
-        return m_stream.avail_in == 0;
-    }
-
-private:
-    z_stream m_stream{};
-};
-
-std::string expanded(const std::string &data, const std::string &peer)
-{
-    if (data.size() > MaxExpandedBytes) {
-        throw Error(DecodeStep, peer, "the change is longer than a message may be");
-    }
-    ExpandStream stream(data);
-    std::string text;
-    int ec = Z_OK;
-    while (ec == Z_OK) {
-        if (text.size() > MaxExpandedBytes - ExpandStepBytes) {
-            throw Error(DecodeStep, peer, "the change expands to more than a message may hold");
-        }
-        ec = stream.readStep(text);
-    }
-    if (ec != Z_STREAM_END) {
-        throw Error(DecodeStep, peer, std::string("the change can't be expanded: ") + zError(ec));
-    }
-    if (!stream.isAtEnd()) {
-        throw Error(DecodeStep, peer, "bytes are left after the end of the change");
-    }
-    return text;
-}
-
 // MessagePack's decoder allocates memory for as many elements as a list declares, before it has read them. So only a
 // message that holds them all is passed on to it.
 void checkIsComplete(const std::string &text, const std::string &peer)
@@ -173,12 +75,12 @@
 
 std::string encodeChange(const RoutingChange &change)
 {
-    return compressed(encode(change));
+    return compressed(encode(change), ChangeCompression);
 }
 
 RoutingChange decodeChange(const std::string &data, const std::string &peer)
 {
-    const std::string text = expanded(data, peer);
+    const std::string text = expanded(data, DecodeStep, peer);
     checkIsComplete(text, peer);
     auto change = decode<RoutingChange>(text, peer);
     checkChange(change, peer);
