Registry: no walk over all targets or hosts for a report, a change or a confirmation

Cause: each report and each renewal walked all targets twice to find others at its address, each reply to a follower walked all targets and hosts, each tick all of both to find silent ones, and each poll all followers: targets times targets, followers times targets, followers times followers. A control host of 984 entry hosts and 10,002 targets had no processor time left. When 256 pairs of versions were held, the newest was replaced, so a host whose followers were more than 256 pairs behind confirmed nothing until they had reached the very newest.

Change: entries are kept in the order of their versions, by address and by the time of their next expiry check; followers in lease in the order of their versions. Of too many pairs every second one is dropped. HostRotation names at most 64 hosts in a directory answer, all equally often; ReplySchedule bounds what announcements of updates cost.

--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -11,7 +11,9 @@
 
 #include "pepperlug/Codec.h"
 
+#include <deque>
 #include <limits>
+#include <set>
 #include <unordered_map>
 
 namespace pepperlug::fleet
@@ -191,11 +193,17 @@
 };
 
 /// Table of the last report of each target and host. A change is significant if entry hosts receive it: a renewal or a
-/// new load of a host is not.
+/// new load of a host is not. The cost of a report, and of the changes since a version, does not depend on the number
+/// of targets and hosts, except for the depth of sorted containers.
 class Registry
 {
 public:
     explicit Registry(RegistrySettings settings = {});
+    Registry(Registry &&) = default;
+    Registry &operator=(Registry &&) = default;
+    Registry(const Registry &) = delete; // the indexes refer to the entries
+    Registry &operator=(const Registry &) = delete;
+    ~Registry() = default;
 
     template <typename Report>
     struct Entry {
@@ -206,6 +214,7 @@
         std::uint64_t receivedVersion = 0; ///< table version at the last report
         std::uint64_t changedVersion = 0; ///< table version at the last significant change
         std::uint64_t loadVersion = 0; ///< table version at the last change of a host's load
+        TimePoint checkAt{}; ///< when it is checked next for its expiry
     };
     using TargetEntry = Entry<TargetReport>;
     using HostEntry = Entry<HostReport>;
@@ -227,6 +236,10 @@
     std::uint64_t version() const;
     /// Returns the version of the latest significant change.
     std::uint64_t changedVersion() const;
+    /// Returns the version of the latest significant change of a host.
+    std::uint64_t hostsVersion() const;
+    /// Returns how many entries all calls together have read or changed.
+    std::uint64_t visitedEntries() const;
 
     /// An entry host that is ready and not silent; valid until the next report is applied.
     struct LiveEntryHost {
@@ -243,28 +256,57 @@
 
     const std::map<std::string, TargetEntry> &targets() const;
     const std::map<std::string, HostEntry> &hosts() const;
+    /// Returns the known control hosts by id, also silent and gone ones.
+    const std::map<std::string_view, const HostEntry *> &controlHosts() const;
     const TargetEntry *target(const std::string &id) const;
     /// Returns true if a host is ready and not silent.
     static bool isLive(const HostEntry &entry);
 
 private:
+    /// Reports of one kind, and the orders in which they are looked for.
     template <typename Report>
-    bool apply(std::map<std::string, Entry<Report>> &table, const Report &report, TimePoint receivedAt, bool isDirect);
+    struct Table {
+        std::map<std::string, Entry<Report>> entries; ///< by id
+        std::map<std::uint64_t, Entry<Report> *> byChange; ///< by changedVersion
+        std::map<std::uint64_t, Entry<Report> *> byReceipt; ///< those received directly, by receivedVersion
+        std::set<std::pair<TimePoint, std::string_view>> expiryChecks; ///< by checkAt, with the id
+    };
+
+    template <typename Report>
+    bool apply(Table<Report> &table, const Report &report, TimePoint receivedAt, bool isDirect);
+    template <typename Report>
+    bool applyRenewal(Table<Report> &table, const Renewal &renewal, TimePoint now);
+    template <typename Report>
+    void recordReceipt(Table<Report> &table, Entry<Report> &entry, bool isDirect);
+    template <typename Report>
+    void recordEntryChange(Table<Report> &table, Entry<Report> &entry);
+    template <typename Report>
+    void dropFromOrders(Table<Report> &table, Entry<Report> &entry);
     template <typename Report>
-    bool applyRenewal(std::map<std::string, Entry<Report>> &table, const Renewal &renewal, TimePoint now);
+    Duration expiryOf(const Entry<Report> &entry) const;
     template <typename Report>
-    void expireIn(std::map<std::string, Entry<Report>> &table, TimePoint now, Duration expiry, bool mayExpire);
+    void scheduleCheck(Table<Report> &table, Entry<Report> &entry, TimePoint at);
+    template <typename Report>
+    void expireIn(Table<Report> &table, TimePoint now, bool mayExpire);
+    template <typename Report>
+    void addReceived(RegistryChanges &changes, const Table<Report> &table, std::uint64_t version, TimePoint now) const;
+    void addToIndex(TargetEntry &entry);
+    void addToIndex(HostEntry &entry);
+    void removeFromIndex(const TargetEntry &entry);
+    void removeFromIndex(const HostEntry &entry);
     void resolveAddressConflict(const TargetReport &report);
     static void resolveAddressConflict(const HostReport &report);
     void recordDirectDeparture(const TargetReport &report);
-    template <typename Report>
-    void recordEntryChange(Entry<Report> &entry);
 
     RegistrySettings m_settings;
-    std::map<std::string, TargetEntry> m_targets;
-    std::map<std::string, HostEntry> m_hosts;
+    Table<TargetReport> m_targets;
+    Table<HostReport> m_hosts;
+    std::unordered_map<std::string, std::vector<TargetEntry *>> m_targetsAt; ///< by address
+    std::map<std::string_view, const HostEntry *> m_controlHosts; ///< by id
     std::uint64_t m_version = 0;
     std::uint64_t m_changedVersion = 0;
+    std::uint64_t m_hostsVersion = 0;
+    mutable std::uint64_t m_visited = 0;
 };
 
 /// Entry hosts of one region and the use of their links.
@@ -277,6 +319,7 @@
 struct RedirectedShare {
     std::string region; ///< to which they are redirected
     double fraction = 0; ///< of all callers of the region that they come from
+    bool operator==(const RedirectedShare &) const = default;
 };
 
 /// Redirects callers of a region whose entry hosts have loaded links to another region. Shares change slowly, since the
@@ -294,6 +337,43 @@
     std::optional<TimePoint> m_updatedAt;
 };
 
+/// Hosts of which each directory answer names the next few, so that all are named equally often.
+class HostRotation
+{
+public:
+    /// Most hosts that one directory answer names.
+    static constexpr std::size_t MaxNamedHosts = 64;
+
+    /// Replaces the hosts. Their order depends on the seed alone, so a host that is added or removed moves no other.
+    void assign(std::vector<std::string> addresses, std::uint64_t seed);
+    /// Returns the next hosts: all of them if there are at most MaxNamedHosts.
+    std::vector<std::string> next();
+
+private:
+    std::vector<std::string> m_addresses;
+    std::size_t m_next = 0;
+};
+
+/// Gathers updates, so that the replies which announce them use a bounded share of a processor whatever the number of
+/// recipients and the rate of updates.
+class ReplySchedule
+{
+public:
+    /// Longest time for which an update is held back. An acknowledgement waits for two control hosts in a row, and
+    /// targets give up on one after a second.
+    static constexpr Milliseconds MaxGatherTime{250};
+
+    explicit ReplySchedule(Duration costPerReply);
+    /// Returns the time from one round of replies to the next.
+    Duration gatherTime(std::size_t recipients) const;
+    bool isDue(TimePoint now, std::size_t recipients) const;
+    void recordReplies(TimePoint now);
+
+private:
+    Duration m_costPerReply;
+    std::optional<TimePoint> m_repliedAt;
+};
+
 /// Versions up to which a host has applied the updates of one control host.
 struct UpdateVersions {
     std::uint64_t registryVersion = 0; ///< of the control host's registry
@@ -347,8 +427,11 @@
     /// Records what another control host confirms of this host's updates, for itself and its followers. The caller has
     /// checked that the epoch is this host's. The latest call counts.
     void recordPeerConfirmation(const std::string &peer, UpdateVersions confirmed);
-    /// Returns the hosts that have not confirmed versions of this host's own updates yet: followers in lease, then
-    /// those of `peers` (the live control hosts); empty if all have. A version of 0 needs no confirmation.
+    /// Returns true if all followers in lease and all of `peers` (the live control hosts) have confirmed versions of
+    /// this host's own updates. A version of 0 needs no confirmation. Its cost does not depend on the number of
+    /// followers.
+    bool isConfirmed(UpdateVersions versions, const std::vector<std::string> &peers, TimePoint now) const;
+    /// Returns the hosts for which isConfirmed() is false: followers in lease, then those of `peers`.
     std::vector<std::string> unconfirmedHosts(UpdateVersions versions, const std::vector<std::string> &peers,
                                               TimePoint now) const;
     /// State of an entry host that polled this host.
@@ -362,6 +445,10 @@
     /// Removes followers whose lease ended long ago and peers that are not among the known ones; to be called
     /// periodically.
     void removeExpired(const std::vector<std::string> &peers, TimePoint now);
+    /// Returns the number of followers in lease.
+    std::size_t waitedFollowers(TimePoint now) const;
+    /// Returns how many followers all calls together have read or changed.
+    std::uint64_t visitedFollowers() const;
 
 private:
     /// A host that has reached version `own` of this host has all updates of the other host up to `theirs`.
@@ -372,15 +459,28 @@
 
     struct MergedUpdates {
         std::string epoch;
-        std::vector<VersionPair> pairs; ///< both versions increase
+        std::deque<VersionPair> pairs; ///< both versions increase
+    };
+
+    /// Followers that are waited for, in the orders in which they are looked for.
+    struct Waited {
+        std::set<std::pair<TimePoint, std::string_view>> byPoll; ///< with the id
+        std::multiset<std::uint64_t> registryVersions;
+        std::multiset<std::uint64_t> routingIndexes;
     };
 
     bool isInLease(const Follower &follower, TimePoint now) const;
+    void waitFor(std::string_view id, const Follower &follower) const;
+    void stopWaitingFor(std::string_view id, const Follower &follower) const;
+    void endLeases(TimePoint now) const;
     UpdateVersions lowestFollowerVersions(TimePoint now) const;
     void dropReachedPairs(TimePoint now);
+    bool hasConfirmed(const std::string &peer, UpdateVersions versions) const;
 
     Duration m_lease;
     std::map<std::string, Follower> m_followers; ///< by id
+    mutable Waited m_waited; ///< of m_followers
+    mutable std::uint64_t m_visited = 0;
     std::map<std::string, MergedUpdates> m_merged; ///< by peer
     std::map<std::string, UpdateVersions> m_confirmed; ///< by peer
 };
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -4,6 +4,9 @@
 // on as a renewal of a few bytes. Entry hosts receive changes alone. The load of a host changes all the time; it is
 // sent along with the next update and is never a reason to send one. Hence three versions for each entry.
 //
+// Entries are kept in the order of these versions, by address, and by the time at which they may expire, so that no
+// report and no poll needs a walk over the table. Each change of an entry has a version of its own.
+//
 //===----------------------------------------------------------------------===//
 #include "pepperlug/Registry.h"
 
@@ -95,6 +98,12 @@
     return report.startedAt;
 }
 
+template <typename Report>
+bool hasEnded(const Registry::Entry<Report> &entry)
+{
+    return entry.report.presence == Presence::Gone || entry.isSilent;
+}
+
 // A host draws a new id at each start.
 Milliseconds startTimeOf(const HostReport &)
 {
@@ -123,6 +132,16 @@
 {
 }
 
+void addReport(RegistryChanges &changes, AgedReport<TargetReport> report)
+{
+    changes.targets.push_back(std::move(report));
+}
+
+void addReport(RegistryChanges &changes, AgedReport<HostReport> report)
+{
+    changes.hosts.push_back(std::move(report));
+}
+
 template <typename Report>
 AgedReport<Report> withAge(const Registry::Entry<Report> &entry, TimePoint now)
 {
@@ -163,24 +182,27 @@
 }
 
 template <typename Report>
-bool Registry::apply(std::map<std::string, Entry<Report>> &table, const Report &report, TimePoint receivedAt,
-                     bool isDirect)
+bool Registry::apply(Table<Report> &table, const Report &report, TimePoint receivedAt, bool isDirect)
 {
-    const auto [it, isNewId] = table.try_emplace(report.id);
+    ++m_visited;
+    const auto [it, isNewId] = table.entries.try_emplace(report.id);
     Entry<Report> &entry = it->second;
     if (!isNewId && startTimeOf(report) < startTimeOf(entry.report)) {
         return false;
     }
     const bool isNew = isNewId || startTimeOf(report) > startTimeOf(entry.report);
-    if (isNew) {
-        entry = {}; // nothing known of the previous incarnation holds for this one
-    }
-    const bool hasEnded = !isNew && entry.report.presence == Presence::Gone;
     // An end is final whatever its sequence number: the host that passed it on may not have known the latest one.
-    const bool isLate = !isNew && report.presence != Presence::Gone && report.sequence <= entry.report.sequence;
-    if (hasEnded || isLate) {
+    const bool isLate = report.presence != Presence::Gone && report.sequence <= entry.report.sequence;
+    if (!isNew && (entry.report.presence == Presence::Gone || isLate)) {
         return false;
     }
+    if (!isNewId) {
+        removeFromIndex(entry);
+    }
+    if (isNew) {
+        dropFromOrders(table, entry);
+        entry = {}; // nothing known of the previous incarnation holds for this one
+    }
     const bool isDeparture = report.presence != Presence::Ready;
     // A departure that came from another host is sent again once its author reports it here: the host that sent it
     // first may have stopped, and the author now waits for this host to acknowledge it.
@@ -193,24 +215,82 @@
     }
     entry.report = std::move(kept);
     entry.receivedAt = receivedAt;
-    entry.isDirect = isDirect || (entry.isDirect && isDeparture);
     entry.isSilent = false;
-    entry.receivedVersion = ++m_version;
+    addToIndex(entry);
+    recordReceipt(table, entry, isDirect || (entry.isDirect && isDeparture));
     if (!isLoadKept) {
         entry.loadVersion = m_version;
     }
     if (isSignificant) {
-        recordEntryChange(entry);
+        recordEntryChange(table, entry);
+    }
+    const TimePoint expiresAt = receivedAt + expiryOf(entry);
+    if (isNew || expiresAt < entry.checkAt) {
+        scheduleCheck(table, entry, expiresAt);
     }
     return true;
 }
 
+template <typename Report>
+void Registry::recordReceipt(Table<Report> &table, Entry<Report> &entry, bool isDirect)
+{
+    if (entry.isDirect) {
+        table.byReceipt.erase(entry.receivedVersion);
+    }
+    entry.isDirect = isDirect;
+    entry.receivedVersion = ++m_version;
+    if (isDirect) {
+        table.byReceipt.emplace(entry.receivedVersion, &entry);
+    }
+}
+
 // The caller has increased the version.
 template <typename Report>
-void Registry::recordEntryChange(Entry<Report> &entry)
+void Registry::recordEntryChange(Table<Report> &table, Entry<Report> &entry)
 {
+    table.byChange.erase(entry.changedVersion);
     entry.changedVersion = m_version;
+    table.byChange.emplace(m_version, &entry);
     m_changedVersion = m_version;
+    if constexpr (std::is_same_v<Report, HostReport>) {
+        m_hostsVersion = m_version;
+    }
+}
+
+template <typename Report>
+void Registry::dropFromOrders(Table<Report> &table, Entry<Report> &entry)
+{
+    table.byChange.erase(entry.changedVersion);
+    if (entry.isDirect) {
+        table.byReceipt.erase(entry.receivedVersion);
+    }
+    table.expiryChecks.erase({entry.checkAt, entry.report.id});
+}
+
+void Registry::addToIndex(TargetEntry &entry)
+{
+    m_targetsAt[entry.report.address].push_back(&entry);
+}
+
+void Registry::addToIndex(HostEntry &entry)
+{
+    if (entry.report.role == HostRole::Control) {
+        m_controlHosts.emplace(entry.report.id, &entry);
+    }
+}
+
+void Registry::removeFromIndex(const TargetEntry &entry)
+{
+    const auto it = m_targetsAt.find(entry.report.address);
+    std::erase(it->second, &entry);
+    if (it->second.empty()) {
+        m_targetsAt.erase(it);
+    }
+}
+
+void Registry::removeFromIndex(const HostEntry &entry)
+{
+    m_controlHosts.erase(entry.report.id);
 }
 
 bool Registry::receive(const TargetReport &report, TimePoint now)
@@ -227,14 +307,13 @@
 // Does what apply() does for a departure that came from another host first, where the report holds nothing new.
 void Registry::recordDirectDeparture(const TargetReport &report)
 {
-    TargetEntry &entry = m_targets[report.id];
+    TargetEntry &entry = m_targets.entries.at(report.id);
     const bool isOfKnownIncarnation = entry.report.startedAt == report.startedAt;
     if (entry.isDirect || !isOfKnownIncarnation) {
         return;
     }
-    entry.isDirect = true;
-    entry.receivedVersion = ++m_version;
-    recordEntryChange(entry);
+    recordReceipt(m_targets, entry, true);
+    recordEntryChange(m_targets, entry);
 }
 
 bool Registry::receive(const HostReport &report, TimePoint now)
@@ -250,20 +329,21 @@
     if (report.presence != Presence::Ready) {
         return;
     }
-    const auto isAt = [&](const TargetEntry &entry) {
-        return entry.report.presence == Presence::Ready && entry.report.address == report.address;
-    };
-    const TargetEntry *holder = nullptr;
-    for (const auto &[id, entry] : m_targets) {
-        if (isAt(entry) && (holder == nullptr || entry.receivedAt >= holder->receivedAt)) {
-            holder = &entry;
+    const std::vector<TargetEntry *> &candidates = m_targetsAt.at(report.address);
+    m_visited += candidates.size();
+    TargetEntry *holder = nullptr;
+    for (TargetEntry *it : candidates) {
+        const bool isHolder = holder == nullptr
+            || std::tie(it->receivedAt, it->report.id) > std::tie(holder->receivedAt, holder->report.id);
+        if (it->report.presence == Presence::Ready && isHolder) {
+            holder = it;
         }
     }
-    for (auto &[id, entry] : m_targets) {
-        if (isAt(entry) && &entry != holder && !entry.isSilent) {
-            entry.isSilent = true;
-            entry.receivedVersion = ++m_version;
-            recordEntryChange(entry);
+    for (TargetEntry *it : candidates) {
+        if (it->report.presence == Presence::Ready && it != holder && !it->isSilent) {
+            it->isSilent = true;
+            recordReceipt(m_targets, *it, it->isDirect);
+            recordEntryChange(m_targets, *it);
         }
     }
 }
@@ -274,12 +354,13 @@
 }
 
 template <typename Report>
-bool Registry::applyRenewal(std::map<std::string, Entry<Report>> &table, const Renewal &renewal, TimePoint now)
+bool Registry::applyRenewal(Table<Report> &table, const Renewal &renewal, TimePoint now)
 {
-    const auto it = table.find(renewal.id);
-    if (it == table.end()) {
+    const auto it = table.entries.find(renewal.id);
+    if (it == table.entries.end()) {
         return false;
     }
+    ++m_visited;
     const TimePoint receivedAt = now - renewal.age;
     Report report = it->second.report;
     if (renewal.startedAt != startTimeOf(report)) {
@@ -319,50 +400,82 @@
 }
 
 template <typename Report>
-void Registry::expireIn(std::map<std::string, Entry<Report>> &table, TimePoint now, Duration expiry, bool mayExpire)
-{
-    for (auto it = table.begin(); it != table.end();) {
-        Entry<Report> &entry = it->second;
-        const Duration age = now - entry.receivedAt;
-        const bool hasEnded = entry.report.presence == Presence::Gone || entry.isSilent;
-        if (hasEnded && age > m_settings.retention) {
-            it = table.erase(it);
+Duration Registry::expiryOf(const Entry<Report> &entry) const
+{
+    if (hasEnded(entry)) {
+        return m_settings.retention;
+    }
+    return std::is_same_v<Report, TargetReport> ? m_settings.targetExpiry : m_settings.hostExpiry;
+}
+
+template <typename Report>
+void Registry::scheduleCheck(Table<Report> &table, Entry<Report> &entry, TimePoint at)
+{
+    table.expiryChecks.erase({entry.checkAt, entry.report.id});
+    entry.checkAt = at;
+    table.expiryChecks.emplace(at, table.entries.find(entry.report.id)->first);
+}
+
+// An entry that was renewed since its check was scheduled is checked again when it may expire next.
+template <typename Report>
+void Registry::expireIn(Table<Report> &table, TimePoint now, bool mayExpire)
+{
+    for (auto it = table.expiryChecks.begin(); it != table.expiryChecks.end() && it->first < now;) {
+        ++m_visited;
+        const auto found = table.entries.find(std::string(it->second));
+        Entry<Report> &entry = found->second;
+        const TimePoint expiresAt = entry.receivedAt + expiryOf(entry);
+        if (expiresAt < now && !hasEnded(entry) && !mayExpire) {
+            ++it;
             continue;
         }
-        if (mayExpire && !hasEnded && age > expiry) {
+        it = table.expiryChecks.erase(it);
+        if (expiresAt >= now) {
+            scheduleCheck(table, entry, expiresAt);
+        } else if (hasEnded(entry)) {
+            removeFromIndex(entry);
+            dropFromOrders(table, entry);
+            table.entries.erase(found);
+        } else {
             entry.isSilent = true;
             ++m_version;
-            recordEntryChange(entry);
+            recordEntryChange(table, entry);
+            scheduleCheck(table, entry, entry.receivedAt + expiryOf(entry));
         }
-        ++it;
     }
 }
 
 void Registry::expire(TimePoint now, bool mayExpire)
 {
-    expireIn(m_targets, now, m_settings.targetExpiry, mayExpire);
-    expireIn(m_hosts, now, m_settings.hostExpiry, mayExpire);
+    expireIn(m_targets, now, mayExpire);
+    expireIn(m_hosts, now, mayExpire);
+}
+
+template <typename Report>
+void Registry::addReceived(RegistryChanges &changes, const Table<Report> &table, std::uint64_t version,
+                           TimePoint now) const
+{
+    for (auto it = table.byReceipt.upper_bound(version); it != table.byReceipt.end(); ++it) {
+        ++m_visited;
+        const Entry<Report> &entry = *it->second;
+        if (std::max(entry.changedVersion, entry.loadVersion) > version) {
+            addReport(changes, withAge(entry, now));
+        } else {
+            const auto age = std::chrono::duration_cast<Milliseconds>(now - entry.receivedAt);
+            changes.renewals.push_back({entry.report.id, entry.report.sequence, age, digestOf(entry.report),
+                                        isCold(entry.report), startTimeOf(entry.report)});
+        }
+    }
 }
 
 RegistryChanges Registry::receivedSince(std::uint64_t version, TimePoint now) const
 {
+    if (version == 0) {
+        return changedSince(0, now);
+    }
     RegistryChanges changes;
-    const auto add = [&](const auto &table, auto &whole) {
-        for (const auto &[id, entry] : table) {
-            if (version != 0 && (!entry.isDirect || entry.receivedVersion <= version)) {
-                continue;
-            }
-            if (version == 0 || std::max(entry.changedVersion, entry.loadVersion) > version) {
-                whole.push_back(withAge(entry, now));
-            } else {
-                const auto age = std::chrono::duration_cast<Milliseconds>(now - entry.receivedAt);
-                changes.renewals.push_back({id, entry.report.sequence, age, digestOf(entry.report),
-                                            isCold(entry.report), startTimeOf(entry.report)});
-            }
-        }
-    };
-    add(m_targets, changes.targets);
-    add(m_hosts, changes.hosts);
+    addReceived(changes, m_targets, version, now);
+    addReceived(changes, m_hosts, version, now);
     return changes;
 }
 
@@ -370,7 +483,8 @@
 Registry::liveEntryHosts(const std::map<std::string, std::string> &regionOfZone) const
 {
     std::vector<LiveEntryHost> hosts;
-    for (const auto &[id, entry] : m_hosts) {
+    m_visited += m_hosts.entries.size();
+    for (const auto &[id, entry] : m_hosts.entries) {
         const auto region = regionOfZone.find(entry.report.zone);
         if (entry.report.role == HostRole::Entry && isLive(entry) && region != regionOfZone.end()) {
             hosts.push_back({&region->second, &entry.report});
@@ -386,7 +500,8 @@
         return report.role == HostRole::Entry && report.presence != Presence::Gone && now - entry.receivedAt <= hold;
     };
     std::unordered_map<std::string_view, const HostEntry *> newest; // by address: a host that restarts has another id
-    for (const auto &[id, entry] : m_hosts) {
+    m_visited += m_hosts.entries.size();
+    for (const auto &[id, entry] : m_hosts.entries) {
         if (isCounted(entry)) {
             const HostEntry *&known = newest[entry.report.address];
             known = known == nullptr || known->receivedAt < entry.receivedAt ? &entry : known;
@@ -420,16 +535,14 @@
 RegistryChanges Registry::changedSince(std::uint64_t version, TimePoint now) const
 {
     RegistryChanges changes;
-    for (const auto &[id, entry] : m_targets) {
-        if (entry.changedVersion > version) {
-            changes.targets.push_back(withAge(entry, now));
+    const auto add = [&](const auto &table) {
+        for (auto it = table.byChange.upper_bound(version); it != table.byChange.end(); ++it) {
+            ++m_visited;
+            addReport(changes, withAge(*it->second, now));
         }
-    }
-    for (const auto &[id, entry] : m_hosts) {
-        if (entry.changedVersion > version) {
-            changes.hosts.push_back(withAge(entry, now));
-        }
-    }
+    };
+    add(m_targets);
+    add(m_hosts);
     return changes;
 }
 
@@ -443,20 +556,35 @@
     return m_changedVersion;
 }
 
+std::uint64_t Registry::hostsVersion() const
+{
+    return m_hostsVersion;
+}
+
+std::uint64_t Registry::visitedEntries() const
+{
+    return m_visited;
+}
+
+const std::map<std::string_view, const Registry::HostEntry *> &Registry::controlHosts() const
+{
+    return m_controlHosts;
+}
+
 const std::map<std::string, Registry::TargetEntry> &Registry::targets() const
 {
-    return m_targets;
+    return m_targets.entries;
 }
 
 const std::map<std::string, Registry::HostEntry> &Registry::hosts() const
 {
-    return m_hosts;
+    return m_hosts.entries;
 }
 
 const Registry::TargetEntry *Registry::target(const std::string &id) const
 {
-    const auto it = m_targets.find(id);
-    return it == m_targets.end() ? nullptr : &it->second;
+    const auto it = m_targets.entries.find(id);
+    return it == m_targets.entries.end() ? nullptr : &it->second;
 }
 
 bool Registry::isLive(const HostEntry &entry)
--- a/lib/Registry/UpdateConfirmations.cpp
+++ b/lib/Registry/UpdateConfirmations.cpp
@@ -22,8 +22,7 @@
 namespace
 {
 
-/// Pairs of versions kept for each control host. At most several replies arrive in each tick of 25 ms, and followers
-/// confirm within about a second: a few hundred pairs hold all that is of use.
+/// Pairs of versions kept for each control host.
 constexpr std::size_t MaxVersionPairs = 256;
 /// Leases after which a silent follower is removed. After the first it is not waited for; the second allows for callers
 /// whose times were read in another order.
@@ -36,6 +35,18 @@
     return std::partition_point(pairs.begin(), pairs.end(), [&](const auto &pair) { return pair.own <= own; });
 }
 
+// Keeps the oldest pair, which a slow follower reaches first, and confirms updates between the others in larger steps,
+// so that followers that are always many pairs behind still confirm.
+template <typename Pairs>
+void dropEverySecond(Pairs &pairs)
+{
+    std::size_t kept = 0;
+    for (std::size_t n = 0; n < pairs.size(); n += 2) {
+        pairs[kept++] = pairs[n];
+    }
+    pairs.resize(kept);
+}
+
 } // namespace
 
 UpdateConfirmations::UpdateConfirmations(Duration lease)
@@ -48,33 +59,62 @@
     return now - follower.polledAt <= m_lease;
 }
 
+void UpdateConfirmations::waitFor(std::string_view id, const Follower &follower) const
+{
+    ++m_visited;
+    m_waited.byPoll.emplace(follower.polledAt, id);
+    m_waited.registryVersions.insert(follower.applied.registryVersion);
+    m_waited.routingIndexes.insert(follower.applied.routingIndex);
+}
+
+// Does nothing if the follower isn't waited for.
+void UpdateConfirmations::stopWaitingFor(std::string_view id, const Follower &follower) const
+{
+    ++m_visited;
+    if (m_waited.byPoll.erase({follower.polledAt, id}) == 0) {
+        return;
+    }
+    m_waited.registryVersions.erase(m_waited.registryVersions.find(follower.applied.registryVersion));
+    m_waited.routingIndexes.erase(m_waited.routingIndexes.find(follower.applied.routingIndex));
+}
+
+void UpdateConfirmations::endLeases(TimePoint now) const
+{
+    while (!m_waited.byPoll.empty() && now - m_waited.byPoll.begin()->first > m_lease) {
+        const auto it = m_followers.find(std::string(m_waited.byPoll.begin()->second));
+        stopWaitingFor(it->first, it->second);
+    }
+}
+
 UpdateVersions UpdateConfirmations::lowestFollowerVersions(TimePoint now) const
 {
-    UpdateVersions lowest = UpdateVersions::max();
-    for (const auto &[id, follower] : m_followers) {
-        if (!isInLease(follower, now)) {
-            continue;
-        }
-        lowest.registryVersion = std::min(lowest.registryVersion, follower.applied.registryVersion);
-        lowest.routingIndex = std::min(lowest.routingIndex, follower.applied.routingIndex);
+    endLeases(now);
+    if (m_waited.byPoll.empty()) {
+        return UpdateVersions::max();
     }
-    return lowest;
+    return {*m_waited.registryVersions.begin(), *m_waited.routingIndexes.begin()};
 }
 
 void UpdateConfirmations::recordPoll(const std::string &id, UpdateVersions applied, TimePoint now)
 {
-    Follower &follower = m_followers[id];
+    const auto it = m_followers.try_emplace(id).first;
+    Follower &follower = it->second;
+    stopWaitingFor(it->first, follower);
     follower.polledAt = now;
     follower.applied = applied;
     if (applied.routingIndex == 0) {
         follower.applied.routingIndex = follower.sentRoutingIndex;
     }
+    waitFor(it->first, follower);
     dropReachedPairs(now);
 }
 
 void UpdateConfirmations::renewFollowerLease(const std::string &id, TimePoint now)
 {
-    m_followers[id].polledAt = now;
+    const auto it = m_followers.try_emplace(id).first;
+    stopWaitingFor(it->first, it->second);
+    it->second.polledAt = now;
+    waitFor(it->first, it->second);
 }
 
 // Without this, hosts that restart in series would delay every acknowledgement: each waits for its first reply about as
@@ -88,8 +128,13 @@
     if (!hasNoUpdates) {
         return;
     }
+    const bool isWaitedFor = m_waited.byPoll.contains({it->second.polledAt, it->first});
+    stopWaitingFor(it->first, it->second);
     it->second.applied = sent;
     it->second.sentRoutingIndex = sent.routingIndex;
+    if (isWaitedFor) {
+        waitFor(it->first, it->second);
+    }
 }
 
 std::optional<UpdateConfirmations::Follower> UpdateConfirmations::follower(const std::string &id) const
@@ -100,7 +145,11 @@
 
 void UpdateConfirmations::removeFollower(const std::string &id)
 {
-    m_followers.erase(id);
+    const auto it = m_followers.find(id);
+    if (it != m_followers.end()) {
+        stopWaitingFor(it->first, it->second);
+        m_followers.erase(it);
+    }
 }
 
 void UpdateConfirmations::recordMerge(const std::string &peer, const std::string &epoch, std::uint64_t theirs,
@@ -110,7 +159,7 @@
     if (updates.epoch != epoch) {
         updates = {epoch, {}};
     }
-    std::vector<VersionPair> &pairs = updates.pairs;
+    std::deque<VersionPair> &pairs = updates.pairs;
     const bool isKnown = !pairs.empty() && theirs <= pairs.back().theirs;
     if (isKnown) {
         return;
@@ -119,9 +168,8 @@
     while (!pairs.empty() && pairs.back().own >= own) {
         pairs.pop_back();
     }
-    // Dropping a pair only confirms less for a while. The older pairs are those that a slow follower reaches first.
     if (pairs.size() == MaxVersionPairs) {
-        pairs.pop_back();
+        dropEverySecond(pairs);
     }
     pairs.push_back({theirs, own});
 }
@@ -149,7 +197,7 @@
     if (it == m_merged.end() || it->second.epoch != epoch) {
         return confirmed;
     }
-    const std::vector<VersionPair> &pairs = it->second.pairs;
+    const std::deque<VersionPair> &pairs = it->second.pairs;
     const auto unreached = firstUnreached(pairs, lowest.registryVersion);
     if (unreached != pairs.begin()) {
         confirmed.registryVersion = std::prev(unreached)->theirs;
@@ -162,23 +210,32 @@
     m_confirmed[peer] = confirmed;
 }
 
+bool UpdateConfirmations::hasConfirmed(const std::string &peer, UpdateVersions versions) const
+{
+    const auto it = m_confirmed.find(peer);
+    return (it == m_confirmed.end() ? UpdateVersions{} : it->second).reaches(versions);
+}
+
+bool UpdateConfirmations::isConfirmed(UpdateVersions versions, const std::vector<std::string> &peers,
+                                      TimePoint now) const
+{
+    return lowestFollowerVersions(now).reaches(versions)
+        && std::all_of(peers.begin(), peers.end(), [&](const std::string &it) { return hasConfirmed(it, versions); });
+}
+
 std::vector<std::string> UpdateConfirmations::unconfirmedHosts(UpdateVersions versions,
                                                                const std::vector<std::string> &peers,
                                                                TimePoint now) const
 {
     std::vector<std::string> names;
+    m_visited += m_followers.size();
     for (const auto &[id, follower] : m_followers) {
         if (isInLease(follower, now) && !follower.applied.reaches(versions)) {
             names.push_back(id);
         }
     }
-    for (const std::string &peer : peers) {
-        const auto it = m_confirmed.find(peer);
-        const UpdateVersions confirmed = it == m_confirmed.end() ? UpdateVersions{} : it->second;
-        if (!confirmed.reaches(versions)) {
-            names.push_back(peer);
-        }
-    }
+    std::copy_if(peers.begin(), peers.end(), std::back_inserter(names),
+                 [&](const std::string &it) { return !hasConfirmed(it, versions); });
     return names;
 }
 
@@ -189,8 +246,25 @@
     };
     std::erase_if(m_merged, isUnknown);
     std::erase_if(m_confirmed, isUnknown);
-    std::erase_if(m_followers, [&](const auto &it) { return now - it.second.polledAt > LeasesUntilRemoved * m_lease; });
+    std::erase_if(m_followers, [&](const auto &it) {
+        const bool isExpired = now - it.second.polledAt > LeasesUntilRemoved * m_lease;
+        if (isExpired) {
+            stopWaitingFor(it.first, it.second);
+        }
+        return isExpired;
+    });
     dropReachedPairs(now);
 }
 
+std::size_t UpdateConfirmations::waitedFollowers(TimePoint now) const
+{
+    endLeases(now);
+    return m_waited.byPoll.size();
+}
+
+std::uint64_t UpdateConfirmations::visitedFollowers() const
+{
+    return m_visited;
+}
+
 } // namespace pepperlug::fleet
