Balance: a choice among few targets of a ring, and sums that change with single targets

Cause: an entry host walked all targets for each request, ranked all of a service for the request's key, walked all entry hosts for each cold target, and summed the slots of all targets five times a second.

Change: the targets of a service and region lie on a ring by their hash; a key has 32 points on it, and prefers the targets that follow them most closely. All hosts find the same ones, and only the keys of a target that leaves move. Without a key the least loaded of up to 64 is taken. Slots are summed as targets change; entry hosts are counted by zone.

A host routes nothing before its first reply, which holds the limits; so the simulated host now receives it when it starts.

--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -1,10 +1,12 @@
 //===- TargetSet.cpp - Known targets and the choice among them ------------===//
 //
-// With an affinity key, the choice is the first of the few targets that rendezvous hashing ranks highest for the key
-// that would answer in time, or else the least loaded of them. All entry hosts compute the same ranking without
-// communication, so a target sees the same keys again and has their data cached. If these targets are full, no other
-// one is used: a target caches a limited number of keys, so a key that spills over evicts another one elsewhere, all
-// targets become slow, and more keys spill over.
+// With an affinity key, the choice is the first of the few targets that the key prefers that would answer in time, or
+// else the least loaded of them. All entry hosts compute the same preference without communication, so a target sees
+// the same keys again and has their data cached. If these targets are full, no other one is used: a target caches a
+// limited number of keys, so a key that spills over evicts another one elsewhere, all targets become slow, and more
+// keys spill over.
+//
+// Only if no target is found that way are all targets of the service looked at.
 //
 //===----------------------------------------------------------------------===//
 #include "TargetSet.h"
@@ -35,8 +37,20 @@
 /// Advised wait while a target runs its first request after a back-off.
 constexpr Milliseconds RecoveryRetryAfter{200};
 
+TargetState *leastLoaded(const std::vector<TargetState *> &targets, TimePoint now)
+{
+    const auto it =
+        std::ranges::min_element(targets, {}, [now](const TargetState *it) { return it->utilization(now); });
+    return it == targets.end() ? nullptr : *it;
+}
+
 } // namespace
 
+double TargetState::utilization(TimePoint now) const
+{
+    return (estimatedRequests(now) + 1) / slots();
+}
+
 double TargetState::slots() const
 {
     return std::max(1U, load && load->slots > 0 ? load->slots : report.slots);
@@ -72,30 +86,68 @@
 
 TargetSet::TargetSet(const BalanceSettings &settings)
     : m_settings(settings)
+    , m_entryHosts(settings.regionOfZone)
 {
 }
 
 std::string TargetSet::regionOf(const std::string &zone) const
 {
-    const auto it = m_settings.regionOfZone.find(zone);
-    return it == m_settings.regionOfZone.end() ? zone : it->second;
+    return m_entryHosts.regionOf(zone);
+}
+
+void TargetSet::addToRing(TargetState &target)
+{
+    m_rings[target.report.service][target.region].add(target);
+    updateShare(target);
+}
+
+void TargetSet::removeFromRing(TargetState &target)
+{
+    const auto rings = m_rings.find(target.report.service);
+    const auto ring = rings->second.find(target.region);
+    ring->second.remove(target);
+    if (ring->second.size() == 0) {
+        rings->second.erase(ring);
+    }
+    if (rings->second.empty()) {
+        m_rings.erase(rings);
+    }
+}
+
+void TargetSet::updateShare(TargetState &target)
+{
+    ++m_visited;
+    const bool isUsableUntilChanged =
+        acceptsRequests(target) && !target.isSilent && !target.isRetired; // and confirmed in time, if it is timed
+    const bool isTimed =
+        isUsableUntilChanged && (target.unconfirmedSince || target.limit || target.backoffUntil != TimePoint{});
+    const unsigned slots = isUsableUntilChanged && !isTimed ? static_cast<unsigned>(target.slots()) : 0;
+    m_rings.find(target.report.service)->second.find(target.region)->second.setShare(target, slots, isTimed);
 }
 
 void TargetSet::apply(const RegistryChanges &changes, TimePoint now)
 {
     for (const AgedReport<TargetReport> &it : changes.targets) {
+        ++m_visited;
         const auto [entry, isNew] = m_targets.try_emplace(it.report.id);
         TargetState &target = entry->second;
         if (!isNew && it.report.startedAt < target.report.startedAt) {
             continue;
         }
+        const bool isOutdated = !isNew && it.report.startedAt == target.report.startedAt
+            && it.report.sequence < target.report.sequence && it.report.presence != Presence::Gone;
+        if (isOutdated) {
+            target.unconfirmedSince.reset(); // the reporting host knows the target, even by an older report
+            updateShare(target);
+            continue;
+        }
+        if (!isNew) {
+            removeFromRing(target);
+        }
         if (it.report.startedAt > target.report.startedAt) {
             target = {}; // requests, load, failures and cold time belong to the previous incarnation
         }
-        target.unconfirmedSince.reset(); // the reporting host knows the target, even by an older report
-        if (!isNew && it.report.sequence < target.report.sequence && it.report.presence != Presence::Gone) {
-            continue;
-        }
+        target.unconfirmedSince.reset();
         const TimePoint reportedAt = now - it.age;
         const bool isEvidence = !target.presumedColdSince || reportedAt > *target.presumedColdSince;
         target.report = it.report;
@@ -108,17 +160,12 @@
         }
         if (it.report.presence == Presence::Gone && target.inFlight == 0) {
             m_targets.erase(entry);
+        } else {
+            addToRing(target);
         }
     }
     for (const AgedReport<HostReport> &it : changes.hosts) {
-        const bool isLive = it.report.presence == Presence::Ready && !it.isSilent;
-        const std::size_t before = m_entryHosts.size();
-        if (it.report.role == HostRole::Entry && isLive) {
-            m_entryHosts[it.report.id] = it.report;
-        } else {
-            m_entryHosts.erase(it.report.id);
-        }
-        m_entryHostsVersion += m_entryHosts.size() != before ? 1 : 0;
+        m_entryHosts.apply(it);
     }
 }
 
@@ -135,6 +182,7 @@
         const bool isKnown = it != knownStartTimes.end() && it->second >= target.report.startedAt;
         if (!isKnown) {
             target.unconfirmedSince = target.unconfirmedSince.value_or(now);
+            updateShare(target);
         }
     }
 }
@@ -147,6 +195,9 @@
 // Targets of a zone whose evacuation has ended may have become cold without having reported it yet.
 void TargetSet::setEvacuatedZones(const std::set<std::string> &zones, TimePoint now)
 {
+    if (zones == m_evacuated) {
+        return;
+    }
     for (auto &[id, target] : m_targets) {
         const bool hasEvacuationEnded = m_evacuated.contains(target.report.zone) && !zones.contains(target.report.zone);
         const ServiceTraits *traits = m_table ? m_table->service(target.report.service) : nullptr;
@@ -156,6 +207,9 @@
         }
     }
     m_evacuated = zones;
+    for (auto &[id, target] : m_targets) {
+        updateShare(target);
+    }
 }
 
 bool TargetSet::acceptsRequests(const TargetState &target) const
@@ -171,29 +225,20 @@
     return acceptsRequests(target) && !target.isSilent && !target.isRetired;
 }
 
-bool TargetSet::warmsTarget(const HostReport &host, const TargetState &target) const
-{
-    const bool zoneHasHost = std::any_of(m_entryHosts.begin(), m_entryHosts.end(),
-                                         [&](const auto &it) { return it.second.zone == target.report.zone; });
-    if (zoneHasHost) {
-        return host.zone == target.report.zone;
-    }
-    const bool regionHasHost = std::any_of(m_entryHosts.begin(), m_entryHosts.end(),
-                                           [&](const auto &it) { return regionOf(it.second.zone) == target.region; });
-    return !regionHasHost || regionOf(host.zone) == target.region;
-}
-
+// The entry hosts of the target's zone warm it, or those of its region if its zone has none, or else all.
 std::size_t TargetSet::warmingHostCount(const TargetState &target) const
 {
-    return static_cast<std::size_t>(std::count_if(m_entryHosts.begin(), m_entryHosts.end(),
-                                                  [&](const auto &it) { return warmsTarget(it.second, target); }));
+    const std::size_t inZone = m_entryHosts.inZone(target.report.zone);
+    const std::size_t inRegion = m_entryHosts.inRegion(target.region);
+    return inZone > 0 ? inZone : (inRegion > 0 ? inRegion : m_entryHosts.size());
 }
 
 bool TargetSet::isWarmingHost(const TargetState &target) const
 {
-    HostReport self;
-    self.zone = m_settings.zone;
-    return warmsTarget(self, target);
+    if (m_entryHosts.inZone(target.report.zone) > 0) {
+        return m_settings.zone == target.report.zone;
+    }
+    return m_entryHosts.inRegion(target.region) == 0 || regionOf(m_settings.zone) == target.region;
 }
 
 std::optional<Duration> TargetSet::coldRequestInterval(const TargetState &target) const
@@ -233,62 +278,102 @@
     return now >= *target.nextColdRequestAt;
 }
 
-TargetState *TargetSet::chooseAmong(std::vector<TargetState *> &candidates, const TargetQuery &query, TimePoint now)
+std::vector<const TargetRing *> TargetSet::ringsFor(const TargetQuery &query) const
 {
-    const auto utilization = [now](const TargetState *it) {
-        return (it->estimatedRequests(now) + 1) / it->slots();
-    };
-    const auto isLessLoaded = [&](const TargetState *lhs, const TargetState *rhs) {
-        return utilization(lhs) < utilization(rhs);
-    };
-    if (query.affinity == 0) {
-        return *std::min_element(candidates.begin(), candidates.end(), isLessLoaded);
+    std::vector<const TargetRing *> rings;
+    const auto service = m_rings.find(query.service);
+    if (service == m_rings.end()) {
+        return rings;
     }
-    std::vector<std::pair<std::uint64_t, TargetState *>> ranked;
-    ranked.reserve(candidates.size());
-    for (TargetState *it : candidates) {
-        ranked.emplace_back(
-            hash64(std::string_view(reinterpret_cast<const char *>(&it->hash), sizeof it->hash), query.affinity), it);
+    for (const auto &[region, ring] : service->second) {
+        const bool isHomeRegion = query.homeRegions == nullptr || isHome(*query.homeRegions, region);
+        if (isHomeRegion && (query.region.empty() || query.region == region)) {
+            rings.push_back(&ring);
+        }
     }
-    std::sort(ranked.begin(), ranked.end(), [](const auto &lhs, const auto &rhs) { return lhs.first > rhs.first; });
+    return rings;
+}
+
+bool TargetSet::isAvailable(TargetState &target, const TargetQuery &query, TimePoint now) const
+{
+    ++m_visited;
+    return isUsable(target, now) && !query.excluded.contains(target.report.id)
+        && (!target.isCold(now) || mayReceiveWhileCold(target, now)) && !untilCapacity(target, query, now)
+        && now >= target.blockedUntil && !target.isUnresponsive(now, query.responseTimeout);
+}
+
+TargetState *TargetSet::chooseByKey(const std::vector<const TargetRing *> &rings, const TargetQuery &query,
+                                    TimePoint now)
+{
+    TargetRing::Ranked ranked;
+    for (const TargetRing *it : rings) {
+        it->addPreferred(
+            query.affinity, [&](TargetState &target) { return isAvailable(target, query, now); }, ranked);
+    }
+    std::ranges::sort(ranked, {}, [](const auto &it) { return it.first; });
     std::vector<TargetState *> first;
-    for (std::size_t n = 0; n < std::min<std::size_t>(m_settings.policy.targetsPerKey, ranked.size()); ++n) {
-        if (utilization(ranked[n].second) <= query.admissibleUtilization) {
-            return ranked[n].second;
+    for (const auto &[distance, target] : ranked) {
+        if (first.size() == m_settings.policy.targetsPerKey) {
+            break;
+        }
+        if (std::find(first.begin(), first.end(), target) != first.end()) {
+            continue;
+        }
+        if (target->utilization(now) <= query.admissibleUtilization) {
+            return target;
         }
-        first.push_back(ranked[n].second);
+        first.push_back(target);
     }
-    return *std::min_element(first.begin(), first.end(), isLessLoaded);
+    return leastLoaded(first, now);
+}
+
+TargetState *TargetSet::chooseLeastLoaded(const std::vector<const TargetRing *> &rings, const TargetQuery &query,
+                                          TimePoint now)
+{
+    const std::uint64_t point = hash64(std::to_string(++m_samples), m_settings.seed);
+    std::vector<TargetState *> candidates;
+    for (const TargetRing *it : rings) {
+        const std::vector<TargetState *> sampled =
+            it->sample(point, [&](TargetState &target) { return isAvailable(target, query, now); });
+        candidates.insert(candidates.end(), sampled.begin(), sampled.end());
+    }
+    return leastLoaded(candidates, now);
 }
 
 TargetChoice TargetSet::choose(const TargetQuery &query, TimePoint now)
+{
+    const std::vector<const TargetRing *> rings = ringsFor(query);
+    TargetState *target = query.affinity != 0 ? chooseByKey(rings, query, now) : chooseLeastLoaded(rings, query, now);
+    return target != nullptr ? TargetChoice{target, std::nullopt} : chooseAmongAll(rings, query, now);
+}
+
+// If all targets failed recently or are unresponsive, the one whose block ends first is chosen.
+TargetChoice TargetSet::chooseAmongAll(const std::vector<const TargetRing *> &rings, const TargetQuery &query,
+                                       TimePoint now)
 {
     std::vector<TargetState *> available;
-    std::vector<TargetState *> blocked;
+    TargetState *firstUnblocked = nullptr;
     std::optional<Duration> soonest;
-    for (auto &[id, target] : m_targets) {
-        const bool fits = target.report.service == query.service
-            && (query.homeRegions == nullptr || isHome(*query.homeRegions, target))
-            && (query.region.empty() || query.region == target.region) && !query.excluded.contains(id);
-        if (!fits || !isUsable(target, now) || (target.isCold(now) && !mayReceiveWhileCold(target, now))) {
-            continue;
+    for (const TargetRing *ring : rings) {
+        for (const auto &[hash, target] : ring->targets()) {
+            ++m_visited;
+            const bool isExcluded = !isUsable(*target, now) || query.excluded.contains(target->report.id);
+            if (isExcluded || (target->isCold(now) && !mayReceiveWhileCold(*target, now))) {
+                continue;
+            }
+            if (const std::optional<Duration> wait = untilCapacity(*target, query, now)) {
+                soonest = std::min(soonest.value_or(*wait), *wait);
+                continue;
+            }
+            if (now >= target->blockedUntil && !target->isUnresponsive(now, query.responseTimeout)) {
+                available.push_back(target);
+            } else if (firstUnblocked == nullptr || target->blockedUntil < firstUnblocked->blockedUntil) {
+                firstUnblocked = target;
+            }
         }
-        if (const std::optional<Duration> wait = untilCapacity(target, query, now)) {
-            soonest = std::min(soonest.value_or(*wait), *wait);
-            continue;
-        }
-        const bool isUntrusted = now < target.blockedUntil || target.isUnresponsive(now, query.responseTimeout);
-        (isUntrusted ? blocked : available).push_back(&target);
-    }
-    if (!available.empty()) {
-        return {chooseAmong(available, query, now), std::nullopt};
     }
-    // All candidates failed recently or are unresponsive: use the one whose block ends first.
-    const auto it =
-        std::min_element(blocked.begin(), blocked.end(), [](const TargetState *lhs, const TargetState *rhs) {
-            return lhs->blockedUntil < rhs->blockedUntil;
-        });
-    return it == blocked.end() ? TargetChoice{nullptr, soonest} : TargetChoice{*it, std::nullopt};
+    TargetState *chosen = available.empty() ? firstUnblocked : leastLoaded(available, now);
+    return chosen == nullptr ? TargetChoice{nullptr, soonest} : TargetChoice{chosen, std::nullopt};
 }
 
 // Extends a back-off in progress, and never shortens it.
@@ -305,6 +390,7 @@
     target->backoffUntil =
         std::max(target->backoffUntil, now + std::chrono::duration_cast<Duration>(bounded + spread * phase));
     target->isRecovering = true;
+    updateShare(*target);
     return target->backoffUntil - now;
 }
 
@@ -331,6 +417,7 @@
         target->bucket.reset();
     }
     target->limit = perSecond;
+    updateShare(*target);
 }
 
 void TargetSet::setLeaving(const Incarnation &incarnation)
@@ -338,6 +425,7 @@
     TargetState *target = find(incarnation);
     if (target != nullptr) {
         target->isLeaving = true;
+        updateShare(*target);
     }
 }
 
@@ -352,13 +440,13 @@
 // Returns how many live entry hosts rendezvous hashing ranks before this one for the target.
 std::size_t TargetSet::limitRank(TargetState &target) const
 {
-    if (target.rankedAt != m_entryHostsVersion) {
+    if (target.rankedAt != m_entryHosts.version()) {
         const std::uint64_t own = hash64(m_settings.host, target.hash);
-        target.limitRank =
-            static_cast<std::size_t>(std::count_if(m_entryHosts.begin(), m_entryHosts.end(), [&](const auto &it) {
-                return it.first != m_settings.host && hash64(it.first, target.hash) < own;
-            }));
-        target.rankedAt = m_entryHostsVersion;
+        const auto &zones = m_entryHosts.zones();
+        target.limitRank = static_cast<std::size_t>(std::count_if(zones.begin(), zones.end(), [&](const auto &it) {
+            return it.first != m_settings.host && hash64(it.first, target.hash) < own;
+        }));
+        target.rankedAt = m_entryHosts.version();
     }
     return target.limitRank;
 }
@@ -399,7 +487,12 @@
 
 bool TargetSet::isHome(const std::vector<std::string> &homeRegions, const TargetState &target)
 {
-    return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), target.region) != homeRegions.end();
+    return isHome(homeRegions, target.region);
+}
+
+bool TargetSet::isHome(const std::vector<std::string> &homeRegions, const std::string &region)
+{
+    return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
 }
 
 void TargetSet::attemptStarted(TargetState &target, TimePoint now)
@@ -438,6 +531,7 @@
         target->load = load;
         target->inFlightAtLoad = target->inFlight;
         target->loadAt = now;
+        updateShare(*target);
     }
     switch (outcome) {
     case AttemptOutcome::Answered:
@@ -448,6 +542,7 @@
         return;
     case AttemptOutcome::WrongTarget:
         target->isRetired = true;
+        updateShare(*target);
         return;
     case AttemptOutcome::Withdrawn:
         return; // does not concern the target
@@ -485,16 +580,31 @@
                                                   TimePoint now) const
 {
     std::map<std::string, double> slots;
-    for (const auto &[id, target] : m_targets) {
-        if (target.report.service != service || !isUsable(target, now) || target.isBackingOff(now)) {
-            continue;
+    const auto rings = m_rings.find(service);
+    if (rings == m_rings.end()) {
+        return slots;
+    }
+    for (const auto &[region, ring] : rings->second) {
+        double sum = static_cast<double>(ring.slots());
+        for (const TargetState *it : ring.timed()) {
+            sum += slotsAt(*it, serviceTime, now);
+        }
+        if (sum > 0) {
+            slots[region] = sum;
         }
-        const bool isLimited = target.limit && serviceTime;
-        slots[target.region] += isLimited ? std::min(target.slots(), *target.limit * *serviceTime) : target.slots();
     }
     return slots;
 }
 
+double TargetSet::slotsAt(const TargetState &target, std::optional<double> serviceTime, TimePoint now) const
+{
+    ++m_visited;
+    if (!isUsable(target, now) || target.isBackingOff(now)) {
+        return 0;
+    }
+    return target.limit && serviceTime ? std::min(target.slots(), *target.limit * *serviceTime) : target.slots();
+}
+
 void TargetSet::addRestored(const std::vector<TargetReport> &targets, TimePoint now)
 {
     for (const TargetReport &it : targets) {
@@ -507,6 +617,7 @@
         target.region = regionOf(it.zone);
         target.hash = hash64(it.id);
         target.unconfirmedSince = now - (ConfirmationTimeout - RestoredTargetLifetime);
+        addToRing(target);
     }
 }
 
@@ -518,8 +629,8 @@
 std::map<std::string, double> TargetSet::demand(std::string_view service) const
 {
     std::map<std::string, double> slots;
-    for (const auto &[id, host] : m_entryHosts) {
-        slots[regionOf(host.zone)]; // a region with entry hosts may have no demand
+    for (const auto &[region, hosts] : m_entryHosts.byRegion()) {
+        slots[region]; // a region with entry hosts may have no demand
     }
     for (const RegionDemand &it : m_demand) {
         slots[it.region] += it.service == service ? it.slots : 0;
@@ -529,8 +640,17 @@
 
 std::size_t TargetSet::usable(TimePoint now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_targets.begin(), m_targets.end(), [&](const auto &it) { return isUsable(it.second, now); }));
+    std::size_t count = 0;
+    for (const auto &[service, rings] : m_rings) {
+        for (const auto &[region, ring] : rings) {
+            const auto isUsableNow = [&](const TargetState *it) {
+                return isUsable(*it, now);
+            };
+            const auto timed = std::count_if(ring.timed().begin(), ring.timed().end(), isUsableNow);
+            count += ring.usable() + static_cast<std::size_t>(timed);
+        }
+    }
+    return count;
 }
 
 std::size_t TargetSet::entryHosts() const
@@ -538,4 +658,9 @@
     return m_entryHosts.size();
 }
 
+std::uint64_t TargetSet::visitedTargets() const
+{
+    return m_visited;
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -6,8 +6,10 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "EntryHosts.h"
 #include "LimitShare.h"
 #include "pepperlug/Balance.h"
+#include "TargetRing.h"
 
 #include <unordered_map>
 
@@ -41,10 +43,13 @@
     std::optional<TokenBucket> bucket;
     std::size_t limitRank = 0; ///< of this host among those that may share the limit
     std::uint64_t rankedAt = 0; ///< version of the entry hosts that the rank is for; 0: not ranked yet
+    unsigned countedSlots = 0; ///< that TargetRing::slots() includes
 
     /// Estimated number of requests at the target, of all hosts.
     double estimatedRequests(TimePoint now) const;
     double slots() const;
+    /// Estimated requests with one more, over the slots.
+    double utilization(TimePoint now) const;
     bool isCold(TimePoint now) const;
     bool isBackingOff(TimePoint now) const;
     /// Returns true if no answer has arrived for longer than the timeout while requests were in flight.
@@ -95,6 +100,7 @@
     bool acceptsRequests(const TargetState &target) const;
     /// Returns true if a target is in one of the regions, or if there are none.
     static bool isHome(const std::vector<std::string> &homeRegions, const TargetState &target);
+    static bool isHome(const std::vector<std::string> &homeRegions, const std::string &region);
 
     void attemptStarted(TargetState &target, TimePoint now);
     /// Records the end of an attempt. It does not affect a later incarnation under the same id.
@@ -122,8 +128,24 @@
     std::size_t usable(TimePoint now) const;
     std::string regionOf(const std::string &zone) const;
     std::size_t entryHosts() const;
+    /// Returns how many targets all calls together have read or changed.
+    std::uint64_t visitedTargets() const;
 
 private:
+    using RingsByRegion = std::map<std::string, TargetRing>;
+
+    void addToRing(TargetState &target);
+    void removeFromRing(TargetState &target);
+    /// Must be called after each change that affects whether the target is usable, or its slots.
+    void updateShare(TargetState &target);
+    /// Rings whose targets meet the service and the regions of a query.
+    std::vector<const TargetRing *> ringsFor(const TargetQuery &query) const;
+    bool isAvailable(TargetState &target, const TargetQuery &query, TimePoint now) const;
+    TargetState *chooseByKey(const std::vector<const TargetRing *> &rings, const TargetQuery &query, TimePoint now);
+    TargetState *chooseLeastLoaded(const std::vector<const TargetRing *> &rings, const TargetQuery &query,
+                                   TimePoint now);
+    TargetChoice chooseAmongAll(const std::vector<const TargetRing *> &rings, const TargetQuery &query, TimePoint now);
+    double slotsAt(const TargetState &target, std::optional<double> serviceTime, TimePoint now) const;
     bool isUsable(const TargetState &target, TimePoint now) const;
     /// Time between two requests of this host to a cold target; nothing if there is no limit.
     std::optional<Duration> coldRequestInterval(const TargetState &target) const;
@@ -135,15 +157,15 @@
     std::optional<Duration> untilLimitAllows(TargetState &target, const TargetQuery &query, TimePoint now) const;
     std::size_t warmingHostCount(const TargetState &target) const;
     bool isWarmingHost(const TargetState &target) const;
-    bool warmsTarget(const HostReport &host, const TargetState &target) const;
-    TargetState *chooseAmong(std::vector<TargetState *> &candidates, const TargetQuery &query, TimePoint now);
 
     const BalanceSettings &m_settings;
     std::shared_ptr<const RouteTable> m_table;
     std::set<std::string> m_evacuated;
     std::unordered_map<std::string, TargetState> m_targets;
-    std::map<std::string, HostReport> m_entryHosts; ///< live ones, by id
-    std::uint64_t m_entryHostsVersion = 1; ///< rises when one is added or removed
+    std::map<std::string, RingsByRegion, std::less<>> m_rings; ///< of m_targets, by service
+    EntryHosts m_entryHosts;
+    std::uint64_t m_samples = 0; ///< for which a point of the ring was drawn
+    mutable std::uint64_t m_visited = 0;
     std::vector<RegionDemand> m_demand;
 };
 
--- a/unittests/Balance/LimitedTargetsTest.cpp
+++ b/unittests/Balance/LimitedTargetsTest.cpp
@@ -135,6 +135,17 @@
             entry->host->report(Host::targetOf(targetId(target), "z1", 16));
         }
         m_hosts[n] = std::move(entry);
+        receiveUpdates(*m_hosts[n]); // a host routes nothing before its first reply from a control host
+    }
+
+    void receiveUpdates(Entry &entry)
+    {
+        entry.host->now = m_now;
+        const auto reports = m_control.changedSince(entry.receivedVersion, UpdateRecipient::EntryHost, m_now);
+        entry.receivedVersion = m_control.version();
+        if (!reports.empty()) {
+            entry.host->reduce(BackpressureReceived{reports});
+        }
     }
 
     void reportHosts(unsigned n)
@@ -225,12 +236,7 @@
             it->sentVersion = table.version();
         }
         for (const auto &it : m_hosts) {
-            it->host->now = m_now;
-            const auto reports = m_control.changedSince(it->receivedVersion, UpdateRecipient::EntryHost, m_now);
-            it->receivedVersion = m_control.version();
-            if (!reports.empty()) {
-                it->host->reduce(BackpressureReceived{reports});
-            }
+            receiveUpdates(*it);
             it->host->reduce(BalanceTick{});
         }
     }
