Control host: says when it is short of processor time

Cause: a control host that starved told nobody; the log had lost leases and late departures alone. Change: the delay of its ticker as a metric, and one line every 10 s at most.

--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -21,6 +21,10 @@
 constexpr auto MessageTimeout = std::chrono::seconds(1);
 constexpr auto SnapshotTimeout = std::chrono::seconds(5);
 constexpr std::size_t IncarnationBytes = 8;
+/// Delay of a tick from which on this host is short of processor time. Leases allow for several of them.
+constexpr Milliseconds LongTickDelay{250};
+/// Between two log lines about it.
+constexpr std::chrono::seconds DelayLineInterval{10};
 /// A host must have had contact to a majority for that long before it marks others as silent.
 constexpr auto MinCurrentTime = std::chrono::seconds(3);
 /// Shortest interval between two writes of what has changed since the last write of all targets.
@@ -98,6 +102,7 @@
 void RegistryDaemon::Impl::tick()
 {
     const TimePoint now = m_clock.now();
+    noteTick(now);
     {
         const std::lock_guard lock(m_mutex);
         reportSelf(now);
@@ -112,6 +117,24 @@
     pollPeers(now);
 }
 
+// A tick is late if the threads of this process get too little processor time.
+void RegistryDaemon::Impl::noteTick(TimePoint now)
+{
+    const Duration delay = now - m_tickedAt.value_or(now - TickInterval) - TickInterval;
+    m_tickedAt = now;
+    m_metrics.latency("pepperlug_tick_delay_seconds", std::max(delay, Duration(0)));
+    if (delay < LongTickDelay) {
+        return;
+    }
+    ++m_longDelays;
+    if (now >= m_nextDelayLine) {
+        m_nextDelayLine = now + DelayLineInterval;
+        m_events.state("short-of-processor-time",
+                       {{"tick_delay_ms", std::chrono::duration_cast<Milliseconds>(delay).count()},
+                        {"long_delays", std::exchange(m_longDelays, 0)}});
+    }
+}
+
 void RegistryDaemon::Impl::restoreCachedState()
 {
     try {
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -43,6 +43,7 @@
 private:
     // RegistryDaemon.cpp
     void tick();
+    void noteTick(TimePoint now);
     void reportSelf(TimePoint now);
     HostReport selfReport();
     void expire(TimePoint now);
@@ -203,6 +204,11 @@
     std::string m_epoch;
     std::string m_incarnation;
 
+    // Of the ticker alone.
+    std::optional<TimePoint> m_tickedAt;
+    std::uint64_t m_longDelays = 0; ///< since the last log line about them
+    TimePoint m_nextDelayLine{};
+
     mutable std::mutex m_mutex; ///< guards the members below, down to m_peers
     Registry m_registry;
     RoutingState m_routing;
