--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -22,12 +22,17 @@
 TypedReply<FleetWatchReply> readWatchReply(const PeerReply &reply, const std::string &peer)
 {
     TypedReply<FleetWatchReply> read = readReply<FleetWatchReply>(reply, peer);
-    if (!read.message || read.message->packedChanges.empty()) {
+    if (!read.message) {
         return read;
     }
+    FleetWatchReply &message = *read.message;
     try {
-        read.message->changes = unpackChanges(read.message->packedChanges, peer);
-        read.message->packedChanges.clear();
+        if (!message.packedChanges.empty()) {
+            message.changes = unpackChanges(std::exchange(message.packedChanges, {}), peer);
+        }
+        if (!message.packedCachedTargets.empty()) {
+            message.cachedTargets = unpackTargets(std::exchange(message.packedCachedTargets, {}), peer);
+        }
     } catch (const Error &ex) {
         return {std::nullopt, ex.what()};
     }
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -56,7 +56,7 @@
     UpdateOffer<SuspectReport> suspects; ///< requests under which targets crashed
     UpdateOffer<BackpressureReport> backpressure; ///< rate limits and departures advertised in targets' answers
     std::uint64_t loadsSince = 0; ///< version of the receiver's QuotaAggregator that the sender has
-    bool readsPacked = false; ///< the sender reads FleetWatchReply::packedChanges; false in calls of earlier versions
+    bool readsPacked = false; ///< the sender reads packed parts of FleetWatchReply; false in calls of earlier versions
     MSGPACK_DEFINE(self, epoch, since, routingIndex, newestRoutingIndex, maxWait, confirmed, suspects, backpressure,
                    loadsSince, readsPacked);
 };
@@ -80,8 +80,9 @@
     std::uint64_t loadsVersion = 0; ///< for entry hosts: version of the replying host's QuotaAggregator
     std::vector<TenantLoad> loads; ///< for entry hosts: all loads, if the requester has another version
     std::vector<std::string> packedChanges; ///< packChanges() of many changes, in place of `changes`; empty: none
+    std::vector<std::string> packedCachedTargets; ///< packTargets() of many cached targets, in place of `cachedTargets`
     MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, cachedTargets, routingIndex, routingChanges,
-                   suspects, backpressure, loadsVersion, loads, packedChanges);
+                   suspects, backpressure, loadsVersion, loads, packedChanges, packedCachedTargets);
 };
 
 /// Body of path::FleetProbe: asks whether a quarantined request may be probed once. The leading control host decides.
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -25,14 +25,6 @@
 /// Within which a seed has to list the control hosts before the next seed is tried; ten round trips to the farthest
 /// region.
 constexpr Milliseconds ControlHostsTimeout{700};
-/// After a seed failed to list the control hosts. A seed that starts at the same time needs about as long until it
-/// listens.
-constexpr Milliseconds SeedRetryDelay{150};
-/// After a seed that has just started listed the control hosts that it has heard of so far.
-constexpr Milliseconds IncompleteListDelay{500};
-/// Time after which an entry host follows a control host of another zone although one of its own may be missing from
-/// the lists of the seeds.
-constexpr std::chrono::seconds DiscoveryTime{1};
 /// Changed targets of one reply that are logged one by one.
 constexpr std::size_t MaxLoggedTargets = 32;
 constexpr std::size_t IncarnationBytes = 8;
@@ -79,6 +71,7 @@
     , m_events(m_settings.name, clock, m_settings.logLinesPerSecond)
     , m_incarnation(m_settings.name + "#" + randomHex(IncarnationBytes))
     , m_balancer(std::make_unique<Balancer>(balanceSettings(m_settings, m_incarnation)))
+    , m_discovery(m_settings.zone)
 {
     m_events.state("start", {{"role", "entry"}, {"zone", m_settings.zone}});
     const auto forLarge =
@@ -226,7 +219,7 @@
 bool GatewayDaemon::Impl::knowsControlHosts()
 {
     const std::lock_guard lock(m_mutex);
-    return m_knowsControlHosts;
+    return m_discovery.isDone();
 }
 
 // A host that has just started knows only its seeds, mostly in other regions. It would keep following the first one,
@@ -256,23 +249,16 @@
                    {{"from", from.text()}, {"hosts", message.hosts.size()}, {"reason", reason}});
     const std::lock_guard lock(m_mutex);
     m_isRequestingControlHosts = false;
-    const TimePoint now = m_clock.now();
-    m_nextControlHostsRequest = now + (message.hosts.empty() ? SeedRetryDelay : IncompleteListDelay);
-    // A seed that is reachable but can't list the control hosts is followed itself. If no seed is reachable, the seeds
-    // are followed in turn.
-    const bool triedAll = m_seedRequests >= m_settings.seeds.size();
-    bool hasNearHost = false;
     for (const HostReport &it : message.hosts) {
         m_controlHosts[it.id] = it;
-        hasNearHost |= it.zone == m_settings.zone;
     }
-    if (!reply.delivered) {
-        m_knowsControlHosts = triedAll;
-        return;
+    const TimePoint now = m_clock.now();
+    if (reply.delivered) {
+        m_discovery.recordList(message, now);
+    } else {
+        m_discovery.recordFailure(m_seedRequests >= m_settings.seeds.size());
     }
-    m_firstListAt = m_firstListAt.value_or(now);
-    m_knowsControlHosts =
-        message.hosts.empty() || message.isComplete || hasNearHost || now - *m_firstListAt > DiscoveryTime;
+    m_nextControlHostsRequest = now + m_discovery.retryDelay();
 }
 
 void GatewayDaemon::Impl::onLink(const Address &control, bool isLost, const std::string &reason)
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -9,6 +9,7 @@
 
 #include "../Daemon/TaskThread.h"
 #include "ControlWatch.h"
+#include "Discovery.h"
 #include "EventLog.h"
 #include "pepperlug/Fleet.h"
 #include "pepperlug/Quarantine.h"
@@ -141,9 +142,8 @@
     bool m_isFetchingRouting = false;
     bool m_needsFullRouting = false; ///< the last changes did not apply to m_routing
     std::map<std::string, HostReport> m_controlHosts; ///< live ones, by id
-    bool m_knowsControlHosts = false; ///< or no seed could list them; from then on the followed host reports them
+    Discovery m_discovery; ///< once it is done, the followed host reports the control hosts
     bool m_isRequestingControlHosts = false;
-    std::optional<TimePoint> m_firstListAt; ///< when a seed first listed control hosts
     std::size_t m_seedRequests = 0;
     TimePoint m_nextControlHostsRequest{};
     std::optional<TimePoint> m_viewAsOf; ///< this host knows all that a control host with a majority knew then
--- a/lib/Fleet/PackedChanges.cpp
+++ b/lib/Fleet/PackedChanges.cpp
@@ -52,4 +52,22 @@
     return changes;
 }
 
+std::vector<std::string> packTargets(const std::vector<TargetReport> &targets)
+{
+    RegistryChanges changes;
+    std::transform(targets.begin(), targets.end(), std::back_inserter(changes.targets), [](const TargetReport &it) {
+        return AgedReport<TargetReport>{it, Milliseconds(0), false};
+    });
+    return packChanges(changes);
+}
+
+std::vector<TargetReport> unpackTargets(const std::vector<std::string> &parts, const std::string &peer)
+{
+    RegistryChanges changes = unpackChanges(parts, peer);
+    std::vector<TargetReport> targets;
+    std::transform(changes.targets.begin(), changes.targets.end(), std::back_inserter(targets),
+                   [](AgedReport<TargetReport> &it) { return std::move(it.report); });
+    return targets;
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Fleet/PackedChanges.h
+++ b/lib/Fleet/PackedChanges.h
@@ -18,4 +18,8 @@
 /// Throws Error that names the peer.
 RegistryChanges unpackChanges(const std::vector<std::string> &parts, const std::string &peer);
 
+/// The same for targets alone.
+std::vector<std::string> packTargets(const std::vector<TargetReport> &targets);
+std::vector<TargetReport> unpackTargets(const std::vector<std::string> &parts, const std::string &peer);
+
 } // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -87,21 +87,33 @@
         bool isInitial = false; ///< the host has no state, and acts on none until it has the reply
     };
 
-    /// Changes of the registry since one version, as sent to all hosts of a kind.
+    /// Hosts that are sent the same changes of the registry.
+    struct Audience {
+        UpdateRecipient reader{};
+        std::uint64_t since = 0; ///< version that they have
+        bool hasNoState = false; ///< they have no routing either
+        auto operator<=>(const Audience &) const = default; // NOLINT(modernize-use-nullptr): misread by the check
+    };
+
+    /// Changes of the registry as sent to one audience.
     struct SharedChanges {
         std::optional<TimePoint> madeAt;
         std::uint64_t version = 0; ///< up to which they reach
         RegistryChanges changes;
         std::vector<std::string> packed; ///< packChanges(); empty if they are few
+        std::vector<TargetReport> cachedTargets; ///< for hosts without state, right after a restart
+        std::vector<std::string> packedCachedTargets; ///< packTargets(); empty if they are few
     };
 
     const RoutingHistory &historyFor(bool hasNoState) const;
+    static Audience audienceOf(const FleetWatchCall &call);
     bool hasUpdates(const FleetWatchCall &call) const;
     bool hasLoadUpdates(const FleetWatchCall &call) const;
     bool mayAnnounce(HostRole role, TimePoint now) const;
     bool isReplyDue(const Watcher &watcher, TimePoint now) const;
     bool isCurrent(TimePoint now) const;
-    const SharedChanges &changesFor(const FleetWatchCall &call, TimePoint now);
+    const SharedChanges &changesFor(const Audience &audience, TimePoint now);
+    void fillChanges(FleetWatchReply &reply, const FleetWatchCall &call, TimePoint now);
     void dropSharedChanges(TimePoint now);
     FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now);
     void replyTo(const Watcher &watcher, TimePoint now);
@@ -231,7 +243,7 @@
     std::vector<Watcher> m_watchers;
     ReplySchedule m_entryReplies{EntryReplyCost};
     ReplySchedule m_controlReplies{ControlReplyCost};
-    std::map<std::pair<UpdateRecipient, std::uint64_t>, SharedChanges> m_sharedChanges; ///< by the version since which
+    std::map<Audience, SharedChanges> m_sharedChanges;
     std::uint64_t m_announced = 0; ///< updateCount() at the last round of replies
     std::vector<Departure> m_departures;
     std::vector<Change> m_changes;
--- a/lib/Fleet/RegistryReplies.cpp
+++ b/lib/Fleet/RegistryReplies.cpp
@@ -82,32 +82,62 @@
     return m_log && m_log->status().isCurrent(now) && !m_isLeaving;
 }
 
-const RegistryDaemon::Impl::SharedChanges &RegistryDaemon::Impl::changesFor(const FleetWatchCall &call, TimePoint now)
+RegistryDaemon::Impl::Audience RegistryDaemon::Impl::audienceOf(const FleetWatchCall &call)
 {
-    const UpdateRecipient reader = readerOf(call);
-    SharedChanges &shared = m_sharedChanges[{reader, call.since}];
+    const bool hasNoState = call.self.role == HostRole::Entry && call.routingIndex == 0 && call.since == 0;
+    return {readerOf(call), call.since, hasNoState};
+}
+
+const RegistryDaemon::Impl::SharedChanges &RegistryDaemon::Impl::changesFor(const Audience &audience, TimePoint now)
+{
+    SharedChanges &shared = m_sharedChanges[audience];
     const bool isOfThisVersion = shared.madeAt && shared.version == m_registry.version();
-    const bool isRecentSnapshot = shared.madeAt && call.since == 0 && now - *shared.madeAt < SnapshotLifetime;
+    const bool isRecentSnapshot = shared.madeAt && audience.since == 0 && now - *shared.madeAt < SnapshotLifetime;
     if (isOfThisVersion || isRecentSnapshot) {
         return shared;
     }
+    shared = {};
     shared.madeAt = now;
     shared.version = m_registry.version();
-    if (reader == UpdateRecipient::ControlHost) {
-        shared.changes = m_registry.receivedSince(call.since, now);
+    if (audience.reader == UpdateRecipient::ControlHost) {
+        shared.changes = m_registry.receivedSince(audience.since, now);
     } else {
-        shared.changes = m_registry.changedSince(call.since, now);
+        shared.changes = m_registry.changedSince(audience.since, now);
         removeLoad(shared.changes);
     }
-    const bool isLong = changeCount(shared.changes) >= MinPackedChanges;
-    shared.packed = isLong ? packChanges(shared.changes) : std::vector<std::string>{};
+    if (audience.hasNoState && m_cached) {
+        shared.cachedTargets = unreportedTargets(m_cached->targets, m_registry);
+    }
+    if (changeCount(shared.changes) >= MinPackedChanges) {
+        shared.packed = packChanges(shared.changes);
+    }
+    if (shared.cachedTargets.size() >= MinPackedChanges) {
+        shared.packedCachedTargets = packTargets(shared.cachedTargets);
+    }
     return shared;
 }
 
+void RegistryDaemon::Impl::fillChanges(FleetWatchReply &reply, const FleetWatchCall &call, TimePoint now)
+{
+    const SharedChanges &shared = changesFor(audienceOf(call), now);
+    reply.version = shared.version;
+    reply.isWhole = call.since == 0;
+    if (call.readsPacked && !shared.packed.empty()) {
+        reply.packedChanges = shared.packed;
+    } else {
+        reply.changes = shared.changes;
+    }
+    if (call.readsPacked && !shared.packedCachedTargets.empty()) {
+        reply.packedCachedTargets = shared.packedCachedTargets;
+    } else {
+        reply.cachedTargets = shared.cachedTargets;
+    }
+}
+
 void RegistryDaemon::Impl::dropSharedChanges(TimePoint now)
 {
     std::erase_if(m_sharedChanges, [&](const auto &it) {
-        const bool isSnapshot = it.first.second == 0;
+        const bool isSnapshot = it.first.since == 0;
         return !isSnapshot || now - *it.second.madeAt >= SnapshotLifetime;
     });
 }
@@ -117,14 +147,7 @@
     FleetWatchReply reply;
     reply.epoch = m_epoch;
     reply.isCurrent = isCurrent(now);
-    const SharedChanges &shared = changesFor(call, now);
-    reply.version = shared.version;
-    if (call.readsPacked && !shared.packed.empty()) {
-        reply.packedChanges = shared.packed;
-    } else {
-        reply.changes = shared.changes;
-    }
-    reply.isWhole = call.since == 0;
+    fillChanges(reply, call, now);
     reply.suspects = makeUpdateReply(call.suspects, m_quarantine, readerOf(call), now);
     reply.backpressure = makeUpdateReply(call.backpressure, m_backpressure, readerOf(call), now);
     if (call.self.role == HostRole::Control) {
@@ -135,11 +158,7 @@
     if (hasLoadUpdates(call)) {
         reply.loads = m_quotas.loads();
     }
-    const bool hasNoState = call.routingIndex == 0 && call.since == 0;
-    if (hasNoState && m_cached) {
-        reply.cachedTargets = unreportedTargets(m_cached->targets, m_registry);
-    }
-    const RoutingHistory &history = historyFor(hasNoState);
+    const RoutingHistory &history = historyFor(audienceOf(call).hasNoState);
     reply.routingIndex = history.index();
     std::vector<std::string> changes = history.changesSince(call.routingIndex);
     const auto addSize = [](std::size_t sum, const std::string &it) {
--- a/unittests/Fleet/PackedChangesTest.cpp
+++ b/unittests/Fleet/PackedChangesTest.cpp
@@ -44,6 +44,15 @@
     }
 }
 
+TEST_CASE("packed targets are read as they were")
+{
+    std::vector<TargetReport> targets;
+    for (const AgedReport<TargetReport> &it : manyChanges(1500).targets) {
+        targets.push_back(it.report);
+    }
+    CHECK(encode(unpackTargets(packTargets(targets), "control")) == encode(targets));
+}
+
 TEST_CASE("a snapshot takes at most 60 bytes a target", "[scale]")
 {
     constexpr std::size_t MostBytes = 60;
