--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -117,11 +117,10 @@
 void TargetSet::updateShare(TargetState &target)
 {
     ++m_visited;
-    const bool isUsableUntilChanged =
-        acceptsRequests(target) && !target.isSilent && !target.isRetired; // and confirmed in time, if it is timed
-    const bool isTimed =
-        isUsableUntilChanged && (target.unconfirmedSince || target.limit || target.backoffUntil != TimePoint{});
-    const unsigned slots = isUsableUntilChanged && !isTimed ? static_cast<unsigned>(target.slots()) : 0;
+    const bool mayBeUsable = acceptsRequests(target) && !target.isSilent && !target.isRetired;
+    // These conditions end by themselves, or depend on the service time.
+    const bool isTimed = mayBeUsable && (target.unconfirmedSince || target.limit || target.backoffUntil != TimePoint{});
+    const unsigned slots = mayBeUsable && !isTimed ? static_cast<unsigned>(target.slots()) : 0;
     m_rings.find(target.report.service)->second.find(target.region)->second.setShare(target, slots, isTimed);
 }
 
