--- a/unittests/Balance/ShedTest.cpp
+++ b/unittests/Balance/ShedTest.cpp
@@ -34,13 +34,13 @@
         const RequestId id = request("/once/", key);
         const std::string first = find<StartAttempt>()->target;
         reduce(AttemptEnded{id, 1, AttemptOutcome::Shed, load, 0});
-        const auto *second = find<StartAttempt>();
-        if (second == nullptr) {
+        const auto *attempt = find<StartAttempt>();
+        if (attempt == nullptr) {
             return {first};
         }
-        const std::vector<std::string> targets{first, second->target};
+        const std::string second = attempt->target;
         end(id, 2, AttemptOutcome::Answered);
-        return targets;
+        return {first, second};
     }
 
     void answer(const std::string &key)
