Registry tests: the directory names the hosts that are left

Cause: after one of 3 or 64 hosts had ended the test expected as many names as before. The rotation was right; the exact number is still required, now of the hosts that there are.

--- a/unittests/Registry/ManyTargetsTest.cpp
+++ b/unittests/Registry/ManyTargetsTest.cpp
@@ -238,7 +238,7 @@
         std::size_t total = 0;
         for (std::size_t n = 0; n < Answers; ++n) {
             const std::vector<std::string> answer = rotation.next();
-            CHECK(answer.size() == std::min(size, HostRotation::MaxNamedHosts));
+            CHECK(answer.size() == std::min(hosts.size(), HostRotation::MaxNamedHosts));
             CHECK(std::set<std::string>(answer.begin(), answer.end()).size() == answer.size());
             total += answer.size();
             for (const std::string &it : answer) {
