--- a/lib/Balance/TargetRing.cpp
+++ b/lib/Balance/TargetRing.cpp
@@ -98,4 +98,9 @@
     return m_timed;
 }
 
+bool TargetRing::mayHaveUsable() const
+{
+    return m_usable > 0 || !m_timed.empty();
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Balance/TargetRing.h
+++ b/lib/Balance/TargetRing.h
@@ -42,6 +42,8 @@
     std::uint64_t slots() const; ///< of the targets whose share does not depend on the time
     std::size_t usable() const; ///< number of these targets that have slots
     const std::set<TargetState *> &timed() const;
+    /// Returns false if no target of the ring is usable.
+    bool mayHaveUsable() const;
 
 private:
     std::set<std::pair<std::uint64_t, TargetState *>> m_targets; ///< by hash
--- a/unittests/Balance/ManyTargetsTest.cpp
+++ b/unittests/Balance/ManyTargetsTest.cpp
@@ -108,6 +108,22 @@
     CHECK(visitedBy(20000) <= MostGrowth * visitedBy(10000));
 }
 
+TEST_CASE("a request for a region without a usable target costs nothing", "[scale]")
+{
+    ManyTargets many(10000);
+    RegistryChanges changes;
+    for (std::size_t n = 2; n < 10000; n += 3) { // those of zone z3, the only one of its region
+        changes.targets.push_back({Host::targetOf("t-" + std::to_string(n), "z3", 8), 0ms, true});
+    }
+    many.set.apply(changes, Start);
+    for (const std::string key : {"key", ""}) {
+        const std::uint64_t before = many.set.visitedTargets();
+        CHECK(many.choose(key, "r2").empty());
+        CHECK(many.set.visitedTargets() == before);
+        CHECK_FALSE(many.choose(key, "r1").empty());
+    }
+}
+
 TEST_CASE("keys are spread evenly over the targets of a region", "[scale]")
 {
     for (const std::size_t targets : {12U, 300U}) {
