Control host: what all waiting departures have in common is found once for each poll

Cause: for each poll of a follower, each waiting departure listed the control hosts anew, and each pending confirmation computed what is confirmed to its peer. Change: once for each poll, and once for each peer.

--- a/lib/Fleet/RegistryConfirmations.cpp
+++ b/lib/Fleet/RegistryConfirmations.cpp
@@ -121,17 +121,21 @@
 // confirmation that is lost comes with the next poll.
 void RegistryDaemon::Impl::sendPendingConfirmations(TimePoint now)
 {
+    std::map<Address, UpdateVersions> confirmed;
     std::set<Address> reached;
     std::erase_if(m_pendingConfirmations, [&](const PendingConfirmation &pending) {
-        const bool isReached = confirmedTo(pending.to, m_epochs[pending.to]).reaches(pending.position);
+        const auto [it, isNew] = confirmed.try_emplace(pending.to);
+        if (isNew) {
+            it->second = confirmedTo(pending.to, m_epochs[pending.to]);
+        }
+        const bool isReached = it->second.reaches(pending.position);
         if (isReached) {
             reached.insert(pending.to);
         }
         return isReached || now > pending.until;
     });
     for (const Address &to : reached) {
-        const std::string &epoch = m_epochs[to];
-        const FleetConfirmCall call{m_incarnation, m_settings.peer.text(), ++m_sequence, epoch, confirmedTo(to, epoch)};
+        const FleetConfirmCall call{m_incarnation, m_settings.peer.text(), ++m_sequence, m_epochs[to], confirmed[to]};
         m_net.call(to, path::FleetConfirm, encode(call), ConfirmTimeout, [](const PeerReply &) {});
     }
 }
@@ -174,9 +178,10 @@
                                : UpdateVersions{};
 }
 
-bool RegistryDaemon::Impl::isInForce(UpdateVersions position, TimePoint now) const
+bool RegistryDaemon::Impl::isInForce(UpdateVersions position, const std::vector<std::string> &controlHosts,
+                                     TimePoint now) const
 {
-    return knowsFollowers(now) && m_confirmations.isConfirmed(position, followedControlHosts(now), now);
+    return knowsFollowers(now) && m_confirmations.isConfirmed(position, controlHosts, now);
 }
 
 // Names of the hosts that may still act on older state; empty if the position holds everywhere.
@@ -216,8 +221,9 @@
         }
         return informed * 2 > voters;
     };
+    const std::vector<std::string> controlHosts = followedControlHosts(now);
     std::erase_if(m_departures, [&](const Departure &departure) {
-        const bool isDone = isInForce({departure.version, 0}, now) && isKnownToMajority(departure);
+        const bool isDone = isInForce({departure.version, 0}, controlHosts, now) && isKnownToMajority(departure);
         if (!isDone && now < departure.until) {
             return false;
         }
@@ -246,8 +252,12 @@
 
 void RegistryDaemon::Impl::resolveChanges(TimePoint now)
 {
+    if (m_changes.empty()) {
+        return;
+    }
+    const std::vector<std::string> controlHosts = followedControlHosts(now);
     std::erase_if(m_changes, [&](const Change &change) {
-        const bool isDone = isInForce({0, change.index}, now);
+        const bool isDone = isInForce({0, change.index}, controlHosts, now);
         if (!isDone && now < change.until) {
             return false;
         }
