Control host: a target that became cold since the last write of all targets is not restored as warm

Cause: with all targets written every 2 s, the file of recent changes named those that drain or are gone alone. A target that had become cold, or moved to another address, was restored as it had been, up to 2 s old where it was 0.5 s before; a cold one must not be sent to right after a restart. Found by reading. Change: the file holds each target that changed, as it is now, and one function says which targets may be restored. The new test fails on the code before.

--- a/lib/Fleet/CachedState.cpp
+++ b/lib/Fleet/CachedState.cpp
@@ -24,10 +24,11 @@
 /// Format of the file of recent changes.
 struct StoredChanges {
     std::string routing; ///< RoutingState::snapshot()
-    std::vector<std::string> unusableTargets;
+    std::vector<std::string> changedTargets;
+    std::vector<TargetReport> targets;
     std::vector<SuspectReport> suspects;
     std::vector<TenantLoad> loads;
-    MSGPACK_DEFINE(routing, unusableTargets, suspects, loads);
+    MSGPACK_DEFINE(routing, changedTargets, targets, suspects, loads);
 };
 
 constexpr const char *ChangesSuffix = "-changes";
@@ -37,9 +38,11 @@
 /// Shortest interval between two writes.
 constexpr Milliseconds MinWriteInterval{500};
 
-bool isUsable(const AgedReport<TargetReport> &target)
+// Cold targets are left out: the number of hosts that share one is unknown right after a restart, so none may send
+// requests to it.
+bool isRestorable(const TargetReport &report, bool isSilent)
 {
-    return target.report.presence == Presence::Ready && !target.isSilent;
+    return report.presence == Presence::Ready && !isSilent && report.coldLeft <= Milliseconds(0);
 }
 
 bool exists(const std::string &path)
@@ -59,8 +62,9 @@
     if (routing.index() >= state.routing.index()) {
         state.routing = std::move(routing);
     }
-    const std::set<std::string> unusable(stored.unusableTargets.begin(), stored.unusableTargets.end());
-    std::erase_if(state.targets, [&](const TargetReport &it) { return unusable.contains(it.id); });
+    const std::set<std::string> changed(stored.changedTargets.begin(), stored.changedTargets.end());
+    std::erase_if(state.targets, [&](const TargetReport &it) { return changed.contains(it.id); });
+    std::move(stored.targets.begin(), stored.targets.end(), std::back_inserter(state.targets));
     state.suspects = std::move(stored.suspects);
     state.loads = std::move(stored.loads);
 }
@@ -77,10 +81,7 @@
 {
     CachedState state{routing, {}, {}};
     for (const auto &[id, entry] : registry.targets()) {
-        // Cold targets are left out: the number of hosts that share one is unknown right after a restart, so none may
-        // send requests to it.
-        const bool isWarm = entry.report.coldLeft <= Milliseconds(0);
-        if (entry.report.presence == Presence::Ready && !entry.isSilent && isWarm) {
+        if (isRestorable(entry.report, entry.isSilent)) {
             state.targets.push_back(entry.report);
         }
     }
@@ -90,10 +91,11 @@
 RecentChanges makeRecentChanges(const RoutingState &routing, const Registry &registry, std::uint64_t version,
                                 TimePoint now)
 {
-    RecentChanges changes{routing, {}, {}};
+    RecentChanges changes{routing, {}, {}, {}};
     for (const AgedReport<TargetReport> &it : registry.changedSince(version, now).targets) {
-        if (!isUsable(it)) {
-            changes.unusableTargets.push_back(it.report.id);
+        changes.changedTargets.push_back(it.report.id);
+        if (isRestorable(it.report, it.isSilent)) {
+            changes.targets.push_back(it.report);
         }
     }
     return changes;
@@ -101,9 +103,9 @@
 
 void writeRecentChanges(const std::string &path, const RecentChanges &changes)
 {
-    replaceFile(
-        path + ChangesSuffix,
-        encode(StoredChanges{changes.routing.snapshot(), changes.unusableTargets, changes.suspects, changes.loads}));
+    replaceFile(path + ChangesSuffix,
+                encode(StoredChanges{changes.routing.snapshot(), changes.changedTargets, changes.targets,
+                                     changes.suspects, changes.loads}));
 }
 
 void writeCachedState(const std::string &path, const CachedState &state)
--- a/lib/Fleet/CachedState.h
+++ b/lib/Fleet/CachedState.h
@@ -23,10 +23,11 @@
     std::vector<TenantLoad> loads{}; ///< of tenants near their limits
 };
 
-/// What has changed since a cached state was written. It is short, so it can be written often.
+/// What has changed since a cached state was written.
 struct RecentChanges {
     RoutingState routing;
-    std::vector<std::string> unusableTargets; ///< ids of targets that became unusable since
+    std::vector<std::string> changedTargets; ///< ids
+    std::vector<TargetReport> targets; ///< those of them that are ready and warm
     std::vector<SuspectReport> suspects;
     std::vector<TenantLoad> loads{};
 };
--- a/unittests/Fleet/CachedStateTest.cpp
+++ b/unittests/Fleet/CachedStateTest.cpp
@@ -119,6 +119,30 @@
     CHECK(read->routing.index() == 6);
 }
 
+TEST_CASE("a target that became cold, warm or moved after the last write of all targets is restored as it is now")
+{
+    TemporaryFile file;
+    Registry registry = someTargets(); // 1 and 4 are warm, 3 is cold for 3 s
+    writeCachedState(file.path, makeCachedState(RoutingState{}, registry));
+    const std::uint64_t version = registry.changedVersion();
+    TargetReport cold = report("1", Presence::Ready, 2000ms);
+    TargetReport warm = report("3");
+    TargetReport moved = report("4");
+    moved.address = "10.0.0.99:80";
+    for (TargetReport *it : {&cold, &warm, &moved}) {
+        it->sequence = 2;
+        registry.receive(*it, Start + 1s);
+    }
+    writeRecentChanges(file.path, makeRecentChanges(RoutingState{}, registry, version, Start + 1s));
+    const std::optional<CachedState> read = readCachedState(file.path);
+    REQUIRE(read);
+    std::map<std::string, std::string> addresses;
+    for (const TargetReport &it : read->targets) {
+        addresses[it.id] = it.address;
+    }
+    CHECK(addresses == std::map<std::string, std::string>{{"3", "10.0.0.3:80"}, {"4", "10.0.0.99:80"}});
+}
+
 TEST_CASE("what is written after a change does not grow with the number of targets", "[scale]")
 {
     const auto bytesWritten = [](unsigned targets) {
