--- a/lib/Fleet/Discovery.h
+++ b/lib/Fleet/Discovery.h
@@ -24,7 +24,7 @@
     void recordFailure(bool triedAll);
     /// Returns true if this host should follow a control host now.
     bool isDone() const;
-    /// Returns when the next seed is asked if it isn't done, after the last answer.
+    /// Returns the delay after an answer until the next seed is asked.
     Duration retryDelay() const;
 
 private:
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -7,6 +7,7 @@
 #include "ControlWatch.h"
 #include "EventLog.h"
 #include "pepperlug/Fleet.h"
+#include "SharedChanges.h"
 #include "UpdateExchange.h"
 
 namespace pepperlug::fleet
@@ -50,12 +51,14 @@
     void requestMembership(TimePoint now);
     std::vector<Address> knownControlHosts();
     void pollPeers(TimePoint now);
+
+    // RegistryCache.cpp
+    void restoreCachedState();
     void saveCachedState(TimePoint now);
     void saveAllTargets(TimePoint now);
     void saveRecentChanges(TimePoint now);
     std::string cachePath() const;
     void postCacheWrite(std::function<void()> write);
-    void restoreCachedState();
 
     // RegistryPeers.cpp
     void onPeerCall(const IncomingCallPtr &call);
@@ -87,38 +90,25 @@
         bool isInitial = false; ///< the host has no state, and acts on none until it has the reply
     };
 
-    /// Hosts that are sent the same changes of the registry.
-    struct Audience {
-        UpdateRecipient reader{};
-        std::uint64_t since = 0; ///< version that they have
-        bool hasNoState = false; ///< they have no routing either
-        auto operator<=>(const Audience &) const = default; // NOLINT(modernize-use-nullptr): misread by the check
-    };
-
-    /// Changes of the registry as sent to one audience.
-    struct SharedChanges {
-        std::optional<TimePoint> madeAt;
-        std::uint64_t version = 0; ///< up to which they reach
-        RegistryChanges changes;
-        std::vector<std::string> packed; ///< packChanges(); empty if they are few
-        std::vector<TargetReport> cachedTargets; ///< for hosts without state, right after a restart
-        std::vector<std::string> packedCachedTargets; ///< packTargets(); empty if they are few
+    /// What is the same for all replies that are sent at one moment.
+    struct ReplyRound {
+        TimePoint now{};
+        bool isCurrent = false; ///< this host has contact to a majority and is not leaving
+        bool mayAnnounceToEntryHosts = false; ///< the schedule allows replies for the sake of updates
+        bool mayAnnounceToControlHosts = false;
     };
 
     const RoutingHistory &historyFor(bool hasNoState) const;
-    static Audience audienceOf(const FleetWatchCall &call);
     bool hasUpdates(const FleetWatchCall &call) const;
     bool hasLoadUpdates(const FleetWatchCall &call) const;
-    bool mayAnnounce(HostRole role, TimePoint now) const;
-    bool isReplyDue(const Watcher &watcher, TimePoint now) const;
     bool isCurrent(TimePoint now) const;
-    const SharedChanges &changesFor(const Audience &audience, TimePoint now);
-    void fillChanges(FleetWatchReply &reply, const FleetWatchCall &call, TimePoint now);
-    void dropSharedChanges(TimePoint now);
-    FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now);
-    void replyTo(const Watcher &watcher, TimePoint now);
+    const ReplySchedule &scheduleOf(HostRole role) const;
+    std::size_t recipientsOf(HostRole role, TimePoint now) const;
+    ReplyRound startRound(TimePoint now) const;
+    bool isReplyDue(const Watcher &watcher, const ReplyRound &round) const;
+    FleetWatchReply makeReply(const FleetWatchCall &call, const ReplyRound &round);
+    void replyTo(const Watcher &watcher, const ReplyRound &round);
     void holdOrReply(Watcher watcher, TimePoint now);
-    void recordRound(HostRole role, TimePoint now);
     void replyToWatchers(TimePoint now);
     std::uint64_t updateCount() const;
     void announceUpdates(TimePoint now);
@@ -140,7 +130,7 @@
     bool hasNoFollowers(TimePoint now) const;
     UpdateVersions confirmedTo(const Address &to, const std::string &epoch) const;
     nlohmann::json describeMissing(const std::vector<std::string> &names, TimePoint now) const;
-    bool isInForce(UpdateVersions position, TimePoint now) const;
+    bool isInForce(UpdateVersions position, const std::vector<std::string> &controlHosts, TimePoint now) const;
     std::vector<std::string> unconfirmed(UpdateVersions position, TimePoint now) const;
     void resolvePending(TimePoint now);
     void resolveDepartures(TimePoint now);
@@ -243,7 +233,7 @@
     std::vector<Watcher> m_watchers;
     ReplySchedule m_entryReplies{EntryReplyCost};
     ReplySchedule m_controlReplies{ControlReplyCost};
-    std::map<Audience, SharedChanges> m_sharedChanges;
+    ChangesCache m_changesCache;
     std::uint64_t m_announced = 0; ///< updateCount() at the last round of replies
     std::vector<Departure> m_departures;
     std::vector<Change> m_changes;
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -122,9 +122,9 @@
     const std::lock_guard lock(m_mutex);
     ReceivedCall received = receiveCall(call, now);
     // Hosts that start together share one snapshot.
-    const bool hasNoState = received.request.since == 0;
-    const Duration gatherTime =
-        hasNoState ? m_entryReplies.gatherTime(m_confirmations.waitedFollowers(now)) : Duration(0);
+    const HostRole role = received.request.self.role;
+    const bool wantsSnapshot = received.request.since == 0;
+    const Duration gatherTime = wantsSnapshot ? scheduleOf(role).gatherTime(recipientsOf(role, now)) : Duration(0);
     const TimePoint until = now + std::max<Duration>(received.request.maxWait, gatherTime);
     const bool isInitial = received.isNewest && isUninitialized(received.request);
     holdOrReply({call, std::move(received.request), until, isInitial}, now);
--- a/lib/Fleet/RegistryReplies.cpp
+++ b/lib/Fleet/RegistryReplies.cpp
@@ -6,7 +6,6 @@
 //
 //===----------------------------------------------------------------------===//
 #include "../Daemon/HttpStatus.h"
-#include "PackedChanges.h"
 #include "RegistryImpl.h"
 
 #include <algorithm>
@@ -21,26 +20,6 @@
 /// Largest routing changes that are sent with a reply, in bytes. On a link of 4 Mbit/s, the narrowest known, departures
 /// of targets wait 16 ms behind them, less than for the next tick of their host.
 constexpr std::size_t MaxInlineChanges = 8 * 1024;
-/// Time for which a snapshot of the registry is sent to hosts that have no state. They get what has changed since with
-/// their next poll.
-constexpr Milliseconds SnapshotLifetime{500};
-
-UpdateRecipient readerOf(const FleetWatchCall &request)
-{
-    return request.self.role == HostRole::Entry ? UpdateRecipient::EntryHost : UpdateRecipient::ControlHost;
-}
-
-// Entry hosts receive the demand summed by region, and never connect to one another.
-void removeLoad(RegistryChanges &changes)
-{
-    for (AgedReport<HostReport> &it : changes.hosts) {
-        if (it.report.role == HostRole::Entry) {
-            it.report.demand.clear();
-            it.report.tenants.clear();
-            it.report.peer.clear();
-        }
-    }
-}
 
 } // namespace
 
@@ -53,9 +32,10 @@
 
 bool RegistryDaemon::Impl::hasUpdates(const FleetWatchCall &call) const
 {
+    const UpdateRecipient reader = audienceOf(call).reader;
     return call.since == 0 || m_registry.changedVersion() > call.since || m_history.index() > call.newestRoutingIndex
-        || m_quarantine.hasChangedSince(call.suspects.since, readerOf(call))
-        || m_backpressure.hasChangedSince(call.backpressure.since, readerOf(call)) || hasLoadUpdates(call);
+        || m_quarantine.hasChangedSince(call.suspects.since, reader)
+        || m_backpressure.hasChangedSince(call.backpressure.since, reader) || hasLoadUpdates(call);
 }
 
 bool RegistryDaemon::Impl::hasLoadUpdates(const FleetWatchCall &call) const
@@ -63,18 +43,14 @@
     return call.self.role == HostRole::Entry && m_quotas.version() != call.loadsSince;
 }
 
-bool RegistryDaemon::Impl::mayAnnounce(HostRole role, TimePoint now) const
+const ReplySchedule &RegistryDaemon::Impl::scheduleOf(HostRole role) const
 {
-    return role == HostRole::Entry ? m_entryReplies.isDue(now, m_confirmations.waitedFollowers(now))
-                                   : m_controlReplies.isDue(now, m_registry.controlHosts().size());
+    return role == HostRole::Entry ? m_entryReplies : m_controlReplies;
 }
 
-// A host that follows one without a majority should switch to another at once.
-bool RegistryDaemon::Impl::isReplyDue(const Watcher &watcher, TimePoint now) const
+std::size_t RegistryDaemon::Impl::recipientsOf(HostRole role, TimePoint now) const
 {
-    const HostRole role = watcher.request.self.role;
-    return now >= watcher.until || (role == HostRole::Entry && !isCurrent(now))
-        || (hasUpdates(watcher.request) && mayAnnounce(role, now));
+    return role == HostRole::Entry ? m_confirmations.waitedFollowers(now) : m_registry.controlHosts().size();
 }
 
 bool RegistryDaemon::Impl::isCurrent(TimePoint now) const
@@ -82,74 +58,33 @@
     return m_log && m_log->status().isCurrent(now) && !m_isLeaving;
 }
 
-RegistryDaemon::Impl::Audience RegistryDaemon::Impl::audienceOf(const FleetWatchCall &call)
-{
-    const bool hasNoState = call.self.role == HostRole::Entry && call.routingIndex == 0 && call.since == 0;
-    return {readerOf(call), call.since, hasNoState};
-}
-
-const RegistryDaemon::Impl::SharedChanges &RegistryDaemon::Impl::changesFor(const Audience &audience, TimePoint now)
-{
-    SharedChanges &shared = m_sharedChanges[audience];
-    const bool isOfThisVersion = shared.madeAt && shared.version == m_registry.version();
-    const bool isRecentSnapshot = shared.madeAt && audience.since == 0 && now - *shared.madeAt < SnapshotLifetime;
-    if (isOfThisVersion || isRecentSnapshot) {
-        return shared;
-    }
-    shared = {};
-    shared.madeAt = now;
-    shared.version = m_registry.version();
-    if (audience.reader == UpdateRecipient::ControlHost) {
-        shared.changes = m_registry.receivedSince(audience.since, now);
-    } else {
-        shared.changes = m_registry.changedSince(audience.since, now);
-        removeLoad(shared.changes);
-    }
-    if (audience.hasNoState && m_cached) {
-        shared.cachedTargets = unreportedTargets(m_cached->targets, m_registry);
-    }
-    if (changeCount(shared.changes) >= MinPackedChanges) {
-        shared.packed = packChanges(shared.changes);
-    }
-    if (shared.cachedTargets.size() >= MinPackedChanges) {
-        shared.packedCachedTargets = packTargets(shared.cachedTargets);
-    }
-    return shared;
-}
-
-void RegistryDaemon::Impl::fillChanges(FleetWatchReply &reply, const FleetWatchCall &call, TimePoint now)
+RegistryDaemon::Impl::ReplyRound RegistryDaemon::Impl::startRound(TimePoint now) const
 {
-    const SharedChanges &shared = changesFor(audienceOf(call), now);
-    reply.version = shared.version;
-    reply.isWhole = call.since == 0;
-    if (call.readsPacked && !shared.packed.empty()) {
-        reply.packedChanges = shared.packed;
-    } else {
-        reply.changes = shared.changes;
-    }
-    if (call.readsPacked && !shared.packedCachedTargets.empty()) {
-        reply.packedCachedTargets = shared.packedCachedTargets;
-    } else {
-        reply.cachedTargets = shared.cachedTargets;
-    }
+    const auto isDue = [&](HostRole role) {
+        return scheduleOf(role).isDue(now, recipientsOf(role, now));
+    };
+    return {now, isCurrent(now), isDue(HostRole::Entry), isDue(HostRole::Control)};
 }
 
-void RegistryDaemon::Impl::dropSharedChanges(TimePoint now)
+// A host that follows one without a majority should switch to another at once.
+bool RegistryDaemon::Impl::isReplyDue(const Watcher &watcher, const ReplyRound &round) const
 {
-    std::erase_if(m_sharedChanges, [&](const auto &it) {
-        const bool isSnapshot = it.first.since == 0;
-        return !isSnapshot || now - *it.second.madeAt >= SnapshotLifetime;
-    });
+    const bool isEntry = watcher.request.self.role == HostRole::Entry;
+    const bool mayAnnounce = isEntry ? round.mayAnnounceToEntryHosts : round.mayAnnounceToControlHosts;
+    return round.now >= watcher.until || (isEntry && !round.isCurrent) || (mayAnnounce && hasUpdates(watcher.request));
 }
 
-FleetWatchReply RegistryDaemon::Impl::makeReply(const FleetWatchCall &call, TimePoint now)
+FleetWatchReply RegistryDaemon::Impl::makeReply(const FleetWatchCall &call, const ReplyRound &round)
 {
+    static const std::vector<TargetReport> NoTargets;
+    const Audience audience = audienceOf(call);
     FleetWatchReply reply;
     reply.epoch = m_epoch;
-    reply.isCurrent = isCurrent(now);
-    fillChanges(reply, call, now);
-    reply.suspects = makeUpdateReply(call.suspects, m_quarantine, readerOf(call), now);
-    reply.backpressure = makeUpdateReply(call.backpressure, m_backpressure, readerOf(call), now);
+    reply.isCurrent = round.isCurrent;
+    const std::vector<TargetReport> &cachedTargets = m_cached ? m_cached->targets : NoTargets;
+    m_changesCache.changesFor(audience, m_registry, cachedTargets, round.now).copyTo(reply, call);
+    reply.suspects = makeUpdateReply(call.suspects, m_quarantine, audience.reader, round.now);
+    reply.backpressure = makeUpdateReply(call.backpressure, m_backpressure, audience.reader, round.now);
     if (call.self.role == HostRole::Control) {
         return reply;
     }
@@ -158,7 +93,7 @@
     if (hasLoadUpdates(call)) {
         reply.loads = m_quotas.loads();
     }
-    const RoutingHistory &history = historyFor(audienceOf(call).hasNoState);
+    const RoutingHistory &history = historyFor(audience.hasNoState);
     reply.routingIndex = history.index();
     std::vector<std::string> changes = history.changesSince(call.routingIndex);
     const auto addSize = [](std::size_t sum, const std::string &it) {
@@ -170,13 +105,16 @@
     return reply;
 }
 
-void RegistryDaemon::Impl::replyTo(const Watcher &watcher, TimePoint now)
+void RegistryDaemon::Impl::replyTo(const Watcher &watcher, const ReplyRound &round)
 {
-    const FleetWatchReply message = makeReply(watcher.request, now);
+    const FleetWatchReply message = makeReply(watcher.request, round);
     const bool isEntry = watcher.request.self.role == HostRole::Entry;
     if (watcher.isInitial) {
         m_confirmations.recordFirstReply(watcher.request.self.id, {message.version, message.routingIndex});
     }
+    if (hasUpdates(watcher.request)) {
+        (isEntry ? m_entryReplies : m_controlReplies).recordReplies(round.now);
+    }
     std::string reply = encode(message);
     m_metrics.count(isEntry ? "pepperlug_news_bytes{to=\"entry\"}" : "pepperlug_news_bytes{to=\"control\"}",
                     reply.size());
@@ -185,38 +123,25 @@
 
 void RegistryDaemon::Impl::holdOrReply(Watcher watcher, TimePoint now)
 {
-    if (!isReplyDue(watcher, now)) {
+    const ReplyRound round = startRound(now);
+    if (isReplyDue(watcher, round)) {
+        replyTo(watcher, round);
+    } else {
         m_watchers.push_back(std::move(watcher));
-        return;
-    }
-    replyTo(watcher, now);
-    if (hasUpdates(watcher.request)) {
-        recordRound(watcher.request.self.role, now);
     }
 }
 
-void RegistryDaemon::Impl::recordRound(HostRole role, TimePoint now)
-{
-    (role == HostRole::Entry ? m_entryReplies : m_controlReplies).recordReplies(now);
-}
-
 void RegistryDaemon::Impl::replyToWatchers(TimePoint now)
 {
-    dropSharedChanges(now);
-    std::set<HostRole> updated;
+    m_changesCache.removeExpired(now);
+    const ReplyRound round = startRound(now);
     std::erase_if(m_watchers, [&](const Watcher &watcher) {
-        if (!isReplyDue(watcher, now)) {
+        if (!isReplyDue(watcher, round)) {
             return false;
         }
-        if (hasUpdates(watcher.request)) {
-            updated.insert(watcher.request.self.role);
-        }
-        replyTo(watcher, now);
+        replyTo(watcher, round);
         return true;
     });
-    for (const HostRole role : updated) {
-        recordRound(role, now);
-    }
     m_announced = updateCount();
 }
 
@@ -230,8 +155,11 @@
 // Updates that are gathered now are announced by a later tick.
 void RegistryDaemon::Impl::announceUpdates(TimePoint now)
 {
-    const bool isDue = mayAnnounce(HostRole::Entry, now) || mayAnnounce(HostRole::Control, now);
-    if (isDue && updateCount() != m_announced) {
+    if (updateCount() == m_announced) {
+        return;
+    }
+    const ReplyRound round = startRound(now);
+    if (round.mayAnnounceToEntryHosts || round.mayAnnounceToControlHosts) {
         replyToWatchers(now);
     }
 }
