--- /dev/null
+++ b/benchmarks/FleetBenchmark.cpp
@@ -0,0 +1,211 @@
+//===- FleetBenchmark.cpp - Cost of the decisions of a large fleet --------===//
+//
+// The argument is the number of targets; there is an entry host for ten of them, and nine control hosts. Counters give
+// the entries visited and the bytes encoded by one operation.
+//
+//===----------------------------------------------------------------------===//
+#include "Balance/TargetSet.h"
+#include "Fleet/PackedChanges.h"
+
+#include <benchmark/benchmark.h>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::int64_t FewTargets = 10'000;
+constexpr std::int64_t ManyTargets = 20'000;
+constexpr std::size_t Zones = 9;
+constexpr std::size_t ControlHosts = 9;
+constexpr std::size_t TargetsPerEntryHost = 10;
+const TimePoint Start = TimePoint(1000s);
+
+std::string zoneOf(std::size_t n)
+{
+    return "zone-" + std::to_string(n % Zones);
+}
+
+TargetReport targetOf(std::size_t n, std::uint64_t sequence)
+{
+    constexpr std::size_t HostsPerNetwork = 250;
+    const std::string address =
+        "10." + std::to_string(n / HostsPerNetwork) + ".0." + std::to_string(n % HostsPerNetwork);
+    // Ids are as random as those that targets draw.
+    const std::string id = digestHex(std::to_string(n)).substr(0, 8);
+    return {"i-" + id,
+            "service-" + std::to_string(n % 2),
+            address + ":8080",
+            zoneOf(n),
+            8,
+            Presence::Ready,
+            0ms,
+            sequence,
+            Milliseconds(1'700'000'000'000 + static_cast<Milliseconds::rep>(hash64(id) % 1000))};
+}
+
+HostReport entryHostOf(std::size_t n, std::uint64_t sequence)
+{
+    HostReport it;
+    it.id = "edge-" + std::to_string(n) + "#" + digestHex(std::to_string(n)).substr(0, 16);
+    it.zone = zoneOf(n);
+    it.address = "10.200." + std::to_string(n % 250) + "." + std::to_string(n / 250) + ":80";
+    it.sequence = sequence;
+    return it;
+}
+
+std::size_t targetsOf(const benchmark::State &state)
+{
+    return static_cast<std::size_t>(state.range(0));
+}
+
+void fill(Registry &registry, std::size_t targets)
+{
+    for (std::size_t n = 0; n < targets; ++n) {
+        registry.receive(targetOf(n, 1), Start);
+    }
+    for (std::size_t n = 0; n < targets / TargetsPerEntryHost; ++n) {
+        registry.receive(entryHostOf(n, 1), Start);
+    }
+}
+
+void countVisited(benchmark::State &state, std::uint64_t visited)
+{
+    state.counters["visited"] = benchmark::Counter(static_cast<double>(visited), benchmark::Counter::kAvgIterations);
+}
+
+/// A control host receives a report without a change.
+void report(benchmark::State &state)
+{
+    Registry registry;
+    fill(registry, targetsOf(state));
+    const std::uint64_t before = registry.visitedEntries();
+    std::uint64_t sequence = 1;
+    std::size_t n = 0;
+    for (auto _ : state) {
+        n = (n + 1) % targetsOf(state);
+        registry.receive(targetOf(n, ++sequence), Start + 1s);
+    }
+    countVisited(state, registry.visitedEntries() - before);
+}
+
+/// A control host passes the reports of a tenth of a second on to another one.
+void renewals(benchmark::State &state)
+{
+    Registry registry;
+    fill(registry, targetsOf(state));
+    Registry peer;
+    peer.merge(registry.receivedSince(0, Start), Start);
+    const std::size_t perRound = targetsOf(state) / ControlHosts / 30;
+    std::uint64_t version = registry.version();
+    std::uint64_t sequence = 1;
+    const std::uint64_t before = registry.visitedEntries() + peer.visitedEntries();
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        ++sequence;
+        for (std::size_t n = 0; n < perRound; ++n) {
+            registry.receive(targetOf(n, sequence), Start + 1s);
+        }
+        const RegistryChanges changes = registry.receivedSince(version, Start + 1s);
+        version = registry.version();
+        bytes = encode(changes).size();
+        peer.merge(changes, Start + 1s);
+    }
+    countVisited(state, registry.visitedEntries() + peer.visitedEntries() - before);
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+
+/// A control host finds one change for a follower.
+void changeForFollower(benchmark::State &state)
+{
+    Registry registry;
+    fill(registry, targetsOf(state));
+    std::uint64_t sequence = 1;
+    const std::uint64_t before = registry.visitedEntries();
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        const std::uint64_t version = registry.version();
+        TargetReport changed = targetOf(7, ++sequence);
+        changed.slots = 8 + sequence % 2;
+        registry.receive(changed, Start + 1s);
+        bytes = encode(registry.changedSince(version, Start + 1s)).size();
+    }
+    countVisited(state, registry.visitedEntries() - before);
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+
+/// A control host makes a snapshot, and an entry host reads it.
+void snapshot(benchmark::State &state)
+{
+    Registry registry;
+    fill(registry, targetsOf(state));
+    std::size_t plain = 0;
+    std::size_t packed = 0;
+    for (auto _ : state) {
+        const RegistryChanges changes = registry.changedSince(0, Start + 1s);
+        const std::string data = packChanges(changes);
+        plain = encode(changes).size();
+        packed = data.size();
+        benchmark::DoNotOptimize(unpackChanges(data, "control"));
+    }
+    const auto targets = static_cast<double>(targetsOf(state));
+    state.counters["plain_bytes_per_target"] = static_cast<double>(plain) / targets;
+    state.counters["packed_bytes_per_target"] = static_cast<double>(packed) / targets;
+}
+
+/// All followers of a control host confirm a change, each with a poll.
+void confirmations(benchmark::State &state)
+{
+    const std::size_t followers = targetsOf(state) / TargetsPerEntryHost / ControlHosts;
+    UpdateConfirmations table(UpdateLease);
+    std::uint64_t version = 0;
+    const std::uint64_t before = table.visitedFollowers();
+    for (auto _ : state) {
+        ++version;
+        for (std::size_t n = 0; n < followers; ++n) {
+            table.recordPoll("e-" + std::to_string(n), {version, 1}, Start);
+            benchmark::DoNotOptimize(table.isConfirmed({version, 1}, {}, Start));
+        }
+    }
+    countVisited(state, (table.visitedFollowers() - before) / followers);
+}
+
+/// An entry host chooses the target for a key.
+void choice(benchmark::State &state)
+{
+    BalanceSettings settings;
+    settings.zone = zoneOf(0);
+    for (std::size_t n = 0; n < Zones; ++n) {
+        settings.regionOfZone[zoneOf(n)] = "region-" + std::to_string(n % 3);
+    }
+    TargetSet set(settings);
+    Registry registry;
+    fill(registry, targetsOf(state));
+    set.apply(registry.changedSince(0, Start), Start);
+    const std::uint64_t before = set.visitedTargets();
+    std::uint64_t key = 0;
+    for (auto _ : state) {
+        TargetQuery query;
+        query.service = "service-0";
+        query.region = "region-0";
+        query.affinity = hash64(std::to_string(++key));
+        benchmark::DoNotOptimize(set.choose(query, Start + 1s));
+    }
+    countVisited(state, set.visitedTargets() - before);
+}
+
+BENCHMARK(report)->Arg(FewTargets)->Arg(ManyTargets);
+BENCHMARK(renewals)->Arg(FewTargets)->Arg(ManyTargets);
+BENCHMARK(changeForFollower)->Arg(FewTargets)->Arg(ManyTargets);
+BENCHMARK(snapshot)->Arg(FewTargets)->Arg(ManyTargets)->Unit(benchmark::kMillisecond);
+BENCHMARK(confirmations)->Arg(FewTargets)->Arg(ManyTargets);
+BENCHMARK(choice)->Arg(FewTargets)->Arg(ManyTargets);
+
+} // namespace
+
+} // namespace pepperlug::fleet
+
+BENCHMARK_MAIN();
--- a/lib/Fleet/CachedState.cpp
+++ b/lib/Fleet/CachedState.cpp
@@ -21,8 +21,58 @@
     MSGPACK_DEFINE(routing, targets, suspects, loads);
 };
 
+/// Format of the file of recent changes.
+struct StoredChanges {
+    std::string routing; ///< RoutingState::snapshot()
+    std::vector<std::string> unusableTargets;
+    std::vector<SuspectReport> suspects;
+    std::vector<TenantLoad> loads;
+    MSGPACK_DEFINE(routing, unusableTargets, suspects, loads);
+};
+
+constexpr const char *ChangesSuffix = "-changes";
+/// Processor time of a target in a write of all, and the share of a processor for these writes.
+constexpr std::chrono::microseconds WriteCostPerTarget{2};
+constexpr double WriteShare = 0.01;
+/// Shortest interval between two writes.
+constexpr Milliseconds MinWriteInterval{500};
+
+bool isUsable(const AgedReport<TargetReport> &target)
+{
+    return target.report.presence == Presence::Ready && !target.isSilent;
+}
+
+bool exists(const std::string &path)
+{
+    std::error_code ec; // other errors are reported by readFile()
+    return std::filesystem::status(path, ec).type() != std::filesystem::file_type::not_found;
+}
+
+void applyRecentChanges(CachedState &state, const std::string &path)
+{
+    if (!exists(path)) {
+        return;
+    }
+    auto stored = decode<StoredChanges>(readFile(path), path);
+    RoutingState routing;
+    routing.restore(stored.routing);
+    if (routing.index() >= state.routing.index()) {
+        state.routing = std::move(routing);
+    }
+    const std::set<std::string> unusable(stored.unusableTargets.begin(), stored.unusableTargets.end());
+    std::erase_if(state.targets, [&](const TargetReport &it) { return unusable.contains(it.id); });
+    state.suspects = std::move(stored.suspects);
+    state.loads = std::move(stored.loads);
+}
+
 } // namespace
 
+Duration cacheWriteInterval(std::size_t targets)
+{
+    const auto cost = WriteCostPerTarget * static_cast<std::chrono::microseconds::rep>(targets);
+    return std::max<Duration>(MinWriteInterval, std::chrono::duration_cast<Duration>(cost / WriteShare));
+}
+
 CachedState makeCachedState(const RoutingState &routing, const Registry &registry)
 {
     CachedState state{routing, {}, {}};
@@ -37,6 +87,25 @@
     return state;
 }
 
+RecentChanges makeRecentChanges(const RoutingState &routing, const Registry &registry, std::uint64_t version,
+                                TimePoint now)
+{
+    RecentChanges changes{routing, {}, {}};
+    for (const AgedReport<TargetReport> &it : registry.changedSince(version, now).targets) {
+        if (!isUsable(it)) {
+            changes.unusableTargets.push_back(it.report.id);
+        }
+    }
+    return changes;
+}
+
+void writeRecentChanges(const std::string &path, const RecentChanges &changes)
+{
+    replaceFile(
+        path + ChangesSuffix,
+        encode(StoredChanges{changes.routing.snapshot(), changes.unusableTargets, changes.suspects, changes.loads}));
+}
+
 void writeCachedState(const std::string &path, const CachedState &state)
 {
     replaceFile(path, encode(StoredState{state.routing.snapshot(), state.targets, state.suspects, state.loads}));
@@ -44,8 +113,7 @@
 
 std::optional<CachedState> readCachedState(const std::string &path)
 {
-    std::error_code ec; // other errors are reported by readFile()
-    if (std::filesystem::status(path, ec).type() == std::filesystem::file_type::not_found) {
+    if (!exists(path)) {
         return std::nullopt;
     }
     auto stored = decode<StoredState>(readFile(path), path);
@@ -54,6 +122,7 @@
     state.targets = std::move(stored.targets);
     state.suspects = std::move(stored.suspects);
     state.loads = std::move(stored.loads);
+    applyRecentChanges(state, path + ChangesSuffix);
     return state;
 }
 
--- a/lib/Fleet/CachedState.h
+++ b/lib/Fleet/CachedState.h
@@ -23,14 +23,31 @@
     std::vector<TenantLoad> loads{}; ///< of tenants near their limits
 };
 
+/// What has changed since a cached state was written. It is short, so it can be written often.
+struct RecentChanges {
+    RoutingState routing;
+    std::vector<std::string> unusableTargets; ///< ids of targets that became unusable since
+    std::vector<SuspectReport> suspects;
+    std::vector<TenantLoad> loads{};
+};
+
 CachedState makeCachedState(const RoutingState &routing, const Registry &registry);
+/// `version`: of the registry when the cached state was made.
+RecentChanges makeRecentChanges(const RoutingState &routing, const Registry &registry, std::uint64_t version,
+                                TimePoint now);
 
 /// Replaces the file atomically and syncs it. Throws Error.
 void writeCachedState(const std::string &path, const CachedState &state);
+/// Writes the changes since the state in the file at `path` to another one beside it. Throws Error.
+void writeRecentChanges(const std::string &path, const RecentChanges &changes);
 
-/// Returns nothing if there is no file. Throws Error if it can't be read.
+/// Returns the state with the changes that were written since, or nothing if there is no file. Throws Error if one
+/// can't be read.
 std::optional<CachedState> readCachedState(const std::string &path);
 
+/// Returns the time from one write of all targets to the next, which use a bounded share of a processor.
+Duration cacheWriteInterval(std::size_t targets);
+
 /// Returns the cached targets for which the registry has no report yet.
 std::vector<TargetReport> unreportedTargets(const std::vector<TargetReport> &targets, const Registry &registry);
 
--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -1,5 +1,6 @@
 //===- ControlWatch.cpp - Long polling of control hosts -------------------===//
 #include "ControlWatch.h"
+#include "PackedChanges.h"
 #include "PeerReplies.h"
 
 #include <algorithm>
@@ -18,6 +19,21 @@
 /// for this one.
 constexpr Milliseconds HeartbeatInterval{600};
 
+TypedReply<FleetWatchReply> readWatchReply(const PeerReply &reply, const std::string &peer)
+{
+    TypedReply<FleetWatchReply> read = readReply<FleetWatchReply>(reply, peer);
+    if (!read.message || read.message->packedChanges.empty()) {
+        return read;
+    }
+    try {
+        read.message->changes = unpackChanges(read.message->packedChanges, peer);
+        read.message->packedChanges.clear();
+    } catch (const Error &ex) {
+        return {std::nullopt, ex.what()};
+    }
+    return read;
+}
+
 } // namespace
 
 ControlWatch::ControlWatch(PeerNet &net, const Clock &clock, Milliseconds maxWait, Hooks hooks)
@@ -96,6 +112,7 @@
     call.suspects.since = m_suspectsSince;
     call.backpressure.since = m_backpressureSince;
     call.loadsSince = m_loadsSince;
+    call.readsPacked = true;
     return call;
 }
 
@@ -129,7 +146,7 @@
 
 void ControlWatch::onReply(const Address &from, std::uint64_t number, const PeerReply &reply)
 {
-    const auto [message, reason] = readReply<FleetWatchReply>(reply, from.text());
+    const auto [message, reason] = readWatchReply(reply, from.text());
     bool linkChanged = false;
     ReplyInfo info{from, {}, {}, reply.body.size()};
     {
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -56,8 +56,9 @@
     UpdateOffer<SuspectReport> suspects; ///< requests under which targets crashed
     UpdateOffer<BackpressureReport> backpressure; ///< rate limits and departures advertised in targets' answers
     std::uint64_t loadsSince = 0; ///< version of the receiver's QuotaAggregator that the sender has
+    bool readsPacked = false; ///< the sender reads FleetWatchReply::packedChanges; false in calls of earlier versions
     MSGPACK_DEFINE(self, epoch, since, routingIndex, newestRoutingIndex, maxWait, confirmed, suspects, backpressure,
-                   loadsSince);
+                   loadsSince, readsPacked);
 };
 
 /// Reply to path::FleetWatch.
@@ -78,8 +79,9 @@
     UpdateReply<BackpressureReport> backpressure;
     std::uint64_t loadsVersion = 0; ///< for entry hosts: version of the replying host's QuotaAggregator
     std::vector<TenantLoad> loads; ///< for entry hosts: all loads, if the requester has another version
+    std::string packedChanges; ///< packChanges() of many changes, in place of `changes`; empty: none
     MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, cachedTargets, routingIndex, routingChanges,
-                   suspects, backpressure, loadsVersion, loads);
+                   suspects, backpressure, loadsVersion, loads, packedChanges);
 };
 
 /// Body of path::FleetProbe: asks whether a quarantined request may be probed once. The leading control host decides.
@@ -121,7 +123,10 @@
 /// hosts, so that it can follow a near one. The request doesn't make it a follower of the receiver.
 struct FleetControlHostsReply {
     std::vector<HostReport> hosts;
-    MSGPACK_DEFINE(hosts);
+    /// The replying host has had time to hear of all live control hosts since its start; true in replies of earlier
+    /// versions.
+    bool isComplete = true;
+    MSGPACK_DEFINE(hosts, isComplete);
 };
 
 /// Body of path::FleetJoin: a control host requests membership.
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -28,6 +28,13 @@
 /// After a seed failed to list the control hosts. A seed that starts at the same time needs about as long until it
 /// listens.
 constexpr Milliseconds SeedRetryDelay{150};
+/// After a seed that has just started listed the control hosts that it has heard of so far.
+constexpr Milliseconds IncompleteListDelay{500};
+/// Time after which an entry host follows a control host of another zone although one of its own may be missing from
+/// the lists of the seeds.
+constexpr std::chrono::seconds DiscoveryTime{1};
+/// Changed targets of one reply that are logged one by one.
+constexpr std::size_t MaxLoggedTargets = 32;
 constexpr std::size_t IncarnationBytes = 8;
 /// Between two immediate requests because of bursts of tenants' requests.
 constexpr Milliseconds BurstReportInterval{200};
@@ -249,14 +256,23 @@
                    {{"from", from.text()}, {"hosts", message.hosts.size()}, {"reason", reason}});
     const std::lock_guard lock(m_mutex);
     m_isRequestingControlHosts = false;
-    m_nextControlHostsRequest = m_clock.now() + SeedRetryDelay;
+    const TimePoint now = m_clock.now();
+    m_nextControlHostsRequest = now + (message.hosts.empty() ? SeedRetryDelay : IncompleteListDelay);
     // A seed that is reachable but can't list the control hosts is followed itself. If no seed is reachable, the seeds
     // are followed in turn.
     const bool triedAll = m_seedRequests >= m_settings.seeds.size();
-    m_knowsControlHosts = reply.delivered || triedAll;
+    bool hasNearHost = false;
     for (const HostReport &it : message.hosts) {
         m_controlHosts[it.id] = it;
+        hasNearHost |= it.zone == m_settings.zone;
+    }
+    if (!reply.delivered) {
+        m_knowsControlHosts = triedAll;
+        return;
     }
+    m_firstListAt = m_firstListAt.value_or(now);
+    m_knowsControlHosts =
+        message.hosts.empty() || message.isComplete || hasNearHost || now - *m_firstListAt > DiscoveryTime;
 }
 
 void GatewayDaemon::Impl::onLink(const Address &control, bool isLost, const std::string &reason)
@@ -285,9 +301,10 @@
                         {"targets", reply.changes.targets.size()},
                         {"whole", reply.isWhole}});
     }
+    const bool areMany = reply.isWhole || reply.changes.targets.size() > MaxLoggedTargets;
     for (const AgedReport<TargetReport> &it : reply.changes.targets) {
         // A line for each of some hundred healthy targets would crowd out the lines of decisions.
-        if (reply.isWhole && it.report.presence == Presence::Ready && !it.isSilent) {
+        if (areMany && it.report.presence == Presence::Ready && !it.isSilent) {
             continue;
         }
         m_events.state("target",
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -143,6 +143,7 @@
     std::map<std::string, HostReport> m_controlHosts; ///< live ones, by id
     bool m_knowsControlHosts = false; ///< or no seed could list them; from then on the followed host reports them
     bool m_isRequestingControlHosts = false;
+    std::optional<TimePoint> m_firstListAt; ///< when a seed first listed control hosts
     std::size_t m_seedRequests = 0;
     TimePoint m_nextControlHostsRequest{};
     std::optional<TimePoint> m_viewAsOf; ///< this host knows all that a control host with a majority knew then
--- a/lib/Fleet/RegistryConfirmations.cpp
+++ b/lib/Fleet/RegistryConfirmations.cpp
@@ -140,10 +140,10 @@
 std::vector<std::string> RegistryDaemon::Impl::followedControlHosts(TimePoint now) const
 {
     std::vector<std::string> hosts;
-    for (const auto &[id, entry] : m_registry.hosts()) {
-        const HostReport &host = entry.report;
-        const bool mayBeFollowed = now - entry.receivedAt <= m_settings.updateLease + SelfReportInterval;
-        if (host.role == HostRole::Control && host.id != m_incarnation && mayBeFollowed) {
+    for (const auto &[id, entry] : m_registry.controlHosts()) {
+        const HostReport &host = entry->report;
+        const bool mayBeFollowed = now - entry->receivedAt <= m_settings.updateLease + SelfReportInterval;
+        if (host.id != m_incarnation && mayBeFollowed) {
             hosts.push_back(host.peer);
         }
     }
@@ -174,6 +174,11 @@
                                : UpdateVersions{};
 }
 
+bool RegistryDaemon::Impl::isInForce(UpdateVersions position, TimePoint now) const
+{
+    return knowsFollowers(now) && m_confirmations.isConfirmed(position, followedControlHosts(now), now);
+}
+
 // Names of the hosts that may still act on older state; empty if the position holds everywhere.
 std::vector<std::string> RegistryDaemon::Impl::unconfirmed(UpdateVersions position, TimePoint now) const
 {
@@ -212,11 +217,11 @@
         return informed * 2 > voters;
     };
     std::erase_if(m_departures, [&](const Departure &departure) {
-        const std::vector<std::string> missing = unconfirmed({departure.version, 0}, now);
-        const bool isDone = missing.empty() && isKnownToMajority(departure);
+        const bool isDone = isInForce({departure.version, 0}, now) && isKnownToMajority(departure);
         if (!isDone && now < departure.until) {
             return false;
         }
+        const std::vector<std::string> missing = unconfirmed({departure.version, 0}, now);
         m_events.state(isDone ? "departure-acknowledged" : "departure-not-spread",
                        {{"target", departure.target},
                         {"registry_version", departure.version},
@@ -242,11 +247,12 @@
 void RegistryDaemon::Impl::resolveChanges(TimePoint now)
 {
     std::erase_if(m_changes, [&](const Change &change) {
-        const std::vector<std::string> missing = unconfirmed({0, change.index}, now);
-        if (!missing.empty() && now < change.until) {
+        const bool isDone = isInForce({0, change.index}, now);
+        if (!isDone && now < change.until) {
             return false;
         }
-        if (!missing.empty()) {
+        if (!isDone) {
+            const std::vector<std::string> missing = unconfirmed({0, change.index}, now);
             m_events.state(
                 "change-not-confirmed",
                 {{"change", change.subject}, {"hosts", missing.size()}, {"missing", describeMissing(missing, now)}});
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t IncarnationBytes = 8;
 /// A host must have had contact to a majority for that long before it marks others as silent.
 constexpr auto MinCurrentTime = std::chrono::seconds(3);
-/// Shortest interval between two writes of the cache file.
+/// Shortest interval between two writes of what has changed since the last write of all targets.
 constexpr Milliseconds CacheWriteInterval{500};
 constexpr const char *CacheFileName = "remembered";
 constexpr std::size_t MaxTableBytes = 4UL << 20;
@@ -115,7 +115,7 @@
 void RegistryDaemon::Impl::restoreCachedState()
 {
     try {
-        m_cached = readCachedState(m_settings.dataFolder + "/" + CacheFileName);
+        m_cached = readCachedState(cachePath());
         if (m_cached) {
             m_cachedHistory.append(viewOf(m_cached->routing));
             mergeSuspects(m_cached->suspects, false, m_clock.now());
@@ -152,14 +152,50 @@
     m_cachedSuspectsVersion = m_quarantine.version();
     m_cachedLoadsVersion = m_quotas.version();
     m_hasCachedLimits = m_quotas.isLimiting();
+    if (now >= m_nextFullCacheWrite) {
+        saveAllTargets(now);
+    } else {
+        saveRecentChanges(now);
+    }
+}
+
+void RegistryDaemon::Impl::saveAllTargets(TimePoint now)
+{
+    m_nextFullCacheWrite = now + cacheWriteInterval(m_registry.targets().size());
+    m_fullCacheVersion = m_registry.changedVersion();
     CachedState cached = makeCachedState(m_routing, m_registry);
     cached.suspects = m_quarantine.changedSince(0, UpdateRecipient::ControlHost, now);
     cached.loads = m_quotas.loads();
-    m_writer->post([this, cached = std::move(cached)] {
+    postCacheWrite([path = cachePath(), cached = std::move(cached)] {
+        writeCachedState(path, cached);
+        // The changes since the file before would hide newer reports of the same targets.
+        writeRecentChanges(path, {cached.routing, {}, cached.suspects, cached.loads});
+    });
+}
+
+void RegistryDaemon::Impl::saveRecentChanges(TimePoint now)
+{
+    RecentChanges changes = makeRecentChanges(m_routing, m_registry, m_fullCacheVersion, now);
+    changes.suspects = m_quarantine.changedSince(0, UpdateRecipient::ControlHost, now);
+    changes.loads = m_quotas.loads();
+    postCacheWrite([path = cachePath(), changes = std::move(changes)] { writeRecentChanges(path, changes); });
+}
+
+std::string RegistryDaemon::Impl::cachePath() const
+{
+    return m_settings.dataFolder + "/" + CacheFileName;
+}
+
+void RegistryDaemon::Impl::postCacheWrite(std::function<void()> write)
+{
+    m_writer->post([this, write = std::move(write)] {
         try {
-            writeCachedState(m_settings.dataFolder + "/" + CacheFileName, cached);
+            write();
         } catch (const Error &ex) {
             m_events.state("remember-failed", {{"reason", ex.what()}});
+            // The next changes would be those since a state that is not in the file.
+            const std::lock_guard lock(m_mutex);
+            m_nextFullCacheWrite = {};
         }
     });
 }
@@ -213,9 +249,9 @@
     for (const Address &seed : m_settings.seeds) {
         addresses.insert({seed.ip, m_settings.peer.port});
     }
-    for (const auto &[id, entry] : m_registry.hosts()) {
-        const std::optional<Address> peer = Address::parse(entry.report.peer);
-        if (entry.report.role == HostRole::Control && Registry::isLive(entry) && peer) {
+    for (const auto &[id, entry] : m_registry.controlHosts()) {
+        const std::optional<Address> peer = Address::parse(entry->report.peer);
+        if (Registry::isLive(*entry) && peer) {
             addresses.insert(*peer);
         }
     }
@@ -295,7 +331,7 @@
         if (result == RoutingResult::Done) {
             publishRouting();
             queueConfirmation(Address::parse(m_log->status().leader), {0, index});
-            replyToWatchers(m_clock.now());
+            announceUpdates(m_clock.now());
         }
     }
     if (result == RoutingResult::Done) {
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -15,6 +15,11 @@
 /// Interval at which a control host renews its own report.
 constexpr Milliseconds SelfReportInterval{500};
 
+/// Processor time of a reply to an entry host and of the poll that follows it.
+constexpr std::chrono::microseconds EntryReplyCost{100};
+/// The same for a control host, whose reply holds renewals of all targets and hosts that report here.
+constexpr std::chrono::microseconds ControlReplyCost{300};
+
 class RegistryDaemon::Impl final : public ControlLogClient
 {
 public:
@@ -45,6 +50,10 @@
     std::vector<Address> knownControlHosts();
     void pollPeers(TimePoint now);
     void saveCachedState(TimePoint now);
+    void saveAllTargets(TimePoint now);
+    void saveRecentChanges(TimePoint now);
+    std::string cachePath() const;
+    void postCacheWrite(std::function<void()> write);
     void restoreCachedState();
 
     // RegistryPeers.cpp
@@ -64,14 +73,42 @@
     /// this host are reset, and the reports are moved out.
     ReceivedCall receiveCall(const IncomingCallPtr &call, TimePoint now);
     void onRouting(const IncomingCallPtr &call);
+    bool onPeerReply(const ReplyInfo &info, const FleetWatchReply &reply);
+
+    void mergeBackpressure(const std::vector<BackpressureReport> &reports, bool isDirect, TimePoint now);
+
+    // RegistryReplies.cpp
+    /// A request of another host whose reply is held.
+    struct Watcher {
+        IncomingCallPtr call;
+        FleetWatchCall request;
+        TimePoint until{};
+        bool isInitial = false; ///< the host has no state, and acts on none until it has the reply
+    };
+
+    /// Changes of the registry since one version, as sent to all hosts of a kind.
+    struct SharedChanges {
+        std::optional<TimePoint> madeAt;
+        std::uint64_t version = 0; ///< up to which they reach
+        RegistryChanges changes;
+        std::string packed; ///< packChanges(); empty if they are few
+    };
+
     const RoutingHistory &historyFor(bool hasNoState) const;
     bool hasUpdates(const FleetWatchCall &call) const;
     bool hasLoadUpdates(const FleetWatchCall &call) const;
-    FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now) const;
+    bool mayAnnounce(HostRole role, TimePoint now) const;
+    bool isReplyDue(const Watcher &watcher, TimePoint now) const;
+    bool isCurrent(TimePoint now) const;
+    const SharedChanges &changesFor(const FleetWatchCall &call, TimePoint now);
+    void dropSharedChanges(TimePoint now);
+    FleetWatchReply makeReply(const FleetWatchCall &call, TimePoint now);
+    void replyTo(const Watcher &watcher, TimePoint now);
+    void holdOrReply(Watcher watcher, TimePoint now);
+    void recordRound(HostRole role, TimePoint now);
     void replyToWatchers(TimePoint now);
-    bool onPeerReply(const ReplyInfo &info, const FleetWatchReply &reply);
-
-    void mergeBackpressure(const std::vector<BackpressureReport> &reports, bool isDirect, TimePoint now);
+    std::uint64_t updateCount() const;
+    void announceUpdates(TimePoint now);
 
     // RegistrySuspects.cpp
     void mergeSuspects(const std::vector<SuspectReport> &suspects, bool isDirect, TimePoint now);
@@ -90,6 +127,7 @@
     bool hasNoFollowers(TimePoint now) const;
     UpdateVersions confirmedTo(const Address &to, const std::string &epoch) const;
     nlohmann::json describeMissing(const std::vector<std::string> &names, TimePoint now) const;
+    bool isInForce(UpdateVersions position, TimePoint now) const;
     std::vector<std::string> unconfirmed(UpdateVersions position, TimePoint now) const;
     void resolvePending(TimePoint now);
     void resolveDepartures(TimePoint now);
@@ -112,19 +150,18 @@
     std::string operatorsAddressOf(const std::string &peer);
     std::vector<std::string> entryHostsFor(const std::string &zone);
     std::vector<std::string> liveEntryHosts(const std::string &region) const;
+    /// Entry hosts that the directory names to the callers of a zone.
+    struct NamedHosts {
+        std::uint64_t hostsVersion = 0; ///< of the registry
+        RedirectedShare redirected;
+        HostRotation rotation;
+    };
+    std::vector<std::string> candidatesFor(const std::string &zone, const RedirectedShare &redirected) const;
     void updateCallerShares(TimePoint now);
     void updateQuotas(TimePoint now);
     void publishRouting();
     RoutingView viewOf(const RoutingState &routing) const;
 
-    /// A request of another host whose reply is held.
-    struct Watcher {
-        IncomingCallPtr call;
-        FleetWatchCall request;
-        TimePoint until{};
-        bool isInitial = false; ///< the host has no state, and acts on none until it has the reply
-    };
-
     /// A routing change that is acknowledged once it is in force on all live entry hosts.
     struct Change {
         HttpExchangePtr exchange;
@@ -180,10 +217,16 @@
     std::map<Address, std::string> m_epochs; ///< of other control hosts, from their last reply
     CallerShares m_shares;
     TimePoint m_nextShares{};
+    std::vector<RegionDemand> m_demand; ///< of all regions, as of the last update of the shares
+    std::map<std::string, NamedHosts> m_namedHosts; ///< by zone
     bool m_hasHomes = true; ///< some route or tenant of the table has home regions, or there is no table yet
     std::uint64_t m_sequence = 0;
     bool m_isLeaving = false;
     std::vector<Watcher> m_watchers;
+    ReplySchedule m_entryReplies{EntryReplyCost};
+    ReplySchedule m_controlReplies{ControlReplyCost};
+    std::map<std::pair<UpdateRecipient, std::uint64_t>, SharedChanges> m_sharedChanges; ///< by the version since which
+    std::uint64_t m_announced = 0; ///< updateCount() at the last round of replies
     std::vector<Departure> m_departures;
     std::vector<Change> m_changes;
     std::map<std::string, std::uint64_t> m_peerVersions; ///< registry versions of control hosts, by peer address
@@ -196,6 +239,8 @@
     std::optional<CachedState> m_cached; ///< from before the restart, for a limited time
     RoutingHistory m_cachedHistory;
     TimePoint m_nextCacheWrite{};
+    TimePoint m_nextFullCacheWrite{};
+    std::uint64_t m_fullCacheVersion = 0; ///< registry version as of the last write of all targets
     std::uint64_t m_cachedRegistryVersion = 0; ///< as of the last write
     std::uint64_t m_cachedRoutingIndex = 0; ///< as of the last write
     std::uint64_t m_cachedSuspectsVersion = 0; ///< version of the quarantine, as of the last write
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -3,7 +3,6 @@
 #include "RegistryImpl.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace pepperlug::fleet
 {
@@ -11,14 +10,8 @@
 namespace
 {
 
-/// Largest routing changes that are sent with a reply, in bytes. On a link of 4 Mbit/s, the narrowest known, departures
-/// of targets wait 16 ms behind them, less than for the next tick of their host.
-constexpr std::size_t MaxInlineChanges = 8 * 1024;
-
-UpdateRecipient readerOf(const FleetWatchCall &request)
-{
-    return request.self.role == HostRole::Entry ? UpdateRecipient::EntryHost : UpdateRecipient::ControlHost;
-}
+/// Within this time after its start a control host hears of all others that are running.
+constexpr std::chrono::seconds DiscoveryTime{1};
 
 } // namespace
 
@@ -63,11 +56,12 @@
     FleetControlHostsReply reply;
     {
         const std::lock_guard lock(m_mutex);
-        for (const auto &[id, entry] : m_registry.hosts()) {
-            if (entry.report.role == HostRole::Control && Registry::isLive(entry)) {
-                reply.hosts.push_back(entry.report);
+        for (const auto &[id, entry] : m_registry.controlHosts()) {
+            if (Registry::isLive(*entry)) {
+                reply.hosts.push_back(entry->report);
             }
         }
+        reply.isComplete = m_clock.now() - m_startedAt > DiscoveryTime;
     }
     call->reply(Ok, encode(reply));
 }
@@ -127,10 +121,14 @@
     const TimePoint now = m_clock.now();
     const std::lock_guard lock(m_mutex);
     ReceivedCall received = receiveCall(call, now);
-    const TimePoint until = now + received.request.maxWait;
+    // Hosts that start together share one snapshot.
+    const bool hasNoState = received.request.since == 0;
+    const Duration gatherTime =
+        hasNoState ? m_entryReplies.gatherTime(m_confirmations.waitedFollowers(now)) : Duration(0);
+    const TimePoint until = now + std::max<Duration>(received.request.maxWait, gatherTime);
     const bool isInitial = received.isNewest && isUninitialized(received.request);
-    m_watchers.push_back({call, std::move(received.request), until, isInitial});
-    replyToWatchers(now);
+    holdOrReply({call, std::move(received.request), until, isInitial}, now);
+    announceUpdates(now);
     resolvePending(now);
 }
 
@@ -145,13 +143,6 @@
     call->reply(Ok, "");
 }
 
-// A host without state may get the cached state from before a restart.
-const RoutingHistory &RegistryDaemon::Impl::historyFor(bool hasNoState) const
-{
-    const bool usesCache = hasNoState && m_cached && m_cachedHistory.index() > m_history.index();
-    return usesCache ? m_cachedHistory : m_history;
-}
-
 void RegistryDaemon::Impl::onRouting(const IncomingCallPtr &call)
 {
     const auto request = decode<FleetRoutingCall>(call->body(), call->peer());
@@ -165,74 +156,6 @@
     call->reply(Ok, std::move(body));
 }
 
-bool RegistryDaemon::Impl::hasUpdates(const FleetWatchCall &call) const
-{
-    return call.since == 0 || m_registry.changedVersion() > call.since || m_history.index() > call.newestRoutingIndex
-        || m_quarantine.hasChangedSince(call.suspects.since, readerOf(call))
-        || m_backpressure.hasChangedSince(call.backpressure.since, readerOf(call)) || hasLoadUpdates(call);
-}
-
-bool RegistryDaemon::Impl::hasLoadUpdates(const FleetWatchCall &call) const
-{
-    return call.self.role == HostRole::Entry && m_quotas.version() != call.loadsSince;
-}
-
-FleetWatchReply RegistryDaemon::Impl::makeReply(const FleetWatchCall &call, TimePoint now) const
-{
-    FleetWatchReply reply;
-    reply.epoch = m_epoch;
-    reply.version = m_registry.version();
-    reply.isCurrent = !m_isLeaving && m_log->status().isCurrent(now);
-    const bool isControl = call.self.role == HostRole::Control;
-    reply.changes = isControl ? m_registry.receivedSince(call.since, now) : m_registry.changedSince(call.since, now);
-    reply.isWhole = call.since == 0;
-    reply.suspects = makeUpdateReply(call.suspects, m_quarantine, readerOf(call), now);
-    reply.backpressure = makeUpdateReply(call.backpressure, m_backpressure, readerOf(call), now);
-    if (isControl) {
-        return reply;
-    }
-    reply.demand = m_registry.demand(m_settings.regionOfZone);
-    reply.loadsVersion = m_quotas.version();
-    if (hasLoadUpdates(call)) {
-        reply.loads = m_quotas.loads();
-    }
-    const bool hasNoState = call.routingIndex == 0 && call.since == 0;
-    if (hasNoState && m_cached) {
-        reply.cachedTargets = unreportedTargets(m_cached->targets, m_registry);
-    }
-    const RoutingHistory &history = historyFor(hasNoState);
-    reply.routingIndex = history.index();
-    std::vector<std::string> changes = history.changesSince(call.routingIndex);
-    const auto addSize = [](std::size_t sum, const std::string &it) {
-        return sum + it.size();
-    };
-    if (std::accumulate(changes.begin(), changes.end(), std::size_t{0}, addSize) <= MaxInlineChanges) {
-        reply.routingChanges = std::move(changes);
-    }
-    return reply;
-}
-
-void RegistryDaemon::Impl::replyToWatchers(TimePoint now)
-{
-    const bool isCurrent = m_log && m_log->status().isCurrent(now) && !m_isLeaving;
-    std::erase_if(m_watchers, [&](const Watcher &watcher) {
-        // A host that follows one without a majority should switch to another at once.
-        const bool isEntry = watcher.request.self.role == HostRole::Entry;
-        if (now < watcher.until && !hasUpdates(watcher.request) && (isCurrent || !isEntry)) {
-            return false;
-        }
-        const FleetWatchReply message = makeReply(watcher.request, now);
-        if (watcher.isInitial) {
-            m_confirmations.recordFirstReply(watcher.request.self.id, {message.version, message.routingIndex});
-        }
-        std::string reply = encode(message);
-        m_metrics.count(isEntry ? "pepperlug_news_bytes{to=\"entry\"}" : "pepperlug_news_bytes{to=\"control\"}",
-                        reply.size());
-        watcher.call->reply(Ok, std::move(reply));
-        return true;
-    });
-}
-
 bool RegistryDaemon::Impl::onPeerReply(const ReplyInfo &info, const FleetWatchReply &reply)
 {
     const TimePoint now = m_clock.now();
@@ -253,7 +176,7 @@
         if (hasDepartures) {
             queueConfirmation(info.from, {reply.version, 0});
         }
-        replyToWatchers(now);
+        announceUpdates(now);
     }
     if (!isFullyMerged) {
         m_events.state("reports-unknown", {{"peer", info.from.text()}, {"renewals", reply.changes.renewals.size()}});
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -92,7 +92,7 @@
                             {"sequence", report.sequence},
                             {"started_at_ms", entry->report.startedAt.count()}});
         }
-        replyToWatchers(now);
+        announceUpdates(now);
         if (isDeparture) {
             m_departures.push_back({exchange, report.id, entry->changedVersion, now, now + DepartureTimeout});
             resolveDepartures(now);
@@ -239,6 +239,7 @@
         load.linkUse += (host.report->linkUse - load.linkUse) / load.hosts;
     }
     m_shares.update(regions, now);
+    m_demand = m_registry.demand(m_settings.regionOfZone);
 }
 
 // A host that has just started knows only some of the entry hosts, and would set the limits too high.
@@ -265,7 +266,8 @@
 
 // Callers of a region share all its entry hosts: zones differ in their number of entry hosts, and bursts hit one zone
 // at a time.
-std::vector<std::string> RegistryDaemon::Impl::entryHostsFor(const std::string &zone)
+std::vector<std::string> RegistryDaemon::Impl::candidatesFor(const std::string &zone,
+                                                             const RedirectedShare &redirected) const
 {
     const auto it = m_settings.regionOfZone.find(zone);
     const std::string region = it == m_settings.regionOfZone.end() ? std::string() : it->second;
@@ -275,9 +277,7 @@
         // they look up again, with requests whose home region it is.
         return knowsFollowers(m_clock.now()) ? liveEntryHosts({}) : std::vector<std::string>{};
     }
-    const RedirectedShare redirected = m_shares.redirectedFrom(region);
-    // Callers of routes with home regions must not be redirected.
-    if (redirected.fraction <= 0 || m_hasHomes) {
+    if (redirected.fraction <= 0) {
         return hosts;
     }
     const double redirectedHosts = static_cast<double>(hosts.size()) * redirected.fraction / (1 - redirected.fraction);
@@ -290,6 +290,22 @@
     return hosts;
 }
 
+std::vector<std::string> RegistryDaemon::Impl::entryHostsFor(const std::string &zone)
+{
+    const auto it = m_settings.regionOfZone.find(zone);
+    // Callers of routes with home regions must not be redirected.
+    const bool mayRedirect = it != m_settings.regionOfZone.end() && !m_hasHomes;
+    const RedirectedShare redirected = mayRedirect ? m_shares.redirectedFrom(it->second) : RedirectedShare{};
+    NamedHosts &named = m_namedHosts[it == m_settings.regionOfZone.end() ? std::string() : zone];
+    if (named.hostsVersion != m_registry.hostsVersion() || named.redirected != redirected) {
+        named.redirected = redirected;
+        named.rotation.assign(candidatesFor(zone, redirected), hash64(zone, hash64(m_incarnation)));
+        // A control host that does not know the entry hosts yet looks again.
+        named.hostsVersion = knowsFollowers(m_clock.now()) ? m_registry.hostsVersion() : 0;
+    }
+    return named.rotation.next();
+}
+
 void RegistryDaemon::Impl::answer(const HttpExchangePtr &exchange, const FindEntryHosts &request)
 {
     std::vector<std::string> addresses;
--- a/lib/Fleet/RegistrySuspects.cpp
+++ b/lib/Fleet/RegistrySuspects.cpp
@@ -40,7 +40,7 @@
         {
             const std::lock_guard lock(m_mutex);
             reply.isGranted = status.canRead(now) && m_quarantine.grantProbe(request.digest, now);
-            replyToWatchers(now);
+            announceUpdates(now);
         }
         m_events.state("trial", {{"digest", request.digest}, {"granted", reply.isGranted}});
         call->reply(Ok, encode(reply));
--- a/unittests/Fleet/CachedStateTest.cpp
+++ b/unittests/Fleet/CachedStateTest.cpp
@@ -33,6 +33,7 @@
     ~TemporaryFile()
     {
         std::filesystem::remove(path);
+        std::filesystem::remove(path + "-changes");
     }
 
     TemporaryFile(const TemporaryFile &) = delete;
@@ -98,3 +99,41 @@
     REQUIRE(unreported.size() == 1);
     CHECK(unreported[0].id == "4");
 }
+
+TEST_CASE("a target that left after the last write of all targets is not restored, and newer routing is")
+{
+    TemporaryFile file;
+    Registry registry = someTargets();
+    RoutingState routing;
+    writeCachedState(file.path, makeCachedState(routing, registry));
+    const std::uint64_t version = registry.changedVersion();
+    TargetReport departure = report("1", Presence::Draining);
+    departure.sequence = 2;
+    registry.receive(departure, Start + 1s);
+    REQUIRE(routing.apply({RoutingCommandKind::PutTable, 0, 3, "table", {}}, 6) == RoutingResult::Done);
+    writeRecentChanges(file.path, makeRecentChanges(routing, registry, version, Start + 1s));
+    const std::optional<CachedState> read = readCachedState(file.path);
+    REQUIRE(read);
+    REQUIRE(read->targets.size() == 1);
+    CHECK(read->targets[0].id == "4");
+    CHECK(read->routing.index() == 6);
+}
+
+TEST_CASE("what is written after a change does not grow with the number of targets", "[scale]")
+{
+    const auto bytesWritten = [](unsigned targets) {
+        Registry registry;
+        for (unsigned n = 0; n < targets; ++n) {
+            registry.receive(report(std::to_string(n)), Start);
+        }
+        const std::uint64_t version = registry.changedVersion();
+        TargetReport departure = report("7", Presence::Draining);
+        departure.sequence = 2;
+        registry.receive(departure, Start + 1s);
+        TemporaryFile file;
+        writeRecentChanges(file.path, makeRecentChanges(RoutingState{}, registry, version, Start + 1s));
+        return std::filesystem::file_size(file.path + "-changes");
+    };
+    CHECK(bytesWritten(2000) == bytesWritten(1000));
+    CHECK(cacheWriteInterval(20000) == 2 * cacheWriteInterval(10000)); // so the writes of all take the same share
+}
