--- a/benchmarks/FleetBenchmark.cpp
+++ b/benchmarks/FleetBenchmark.cpp
@@ -146,10 +146,10 @@
     std::size_t packed = 0;
     for (auto _ : state) {
         const RegistryChanges changes = registry.changedSince(0, Start + 1s);
-        const std::string data = packChanges(changes);
+        const std::vector<std::string> parts = packChanges(changes);
         plain = encode(changes).size();
-        packed = data.size();
-        benchmark::DoNotOptimize(unpackChanges(data, "control"));
+        packed = encode(parts).size();
+        benchmark::DoNotOptimize(unpackChanges(parts, "control"));
     }
     const auto targets = static_cast<double>(targetsOf(state));
     state.counters["plain_bytes_per_target"] = static_cast<double>(plain) / targets;
--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -146,7 +146,7 @@
 
 void ControlWatch::onReply(const Address &from, std::uint64_t number, const PeerReply &reply)
 {
-    const auto [message, reason] = readWatchReply(reply, from.text());
+    auto [message, reason] = readWatchReply(reply, from.text());
     bool linkChanged = false;
     ReplyInfo info{from, {}, {}, reply.body.size()};
     {
--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -31,9 +31,9 @@
         /// sequence number, its routing index, and its confirmations.
         std::function<FleetWatchCall(const Address &to, const std::string &epoch)> makeCall;
         std::function<std::vector<Address>()> candidates; ///< control hosts by preference, best first
-        /// Applies a reply; the next request confirms it. Returns false if it refers to state that this host lacks, so
-        /// that the next request has to ask for the full state.
-        std::function<bool(const ReplyInfo &info, const FleetWatchReply &reply)> onReply;
+        /// Applies a reply, whose changes may be moved out; the next request confirms it. Returns false if it refers to
+        /// state that this host lacks, so that the next request has to ask for the full state.
+        std::function<bool(const ReplyInfo &info, FleetWatchReply &reply)> onReply;
         /// Called when the connection to a control host is lost or regained.
         std::function<void(const Address &peer, bool isLost, const std::string &reason)> onLink;
     };
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -79,7 +79,7 @@
     UpdateReply<BackpressureReport> backpressure;
     std::uint64_t loadsVersion = 0; ///< for entry hosts: version of the replying host's QuotaAggregator
     std::vector<TenantLoad> loads; ///< for entry hosts: all loads, if the requester has another version
-    std::string packedChanges; ///< packChanges() of many changes, in place of `changes`; empty: none
+    std::vector<std::string> packedChanges; ///< packChanges() of many changes, in place of `changes`; empty: none
     MSGPACK_DEFINE(epoch, version, isCurrent, changes, isWhole, demand, cachedTargets, routingIndex, routingChanges,
                    suspects, backpressure, loadsVersion, loads, packedChanges);
 };
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -99,7 +99,7 @@
     hooks.candidates = [this] {
         return controlHosts();
     };
-    hooks.onReply = [this](const ReplyInfo &info, const FleetWatchReply &reply) {
+    hooks.onReply = [this](const ReplyInfo &info, FleetWatchReply &reply) {
         onControlReply(info, reply);
         return true;
     };
@@ -320,7 +320,7 @@
     }
 }
 
-void GatewayDaemon::Impl::onControlReply(const ReplyInfo &info, const FleetWatchReply &reply)
+void GatewayDaemon::Impl::onControlReply(const ReplyInfo &info, FleetWatchReply &reply)
 {
     logReply(info, reply);
     {
@@ -338,7 +338,7 @@
         }
     }
     if (!reply.changes.empty() || reply.isWhole || !reply.demand.empty()) {
-        reduce(ReportsChanged{reply.changes, reply.isWhole, reply.demand, reply.cachedTargets});
+        reduce(ReportsChanged{std::move(reply.changes), reply.isWhole, reply.demand, std::move(reply.cachedTargets)});
     }
     applyUpdates<SuspectsReceived>(reply.suspects, reply.epoch, m_acknowledgedSuspects);
     applyUpdates<BackpressureReceived>(reply.backpressure, reply.epoch, m_acknowledgedBackpressure);
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -58,7 +58,7 @@
     bool knowsControlHosts();
     void requestControlHosts(TimePoint now);
     void onControlHosts(const Address &from, const PeerReply &reply);
-    void onControlReply(const ReplyInfo &info, const FleetWatchReply &reply);
+    void onControlReply(const ReplyInfo &info, FleetWatchReply &reply);
     void logReply(const ReplyInfo &info, const FleetWatchReply &reply);
     Milliseconds viewAge() const;
     void onLink(const Address &control, bool isLost, const std::string &reason);
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -91,7 +91,7 @@
         std::optional<TimePoint> madeAt;
         std::uint64_t version = 0; ///< up to which they reach
         RegistryChanges changes;
-        std::string packed; ///< packChanges(); empty if they are few
+        std::vector<std::string> packed; ///< packChanges(); empty if they are few
     };
 
     const RoutingHistory &historyFor(bool hasNoState) const;
--- a/lib/Fleet/RegistryReplies.cpp
+++ b/lib/Fleet/RegistryReplies.cpp
@@ -100,7 +100,7 @@
         removeLoad(shared.changes);
     }
     const bool isLong = changeCount(shared.changes) >= MinPackedChanges;
-    shared.packed = isLong ? packChanges(shared.changes) : std::string();
+    shared.packed = isLong ? packChanges(shared.changes) : std::vector<std::string>{};
     return shared;
 }
 
--- a/unittests/Fleet/PackedChangesTest.cpp
+++ b/unittests/Fleet/PackedChangesTest.cpp
@@ -38,25 +38,27 @@
 
 TEST_CASE("packed changes are read as they were")
 {
-    const RegistryChanges changes = manyChanges(100);
-    CHECK(encode(unpackChanges(packChanges(changes), "control")) == encode(changes));
+    for (const std::size_t targets : {0U, 100U, 2000U, 2500U}) {
+        const RegistryChanges changes = manyChanges(targets);
+        CHECK(encode(unpackChanges(packChanges(changes), "control")) == encode(changes));
+    }
 }
 
 TEST_CASE("a snapshot takes at most 60 bytes a target", "[scale]")
 {
     constexpr std::size_t MostBytes = 60;
     for (const std::size_t targets : {10000U, 20000U}) {
-        CHECK(packChanges(manyChanges(targets)).size() <= MostBytes * targets);
+        CHECK(encode(packChanges(manyChanges(targets))).size() <= MostBytes * targets);
     }
 }
 
 TEST_CASE("packed changes that can't be read are an error that names the peer")
 {
-    std::string cut = packChanges(manyChanges(100));
+    std::string cut = packChanges(manyChanges(100)).at(0);
     cut.resize(cut.size() / 2);
     for (const std::string &data : {std::string("no such thing"), cut, compressed("\x90\x01", Compression::Fast)}) {
         try {
-            unpackChanges(data, "control-7");
+            unpackChanges({data}, "control-7");
             FAIL("the changes were read");
         } catch (const Error &ex) {
             CHECK(ex.peer() == "control-7");
