--- a/benchmarks/FleetBenchmark.cpp
+++ b/benchmarks/FleetBenchmark.cpp
@@ -159,7 +159,7 @@
 /// All followers of a control host confirm a change, each with a poll.
 void confirmations(benchmark::State &state)
 {
-    const std::size_t followers = targetsOf(state) / TargetsPerEntryHost / ControlHosts;
+    const std::size_t followers = std::max<std::size_t>(1, targetsOf(state) / TargetsPerEntryHost / ControlHosts);
     UpdateConfirmations table(UpdateLease);
     std::uint64_t version = 0;
     const std::uint64_t before = table.visitedFollowers();
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -229,6 +229,9 @@
     if (reason == Refusal::Quarantined) {
         return timeUntilProbe(open);
     }
+    if (reason == Refusal::Overloaded && open.isShedWithFreeSlots) {
+        return OtherHostRetryAfter; // waiting for a slot would only make the answer late
+    }
     if (open.route.name.empty()) {
         return NoRoutingRetryAfter;
     }
@@ -319,6 +322,22 @@
     open.attempts.insert(std::move(kept));
 }
 
+// A target that has free slots and the data of the request's key is tried again where others shed, too.
+void Balancer::Impl::recordShed(OpenRequest &open, const AttemptEnded &event, const std::string &target)
+{
+    const std::optional<TargetLoad> &load = event.load;
+    const bool hasFreeSlots = load && load->running + load->waiting < load->slots;
+    open.isShedWithFreeSlots = event.outcome == AttemptOutcome::Shed && hasFreeSlots;
+    if (event.outcome != AttemptOutcome::Answered && !open.isShedWithFreeSlots) {
+        return;
+    }
+    ShedWatch &sheds = m_sheds[open.service];
+    sheds.record(target, open.isShedWithFreeSlots);
+    if (open.isShedWithFreeSlots && sheds.isWidespread()) {
+        open.triedTargets.erase(target);
+    }
+}
+
 void Balancer::Impl::handle(const AttemptEnded &event)
 {
     const auto it = m_open.find(static_cast<std::uint64_t>(event.id));
@@ -333,6 +352,7 @@
     const Attempt attempt = ended->second;
     open.attempts.erase(ended);
     m_targets.attemptEnded(attempt.target, event.outcome, event.load, m_now);
+    recordShed(open, event, attempt.target.id);
     if (attempt.usesLimitShare
         && (event.outcome == AttemptOutcome::NotSent || event.outcome == AttemptOutcome::Withdrawn)) {
         m_targets.refundLimit(attempt.target);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -5,6 +5,7 @@
 #include "RegionPlan.h"
 #include "RetryBudget.h"
 #include "RouteStats.h"
+#include "ShedWatch.h"
 #include "TargetSet.h"
 
 #include <random>
@@ -60,6 +61,7 @@
         std::set<std::string> triedTargets;
         std::string lastTarget;
         bool mayHaveRun = false;
+        bool isShedWithFreeSlots = false; ///< by the target of the last attempt
         bool isCallerRetry = false; ///< the caller was refused before, and waited
         bool hasAnswerBegun = false; ///< a part of an answer was sent to the caller
         bool awaitsProbe = false; ///< not sent; the control hosts decide whether it may be, as a probe
@@ -102,6 +104,7 @@
     bool isTargetUnresponsive(const Attempt &attempt, const Route &route);
     void hedgeUnresponsive();
     void cancelAttempts(OpenRequest &open);
+    void recordShed(OpenRequest &open, const AttemptEnded &event, const std::string &target);
     bool mayRetry(const OpenRequest &open, AttemptOutcome outcome);
     Milliseconds retryAfter(const OpenRequest &open, Refusal reason, Duration drainTime);
 
@@ -167,6 +170,7 @@
     std::map<std::string, RegionPlan> m_plans; ///< by service
     std::map<std::string, RetryBudget> m_budgets; ///< by service
     std::map<std::string, RouteStats> m_stats; ///< by route
+    std::map<std::string, ShedWatch> m_sheds; ///< by service
     Quarantine m_quarantine;
     QuotaShares m_quotas;
     BackpressureTable m_backpressure;
