Balance: demand that home regions bind is planned where it has to be served

A tenant whose home is the smallest region brings its requests from all regions to that region's targets. Entry hosts now report bound demand apart, and plans divide what it leaves.

A caller that returns is placed by the shares of its region's plan: a sample of all regions holds as many targets of the smallest one as of the largest.

--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -61,7 +61,8 @@
 struct ServiceDemand {
     std::string service;
     double slots = 0; ///< arrivals per second times the seconds that one takes
-    MSGPACK_DEFINE(service, slots);
+    std::string homeRegion{}; ///< to which home regions bind the demand; empty: it is not bound
+    MSGPACK_DEFINE(service, slots, homeRegion);
 };
 
 /// A host's report of itself. The id is newly drawn at each start.
@@ -156,12 +157,13 @@
     ChangeVersions m_newest; ///< of all entries
 };
 
-/// Demand for one service, summed over the entry hosts of one region.
+/// Demand for one service in one region, summed over entry hosts.
 struct RegionDemand {
     std::string region;
     std::string service;
-    double slots = 0;
-    MSGPACK_DEFINE(region, service, slots);
+    double slots = 0; ///< of the region's callers, without what home regions bind
+    double boundSlots = 0; ///< of callers anywhere, which home regions bind to this region
+    MSGPACK_DEFINE(region, service, slots, boundSlots);
 };
 
 /// Time for which a target that is known only from before a restart may be used. Targets report themselves well within
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -165,7 +165,7 @@
         return;
     }
     const Duration serviceTime = m_stats[route->name].serviceTime().value_or(route->objective / 2);
-    m_arrivals[open.service].add(m_now, std::chrono::duration<double>(serviceTime).count());
+    m_arrivals[{open.service, boundRegion(open)}].add(m_now, std::chrono::duration<double>(serviceTime).count());
     m_requestedBytes.add(m_now, m_stats[route->name].answerBytes() + AnswerHeadBytes);
     m_shiftAllowances[open.service].countRequest(m_now);
     m_budgets.at(open.service).countRequest(m_now);
@@ -475,8 +475,8 @@
 std::vector<ServiceDemand> Balancer::Impl::demand(TimePoint now) const
 {
     std::vector<ServiceDemand> demand;
-    for (const auto &[service, rate] : m_arrivals) {
-        demand.push_back({service, rate.perSecond(now)});
+    for (const auto &[place, rate] : m_arrivals) {
+        demand.push_back({place.first, rate.perSecond(now), place.second});
     }
     return demand;
 }
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -153,6 +153,9 @@
     double admissibleUtilization(const OpenRequest &open, bool isInOtherRegion) const;
     bool isCallerRetry(const OpenRequest &open);
     std::string pickRegion(const OpenRequest &open);
+    std::string regionByPlan(const OpenRequest &open, std::uint64_t key) const;
+    std::string boundRegion(const OpenRequest &open) const;
+    Placement placeReturning(const OpenRequest &open);
     std::string pickService(const Route &route);
     bool fitsLink(const OpenRequest &open);
     void updateUrgentPriorities();
@@ -179,7 +182,8 @@
     /// Targets that may have crashed and are being checked, with the digests of the requests whose connections ended.
     std::map<Incarnation, std::set<std::string>> m_pendingChecks;
     LinkBudget m_link;
-    std::map<std::string, ArrivalRate> m_arrivals; ///< by service: slots that the requests occupy
+    /// Slots that the requests occupy, by service and by the region that home regions bind them to; empty: none.
+    std::map<std::pair<std::string, std::string>, ArrivalRate> m_arrivals;
     ArrivalRate m_requestedBytes;
     std::map<std::string, ShiftAllowance> m_shiftAllowances; ///< by service
     std::map<std::string, double> m_meanServiceTime; ///< by service: seconds, over recent answers
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -46,20 +46,34 @@
     return route.services[best].service;
 }
 
-std::string Balancer::Impl::pickRegion(const OpenRequest &open)
+std::string Balancer::Impl::regionByPlan(const OpenRequest &open, std::uint64_t key) const
 {
     const auto plan = m_plans.find(open.service);
     if (!open.route.homeRegions.empty() || plan == m_plans.end()) {
         return m_region;
     }
-    // All requests of a key go to one region, so that no target in another region has to cache its data.
-    const std::uint64_t key = open.affinity != 0 ? open.affinity : m_random();
     const RegionPlan &shares = plan->second;
     const std::string region =
         m_settings.policy.hashesRegions ? shares.regionForKey(key) : shares.regionAt(unitInterval(key));
     return region.empty() ? m_region : region;
 }
 
+// All requests of a key go to one region, so that no target in another region has to cache its data.
+std::string Balancer::Impl::pickRegion(const OpenRequest &open)
+{
+    return regionByPlan(open, open.affinity != 0 ? open.affinity : m_random());
+}
+
+// A region that serves the requests of tenants or routes with home regions has less room for others.
+std::string Balancer::Impl::boundRegion(const OpenRequest &open) const
+{
+    const std::vector<std::string> &homes = open.route.homeRegions;
+    if (homes.empty()) {
+        return {};
+    }
+    return TargetSet::isHome(homes, m_region) ? m_region : homes.front();
+}
+
 Balancer::Impl::Placement Balancer::Impl::placeInRegion(const OpenRequest &open, const std::string &region,
                                                         bool keepsKey)
 {
@@ -148,6 +162,17 @@
     return bytes < static_cast<double>(LargeAnswerBytes) || m_link.has(bytes, m_now);
 }
 
+// By the shares of the plan, so that returning callers do not fill the targets of a small region. The sample of all
+// regions has as many targets of the smallest one as of the largest.
+Balancer::Impl::Placement Balancer::Impl::placeReturning(const OpenRequest &open)
+{
+    Placement placement = placeInRegion(open, regionByPlan(open, m_random()), false);
+    if (placement.target != nullptr && placement.utilization > placement.admissibleUtilization) {
+        placement.target = nullptr;
+    }
+    return placement;
+}
+
 Balancer::Impl::Placement Balancer::Impl::place(const OpenRequest &open)
 {
     if (open.hasNoRegion) {
@@ -169,6 +194,12 @@
     if (hasTarget && open.affinity != 0 && !open.isCallerRetry) {
         return rejected;
     }
+    if (hasTarget && open.route.homeRegions.empty()) {
+        const Placement returning = placeReturning(open);
+        if (returning.target != nullptr) {
+            return returning;
+        }
+    }
     // A returning caller may use any target with free capacity, although that target has to load the key's data.
     Placement other = placeInRegion(open, {}, !hasTarget);
     if (other.target == nullptr) {
@@ -198,10 +229,13 @@
         const std::map<std::string, double> capacity = m_targets.capacity(
             service.name, serviceTime == m_meanServiceTime.end() ? std::nullopt : std::optional(serviceTime->second),
             m_now);
-        std::map<std::string, double> demand = m_targets.demand(service.name);
+        RegionSlots demand = m_targets.demand(service.name);
+        const RegionSlots bound = m_targets.boundDemand(service.name);
         double sum = 0;
-        for (const auto &[region, slots] : demand) {
-            sum += slots;
+        for (const RegionSlots &slots : {demand, bound}) {
+            for (const auto &[region, it] : slots) {
+                sum += it;
+            }
         }
         if (sum < 1) {
             // No demand is known yet: all regions are assumed to have the same.
@@ -219,7 +253,7 @@
             }
         }
         const auto [plan, isNew] = m_plans.try_emplace(service.name, step);
-        plan->second.moveTowards(plannedShares(m_region, capacity, demand), capacity, m_now);
+        plan->second.moveTowards(plannedShares(m_region, capacity, demand, bound), capacity, m_now);
     }
 }
 
--- a/lib/Balance/RegionPlan.cpp
+++ b/lib/Balance/RegionPlan.cpp
@@ -22,10 +22,14 @@
     return it == values.end() ? 0.0 : it->second;
 }
 
+double sumOf(const std::map<std::string, double> &values)
+{
+    return std::accumulate(values.begin(), values.end(), 0.0, [](double n, const auto &it) { return n + it.second; });
+}
+
 RegionShares normalized(RegionShares shares)
 {
-    const double sum =
-        std::accumulate(shares.begin(), shares.end(), 0.0, [](double n, const auto &it) { return n + it.second; });
+    const double sum = sumOf(shares);
     if (sum <= 0) {
         return {};
     }
@@ -37,30 +41,25 @@
 
 } // namespace
 
-RegionShares plannedShares(const std::string &region, const std::map<std::string, double> &capacity,
-                           const std::map<std::string, double> &demand)
+RegionShares plannedShares(const std::string &region, const RegionSlots &capacity, const RegionSlots &demand,
+                           const RegionSlots &bound)
 {
-    const double own = valueOr0(capacity, region);
-    double totalCapacity = 0;
-    double totalDemand = 0;
-    for (const auto &[name, slots] : capacity) {
-        totalCapacity += slots;
-    }
-    for (const auto &[name, slots] : demand) {
-        totalDemand += slots;
-    }
+    const double totalCapacity = sumOf(capacity);
     if (totalCapacity <= 0) {
         return {};
     }
-    const double wanted = valueOr0(demand, region);
     // All regions get the same utilization when the total demand exceeds FullUtilization.
-    const double level = std::max(FullUtilization, totalDemand / totalCapacity);
-    const double kept = wanted <= 0 ? 1.0 : std::min(1.0, own * level / wanted);
+    const double level = std::max(FullUtilization, (sumOf(demand) + sumOf(bound)) / totalCapacity);
+    const auto room = [&](const std::string &name) {
+        return std::max(0.0, valueOr0(capacity, name) * level - valueOr0(bound, name));
+    };
+    const double wanted = valueOr0(demand, region);
+    const double kept = wanted <= 0 ? 1.0 : std::min(1.0, room(region) / wanted);
     RegionShares shares;
     shares[region] = kept;
     RegionShares spare;
     for (const auto &[name, slots] : capacity) {
-        const double free = slots * level - valueOr0(demand, name);
+        const double free = room(name) - valueOr0(demand, name);
         if (name != region && free > MinSpareSlots) {
             spare[name] = free;
         }
@@ -72,7 +71,7 @@
     for (const auto &[name, part] : spare) {
         shares[name] = (1 - kept) * part;
     }
-    if (own <= 0) {
+    if (valueOr0(capacity, region) <= 0) {
         shares.erase(region);
     }
     return normalized(shares);
--- a/lib/Balance/RegionPlan.h
+++ b/lib/Balance/RegionPlan.h
@@ -15,11 +15,14 @@
 /// Shares of one region's requests by the region that serves them. The sum is 1.
 using RegionShares = std::map<std::string, double>;
 
+/// Slots of one service, by region.
+using RegionSlots = std::map<std::string, double>;
+
 /// Computes which regions should serve a region's requests, so that no region has a higher utilization than the others
-/// without need. A region whose demand is at most `FullUtilization` of its slots serves all of it. `capacity` and
-/// `demand` are in slots, by region.
-RegionShares plannedShares(const std::string &region, const std::map<std::string, double> &capacity,
-                           const std::map<std::string, double> &demand);
+/// without need. A region whose demand is at most `FullUtilization` of its slots serves all of it. `bound` is demand
+/// that can't be moved, in addition to `demand`; only what it leaves of a region's slots is divided.
+RegionShares plannedShares(const std::string &region, const RegionSlots &capacity, const RegionSlots &demand,
+                           const RegionSlots &bound = {});
 
 /// Shares in use, which approach the planned shares at a bounded rate.
 class RegionPlan
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -522,6 +522,17 @@
     return slots;
 }
 
+std::map<std::string, double> TargetSet::boundDemand(std::string_view service) const
+{
+    std::map<std::string, double> slots;
+    for (const RegionDemand &it : m_demand) {
+        if (it.service == service && it.boundSlots > 0) {
+            slots[it.region] += it.boundSlots;
+        }
+    }
+    return slots;
+}
+
 std::size_t TargetSet::usable(TimePoint now) const
 {
     std::size_t count = 0;
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -123,8 +123,10 @@
     /// given the service time in seconds; nothing: not known.
     std::map<std::string, double> capacity(std::string_view service, std::optional<double> serviceTime,
                                            TimePoint now) const;
-    /// Demand of the entry hosts of each region on a service, in slots.
+    /// Demand of the entry hosts of each region on a service, in slots, without what home regions bind.
     std::map<std::string, double> demand(std::string_view service) const;
+    /// Demand on a service that home regions bind to each region, in slots.
+    std::map<std::string, double> boundDemand(std::string_view service) const;
     std::size_t usable(TimePoint now) const;
     std::string regionOf(const std::string &zone) const;
     std::size_t entryHosts() const;
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -49,7 +49,8 @@
     return std::equal(
         lhs.begin(), lhs.end(), rhs.begin(), rhs.end(), [](const ServiceDemand &before, const ServiceDemand &after) {
             const double larger = std::max({before.slots, after.slots, 1.0});
-            return before.service == after.service && std::abs(before.slots - after.slots) < DemandTolerance * larger;
+            return before.service == after.service && before.homeRegion == after.homeRegion
+                && std::abs(before.slots - after.slots) < DemandTolerance * larger;
         });
 }
 
@@ -492,16 +493,20 @@
 
 std::vector<RegionDemand> Registry::demand(const std::map<std::string, std::string> &regionOfZone) const
 {
-    std::map<std::pair<std::string, std::string>, double> slots;
+    std::map<std::pair<std::string, std::string>, RegionDemand> sums;
     for (const LiveEntryHost &host : liveEntryHosts(regionOfZone)) {
         for (const ServiceDemand &it : host.report->demand) {
-            slots[{*host.region, it.service}] += it.slots;
+            const bool isBound = !it.homeRegion.empty();
+            RegionDemand &sum = sums[{isBound ? it.homeRegion : *host.region, it.service}];
+            (isBound ? sum.boundSlots : sum.slots) += it.slots;
         }
     }
     std::vector<RegionDemand> demand;
-    demand.reserve(slots.size());
-    for (const auto &[place, sum] : slots) {
-        demand.push_back({place.first, place.second, sum});
+    demand.reserve(sums.size());
+    for (auto &[place, sum] : sums) {
+        sum.region = place.first;
+        sum.service = place.second;
+        demand.push_back(std::move(sum));
     }
     return demand;
 }
