Quota: an undecided request is sent to another host, restarted members issue at once

A request for which no control host decided in time was refused like one over the limit and told to wait 500 ms or more. A control host that restarts with its disk is a member at once and need not wait until the others know of it: after a restart of all hosts every request of a tenant was refused for a second. Tokens for expected requests are granted from nearly full buckets only, where unused ones would overflow.

--- a/include/pepperlug/Quota.h
+++ b/include/pepperlug/Quota.h
@@ -130,7 +130,12 @@
     std::map<TimePoint, std::uint32_t> m_tokens; ///< by expiry
 };
 
-enum class QuotaDecision : std::uint8_t { Admitted, Waiting, Refused };
+enum class QuotaDecision : std::uint8_t {
+    Admitted,
+    Waiting,
+    Refused, ///< the limit is used up
+    TimedOut, ///< no control host has decided in time
+};
 
 struct QuotaResult {
     RequestId id{};
@@ -157,8 +162,8 @@
     it.setTableVersion(std::uint64_t{1});
 };
 
-/// Tokens of tenants at one entry host, and the requests that wait for one. A call is identified by the time when it was
-/// sent.
+/// Tokens of tenants at one entry host, and the requests that wait for one. A call is identified by the time when it
+/// was sent.
 class QuotaHolder
 {
 public:
@@ -376,6 +381,8 @@
     std::string m_issuer;
     QuotaTolerance m_tolerance;
     bool m_isFirstStart;
+    bool m_hasMembers = false; ///< setMembers() was called
+    bool m_wasMember = false; ///< before the restart
     TimePoint m_issuingSince{};
     std::size_t m_members = 0;
     std::vector<QuotaPeer> m_peers;
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -227,7 +227,7 @@
 // The later a caller retries the less time it has left, so the advice is short; a random part spreads the callers.
 Milliseconds Balancer::Impl::retryAfter(const OpenRequest &open, Refusal reason, Duration drainTime)
 {
-    if (reason == Refusal::LinkFull) {
+    if (reason == Refusal::LinkFull || open.hasNoQuotaDecision) {
         return OtherHostRetryAfter;
     }
     if (reason == Refusal::Quarantined) {
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -49,6 +49,7 @@
         TenantLimit limit;
         std::optional<TimePoint> tokenExpiry; ///< of the token that the request has taken from its tenant's limit
         bool awaitsToken = false; ///< not sent
+        bool hasNoQuotaDecision = false; ///< no control host has decided in time whether the tenant is within its limit
         bool hasNoRegion = false; ///< no region may serve both the route and the tenant
         std::uint64_t tableVersion = 0; ///< of the table that the route is from
         std::string service;
--- a/lib/Balance/Quotas.cpp
+++ b/lib/Balance/Quotas.cpp
@@ -79,6 +79,7 @@
             sendWithToken(open, it.tokenExpiry);
             continue;
         }
+        open.hasNoQuotaDecision = it.decision == QuotaDecision::TimedOut;
         refuse(open, Refusal::OverQuota);
         m_open.erase(found);
     }
--- a/lib/Fleet/CachedState.cpp
+++ b/lib/Fleet/CachedState.cpp
@@ -100,9 +100,9 @@
 
 void writeRecentChanges(const std::string &path, const RecentChanges &changes)
 {
-    replaceFile(path + ChangesSuffix,
-                encode(StoredChanges{changes.routing.snapshot(), changes.changedTargets, changes.targets,
-                                     changes.suspects}));
+    replaceFile(
+        path + ChangesSuffix,
+        encode(StoredChanges{changes.routing.snapshot(), changes.changedTargets, changes.targets, changes.suspects}));
 }
 
 void writeCachedState(const std::string &path, const CachedState &state)
--- a/lib/Fleet/RegistryQuotas.cpp
+++ b/lib/Fleet/RegistryQuotas.cpp
@@ -51,8 +51,7 @@
     m_nextQuotaMembers = now + MembersInterval;
     const ControlLogStatus status = m_log->status();
     const std::string self = m_settings.peer.text();
-    const bool isMember =
-        std::ranges::any_of(status.members, [&](const ControlMember &it) { return it.name == self; });
+    const bool isMember = std::ranges::any_of(status.members, [&](const ControlMember &it) { return it.name == self; });
     m_quotas.setMembers(isMember && !m_isLeaving ? status.members.size() : 0, now);
     const auto regionOf = [&](const std::string &zone) {
         const auto it = m_settings.regionOfZone.find(zone);
--- a/lib/Quota/QuotaHolder.cpp
+++ b/lib/Quota/QuotaHolder.cpp
@@ -16,10 +16,8 @@
 constexpr Milliseconds HeartbeatInterval{400};
 /// Between the calls of a host that looks for a control host which replies.
 constexpr Milliseconds RetryInterval{50};
-/// Fraction of the lifetime of tokens for which expected requests are provided for, so that few expire unused.
-constexpr double ExpectationShare = 0.5;
-/// Expected requests below which tokens would mostly expire unused.
-constexpr double MinExpectedRequests = 0.7;
+/// Requests expected within the lifetime of a token below which it would mostly expire unused.
+constexpr double MinExpectedRequests = 0.3;
 /// Time for which requests of a tenant without tokens are refused at once. Tokens accumulate meanwhile, so that one
 /// call serves several requests.
 constexpr Milliseconds ExhaustedTime{100};
@@ -168,7 +166,7 @@
             if (now < it.until) {
                 return false;
             }
-            m_decided.push_back({it.id, QuotaDecision::Refused, {}});
+            m_decided.push_back({it.id, QuotaDecision::TimedOut, {}});
             return true;
         });
     }
@@ -177,9 +175,10 @@
 
 std::uint32_t QuotaHolder::expectedRequests(const Share &share, TimePoint now)
 {
-    const double time = secondsOf(share.lifetime) * ExpectationShare;
-    const double expected = share.arrivals.perSecond(now) * time - share.tokens.count(now);
-    return expected < MinExpectedRequests ? 0 : static_cast<std::uint32_t>(std::lround(expected));
+    const double expected = share.arrivals.perSecond(now) * secondsOf(share.lifetime);
+    const auto wanted = expected < MinExpectedRequests ? 0U : static_cast<std::uint32_t>(std::ceil(expected));
+    const std::uint32_t held = share.tokens.count(now);
+    return wanted - std::min(wanted, held);
 }
 
 bool QuotaHolder::isCallDue(TimePoint now) const
@@ -187,9 +186,8 @@
     if (m_pending.size() >= MaxPendingCalls || m_pending.contains(now)) {
         return false;
     }
-    const bool isWaitedFor = std::ranges::any_of(m_shares, [](const auto &it) {
-        return !it.second.waiting.empty() && !it.second.waiting.back().calledAt;
-    });
+    const bool isWaitedFor = std::ranges::any_of(
+        m_shares, [](const auto &it) { return !it.second.waiting.empty() && !it.second.waiting.back().calledAt; });
     const bool hasReservation =
         std::ranges::any_of(m_shares, [](const auto &it) { return it.second.isolatedPerSecond > 0; });
     const Duration sinceLast = now - m_lastCallAt;
@@ -254,8 +252,8 @@
         Share &share = m_shares[it.tenant];
         share.tokens.add({it.tokens, sentAt + it.lifetime});
         share.lifetime = it.tokens > 0 ? it.lifetime : share.lifetime;
-        share.isolatedPerSecond = isNewest ? it.isolatedPerSecond.value_or(share.isolatedPerSecond)
-                                           : share.isolatedPerSecond;
+        share.isolatedPerSecond =
+            isNewest ? it.isolatedPerSecond.value_or(share.isolatedPerSecond) : share.isolatedPerSecond;
     }
     m_issuer = reply.issuer;
     m_acknowledged = isNewest ? reply.sequence : m_acknowledged;
--- a/lib/Quota/QuotaIssuer.cpp
+++ b/lib/Quota/QuotaIssuer.cpp
@@ -36,12 +36,15 @@
 constexpr double MinReservingUse = 0.5;
 /// Granted tokens a second below which a follower no longer uses a tenant.
 constexpr double MinGrantedPerSecond = 0.02;
-/// Issuing begins this long after this host becomes a member of the group, by when the other members know of it.
+/// Issuing begins this long after this host has joined the group, by when the other members know of it.
 constexpr std::chrono::seconds JoinDelay{1};
+/// Tokens for expected requests are granted only from a bucket that is at least this full: what expires unused would
+/// overflow otherwise.
+constexpr double PlentyShare = 0.85;
 /// Tokens are borrowed ahead if fewer are left than are needed in this time, a few round trips to the farthest region;
 /// and only for a tenant that needs this fraction of this host's part.
-constexpr std::chrono::duration<double> ReserveTime{0.25};
-constexpr double BusyShare = 0.7;
+constexpr std::chrono::duration<double> ReserveTime{0.35};
+constexpr double BusyShare = 0.5;
 /// After all peers had no tokens. A third of the time within which unused tokens must reach the hosts that need them.
 constexpr Milliseconds LoanRetryDelay{150};
 /// Between two searches for state that is not needed any more.
@@ -63,13 +66,16 @@
 {
 }
 
+// A host that was a member before a restart is one as soon as it has read its disk.
 void QuotaIssuer::setMembers(std::size_t members, TimePoint now)
 {
+    const bool isFirstCall = !std::exchange(m_hasMembers, true);
+    m_wasMember |= isFirstCall && members > 0;
     if (members == m_members) {
         return;
     }
     if (m_members == 0) {
-        m_issuingSince = now + JoinDelay;
+        m_issuingSince = m_wasMember ? now : now + JoinDelay;
     }
     refillAll(now);
     m_members = members;
@@ -255,11 +261,10 @@
     }
 }
 
-// Tokens that may expire unused are granted only while there are plenty.
 void QuotaIssuer::grantExpected(HeldCall &held, const QuotaDemand &demand, TimePoint now)
 {
     Bucket &bucket = m_buckets.at(demand.tenant);
-    const double spare = bucket.level - depth(bucket.limit.limit) / 2;
+    const double spare = bucket.level - depth(bucket.limit.limit) * PlentyShare;
     QuotaDemand further = demand;
     further.needed = std::min(demand.expected, static_cast<std::uint32_t>(std::max(0.0, spare)));
     if (demand.needed == 0 && further.needed > 0) {
@@ -361,8 +366,8 @@
         if (tokens > 0) {
             bucket.level -= tokens;
             m_totals.lent += tokens;
-            lent.loans.push_back(
-                {it.tenant, bucket.limit, tokens, std::chrono::duration_cast<Milliseconds>(lifetime(bucket.limit.limit))});
+            lent.loans.push_back({it.tenant, bucket.limit, tokens,
+                                  std::chrono::duration_cast<Milliseconds>(lifetime(bucket.limit.limit))});
         }
     }
     return lent;
@@ -413,8 +418,8 @@
 bool QuotaIssuer::mayStillGet(const HeldCall &held, TimePoint now) const
 {
     return now < held.until && std::ranges::any_of(held.call.demands, [&](const QuotaDemand &it) {
-        return it.needed > 0 && m_buckets.at(it.tenant).pendingLoans > 0;
-    });
+               return it.needed > 0 && m_buckets.at(it.tenant).pendingLoans > 0;
+           });
 }
 
 void QuotaIssuer::serveHeld(TimePoint now, QuotaEffects &out)
--- a/unittests/Balance/TenantTest.cpp
+++ b/unittests/Balance/TenantTest.cpp
@@ -296,6 +296,7 @@
     host.now += 1ms;
     host.reduce(BalanceTick{});
     CHECK(host.refusal() == Refusal::OverQuota);
+    CHECK(host.find<RefuseRequest>()->retryAfter <= 20ms); // another host may reach a control host
     CHECK(host.balancer.openRequests() == 0);
 }
 
--- a/unittests/Quota/QuotaNetwork.h
+++ b/unittests/Quota/QuotaNetwork.h
@@ -192,10 +192,9 @@
 
     bool reaches(unsigned entry, unsigned control) const
     {
-        const bool isCut = isNow(m_plan.cutAt, m_plan.cutLength)
-            && entry < static_cast<double>(m_entries.size()) * m_plan.cutFraction;
-        return !isCut
-            && isBehindPartition(entry, m_entries.size()) == isBehindPartition(control, m_controls.size());
+        const bool isCut =
+            isNow(m_plan.cutAt, m_plan.cutLength) && entry < static_cast<double>(m_entries.size()) * m_plan.cutFraction;
+        return !isCut && isBehindPartition(entry, m_entries.size()) == isBehindPartition(control, m_controls.size());
     }
 
     bool controlReaches(unsigned from, unsigned to) const
@@ -431,8 +430,8 @@
         ++m_outcome.loans;
         const auto peer = static_cast<unsigned>(std::stoul(effect.peer));
         const Duration way = latency(n, peer);
-        const auto finish = [this, n, wanted = effect.wanted, sentAt = m_now, incarnation = m_controls[n].incarnation](
-                                const std::optional<QuotaLoans> &reply) {
+        const auto finish = [this, n, wanted = effect.wanted, sentAt = m_now,
+                             incarnation = m_controls[n].incarnation](const std::optional<QuotaLoans> &reply) {
             if (m_controls[n].issuer && m_controls[n].incarnation == incarnation) {
                 QuotaEffects effects;
                 m_controls[n].issuer->receiveLoan(wanted, reply, sentAt, m_now, effects);
