Balance: returning callers use targets without their key's data only where there is room

Work takes several times longer without the data, so requests that spill over take slots from those that would be in time.

--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -174,6 +174,7 @@
     std::map<std::string, unsigned> m_urgentPriority; ///< by service: the most urgent one among its routes
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
     std::map<std::string, RegionPlan> m_plans; ///< by service
+    std::map<std::string, double> m_utilization; ///< by service: demand of all regions over slots
     std::map<std::string, RetryBudget> m_budgets; ///< by service
     std::map<std::string, RouteStats> m_stats; ///< by route
     std::map<std::string, ShedWatch> m_sheds; ///< by service
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -18,6 +18,9 @@
 constexpr Milliseconds OtherRegionLatency{60};
 /// Share of maxShift for requests that leave their region outside the plan.
 constexpr double UnplannedShiftShare = 0.2;
+/// Utilization of all targets of a service up to which a returning caller may use a target without the key's data. The
+/// data makes the work several times shorter, so spilled requests would overload a service that has little room.
+constexpr double MaxSpillUtilization = 0.6;
 /// Service times without an answer after which a target counts as unresponsive.
 constexpr int ResponseTimeoutFactor = 3;
 constexpr Milliseconds MinResponseTimeout{600};
@@ -194,7 +197,9 @@
     if (hasTarget && open.affinity != 0 && !open.isCallerRetry) {
         return rejected;
     }
-    if (hasTarget && open.route.homeRegions.empty()) {
+    const auto utilization = m_utilization.find(open.service);
+    const bool maySpill = utilization != m_utilization.end() && utilization->second <= MaxSpillUtilization;
+    if (hasTarget && maySpill && open.route.homeRegions.empty()) {
         const Placement returning = placeReturning(open);
         if (returning.target != nullptr) {
             return returning;
@@ -252,6 +257,11 @@
                 demand[region] = total / static_cast<double>(regions.size());
             }
         }
+        double slots = 0;
+        for (const auto &[region, it] : capacity) {
+            slots += it;
+        }
+        m_utilization[service.name] = slots > 0 ? sum / slots : 1;
         const auto [plan, isNew] = m_plans.try_emplace(service.name, step);
         plan->second.moveTowards(plannedShares(m_region, capacity, demand, bound), capacity, m_now);
     }
