--- a/unittests/Balance/RegionPlanTest.cpp
+++ b/unittests/Balance/RegionPlanTest.cpp
@@ -80,3 +80,24 @@
     }
     CHECK(RegionPlan(1).regionForKey(1).empty());
 }
+
+TEST_CASE("callers of a region leave it as far as bound demand fills its targets")
+{
+    const RegionSlots capacity{{"a", 10}, {"b", 30}, {"c", 30}};
+    const RegionSlots demand{{"a", 20}, {"b", 5}, {"c", 5}};
+    const RegionShares unbound = plannedShares("a", capacity, demand);
+    CHECK(unbound.at("a") == Approx(0.3));
+    const RegionShares half = plannedShares("a", capacity, demand, {{"a", 3}});
+    CHECK(half.at("a") == Approx(0.15));
+    const RegionShares full = plannedShares("a", capacity, demand, {{"a", 9}});
+    CHECK(full.at("a") == Approx(0));
+    CHECK(full.at("b") == Approx(0.5));
+}
+
+TEST_CASE("no callers are sent to a region that bound demand fills")
+{
+    const RegionShares shares =
+        plannedShares("b", {{"a", 30}, {"b", 10}, {"c", 30}}, {{"b", 20}, {"c", 1}}, {{"a", 25}});
+    CHECK_FALSE(shares.contains("a"));
+    CHECK(shares.at("c") > 0.5);
+}
--- a/unittests/Balance/TenantTest.cpp
+++ b/unittests/Balance/TenantTest.cpp
@@ -336,3 +336,19 @@
     host.reply(1);
     CHECK(host.find<StartAttempt>() != nullptr);
 }
+
+TEST_CASE("requests of a tenant whose home is elsewhere are reported as demand on its home region")
+{
+    TenantHost host;
+    host.table.tenants[0].homeRegions = {"r2"};
+    host.publishTable();
+    host.sendRequest("/read/x", "k1");
+    host.sendRequest("/read/x", "k2");
+    std::map<std::string, double> slots;
+    for (const ServiceDemand &it : host.balancer.demand(host.now)) {
+        slots[it.homeRegion] += it.slots;
+    }
+    REQUIRE(slots.size() == 2);
+    CHECK(slots.at("r2") > 0);
+    CHECK(slots.at("r2") == Approx(slots.at("")));
+}
--- a/unittests/Registry/RegistryTest.cpp
+++ b/unittests/Registry/RegistryTest.cpp
@@ -143,6 +143,42 @@
     CHECK_FALSE(isInUse(far, "first"));
 }
 
+TEST_CASE("demand that home regions bind is summed for these regions, wherever its callers are")
+{
+    Registry registry;
+    const auto receive = [&](const std::string &id, const std::string &zone, std::vector<ServiceDemand> demand) {
+        HostReport it;
+        it.id = id;
+        it.zone = zone;
+        it.address = id;
+        it.sequence = 1;
+        it.demand = std::move(demand);
+        registry.receive(it, Start);
+    };
+    receive("a#1", "z1", {{"s", 3}, {"s", 2, "r2"}});
+    receive("b#1", "z3", {{"s", 4, "r2"}});
+    const std::vector<RegionDemand> demand = registry.demand({{"z1", "r1"}, {"z3", "r2"}});
+    REQUIRE(demand.size() == 2);
+    CHECK(demand[0].region == "r1");
+    CHECK(demand[0].slots == 3);
+    CHECK(demand[0].boundSlots == 0);
+    CHECK(demand[1].region == "r2");
+    CHECK(demand[1].slots == 0);
+    CHECK(demand[1].boundSlots == 6);
+}
+
+TEST_CASE("demand that a host of an earlier version reports is not bound")
+{
+    struct EarlierDemand {
+        std::string service = "s";
+        double slots = 3;
+        MSGPACK_DEFINE(service, slots);
+    };
+    const auto demand = decode<ServiceDemand>(encode(EarlierDemand{}), "peer");
+    CHECK(demand.slots == 3);
+    CHECK(demand.homeRegion.empty());
+}
+
 TEST_CASE("a target becomes silent only at a host that may expire it, and until its next report")
 {
     Registry registry;
