Http tests: a body that its target does not read is released in time

The time of a request already bounds what is held for a target that reads a long body slowly. A test keeps it so; it passes without any change.

--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -421,3 +421,35 @@
     const HttpResult result = call(client, std::move(check));
     CHECK(result.isRefused);
 }
+
+// Guards against request bodies that stay in memory for as long as a target does not read them.
+TEST_CASE("a body that its target does not read is released when the time of the request is over")
+{
+    std::promise<void> end;
+    RawServer server({[&](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        end.get_future().wait();
+    }});
+    HttpClient client(1 << 20);
+    std::promise<HttpResult> result;
+    HttpCall call;
+    call.to = server.address();
+    call.method = "POST";
+    call.resource = "/slow";
+    call.body = std::make_shared<const std::string>(16UL << 20, 'b');
+    call.timeout = std::chrono::milliseconds(300);
+    const std::weak_ptr<const std::string> body = call.body;
+    const auto start = std::chrono::steady_clock::now();
+    client.start(std::move(call), [&](HttpResult it) { result.set_value(std::move(it)); });
+    const HttpResult it = result.get_future().get();
+    const auto took = std::chrono::steady_clock::now() - start;
+    CHECK(it.kind == HttpResult::Kind::Broken);
+    CHECK(it.timedOut);
+    CHECK(took >= std::chrono::milliseconds(300));
+    CHECK(took < std::chrono::seconds(3));
+    for (int n = 0; n < 300 && !body.expired(); ++n) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK(body.expired());
+    end.set_value();
+}
