Http: closing answers end reading, and slow readers are bounded and cut off

Answers behind one that closes were still appended. - The connection was closed with unread requests behind the last answer, so the kernel reset it, and the caller lost the answer. - Unsent answers of a connection were neither bounded nor counted nor released by age, and a slow but steady reader was closed as idle after 300 s.

Change: an answer that closes stops reading under the same lock; nothing follows it, and those before it are delivered. The server shuts down its writing side first and closes 2 s later at the latest. HttpLimits bounds held bytes for a connection (1 MiB) and for a server (16 MiB); further requests get a 503 that is not run. A connection that holds data is reset after 20 s without any acknowledged byte. HttpServer::stats() has the counters.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -36,6 +36,21 @@
     std::size_t pipelined = 16; ///< requests of one connection that may be in progress
     Duration headTimeout = std::chrono::seconds(10); ///< for a request to arrive whole
     Duration idleTimeout = std::chrono::seconds(300); ///< between requests
+    /// Answers that a caller has not read, beyond which further requests of the connection are refused; as much as the
+    /// largest body of a request.
+    std::size_t heldBytes = 1024 * 1024;
+    /// The same for all connections: those that hold data are refused beyond this, and all beyond twice as much. A
+    /// seventh of the memory of the smallest known entry host, 112 MB.
+    std::size_t heldBytesInAll = 16UL * 1024 * 1024;
+    /// A connection that holds data is closed after this time in which its caller read nothing. Sockets announce room
+    /// in steps of up to 64 KB (on loopback), so callers that read more than 3.3 KB/s count as reading.
+    Duration stallTimeout = std::chrono::seconds(20);
+};
+
+struct HttpServerStats {
+    std::uint64_t heldBytes = 0; ///< of answers that callers have not read, or that wait for earlier ones
+    std::uint64_t slowReadersCutOff = 0; ///< connections closed since the start because their callers read nothing
+    std::uint64_t refusedUnread = 0; ///< requests refused since the start because earlier answers were not read
 };
 
 /// A request from a caller, until it is answered. Functions may be called from any thread.
@@ -70,10 +85,12 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     Address address() const;
-    /// From now on each answer says that it is the last one of its connection.
+    /// From now on each answer says that it is the last one of its connection, unless later requests of the connection
+    /// are in progress.
     void closeAfterAnswers();
     /// Closes connections that have been too slow or idle for too long; to be called about once a second.
     void sweep();
+    HttpServerStats stats() const;
     void stop();
 
 private:
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -8,6 +8,8 @@
 #include "Connection.h"
 
 #include <cerrno>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace pepperlug
@@ -21,6 +23,10 @@
 
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+/// For a caller to read the last answer and close; some tens of round trips.
+constexpr auto LingerTime = std::chrono::seconds(2);
+/// Room that a buffer of unsent bytes may keep for later answers; most answers fit in.
+constexpr std::size_t KeptBufferBytes = LargeAnswerBytes;
 
 /// Bytes that the socket took without waiting; nothing if it has ended.
 std::optional<std::size_t> writeNow(int socket, std::string_view bytes)
@@ -39,6 +45,20 @@
     return done;
 }
 
+/// Bytes that the socket took but the peer has not acknowledged.
+std::uint64_t unacknowledged(int socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 ? static_cast<std::uint64_t>(std::max(bytes, 0)) : 0;
+}
+
+Answer notRun(unsigned status, const std::string &reason)
+{
+    Answer answer = jsonAnswer(status, {{"outcome", "not-run"}, {"step", "read request"}, {"reason", reason}});
+    answer.headers.push_back({"Pepperlug-Outcome", "not-run"});
+    return answer;
+}
+
 class Exchange final : public HttpExchange
 {
 public:
@@ -57,13 +77,13 @@
 
     void respond(const Answer &answer) override
     {
-        const bool keepAlive = m_keepAlive && !m_connection->isClosing();
+        const bool keepAlive = m_connection->keepsAlive(m_slot, m_keepAlive);
         m_connection->complete(m_slot, encodeAnswer(answer, m_request.method == "HEAD", keepAlive), !keepAlive);
     }
 
     void begin(const Answer &head, std::uint64_t length) override
     {
-        const bool keepAlive = m_keepAlive && !m_connection->isClosing();
+        const bool keepAlive = m_connection->keepsAlive(m_slot, m_keepAlive);
         m_connection->begin(m_slot, encodeHead(head, length, keepAlive), length, !keepAlive);
     }
 
@@ -104,18 +124,30 @@
         m_partSince = m_partSince.value_or(m_lastActive);
     }
     m_buf.append(data, size);
-    for (;;) {
-        const bool goesOn = m_head ? readBodyPart() : readHeadPart();
-        if (!goesOn) {
-            break;
-        }
+    bool goesOn = true;
+    while (goesOn && !ignoresInput()) {
+        goesOn = m_head ? readBodyPart() : readHeadPart();
     }
     const std::lock_guard lock(m_mutex);
+    if (m_ignoresInput) {
+        m_buf = {};
+        m_head.reset();
+        m_parser.reset();
+    }
     if (m_buf.empty() && !m_head) {
         m_partSince.reset();
+    } else {
+        // What follows a whole request is the start of the next one.
+        m_partSince = m_partSince.value_or(m_lastActive);
     }
 }
 
+bool Connection::ignoresInput()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_ignoresInput;
+}
+
 bool Connection::readHeadPart()
 {
     // Empty lines before a request are to be passed over (RFC 9112, 2.2).
@@ -197,9 +229,18 @@
     return true;
 }
 
-bool Connection::isClosing() const
+// An answer that says "close" is the last one (RFC 9112, 9.6). While the server is closing, that is the one to the last
+// request that was handed on, so that those before it are answered too, and nothing behind it is read.
+bool Connection::keepsAlive(const SlotPtr &slot, bool isWanted)
 {
-    return m_shared.closesAfterAnswers;
+    const std::lock_guard lock(m_mutex);
+    if (slot->bytes) {
+        return isWanted; // a second answer, which is dropped
+    }
+    const bool isLast = m_slots.empty() || m_slots.back() == slot;
+    const bool keepAlive = isWanted && !(m_shared.closesAfterAnswers && isLast);
+    m_ignoresInput |= !keepAlive;
+    return keepAlive;
 }
 
 SlotPtr Connection::addSlot()
@@ -224,28 +265,44 @@
     }
     const bool keepAlive = m_head->keepAlive;
     m_head.reset();
+    const auto slot = std::make_shared<Slot>();
+    const char *refusal = nullptr;
     {
         const std::lock_guard lock(m_mutex);
+        if (m_ignoresInput) {
+            return; // an answer that closes the connection was given meanwhile
+        }
         m_partSince.reset();
-        m_ignoresInput = !keepAlive;
-        if (!keepAlive) {
-            m_buf.clear();
+        refusal = refusalLocked();
+        if (refusal == nullptr) {
+            m_ignoresInput = !keepAlive;
+            m_slots.push_back(slot);
         }
     }
-    const SlotPtr slot = addSlot();
-    std::size_t owed = 0;
-    {
-        const std::lock_guard lock(m_mutex);
-        owed = m_slots.size();
-    }
-    if (owed > m_shared.limits.pipelined) {
-        complete(slot, encodeAnswer(jsonAnswer(503, {{"reason", "too many requests on one connection"}}), false, false),
-                 true);
+    if (refusal != nullptr) {
+        fault(503, refusal);
         return;
     }
     m_shared.handler(std::make_shared<Exchange>(std::move(request), shared_from_this(), slot, keepAlive));
 }
 
+// A caller that does not read its answers gets no further ones. Where many hold little each, the sum is bounded: those
+// that hold data are refused first.
+const char *Connection::refusalLocked()
+{
+    const HttpLimits &limits = m_shared.limits;
+    const std::uint64_t inAll = m_shared.heldBytes;
+    if (m_slots.size() >= limits.pipelined) {
+        return "too many requests on one connection";
+    }
+    const bool isHeldHere = m_heldBytes > limits.heldBytes || (m_heldBytes > 0 && inAll > limits.heldBytesInAll);
+    if (!isHeldHere && inAll <= 2 * limits.heldBytesInAll) {
+        return nullptr;
+    }
+    ++m_shared.refusedUnread;
+    return isHeldHere ? "earlier answers have not been read" : "too many answers have not been read";
+}
+
 void Connection::fault(unsigned status, const std::string &reason)
 {
     m_buf.clear();
@@ -255,10 +312,7 @@
         m_ignoresInput = true;
         m_partSince.reset();
     }
-    const Answer answer = jsonAnswer(status, {{"outcome", "not-run"}, {"step", "read request"}, {"reason", reason}});
-    Answer marked = answer;
-    marked.headers.push_back({"Pepperlug-Outcome", "not-run"});
-    complete(addSlot(), encodeAnswer(marked, false, false), true);
+    complete(addSlot(), encodeAnswer(notRun(status, reason), false, false), true);
 }
 
 void Connection::complete(const SlotPtr &slot, std::string bytes, bool closesAfter)
@@ -269,7 +323,7 @@
 void Connection::begin(const SlotPtr &slot, std::string bytes, std::uint64_t bytesToCome, bool closesAfter)
 {
     const std::lock_guard lock(m_mutex);
-    if (slot->bytes || !m_isAlive) {
+    if (slot->bytes || !m_isAlive || m_isCutOff) {
         return;
     }
     slot->bytes = std::move(bytes);
@@ -284,7 +338,7 @@
 void Connection::add(const SlotPtr &slot, std::string_view part)
 {
     const std::lock_guard lock(m_mutex);
-    if (!slot->bytes || !m_isAlive) {
+    if (!slot->bytes || !m_isAlive || m_isCutOff) {
         return;
     }
     part = part.substr(0, slot->bytesToCome);
@@ -296,24 +350,26 @@
     sendReadyLocked();
 }
 
-// Nothing may follow the cut answer, and nothing before it is owed any more to a caller who has to come back anyway.
+// Nothing may follow the cut answer. Those before it are still delivered.
 void Connection::abort(const SlotPtr &slot)
 {
     const std::lock_guard lock(m_mutex);
-    const std::shared_ptr<pt::Peer> peer = m_peer.lock();
     const bool isWhole = slot->bytes && slot->bytesToCome == 0;
-    if (!m_isAlive || !peer || isWhole) {
+    if (!m_isAlive || m_isCutOff || isWhole) {
         return;
     }
     slot->onDeparture = nullptr;
+    slot->bytes = std::move(slot->bytes).value_or("");
+    slot->bytesToCome = 0;
+    slot->closesAfter = true;
     m_ignoresInput = true;
-    ::shutdown(peer->fd(), SHUT_RDWR);
+    sendReadyLocked();
 }
 
-// Sends what there is of the answers whose turn it is.
+// Sends what there is of the answers whose turn it is. None may follow one that closes the connection.
 void Connection::sendReadyLocked()
 {
-    while (!m_slots.empty() && m_slots.front()->bytes) {
+    while (!m_closesWhenSent && !m_slots.empty() && m_slots.front()->bytes) {
         Slot &slot = *m_slots.front();
         const bool isWhole = slot.bytesToCome == 0;
         sendLocked(*slot.bytes, isWhole && slot.closesAfter);
@@ -324,6 +380,17 @@
         m_slots.pop_front();
     }
     m_lastActive = m_shared.clock.now();
+    countHeldLocked();
+}
+
+void Connection::countHeldLocked()
+{
+    std::uint64_t held = m_pending.size();
+    for (const SlotPtr &slot : m_slots) {
+        held += slot->bytes ? slot->bytes->size() : 0;
+    }
+    m_shared.heldBytes += held - m_heldBytes; // unsigned: wraps where less is held than before
+    m_heldBytes = held;
 }
 
 void Connection::sendLocked(const std::string &bytes, bool closesAfter)
@@ -332,6 +399,9 @@
     if (!m_isAlive || !peer) {
         return;
     }
+    if (m_pending.empty()) {
+        m_progressAt = m_shared.clock.now();
+    }
     m_pending += bytes;
     m_closesWhenSent |= closesAfter;
     if (m_watch == WatchId{}) {
@@ -343,10 +413,14 @@
 {
     const std::optional<std::size_t> written = writeNow(socket, m_pending);
     if (!written) {
-        m_pending.clear(); // whoever reads the socket will see its end
+        m_pending = {}; // whoever reads the socket will see its end
         return;
     }
+    m_writtenBytes += *written;
     m_pending.erase(0, *written);
+    if (m_pending.capacity() > KeptBufferBytes && m_pending.size() < m_pending.capacity() / 4) {
+        m_pending.shrink_to_fit();
+    }
     if (!m_pending.empty()) {
         m_watch = m_shared.writes.watch(socket, [weak = weak_from_this()] {
             if (const auto it = weak.lock()) {
@@ -355,8 +429,11 @@
         });
         return;
     }
-    if (m_closesWhenSent) {
-        ::shutdown(socket, SHUT_RDWR);
+    if (m_closesWhenSent && !m_sentAllAt) {
+        // Closing with unread requests behind the answer would reset the connection, and the caller would lose the
+        // answer (RFC 9112, 9.6). So the caller closes first, or sweep() does.
+        m_sentAllAt = m_shared.clock.now();
+        ::shutdown(socket, SHUT_WR);
     }
 }
 
@@ -367,6 +444,7 @@
     const std::shared_ptr<pt::Peer> peer = m_peer.lock();
     if (m_isAlive && peer) {
         writePendingLocked(peer->fd());
+        countHeldLocked();
     }
 }
 
@@ -389,10 +467,11 @@
     {
         const std::lock_guard lock(m_mutex);
         m_isAlive = false;
-        m_pending.clear();
+        m_pending = {};
         m_shared.writes.forget(m_watch);
         m_watch = {};
         slots.swap(m_slots);
+        countHeldLocked();
     }
     for (const SlotPtr &slot : slots) {
         if (slot->onDeparture) {
@@ -409,17 +488,63 @@
     if (!m_isAlive || !peer) {
         return;
     }
+    if (hasStalledLocked(peer->fd(), now)) {
+        cutOffLocked(peer->fd());
+        return;
+    }
+    if (m_sentAllAt && now > *m_sentAllAt + LingerTime) {
+        ::shutdown(peer->fd(), SHUT_RDWR);
+        return;
+    }
     const bool isSlow = m_partSince && now > *m_partSince + m_shared.limits.headTimeout;
-    const bool isIdle = !m_partSince && m_slots.empty() && now > m_lastActive + m_shared.limits.idleTimeout;
+    const bool isIdle =
+        !m_partSince && m_slots.empty() && m_pending.empty() && now > m_lastActive + m_shared.limits.idleTimeout;
     if (isSlow && !m_ignoresInput) {
         m_ignoresInput = true;
-        Answer answer = jsonAnswer(
-            408, {{"outcome", "not-run"}, {"step", "read request"}, {"reason", "the request did not arrive in time"}});
-        answer.headers.push_back({"Pepperlug-Outcome", "not-run"});
-        sendLocked(encodeAnswer(answer, false, false), true);
+        m_partSince.reset();
+        // Earlier requests may still be in progress; their answers come first.
+        const auto slot = std::make_shared<Slot>();
+        slot->bytes = encodeAnswer(notRun(408, "the request did not arrive in time"), false, false);
+        slot->closesAfter = true;
+        m_slots.push_back(slot);
+        sendReadyLocked();
     } else if (isIdle) {
         ::shutdown(peer->fd(), SHUT_RDWR);
     }
 }
 
+// The socket reports room only when a third of its buffer is free, which takes a slow reader many seconds. So progress
+// is what the peer has acknowledged.
+bool Connection::hasStalledLocked(int socket, TimePoint now)
+{
+    if (m_pending.empty()) {
+        return false;
+    }
+    const std::uint64_t acknowledged = m_writtenBytes - std::min(m_writtenBytes, unacknowledged(socket));
+    if (acknowledged != m_acknowledgedBytes) {
+        m_acknowledgedBytes = acknowledged;
+        m_progressAt = now;
+    }
+    return now > m_progressAt + m_shared.limits.stallTimeout;
+}
+
+// Without a reset, the kernel would keep its part of the answer for minutes.
+void Connection::cutOffLocked(int socket)
+{
+    m_isCutOff = true;
+    m_ignoresInput = true;
+    m_pending = {};
+    for (const SlotPtr &slot : m_slots) {
+        if (slot->bytes) {
+            slot->bytes->clear();
+            slot->bytes->shrink_to_fit();
+        }
+    }
+    countHeldLocked();
+    ++m_shared.slowReadersCutOff;
+    const linger reset{1, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    ::shutdown(socket, SHUT_RDWR);
+}
+
 } // namespace pepperlug
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -35,6 +35,9 @@
     std::vector<std::weak_ptr<Connection>> connections;
     WriteLoop writes;
     std::atomic<bool> closesAfterAnswers = false;
+    std::atomic<std::uint64_t> heldBytes = 0; ///< of answers that sockets have not taken
+    std::atomic<std::uint64_t> slowReadersCutOff = 0;
+    std::atomic<std::uint64_t> refusedUnread = 0;
 };
 
 class Connection : public std::enable_shared_from_this<Connection>
@@ -51,8 +54,8 @@
     /// Worker thread: takes bytes and hands on the requests that they complete.
     void input(const char *data, std::size_t size);
 
-    /// Whether the server wants each connection to end after its next answer.
-    bool isClosing() const;
+    /// Whether the connection goes on after this answer; if not, nothing that follows is read.
+    bool keepsAlive(const SlotPtr &slot, bool isWanted);
     void complete(const SlotPtr &slot, std::string bytes, bool closesAfter);
     /// Begins an answer of which `bytesToCome` bytes follow through add().
     void begin(const SlotPtr &slot, std::string bytes, std::uint64_t bytesToCome, bool closesAfter);
@@ -66,12 +69,17 @@
 private:
     bool readHeadPart();
     bool readBodyPart();
+    bool ignoresInput();
     void emitRequest();
+    const char *refusalLocked();
     void fault(unsigned status, const std::string &reason);
     void sendReadyLocked();
     void sendLocked(const std::string &bytes, bool closesAfter);
     void writePendingLocked(int socket);
     void onWritable();
+    void countHeldLocked();
+    bool hasStalledLocked(int socket, TimePoint now);
+    void cutOffLocked(int socket);
     SlotPtr addSlot();
 
     std::weak_ptr<Pistache::Tcp::Peer> m_peer;
@@ -86,6 +94,12 @@
     bool m_isAlive = true;
     bool m_ignoresInput = false; ///< a fault or "close" has been answered
     std::string m_pending; ///< what the socket has not taken yet
+    std::uint64_t m_heldBytes = 0; ///< as last added to those of the server
+    std::uint64_t m_writtenBytes = 0;
+    std::uint64_t m_acknowledgedBytes = 0; ///< at the last sweep with unsent bytes
+    TimePoint m_progressAt; ///< when the peer last acknowledged bytes, or since when there are unsent ones
+    std::optional<TimePoint> m_sentAllAt; ///< when the last byte of the last answer was written
+    bool m_isCutOff = false; ///< closed because the caller does not read
     bool m_closesWhenSent = false; ///< ends the connection once nothing is pending
     WatchId m_watch{}; ///< of the wait for the socket to take more
     std::deque<SlotPtr> m_slots;
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -70,7 +70,7 @@
 {
 public:
     Impl(const Address &address, unsigned threads, HttpLimits limits, const Clock &clock, HttpHandler handler)
-        : m_shared{limits, clock, std::move(handler), {}, {}, {}, false}
+        : m_shared{limits, clock, std::move(handler), {}, {}, {}}
         , m_ip(address.ip)
         , m_endpoint(Pistache::Address(address.ip, Pistache::Port(address.port)))
     {
@@ -119,6 +119,11 @@
         m_shared.closesAfterAnswers = true;
     }
 
+    HttpServerStats stats() const
+    {
+        return {m_shared.heldBytes, m_shared.slowReadersCutOff, m_shared.refusedUnread};
+    }
+
     void stop()
     {
         if (!m_stopped) {
@@ -160,6 +165,11 @@
     m_impl->sweep();
 }
 
+HttpServerStats HttpServer::stats() const
+{
+    return m_impl->stats();
+}
+
 void HttpServer::stop()
 {
     m_impl->stop();
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -22,7 +22,15 @@
     void onRequest(const HttpExchangePtr &exchange)
     {
         const HttpRequest &request = exchange->request();
-        if (request.path() == "/hold") {
+        {
+            const std::lock_guard lock(mutex);
+            paths.push_back(request.path());
+        }
+        if (request.path() == "/cut") {
+            exchange->begin({200, {}, {}}, 100);
+            exchange->more("only this");
+            exchange->abort();
+        } else if (request.path() == "/hold") {
             const std::lock_guard lock(mutex);
             held.push_back(exchange);
             exchange->onDeparture([this] {
@@ -55,7 +63,35 @@
         changed.wait(lock, [&] { return departed >= count; });
     }
 
+    /// Paths of the requests that were handed on, without those of settle().
+    std::vector<std::string> seen()
+    {
+        const std::lock_guard lock(mutex);
+        std::vector<std::string> found = paths;
+        std::erase(found, "/settle");
+        return found;
+    }
+
+    bool hasSeen(const std::string &path)
+    {
+        const std::vector<std::string> all = seen();
+        return std::find(all.begin(), all.end(), path) != all.end();
+    }
+
+    /// Returns once the workers have read what was sent before. Connections go to the workers in turn, and a worker
+    /// that answers a later one has finished with the earlier bytes.
+    void settle(bool isAnswered = true)
+    {
+        for (int n = 0; n < 4; ++n) {
+            RawSocket other(server.address());
+            other.send("GET /settle HTTP/1.1\r\nHost: h\r\n\r\n");
+            const std::string answer = other.readUntil("\r\n\r\n");
+            CHECK(answer.starts_with(isAnswered ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+        }
+    }
+
     ManualClock clock;
+    std::vector<std::string> paths;
     std::mutex mutex;
     std::condition_variable changed;
     std::vector<HttpExchangePtr> held;
@@ -73,6 +109,24 @@
     return text.find(part) != std::string::npos;
 }
 
+std::size_t occurrences(const std::string &text, const std::string &part)
+{
+    std::size_t n = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        ++n;
+    }
+    return n;
+}
+
+/// Whether a condition comes to hold within a few seconds.
+bool eventually(const std::function<bool()> &holds)
+{
+    for (int n = 0; n < 500 && !holds(); ++n) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return holds();
+}
+
 std::string answerTo(EchoServer &echo, const std::string &bytes)
 {
     RawSocket socket(echo.server.address());
@@ -389,6 +443,257 @@
     CHECK(has(all, "HTTP/1.1 503"));
 }
 
+// Guards against requests that reach a target although their caller was told that they were not read.
+TEST_CASE("requests behind an answer that closes the connection are not handed on")
+{
+    EchoServer echo;
+    SECTION("the caller asked to close")
+    {
+        RawSocket socket(echo.server.address());
+        socket.send(get("/one", "Connection: close\r\n") + get("/behind"));
+        CHECK(occurrences(socket.readToEnd(), "HTTP/1.1 ") == 1);
+        CHECK(echo.seen() == std::vector<std::string>{"/one"});
+    }
+    SECTION("the server is closing, with requests in the same packet")
+    {
+        echo.server.closeAfterAnswers();
+        RawSocket socket(echo.server.address());
+        socket.send(get("/one") + get("/behind") + get("/last"));
+        const std::string all = socket.readToEnd();
+        CHECK(occurrences(all, "HTTP/1.1 ") == 1);
+        CHECK(has(all, "Connection: close"));
+        CHECK(echo.seen() == std::vector<std::string>{"/one"});
+    }
+    SECTION("the server is closing, with a request that comes before an earlier one's answer is sent")
+    {
+        RawSocket socket(echo.server.address());
+        socket.send(get("/hold") + get("/hold"));
+        const std::vector<HttpExchangePtr> held = echo.takeHeld(2);
+        echo.server.closeAfterAnswers();
+        held[1]->respond({200, {}, "second"});
+        socket.send(get("/behind"));
+        echo.settle();
+        held[0]->respond({200, {}, "first"});
+        const std::string all = socket.readToEnd();
+        CHECK(all.find("first") < all.find("second"));
+        CHECK(occurrences(all, "HTTP/1.1 ") == 2);
+        CHECK(occurrences(all, "Connection: close") == 1);
+        CHECK_FALSE(echo.hasSeen("/behind"));
+    }
+    SECTION("a request is refused")
+    {
+        RawSocket socket(echo.server.address());
+        socket.send(get("/one") + "BREW / HTTP/1.1\r\nHost: h\r\n\r\n" + get("/behind"));
+        const std::string all = socket.readToEnd();
+        CHECK(has(all, "GET /one []"));
+        CHECK(has(all, "HTTP/1.1 501"));
+        CHECK(echo.seen() == std::vector<std::string>{"/one"});
+    }
+    SECTION("an answer is given up")
+    {
+        RawSocket socket(echo.server.address());
+        socket.send(get("/cut") + get("/behind"));
+        CHECK(has(socket.readToEnd(), "only this"));
+        CHECK(echo.seen() == std::vector<std::string>{"/cut"});
+    }
+}
+
+// Guards against a request that is handed on after the refusal of an earlier one, once there is room again.
+TEST_CASE("nothing behind a request too many is handed on")
+{
+    HttpLimits limits;
+    limits.pipelined = 1;
+    EchoServer echo(limits);
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold") + get("/many"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    echo.settle();
+    held[0]->respond({200, {}, "held"});
+    socket.send(get("/behind"));
+    const std::string all = socket.readToEnd();
+    CHECK(all.find("held") < all.find("HTTP/1.1 503"));
+    CHECK(has(all, "Pepperlug-Outcome: not-run"));
+    CHECK(echo.seen() == std::vector<std::string>{"/hold"});
+}
+
+// Guards against a refusal that overtakes the answers of earlier requests, and closes the connection before them.
+TEST_CASE("a request that does not arrive in time is refused after the answers before it")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold") + "GET /part HTT");
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    echo.settle();
+    held[0]->begin({200, {}, {}}, 6);
+    held[0]->more("abc");
+    echo.clock.advance(std::chrono::seconds(11));
+    echo.server.sweep();
+    held[0]->more("def");
+    const std::string all = socket.readToEnd();
+    CHECK(has(all, "abcdefHTTP/1.1 408"));
+}
+
+// Guards against the loss of ready answers, and against answers after one that was cut.
+TEST_CASE("answers before one that is given up are delivered, those behind it are not")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold") + get("/hold") + get("/hold"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(3);
+    held[2]->respond({200, {}, "third"});
+    held[1]->begin({200, {}, {}}, 100);
+    held[1]->more("part");
+    held[1]->abort();
+    held[0]->respond({200, {}, "first"});
+    const std::string all = socket.readToEnd();
+    CHECK(has(all, "first"));
+    CHECK(has(all, "part"));
+    CHECK_FALSE(has(all, "third"));
+}
+
+// Guards against a reset that destroys the last answer because requests behind it were not read.
+TEST_CASE("a caller that keeps sending gets the last answer whole")
+{
+    constexpr std::size_t Large = 4UL << 20;
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send(get("/hold", "Connection: close\r\n"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    held[0]->respond({200, {}, std::string(Large, 'x')});
+    for (std::size_t n = 1; n <= 1000; ++n) {
+        socket.send(get("/behind"));
+        socket.readAtLeast(Large / 1000 * n);
+    }
+    const std::string all = socket.readToEnd();
+    CHECK(all.size() - all.find("\r\n\r\n") - 4 == Large);
+    CHECK_FALSE(echo.hasSeen("/behind"));
+    // A caller that does not close is closed.
+    socket.send(get("/behind"));
+    echo.clock.advance(std::chrono::seconds(3));
+    echo.server.sweep();
+    CHECK(eventually([&] { return socket.isReset(); }));
+}
+
+// Guards against memory that grows with each request of a caller that never reads.
+TEST_CASE("a caller that reads no answers gets no further requests run")
+{
+    HttpLimits limits;
+    limits.heldBytes = 100'000;
+    EchoServer echo(limits);
+    constexpr std::size_t Body = 1UL << 20;
+    RawSocket socket(echo.server.address());
+    std::size_t answered = 0;
+    for (int n = 0; n < 50 && echo.server.stats().heldBytes <= limits.heldBytes; ++n) {
+        socket.send(get("/hold"));
+        echo.takeHeld(1)[0]->respond({200, {}, std::string(Body, 'x')});
+        ++answered;
+    }
+    REQUIRE(echo.server.stats().heldBytes > limits.heldBytes);
+    CHECK(echo.server.stats().heldBytes <= limits.heldBytes + Body + 1000);
+    const std::size_t seen = echo.seen().size();
+    for (int n = 0; n < 20; ++n) {
+        socket.send(get("/behind"));
+    }
+    // The caller reads after all: what is ready is delivered, and the refusal is true.
+    const std::string all = socket.readToEnd();
+    CHECK(occurrences(all, "HTTP/1.1 200") == answered);
+    CHECK(occurrences(all, "HTTP/1.1 503") == 1);
+    CHECK(has(all, "Pepperlug-Outcome: not-run"));
+    CHECK(echo.seen().size() == seen);
+    CHECK(echo.server.stats().refusedUnread == 1);
+    CHECK(echo.server.stats().heldBytes == 0);
+}
+
+// Guards against many callers that each hold less than a connection may, but together exhaust the host's memory.
+TEST_CASE("what is held for all callers is bounded, at first for those that do not read")
+{
+    HttpLimits limits;
+    constexpr std::size_t Body = 12UL << 20; // more than the buffers of a connection take
+    limits.heldBytes = 4 * Body;
+    limits.heldBytesInAll = Body / 4;
+    EchoServer echo(limits);
+    RawSocket socket(echo.server.address());
+    RawSocket other(echo.server.address());
+    socket.send(get("/hold"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(1);
+    held[0]->begin({200, {}, {}}, Body);
+    std::size_t sent = 0;
+    while (echo.server.stats().heldBytes <= limits.heldBytesInAll) {
+        constexpr std::size_t Part = 64UL << 10;
+        held[0]->more(std::string(Part, 'x'));
+        sent += Part;
+    }
+    other.send(get("/other"));
+    CHECK(has(other.readUntil("[]"), "GET /other []"));
+    held[0]->more(std::string(limits.heldBytesInAll, 'x'));
+    sent += limits.heldBytesInAll;
+    other.send(get("/refused"));
+    CHECK(has(other.readToEnd(), "HTTP/1.1 503"));
+    socket.send(get("/refused"));
+    echo.settle(false);
+    held[0]->more(std::string(Body - sent, 'x'));
+    CHECK(has(socket.readToEnd(), "xHTTP/1.1 503"));
+    CHECK_FALSE(echo.hasSeen("/refused"));
+}
+
+// Guards against answers that stay in memory for as long as a caller keeps its connection without reading.
+TEST_CASE("a connection that holds data is cut off when nothing of it is read, and its requests are told")
+{
+    EchoServer echo;
+    constexpr std::size_t Large = 16UL << 20;
+    RawSocket silent(echo.server.address());
+    silent.send(get("/hold") + get("/hold"));
+    const std::vector<HttpExchangePtr> held = echo.takeHeld(2);
+    held[0]->respond({200, {}, std::string(Large, 'x')});
+    held[1]->begin({200, {}, {}}, Large);
+    held[1]->more(std::string(Large / 2, 'y'));
+    // Nothing is held for this one: its answer is in the buffers of the sockets.
+    RawSocket other(echo.server.address());
+    other.send(get("/other"));
+    echo.settle();
+    CHECK(echo.server.stats().heldBytes > Large);
+    echo.server.sweep();
+    echo.clock.advance(std::chrono::seconds(19));
+    echo.server.sweep();
+    CHECK(echo.server.stats().slowReadersCutOff == 0);
+    echo.clock.advance(std::chrono::seconds(2));
+    echo.server.sweep();
+    CHECK(echo.server.stats().slowReadersCutOff == 1);
+    CHECK(echo.server.stats().heldBytes == 0);
+    echo.waitDeparted(1);
+    held[1]->more(std::string(Large / 2, 'y'));
+    CHECK(echo.server.stats().heldBytes == 0);
+    other.send(get("/again"));
+    CHECK(has(other.readUntil("[]", 2), "GET /again []"));
+}
+
+// Guards against cutting off callers that read slowly but steadily: between two readings the socket need not have
+// become writable.
+TEST_CASE("a caller that reads slowly but steadily gets its whole answer, however long it takes")
+{
+    EchoServer echo;
+    constexpr std::size_t Large = 12UL << 20;
+    constexpr std::size_t Step = 256UL << 10;
+    RawSocket slow(echo.server.address());
+    slow.send(get("/hold", "Connection: close\r\n"));
+    echo.takeHeld(1)[0]->respond({200, {}, std::string(Large, 'x')});
+    echo.server.sweep();
+    std::size_t read = 0;
+    for (std::size_t n = 1; read < Large; ++n) {
+        read = slow.readAtLeast(Step * n);
+        echo.clock.advance(std::chrono::seconds(19));
+        // The kernel's acknowledgement follows the reading by a moment.
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        if (read < Large) {
+            echo.server.sweep();
+        }
+    }
+    const std::string all = slow.readToEnd();
+    CHECK(all.size() - all.find("\r\n\r\n") - 4 == Large);
+    CHECK(echo.server.stats().slowReadersCutOff == 0);
+    CHECK(echo.server.stats().heldBytes == 0);
+}
+
 TEST_CASE("queries and headers are read as RFC 9110 says")
 {
     HttpRequest request;
--- a/unittests/Http/RawSocket.h
+++ b/unittests/Http/RawSocket.h
@@ -32,6 +32,13 @@
         return m_read;
     }
 
+    /// Reads until so many bytes have come in all, or until the end of the connection; how many came.
+    std::size_t readAtLeast(std::size_t size)
+    {
+        while (m_read.size() < size && readSome()) { }
+        return m_read.size();
+    }
+
     std::string readToEnd()
     {
         while (readSome()) { }
@@ -43,6 +50,14 @@
         m_socket.close();
     }
 
+    /// Whether sending fails, since the other side has closed the connection altogether.
+    bool isReset()
+    {
+        boost::system::error_code ec;
+        boost::asio::write(m_socket, boost::asio::buffer("\r\n", 2), ec);
+        return static_cast<bool>(ec);
+    }
+
 private:
     int count(const std::string &text) const
     {
