--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -127,6 +127,11 @@
     } else {
         requestControlHosts(now);
     }
+    const std::uint64_t cutOff =
+        m_sweep.run({m_callersServer.get(), m_readinessServer.get(), m_metricsServer.get()}, now, m_metrics);
+    if (cutOff > 0) {
+        m_events.state("slow-readers-cut-off", {{"connections", cutOff}});
+    }
     const std::lock_guard lock(m_mutex);
     m_metrics.gauge("pepperlug_view_age_seconds", secondsOf(viewAge()));
 }
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -14,6 +14,7 @@
 #include "pepperlug/Fleet.h"
 #include "pepperlug/Quarantine.h"
 #include "RoutingLag.h"
+#include "ServerSweep.h"
 #include "UpdateExchange.h"
 
 #include <unordered_map>
@@ -166,6 +167,7 @@
     std::unique_ptr<HttpServer> m_callersServer;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_metricsServer;
+    ServerSweep m_sweep; ///< used by the ticker only
     std::unique_ptr<Ticker> m_ticker;
 };
 
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -113,6 +113,11 @@
     }
     requestMembership(now);
     pollPeers(now);
+    const std::uint64_t cutOff =
+        m_sweep.run({m_operatorsServer.get(), m_directoryServer.get(), m_metricsServer.get()}, now, m_metrics);
+    if (cutOff > 0) {
+        m_events.state("slow-readers-cut-off", {{"connections", cutOff}});
+    }
 }
 
 // A tick is late if the threads of this process get too little processor time.
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -7,6 +7,7 @@
 #include "ControlWatch.h"
 #include "EventLog.h"
 #include "pepperlug/Fleet.h"
+#include "ServerSweep.h"
 #include "SharedChanges.h"
 #include "UpdateExchange.h"
 
@@ -267,6 +268,7 @@
     std::unique_ptr<HttpServer> m_operatorsServer;
     std::unique_ptr<HttpServer> m_directoryServer;
     std::unique_ptr<HttpServer> m_metricsServer;
+    ServerSweep m_sweep; ///< used by the ticker only
     std::unique_ptr<TaskThread> m_writer; ///< a slow disk must not block the ticker
     std::unique_ptr<Ticker> m_ticker;
 };
