Http: connections opened in advance

HttpClient::keepConnected() now holds a connected socket for each wanted address and hands it to libcurl when a call needs a new connection.

Just before a request is written, the socket is checked once more; if it was closed, the call ends as not sent. Calls that only connect never use a spare connection. Without keepConnected() no call changes.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -124,6 +124,13 @@
 
 enum class HttpCallId : std::uint64_t {};
 
+/// What became of connections opened in advance, since the client started.
+struct SpareConnectionCounts {
+    std::uint64_t opened = 0;
+    std::uint64_t used = 0; ///< by a call
+    std::uint64_t closedUnused = 0; ///< by either side
+};
+
 /// Calls over kept connections, run by one thread. Handlers run on that thread and must not wait.
 class HttpClient
 {
@@ -139,6 +146,11 @@
     HttpCallId start(HttpCall call, HttpResultHandler handler);
     /// Ends a call and its connection.
     void cancel(HttpCallId id);
+    /// Replaces the addresses to which a connection is opened in advance, the most important one first: at most one
+    /// for each, and none while a call to it has ended within the last 8 s. Calls that were started before the first
+    /// use of this function are not taken into account. From any thread.
+    void keepConnected(const std::vector<Address> &addresses);
+    SpareConnectionCounts spareConnections() const;
     void stop();
 
 private:
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -8,10 +8,12 @@
 //===----------------------------------------------------------------------===//
 #include "pepperlug/Http.h"
 #include "SocketLoop.h"
+#include "SpareConnections.h"
 
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <sys/socket.h>
 #include <unordered_map>
 
 namespace pepperlug
@@ -65,11 +67,14 @@
     EasyHandle easy;
     HeaderList headers;
     Answer answer;
+    SpareConnections *spares = nullptr; ///< null: no connection opened in advance is used
+    curl_socket_t spareSocket = CURL_SOCKET_BAD; ///< of the connection opened in advance that the call uses
     unsigned sendings = 0;
     std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
     bool isTooLarge = false;
     bool isLate = false; ///< it could not be sent in time
     bool isWithdrawn = false; ///< what led to it had changed before it was sent
+    bool isSpareClosed = false; ///< the spare connection was closed before anything was sent
     bool isLarge = false;
     bool isPassedOn = false; ///< the body goes to the call's handler as it arrives
 };
@@ -152,11 +157,40 @@
     if (transfer->isLate || transfer->isWithdrawn) {
         return CURL_PREREQFUNC_ABORT;
     }
+    // Nothing has been written yet, so a call whose connection was closed meanwhile is certain not to be sent.
+    transfer->isSpareClosed =
+        transfer->sendings == 0 && transfer->spareSocket != CURL_SOCKET_BAD && !isIdleAndOpen(transfer->spareSocket);
+    if (transfer->isSpareClosed) {
+        return CURL_PREREQFUNC_ABORT;
+    }
     ++transfer->sendings;
     const bool isAgain = transfer->sendings > 1;
     return isAgain && !transfer->call.mayRepeat ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
+curl_socket_t onOpenSocket(void *self, curlsocktype, curl_sockaddr *address)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    const std::optional<int> spare = transfer->spares->take(transfer->call.to, std::chrono::steady_clock::now());
+    transfer->spareSocket = spare.value_or(CURL_SOCKET_BAD);
+    return spare ? *spare : socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+}
+
+int onSocketOptions(void *self, curl_socket_t socket, curlsocktype)
+{
+    const auto *transfer = static_cast<const Transfer *>(self);
+    return socket == transfer->spareSocket ? CURL_SOCKOPT_ALREADY_CONNECTED : CURL_SOCKOPT_OK;
+}
+
+void setUpSpares(Transfer &transfer)
+{
+    CURL *easy = transfer.easy.get();
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, onOpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, onSocketOptions);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+}
+
 void addHeader(HeaderList &list, const std::string &line)
 {
     list.reset(curl_slist_append(list.release(), line.c_str()));
@@ -207,6 +241,9 @@
     if (!call.fromIp.empty()) {
         curl_easy_setopt(easy, CURLOPT_INTERFACE, call.fromIp.c_str());
     }
+    if (transfer.spares != nullptr) {
+        setUpSpares(transfer);
+    }
     const bool isBounded = transfer.bytesPerSecond > 0;
     curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, isBounded ? BoundedRead : ReadBuffer);
     curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, SendBuffer);
@@ -272,6 +309,8 @@
     result.isWithdrawn = transfer.isWithdrawn;
     if (transfer.isWithdrawn) {
         result.reason = "not allowed any more when it could be sent";
+    } else if (transfer.isSpareClosed) {
+        result.reason = "the connection opened in advance was closed";
     } else {
         result.reason = transfer.isLate ? "could not be sent in time" : curl_easy_strerror(code);
     }
@@ -302,6 +341,8 @@
         m_multi.reset(curl_multi_init());
         curl_multi_setopt(m_multi.get(), CURLMOPT_MAXCONNECTS, MaxKeptConnections);
         m_loop = std::make_unique<SocketLoop>(m_multi.get());
+        m_loop->watchReadable(m_spareConnections.descriptor(),
+                              [this] { m_spareConnections.onReady(std::chrono::steady_clock::now()); });
         m_thread = std::thread([this] { run(); });
     }
 
@@ -340,6 +381,20 @@
         m_loop->wake();
     }
 
+    void keepConnected(const std::vector<Address> &addresses)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_wanted = addresses;
+        }
+        m_loop->wake();
+    }
+
+    SpareConnectionCounts spareConnections() const
+    {
+        return m_spareConnections.counts();
+    }
+
     void stop()
     {
         if (!m_thread.joinable()) {
@@ -364,19 +419,26 @@
     {
         for (;;) {
             std::vector<Order> orders;
+            std::optional<std::vector<Address>> wanted;
             {
                 const std::lock_guard lock(m_mutex);
                 if (m_stop) {
                     break;
                 }
                 orders.swap(m_orders);
+                wanted.swap(m_wanted);
+            }
+            if (wanted) {
+                m_usesSpares = true;
+                m_spareConnections.setWanted(*wanted, std::chrono::steady_clock::now());
             }
             for (Order &order : orders) {
                 carryOut(order);
             }
-            m_loop->runOnce();
+            m_loop->runOnce(m_usesSpares ? std::optional(SpareConnections::SweepInterval) : std::nullopt);
             collect();
             shareRate();
+            sweepSpares();
         }
         for (auto &[id, transfer] : m_transfers) {
             curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
@@ -401,12 +463,26 @@
             transfer.easy = std::move(m_spare.back());
             m_spare.pop_back();
         }
+        // A call that only connects asks whether the target accepts connections now.
+        if (m_usesSpares && !transfer.call.connectsOnly && transfer.call.fromIp.empty()) {
+            transfer.spares = &m_spareConnections;
+            m_spareConnections.addUse(transfer.call.to, std::chrono::steady_clock::now());
+        }
         setUp(transfer);
         curl_easy_setopt(transfer.easy.get(), CURLOPT_PRIVATE, &transfer);
         curl_multi_add_handle(m_multi.get(), transfer.easy.get());
         m_transfers.emplace(order.id, std::move(order.transfer));
     }
 
+    void sweepSpares()
+    {
+        const TimePoint now = std::chrono::steady_clock::now();
+        if (m_usesSpares && now >= m_nextSweep) {
+            m_nextSweep = now + SpareConnections::SweepInterval;
+            m_spareConnections.sweep(now);
+        }
+    }
+
     // Large answers on their way share the bound alike.
     void shareRate()
     {
@@ -442,6 +518,9 @@
             m_transfers.erase(it);
             curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
             HttpResult result = resultOf(*transfer, code);
+            if (transfer->spares != nullptr) {
+                m_spareConnections.addUse(transfer->call.to, std::chrono::steady_clock::now());
+            }
             // A handle whose transfer ended before it had a connection keeps a read buffer of the former length, and
             // refuses another: the next answer would be read past its end.
             if (code == CURLE_OK && m_spare.size() < MaxSpare) {
@@ -458,8 +537,12 @@
     std::unique_ptr<SocketLoop> m_loop;
     std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> m_transfers;
     std::vector<EasyHandle> m_spare;
+    SpareConnections m_spareConnections;
+    bool m_usesSpares = false; ///< from the first keepConnected()
+    TimePoint m_nextSweep{}; ///< of m_spareConnections
     std::mutex m_mutex;
     std::vector<Order> m_orders;
+    std::optional<std::vector<Address>> m_wanted; ///< not yet passed to m_spareConnections
     std::uint64_t m_lastId = 0;
     bool m_stop = false;
     std::thread m_thread;
@@ -482,6 +565,16 @@
     m_impl->cancel(id);
 }
 
+void HttpClient::keepConnected(const std::vector<Address> &addresses)
+{
+    m_impl->keepConnected(addresses);
+}
+
+SpareConnectionCounts HttpClient::spareConnections() const
+{
+    return m_impl->spareConnections();
+}
+
 void HttpClient::stop()
 {
     m_impl->stop();
--- a/lib/Http/SocketLoop.cpp
+++ b/lib/Http/SocketLoop.cpp
@@ -81,19 +81,32 @@
     curl_multi_assign(m_multi, socket, &knownMark);
 }
 
-int SocketLoop::waitTime() const
+void SocketLoop::watchReadable(int descriptor, std::function<void()> handler)
 {
-    if (!m_due) {
-        return -1;
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.fd = descriptor;
+    if (epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event) != 0) {
+        fail();
     }
-    const auto left = std::chrono::ceil<Milliseconds>(*m_due - std::chrono::steady_clock::now());
-    return static_cast<int>(std::max<Milliseconds::rep>(0, left.count()));
+    m_other = descriptor;
+    m_onOther = std::move(handler);
 }
 
-void SocketLoop::runOnce()
+int SocketLoop::waitTime(std::optional<Milliseconds> maxWait) const
+{
+    std::optional<Milliseconds> wait = maxWait;
+    if (m_due) {
+        const auto left = std::chrono::ceil<Milliseconds>(*m_due - std::chrono::steady_clock::now());
+        wait = std::max(Milliseconds(0), wait ? std::min(*wait, left) : left);
+    }
+    return wait ? static_cast<int>(wait->count()) : -1;
+}
+
+void SocketLoop::runOnce(std::optional<Milliseconds> maxWait)
 {
     std::array<epoll_event, MaxEvents> events{};
-    const int count = epoll_wait(m_epoll, events.data(), MaxEvents, waitTime());
+    const int count = epoll_wait(m_epoll, events.data(), MaxEvents, waitTime(maxWait));
     int running = 0;
     for (int n = 0; n < count; ++n) {
         const epoll_event &event = events[static_cast<std::size_t>(n)];
@@ -102,6 +115,10 @@
             [[maybe_unused]] const ssize_t size = read(m_event, &wakes, sizeof wakes);
             continue;
         }
+        if (event.data.fd == m_other) {
+            m_onOther();
+            continue;
+        }
         int flags = (event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
         flags |= (event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
         flags |= (event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
--- a/lib/Http/SocketLoop.h
+++ b/lib/Http/SocketLoop.h
@@ -11,6 +11,8 @@
 
 #include <curl/curl.h>
 
+#include <functional>
+
 namespace pepperlug
 {
 
@@ -23,8 +25,12 @@
     SocketLoop(const SocketLoop &) = delete;
     SocketLoop &operator=(const SocketLoop &) = delete;
 
-    /// Waits until something happened, a timer of the library is due or wake() was called, and tells the library.
-    void runOnce();
+    /// Waits until something happened, a timer of the library is due, `maxWait` has passed or wake() was called, and
+    /// tells the library.
+    void runOnce(std::optional<Milliseconds> maxWait = std::nullopt);
+    /// Watches a descriptor that is not the library's; the handler is called by runOnce() when it is readable.
+    /// One descriptor at most. Throws Error with step "start client".
+    void watchReadable(int descriptor, std::function<void()> handler);
     /// From any thread.
     void wake();
 
@@ -32,11 +38,13 @@
     static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *known);
     static int onTimer(CURLM *multi, long timeoutMs, void *self);
     void watch(curl_socket_t socket, int what, bool isKnown);
-    int waitTime() const;
+    int waitTime(std::optional<Milliseconds> maxWait) const;
 
     CURLM *m_multi;
     int m_epoll = -1;
     int m_event = -1;
+    int m_other = -1; ///< descriptor that is not the library's
+    std::function<void()> m_onOther;
     std::optional<std::chrono::steady_clock::time_point> m_due; ///< of the library's timer
 };
 
