Fleet: setting spare_connections of entry hosts

Entry hosts open connections in advance to the targets of other regions that got an attempt from them in the last 30 s, as many as the setting says, the latest first. The default of 0 opens none. The metric pepperlug_spare_connections counts those opened, used and closed unused.

--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -122,6 +122,7 @@
     reduce(BalanceTick{});
     reportUpdates();
     const TimePoint now = m_clock.now();
+    updateSpareConnections(now);
     if (knowsControlHosts()) {
         m_watch->poll(now);
     } else {
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -13,6 +13,7 @@
 #include "EventLog.h"
 #include "pepperlug/Fleet.h"
 #include "pepperlug/Quarantine.h"
+#include "RecentTargets.h"
 #include "RoutingLag.h"
 #include "UpdateExchange.h"
 
@@ -109,6 +110,10 @@
     void onQuotaReply(const Address &from, TimePoint sentAt, const PeerReply &reply);
     void carryOut(const RequestQuota &effect);
 
+    // GatewaySpares.cpp
+    void noteAttempt(const Address &target, const std::string &zone, TimePoint now);
+    void updateSpareConnections(TimePoint now);
+
     // GatewayRequests.cpp
     void onHttp(const HttpExchangePtr &exchange);
     bool onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, const AnswerFields &fields,
@@ -156,6 +161,9 @@
     EpochVersion m_acknowledgedBackpressure; ///< version of this host's backpressure table that the followed host has
     bool m_hasUnsentUpdates = false; ///< suspects or backpressure noticed since the last request
     std::map<Address, TimePoint> m_avoidedQuotaHosts; ///< control hosts that did not issue tokens, and until when
+    RecentTargets m_recentTargets;
+    SpareConnectionCounts m_spareCounts; ///< that the metrics contain
+    TimePoint m_nextSparesUpdate{};
     Address m_followedHost; ///< control host that replied last
     bool m_isStopping = false; ///< the directory no longer lists this host
     bool m_isClosed = false; ///< no request is routed any more
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -115,6 +115,7 @@
     call.onPart = [this, id, attempt](std::string_view part) {
         onAnswerPart(id, attempt, part);
     };
+    noteAttempt(*to, effect.zone, sentAt);
     m_metrics.count("pepperlug_attempts");
     m_events.decision("attempt",
                       {{"request", open.fields.requestId},
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -12,6 +12,7 @@
 constexpr std::int64_t DefaultMaxAnswer = 32LL << 20;
 constexpr std::int64_t DefaultLogLines = 200;
 constexpr std::int64_t MaxTargetsPerKey = 64;
+constexpr std::int64_t MaxSpareConnections = 300; ///< that the HTTP client holds
 constexpr double MaxSeconds = 86400;
 constexpr double MaxLinkMbps = 1e6;
 constexpr double BitsPerMegabit = 1e6;
@@ -103,6 +104,8 @@
         settings.maxBodyBytes = static_cast<std::size_t>(reader.integer("max_body_bytes", 0, MaxBytes, DefaultMaxBody));
         settings.maxAnswerBytes =
             static_cast<std::size_t>(reader.integer("max_answer_bytes", 1024, MaxBytes, DefaultMaxAnswer));
+        settings.spareConnections =
+            static_cast<std::size_t>(reader.integer("spare_connections", 0, MaxSpareConnections, 0));
         const double linkMbps = reader.number("link_mbps", 0, MaxLinkMbps, 0);
         settings.linkBytesPerSecond = static_cast<std::uint64_t>(linkMbps * BitsPerMegabit / BitsPerByte);
     } else {
--- a/unittests/Fleet/SettingsTest.cpp
+++ b/unittests/Fleet/SettingsTest.cpp
@@ -110,6 +110,22 @@
     }
 }
 
+// Guards against connections opened in advance at hosts that did not ask for them.
+TEST_CASE("an entry host opens connections in advance only if spare_connections is set")
+{
+    CHECK(parse(entryJson(), FleetRole::Entry).spareConnections == 0);
+    nlohmann::json json = entryJson();
+    json["spare_connections"] = 300;
+    CHECK(parse(json, FleetRole::Entry).spareConnections == 300);
+    for (const nlohmann::json &value : {nlohmann::json(-1), nlohmann::json(301), nlohmann::json(1.5)}) {
+        json["spare_connections"] = value;
+        CHECK_THROWS_AS(parse(json, FleetRole::Entry), InvalidInput);
+    }
+    nlohmann::json control = controlJson();
+    control["spare_connections"] = 1;
+    CHECK_THROWS_AS(parse(control, FleetRole::Control), InvalidInput);
+}
+
 TEST_CASE("a control host listens at peer_listen and not at its peer address")
 {
     const Folder folder;
