--- a/unittests/Registry/RegistryTest.cpp
+++ b/unittests/Registry/RegistryTest.cpp
@@ -167,13 +167,20 @@
     CHECK(demand[1].boundSlots == 6);
 }
 
+namespace
+{
+
+/// ServiceDemand as earlier versions send it.
+struct EarlierDemand {
+    std::string service = "s";
+    double slots = 3;
+    MSGPACK_DEFINE(service, slots);
+};
+
+} // namespace
+
 TEST_CASE("demand that a host of an earlier version reports is not bound")
 {
-    struct EarlierDemand {
-        std::string service = "s";
-        double slots = 3;
-        MSGPACK_DEFINE(service, slots);
-    };
     const auto demand = decode<ServiceDemand>(encode(EarlierDemand{}), "peer");
     CHECK(demand.slots == 3);
     CHECK(demand.homeRegion.empty());
