--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -274,6 +274,14 @@
         gateway = std::make_unique<GatewayDaemon>(m_entry, m_clock, callerDialect<platform::Clients>());
     }
 
+    /// Ends the entry host and starts it with another value of spare_connections.
+    void restartEntryHost(std::size_t spareConnections)
+    {
+        gateway.reset();
+        m_entry.spareConnections = spareConnections;
+        gateway = std::make_unique<GatewayDaemon>(m_entry, m_clock, callerDialect<platform::Clients>());
+    }
+
     /// Starts a further entry host at an address of its own.
     std::unique_ptr<GatewayDaemon> startEntryHost(unsigned number)
     {
