--- a/unittests/Http/SpareConnectionsTest.cpp
+++ b/unittests/Http/SpareConnectionsTest.cpp
@@ -206,7 +206,8 @@
     REQUIRE(waitUntilOpened(client, 1));
     HttpCall check = callTo(server.address());
     check.connectsOnly = true;
-    CHECK(run(client, std::move(check)).kind == HttpResult::Kind::Answered);
+    const HttpResult result = run(client, std::move(check));
+    CHECK(result.kind == HttpResult::Kind::Answered);
     CHECK(client.spareConnections().used == 0);
     isOver.set_value();
 }
