Quota: callers of an isolated host are sent to another one

Most hosts have contact while some are cut off, so a caller that an isolated host refuses for its quota returns at once elsewhere. While all hosts are starting it waits about as long as control hosts need to issue tokens.

--- a/include/pepperlug/Quota.h
+++ b/include/pepperlug/Quota.h
@@ -134,7 +134,7 @@
     Admitted,
     Waiting,
     Refused, ///< the limit is used up
-    TimedOut, ///< no control host has decided in time
+    TimedOut, ///< no control host has decided in time, or this host is isolated
 };
 
 struct QuotaResult {
@@ -192,6 +192,8 @@
     Milliseconds retryAfter(const std::string &tenant, TimePoint now) const;
     /// Returns true if no control host has replied for so long that only reserved rates may be used.
     bool isIsolated(TimePoint now) const;
+    /// Returns true once a control host has replied.
+    bool hasHadContact() const;
     /// Number of tenants with state.
     std::size_t size() const;
 
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -181,7 +181,7 @@
         return;
     }
     const QuotaDecision decision = requestToken(open);
-    if (decision == QuotaDecision::Refused) {
+    if (decision == QuotaDecision::Refused || decision == QuotaDecision::TimedOut) {
         refuse(open, Refusal::OverQuota);
         return;
     }
@@ -227,7 +227,10 @@
 // The later a caller retries the less time it has left, so the advice is short; a random part spreads the callers.
 Milliseconds Balancer::Impl::retryAfter(const OpenRequest &open, Refusal reason, Duration drainTime)
 {
-    if (reason == Refusal::LinkFull || open.hasNoQuotaDecision) {
+    if (open.hasNoQuotaDecision) {
+        return m_quotas.hasHadContact() ? OtherHostRetryAfter : NoIssuerRetryAfter;
+    }
+    if (reason == Refusal::LinkFull) {
         return OtherHostRetryAfter;
     }
     if (reason == Refusal::Quarantined) {
--- a/lib/Balance/Quotas.cpp
+++ b/lib/Balance/Quotas.cpp
@@ -36,6 +36,7 @@
     const QuotaResult result =
         m_quotas.request(open.request.id, open.tenant, open.limit, open.route.objective / TokenWaitDivisor, m_now);
     open.awaitsToken = result.decision == QuotaDecision::Waiting;
+    open.hasNoQuotaDecision = result.decision == QuotaDecision::TimedOut;
     if (result.decision == QuotaDecision::Admitted) {
         open.tokenExpiry = result.tokenExpiry;
     }
--- a/lib/Balance/RetryAdvice.h
+++ b/lib/Balance/RetryAdvice.h
@@ -18,6 +18,9 @@
 /// that met a full link, 20 ms later. If they wait for a share of an objective of 400 ms instead, as many are admitted,
 /// but 130 to 270 ms later.
 constexpr Milliseconds OtherHostRetryAfter{20};
+/// For a tenant's requests at a host that has had no contact to a control host since its start, mostly since all hosts
+/// have restarted: control hosts issue tokens within about this time.
+constexpr Milliseconds NoIssuerRetryAfter{1000};
 /// Bounds the time until a target has capacity again, for Refusal::Backpressure: most callers do not wait longer.
 constexpr Milliseconds MaxBackpressureRetryAfter{5000};
 /// For requests without a known route, and thus without an objective, such as before the first routing arrives.
--- a/lib/Quota/QuotaHolder.cpp
+++ b/lib/Quota/QuotaHolder.cpp
@@ -89,6 +89,11 @@
     return m_hasFailed && m_lastContact && now - *m_lastContact > IsolationTimeout;
 }
 
+bool QuotaHolder::hasHadContact() const
+{
+    return m_lastContact.has_value();
+}
+
 // The issuer subtracts the reserved rate from the moment when this host may begin to use it, by any clock, so the
 // tokens accumulate from then on only.
 std::optional<TimePoint> QuotaHolder::takeIsolated(Share &share, TimePoint now) const
@@ -136,7 +141,10 @@
             return {id, QuotaDecision::Admitted, *expiry};
         }
     }
-    if (isIsolated(now) || now < share.exhaustedUntil) {
+    if (isIsolated(now)) {
+        return {id, QuotaDecision::TimedOut, {}};
+    }
+    if (now < share.exhaustedUntil) {
         return {id, QuotaDecision::Refused, {}};
     }
     share.waiting.push_back({id, now + maxWait, {}});
--- a/lib/Quota/QuotaIssuer.cpp
+++ b/lib/Quota/QuotaIssuer.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::duration<double> TransitTime{0.25};
 /// Fraction of the tolerance that the lifetime of tokens uses. What is left makes the buckets deeper than the limit's
 /// burst, since the part of a small burst would be less than one request.
-constexpr double LifetimeToleranceShare = 0.35;
+constexpr double LifetimeToleranceShare = 0.5;
 constexpr Milliseconds MinLifetime{100};
 constexpr std::chrono::seconds MaxLifetime{2};
 /// Fractions of this host's part of a limit: reserved for isolated hosts, and the rate at which a host issues that has
--- a/unittests/Balance/TenantTest.cpp
+++ b/unittests/Balance/TenantTest.cpp
@@ -288,6 +288,9 @@
 TEST_CASE("a request that waits for a token is refused as not run after an eighth of its objective")
 {
     LimitedHost host;
+    const RequestId first = host.sendRequest("/once/x", "k1");
+    host.reply(1);
+    host.end(first, 1, AttemptOutcome::Answered);
     host.sendRequest("/read/x", "k1");
     CHECK_FALSE(host.refusal());
     host.now += 49ms;
@@ -300,6 +303,16 @@
     CHECK(host.balancer.openRequests() == 0);
 }
 
+TEST_CASE("callers are told to wait for control hosts while all hosts are starting")
+{
+    LimitedHost host;
+    host.sendRequest("/read/x", "k1");
+    host.now += 50ms;
+    host.reduce(BalanceTick{});
+    REQUIRE(host.refusal() == Refusal::OverQuota);
+    CHECK(host.find<RefuseRequest>()->retryAfter >= 1s);
+}
+
 TEST_CASE("a caller that leaves while its request waits for a token uses none")
 {
     LimitedHost host;
