Balance: admission decisions move into AdmissionControl

Balancer::Impl held the statistics by route, the urgent priorities, the thresholds and the detection of returning callers, so none of them could be tested without the balancer. AdmissionControl holds them now. Behavior is unchanged.

--- a/lib/Balance/Admission.cpp
+++ b/lib/Balance/Admission.cpp
@@ -1,5 +1,6 @@
 //===- Admission.cpp - Admission control ----------------------------------===//
 #include "Admission.h"
+#include "RetryAdvice.h"
 
 #include <algorithm>
 
@@ -18,6 +19,9 @@
 constexpr double LessUrgentFreeUtilization = 0.9;
 /// Lower bound of the service time in seconds; avoids a division by zero.
 constexpr double MinServiceTime = 1e-6;
+/// Assumed round trip to a target in another region.
+constexpr Milliseconds OtherRegionLatency{60};
+constexpr unsigned LowestPriority = std::numeric_limits<unsigned>::max();
 
 } // namespace
 
@@ -36,4 +40,83 @@
     return std::max(freeUtilization, 1 + wait / std::max(secondsOf(*query.serviceTime), MinServiceTime));
 }
 
+AdmissionControl::AdmissionControl(const BalancePolicy &policy)
+    : m_policy(policy)
+{
+}
+
+// Computed in advance, since every request needs it and a table may have hundreds of routes. A tenant's priority
+// overrides that of a route.
+void AdmissionControl::setTable(const RouteTable &table)
+{
+    m_urgentPriority.clear();
+    std::optional<unsigned> tenantPriority;
+    bool usesRoutePriority = table.tenants.empty();
+    for (const Tenant &tenant : table.tenants) {
+        usesRoutePriority |= !tenant.priority;
+        tenantPriority = std::min(tenantPriority.value_or(LowestPriority), tenant.priority.value_or(LowestPriority));
+    }
+    for (const Route &route : table.routes) {
+        const unsigned own = usesRoutePriority || route.isPublic ? route.priority : LowestPriority;
+        const unsigned priority = std::min(own, tenantPriority.value_or(LowestPriority));
+        for (const WeightedService &it : route.services) {
+            const auto [entry, isNew] = m_urgentPriority.try_emplace(it.service, priority);
+            entry->second = std::min(entry->second, priority);
+        }
+    }
+}
+
+void AdmissionControl::countRequest(const Route &route, std::optional<Duration> deadline)
+{
+    if (deadline) {
+        m_stats[route.name].addDeadline(*deadline);
+    }
+}
+
+RouteStats &AdmissionControl::stats(const std::string &route)
+{
+    return m_stats[route];
+}
+
+double AdmissionControl::answerBytes(const std::string &route) const
+{
+    const auto it = m_stats.find(route);
+    return it == m_stats.end() ? 0 : it->second.answerBytes();
+}
+
+bool AdmissionControl::isMostUrgent(const Route &route) const
+{
+    const auto it = m_urgentPriority.find(route.services.front().service);
+    return it == m_urgentPriority.end() || route.priority <= it->second;
+}
+
+// A caller that was refused before has less time left than at its first try. One that did not wait as advised
+// gets no precedence.
+bool AdmissionControl::isReturning(const Route &route, std::optional<Duration> deadline) const
+{
+    const auto stats = m_stats.find(route.name);
+    if (m_policy.lateDeadlineShare <= 0 || !deadline || stats == m_stats.end()) {
+        return false;
+    }
+    const std::optional<Duration> usual = stats->second.firstTryDeadline();
+    return usual && *usual - *deadline >= minRetryAfterFor(route);
+}
+
+double AdmissionControl::admissibleUtilization(const Route &route, Duration objectiveLeft, Duration timeLeft,
+                                               bool isInOtherRegion, bool isReturning) const
+{
+    AdmissionQuery query;
+    const auto stats = m_stats.find(route.name);
+    if (stats != m_stats.end()) {
+        query.serviceTime = stats->second.serviceTime();
+        query.warmServiceTime = stats->second.warmServiceTime();
+    }
+    query.objectiveLeft = objectiveLeft;
+    query.timeLeft = timeLeft;
+    query.extraLatency = isInOtherRegion ? OtherRegionLatency : Milliseconds(0);
+    query.isUrgent = isMostUrgent(route);
+    query.lateDeadlineShare = isReturning ? m_policy.lateDeadlineShare : 0;
+    return pepperlug::fleet::admissibleUtilization(query);
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Balance/Admission.h
+++ b/lib/Balance/Admission.h
@@ -7,6 +7,8 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "RouteStats.h"
+
 #include "pepperlug/Balance.h"
 
 namespace pepperlug::fleet
@@ -28,4 +30,32 @@
 /// admitted.
 double admissibleUtilization(const AdmissionQuery &query);
 
+/// Admission decisions of an entry host, with the statistics by route that they need.
+class AdmissionControl
+{
+public:
+    explicit AdmissionControl(const BalancePolicy &policy);
+
+    void setTable(const RouteTable &table);
+    /// Records the arrival of a request. `deadline`: time that the caller had left; nothing if it did not state it.
+    void countRequest(const Route &route, std::optional<Duration> deadline);
+    RouteStats &stats(const std::string &route);
+    /// Mean size of a route's answers; 0 while there is no sample.
+    double answerBytes(const std::string &route) const;
+    /// Returns true if no route of the service is more urgent.
+    bool isMostUrgent(const Route &route) const;
+    /// Returns true if the caller was refused before, and waited as advised. Must be called before the request is
+    /// counted.
+    bool isReturning(const Route &route, std::optional<Duration> deadline) const;
+    /// Returns the highest utilization of a target at which a request of the route is admitted.
+    /// `objectiveLeft`: until the answer would be late; `timeLeft`: until it would be useless.
+    double admissibleUtilization(const Route &route, Duration objectiveLeft, Duration timeLeft, bool isInOtherRegion,
+                                 bool isReturning) const;
+
+private:
+    BalancePolicy m_policy;
+    std::map<std::string, unsigned> m_urgentPriority; ///< by service: the most urgent one among its routes
+    std::map<std::string, RouteStats> m_stats; ///< by route
+};
+
 } // namespace pepperlug::fleet
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -95,6 +95,7 @@
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
     , m_targets(m_settings)
+    , m_admission(m_settings.policy)
     , m_quarantine(m_settings.firstProbeDelay)
     , m_quotas(m_settings.host, m_settings.address)
     , m_link(m_settings.linkBytesPerSecond)
@@ -116,7 +117,7 @@
     m_table = event.table;
     m_routeIndex.emplace(m_table);
     m_quotas.setTableVersion(m_table->version);
-    updateUrgentPriorities();
+    m_admission.setTable(*m_table);
     m_targets.setTable(m_table);
     m_targets.setEvacuatedZones(event.evacuatedZones, m_now);
     m_plansDueAt = {};
@@ -164,15 +165,13 @@
     if (refuseOrProbe(open)) {
         return;
     }
-    const Duration serviceTime = m_stats[route->name].serviceTime().value_or(route->objective / 2);
+    const Duration serviceTime = m_admission.stats(route->name).serviceTime().value_or(route->objective / 2);
     m_arrivals[{open.service, boundRegion(open)}].add(m_now, std::chrono::duration<double>(serviceTime).count());
-    m_requestedBytes.add(m_now, m_stats[route->name].answerBytes() + AnswerHeadBytes);
+    m_requestedBytes.add(m_now, m_admission.answerBytes(route->name) + AnswerHeadBytes);
     m_shiftAllowances[open.service].countRequest(m_now);
     m_budgets.at(open.service).countRequest(m_now);
-    open.isCallerRetry = isCallerRetry(open);
-    if (event.deadline) {
-        m_stats[route->name].addDeadline(*event.deadline);
-    }
+    open.isCallerRetry = m_admission.isReturning(open.route, event.deadline);
+    m_admission.countRequest(open.route, event.deadline);
     const Placement placement = place(open);
     if (placement.target == nullptr) {
         const double excess = std::max(0.0, placement.utilization - placement.admissibleUtilization);
@@ -196,7 +195,7 @@
     TargetState &target = *placement.target;
     m_targets.attemptStarted(target, m_now);
     const unsigned number = ++open.attemptsStarted;
-    const double bytes = m_stats[open.route.name].answerBytes() + AnswerHeadBytes;
+    const double bytes = m_admission.answerBytes(open.route.name) + AnswerHeadBytes;
     m_link.take(bytes, m_now);
     open.attempts[number] = {{target.report.id, target.report.startedAt},
                              target.report.address,
@@ -367,8 +366,8 @@
     }
     if (event.outcome == AttemptOutcome::Answered) {
         m_link.take(static_cast<double>(event.answerBytes) + AnswerHeadBytes - attempt.expectedBytes, m_now);
-        m_stats[open.route.name].addAnswerBytes(event.answerBytes);
-        m_stats[open.route.name].addServiceTime(m_now - attempt.startedAt, attempt.utilization);
+        m_admission.stats(open.route.name).addAnswerBytes(event.answerBytes);
+        m_admission.stats(open.route.name).addServiceTime(m_now - attempt.startedAt, attempt.utilization);
         recordServiceTime(open, m_now - attempt.startedAt);
         m_out->emplace_back(PassAnswer{open.request.id, event.attempt});
         if (!event.isFailure) {
@@ -433,7 +432,7 @@
 
 bool Balancer::Impl::isTargetUnresponsive(const Attempt &attempt, const Route &route)
 {
-    const Duration serviceTime = m_stats[route.name].serviceTime().value_or(route.objective);
+    const Duration serviceTime = m_admission.stats(route.name).serviceTime().value_or(route.objective);
     const Duration hedgeTimeout = std::max<Duration>(MinHedgeTimeout, serviceTime * HedgeTimeoutFactor);
     const TargetState *target = m_targets.find(attempt.target);
     const bool isUnresponsive = target == nullptr || target->isUnresponsive(m_now, hedgeTimeout);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -1,10 +1,10 @@
 //===- Impl.h - State of the balancer ---------------------------*- C++ -*-===//
 #pragma once
 
+#include "Admission.h"
 #include "LinkBudget.h"
 #include "RegionPlan.h"
 #include "RetryBudget.h"
-#include "RouteStats.h"
 #include "ShedWatch.h"
 #include "TargetSet.h"
 
@@ -151,30 +151,26 @@
     Placement place(const OpenRequest &open);
     Placement placeInRegion(const OpenRequest &open, const std::string &region, bool keepsKey = true);
     double admissibleUtilization(const OpenRequest &open, bool isInOtherRegion) const;
-    bool isCallerRetry(const OpenRequest &open);
     std::string pickRegion(const OpenRequest &open);
     std::string regionByPlan(const OpenRequest &open, std::uint64_t key) const;
     std::string boundRegion(const OpenRequest &open) const;
     Placement placeReturning(const OpenRequest &open);
     std::string pickService(const Route &route);
     bool fitsLink(const OpenRequest &open);
-    void updateUrgentPriorities();
-    bool isMostUrgent(const Route &route) const;
     void updatePlans();
 
     BalanceSettings m_settings;
     std::string m_region;
     std::mt19937_64 m_random;
     TargetSet m_targets;
+    AdmissionControl m_admission;
     std::shared_ptr<const RouteTable> m_table;
     std::optional<RouteIndex> m_routeIndex; ///< of m_table
     std::optional<UpdateReceived> m_lastUpdate;
     bool m_isSuspended = false;
-    std::map<std::string, unsigned> m_urgentPriority; ///< by service: the most urgent one among its routes
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
     std::map<std::string, RegionPlan> m_plans; ///< by service
     std::map<std::string, RetryBudget> m_budgets; ///< by service
-    std::map<std::string, RouteStats> m_stats; ///< by route
     std::map<std::string, ShedWatch> m_sheds; ///< by service
     Quarantine m_quarantine;
     QuotaHolder m_quotas;
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -4,9 +4,7 @@
 // refused at once: the caller may retry, and a queue of requests that will be late serves nobody.
 //
 //===----------------------------------------------------------------------===//
-#include "Admission.h"
 #include "Impl.h"
-#include "RetryAdvice.h"
 
 namespace pepperlug::fleet
 {
@@ -14,15 +12,12 @@
 namespace
 {
 
-/// Assumed round trip to a target in another region.
-constexpr Milliseconds OtherRegionLatency{60};
 /// Share of maxShift for requests that leave their region outside the plan.
 constexpr double UnplannedShiftShare = 0.2;
 /// Service times without an answer after which a target counts as unresponsive.
 constexpr int ResponseTimeoutFactor = 3;
 constexpr Milliseconds MinResponseTimeout{600};
 constexpr Milliseconds PlanInterval{200};
-constexpr unsigned LowestPriority = std::numeric_limits<unsigned>::max();
 
 } // namespace
 
@@ -83,12 +78,12 @@
     query.excluded = open.triedTargets;
     query.homeRegions = &open.route.homeRegions;
     query.region = region;
-    const Duration serviceTime = m_stats[open.route.name].serviceTime().value_or(open.route.objective);
+    const Duration serviceTime = m_admission.stats(open.route.name).serviceTime().value_or(open.route.objective);
     query.responseTimeout = std::max<Duration>(MinResponseTimeout, serviceTime * ResponseTimeoutFactor);
     query.admissibleUtilization = admissibleUtilization(open, !region.empty() && region != m_region);
     Placement placement;
     placement.admissibleUtilization = query.admissibleUtilization;
-    query.isUrgent = isMostUrgent(open.route);
+    query.isUrgent = m_admission.isMostUrgent(open.route);
     const TargetChoice choice = m_targets.choose(query, m_now);
     placement.target = choice.target;
     if (placement.target == nullptr) {
@@ -100,65 +95,17 @@
     return placement;
 }
 
-// Computed in advance, since every request needs it and a table may have hundreds of routes. A tenant's priority
-// overrides that of a route.
-void Balancer::Impl::updateUrgentPriorities()
-{
-    m_urgentPriority.clear();
-    std::optional<unsigned> tenantPriority;
-    bool usesRoutePriority = m_table->tenants.empty();
-    for (const Tenant &tenant : m_table->tenants) {
-        usesRoutePriority |= !tenant.priority;
-        tenantPriority = std::min(tenantPriority.value_or(LowestPriority), tenant.priority.value_or(LowestPriority));
-    }
-    for (const Route &route : m_table->routes) {
-        const unsigned own = usesRoutePriority || route.isPublic ? route.priority : LowestPriority;
-        const unsigned priority = std::min(own, tenantPriority.value_or(LowestPriority));
-        for (const WeightedService &it : route.services) {
-            const auto [entry, isNew] = m_urgentPriority.try_emplace(it.service, priority);
-            entry->second = std::min(entry->second, priority);
-        }
-    }
-}
-
-bool Balancer::Impl::isMostUrgent(const Route &route) const
-{
-    const auto it = m_urgentPriority.find(route.services.front().service);
-    return it == m_urgentPriority.end() || route.priority <= it->second;
-}
-
 double Balancer::Impl::admissibleUtilization(const OpenRequest &open, bool isInOtherRegion) const
 {
-    AdmissionQuery query;
-    const auto stats = m_stats.find(open.route.name);
-    if (stats != m_stats.end()) {
-        query.serviceTime = stats->second.serviceTime();
-        query.warmServiceTime = stats->second.warmServiceTime();
-    }
-    query.objectiveLeft = open.route.objective - (m_now - open.arrivedAt);
-    query.timeLeft = open.deadline - m_now;
-    query.extraLatency = isInOtherRegion ? OtherRegionLatency : Milliseconds(0);
-    query.isUrgent = isMostUrgent(open.route);
-    query.lateDeadlineShare = open.isCallerRetry ? m_settings.policy.lateDeadlineShare : 0;
-    return pepperlug::fleet::admissibleUtilization(query);
-}
-
-// A caller that was refused before has less time left than at its first try. One that did not wait as advised
-// gets no precedence.
-bool Balancer::Impl::isCallerRetry(const OpenRequest &open)
-{
-    if (m_settings.policy.lateDeadlineShare <= 0 || !open.request.deadline) {
-        return false;
-    }
-    const std::optional<Duration> usual = m_stats[open.route.name].firstTryDeadline();
-    return usual && *usual - *open.request.deadline >= minRetryAfterFor(open.route);
+    const Duration objectiveLeft = open.route.objective - (m_now - open.arrivedAt);
+    return m_admission.admissibleUtilization(open.route, objectiveLeft, open.deadline - m_now, isInOtherRegion,
+                                             open.isCallerRetry);
 }
 
 // Small answers are never held back: the bound on large answers leaves capacity for them.
 bool Balancer::Impl::fitsLink(const OpenRequest &open)
 {
-    const auto stats = m_stats.find(open.route.name);
-    const double bytes = stats == m_stats.end() ? 0 : stats->second.answerBytes();
+    const double bytes = m_admission.answerBytes(open.route.name);
     return bytes < static_cast<double>(LargeAnswerBytes) || m_link.has(bytes, m_now);
 }
 
