Balance: less urgent requests leave room only while urgent ones are seen

Less urgent requests were always limited by their own objective: with a longer one, or as a returning caller's, they filled queues in which urgent requests of the same service would be late, and without urgent requests a tenth of the slots stayed free for nobody. With reserve_for_urgent, their limit stays below that of the urgent routes seen in the last 3 seconds, and is that of an urgent request otherwise. Off by default.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -37,6 +37,9 @@
     double lateDeadlineShare = 0.35;
     /// Tells refused callers to retry when the queue that they met will have drained.
     bool derivesRetryAfterFromQueue = true;
+    /// Limits less urgent requests of a service to a lower utilization than urgent ones, but only while urgent requests
+    /// were seen in the last seconds. false: they are always limited, by their own objective.
+    bool reservesForUrgent = false;
 };
 
 struct BalanceSettings {
--- a/lib/Balance/Admission.cpp
+++ b/lib/Balance/Admission.cpp
@@ -21,6 +21,9 @@
 constexpr double MinServiceTime = 1e-6;
 /// Assumed round trip to a target in another region.
 constexpr Milliseconds OtherRegionLatency{60};
+/// Time since the last urgent request after which less urgent ones may use the capacity kept for it. Urgent requests
+/// come in bursts, which a shorter time would meet with full queues.
+constexpr std::chrono::seconds UrgentInterval{3};
 constexpr unsigned LowestPriority = std::numeric_limits<unsigned>::max();
 
 } // namespace
@@ -50,6 +53,7 @@
 void AdmissionControl::setTable(const RouteTable &table)
 {
     m_urgentPriority.clear();
+    m_urgentRoutes.clear(); // other routes may be the most urgent ones now
     std::optional<unsigned> tenantPriority;
     bool usesRoutePriority = table.tenants.empty();
     for (const Tenant &tenant : table.tenants) {
@@ -66,11 +70,17 @@
     }
 }
 
-void AdmissionControl::countRequest(const Route &route, std::optional<Duration> deadline)
+void AdmissionControl::countRequest(const Route &route, std::optional<Duration> deadline, TimePoint now)
 {
     if (deadline) {
         m_stats[route.name].addDeadline(*deadline);
     }
+    if (!m_policy.reservesForUrgent || !isMostUrgent(route)) {
+        return;
+    }
+    for (const WeightedService &it : route.services) {
+        m_urgentRoutes[it.service][route.name] = {route.objective, now};
+    }
 }
 
 RouteStats &AdmissionControl::stats(const std::string &route)
@@ -103,20 +113,54 @@
 }
 
 double AdmissionControl::admissibleUtilization(const Route &route, Duration objectiveLeft, Duration timeLeft,
-                                               bool isInOtherRegion, bool isReturning) const
+                                               bool isInOtherRegion, bool isReturning, TimePoint now) const
+{
+    AdmissionQuery query = queryFor(route.name, objectiveLeft, isInOtherRegion);
+    query.timeLeft = timeLeft;
+    query.isUrgent = isMostUrgent(route);
+    query.lateDeadlineShare = isReturning ? m_policy.lateDeadlineShare : 0;
+    if (!m_policy.reservesForUrgent || query.isUrgent) {
+        return pepperlug::fleet::admissibleUtilization(query);
+    }
+    const std::optional<double> limit = limitBesideUrgent(route.services.front().service, isInOtherRegion, now);
+    query.isUrgent = !limit;
+    const double own = pepperlug::fleet::admissibleUtilization(query);
+    return limit ? std::min(own, *limit) : own;
+}
+
+AdmissionQuery AdmissionControl::queryFor(const std::string &route, Duration objectiveLeft, bool isInOtherRegion) const
 {
     AdmissionQuery query;
-    const auto stats = m_stats.find(route.name);
+    const auto stats = m_stats.find(route);
     if (stats != m_stats.end()) {
         query.serviceTime = stats->second.serviceTime();
         query.warmServiceTime = stats->second.warmServiceTime();
     }
     query.objectiveLeft = objectiveLeft;
-    query.timeLeft = timeLeft;
     query.extraLatency = isInOtherRegion ? OtherRegionLatency : Milliseconds(0);
-    query.isUrgent = isMostUrgent(route);
-    query.lateDeadlineShare = isReturning ? m_policy.lateDeadlineShare : 0;
-    return pepperlug::fleet::admissibleUtilization(query);
+    return query;
+}
+
+// A less urgent request with a longer objective, or a returning one, may wait in a queue in which an urgent request
+// would be late. All wait in the same queue, so its length must stay below what urgent requests accept.
+std::optional<double> AdmissionControl::limitBesideUrgent(const std::string &service, bool isInOtherRegion,
+                                                          TimePoint now) const
+{
+    std::optional<double> limit;
+    const auto routes = m_urgentRoutes.find(service);
+    if (routes == m_urgentRoutes.end()) {
+        return limit;
+    }
+    for (const auto &[name, route] : routes->second) {
+        if (now - route.seenAt > UrgentInterval) {
+            continue;
+        }
+        AdmissionQuery query = queryFor(name, route.objective, isInOtherRegion);
+        query.isUrgent = true;
+        const double own = pepperlug::fleet::admissibleUtilization(query) * LessUrgentFreeUtilization;
+        limit = std::min(limit.value_or(own), own);
+    }
+    return limit;
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Balance/Admission.h
+++ b/lib/Balance/Admission.h
@@ -38,7 +38,7 @@
 
     void setTable(const RouteTable &table);
     /// Records the arrival of a request. `deadline`: time that the caller had left; nothing if it did not state it.
-    void countRequest(const Route &route, std::optional<Duration> deadline);
+    void countRequest(const Route &route, std::optional<Duration> deadline, TimePoint now);
     RouteStats &stats(const std::string &route);
     /// Mean size of a route's answers; 0 while there is no sample.
     double answerBytes(const std::string &route) const;
@@ -50,10 +50,22 @@
     /// Returns the highest utilization of a target at which a request of the route is admitted.
     /// `objectiveLeft`: until the answer would be late; `timeLeft`: until it would be useless.
     double admissibleUtilization(const Route &route, Duration objectiveLeft, Duration timeLeft, bool isInOtherRegion,
-                                 bool isReturning) const;
+                                 bool isReturning, TimePoint now) const;
 
 private:
+    /// A most urgent route whose requests were seen lately.
+    struct UrgentRoute {
+        Duration objective{};
+        TimePoint seenAt{};
+    };
+
+    AdmissionQuery queryFor(const std::string &route, Duration objectiveLeft, bool isInOtherRegion) const;
+    /// Returns the highest utilization at which less urgent requests are admitted now that urgent ones use the service;
+    /// nothing if none were seen lately.
+    std::optional<double> limitBesideUrgent(const std::string &service, bool isInOtherRegion, TimePoint now) const;
+
     BalancePolicy m_policy;
+    std::map<std::string, std::map<std::string, UrgentRoute>> m_urgentRoutes; ///< by service and route
     std::map<std::string, unsigned> m_urgentPriority; ///< by service: the most urgent one among its routes
     std::map<std::string, RouteStats> m_stats; ///< by route
 };
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -171,7 +171,7 @@
     m_shiftAllowances[open.service].countRequest(m_now);
     m_budgets.at(open.service).countRequest(m_now);
     open.isCallerRetry = m_admission.isReturning(open.route, event.deadline);
-    m_admission.countRequest(open.route, event.deadline);
+    m_admission.countRequest(open.route, event.deadline, m_now);
     const Placement placement = place(open);
     if (placement.target == nullptr) {
         const double excess = std::max(0.0, placement.utilization - placement.admissibleUtilization);
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -99,7 +99,7 @@
 {
     const Duration objectiveLeft = open.route.objective - (m_now - open.arrivedAt);
     return m_admission.admissibleUtilization(open.route, objectiveLeft, open.deadline - m_now, isInOtherRegion,
-                                             open.isCallerRetry);
+                                             open.isCallerRetry, m_now);
 }
 
 // Small answers are never held back: the bound on large answers leaves capacity for them.
--- a/unittests/Balance/AdmissionTest.cpp
+++ b/unittests/Balance/AdmissionTest.cpp
@@ -105,7 +105,7 @@
     SharedService it{{}};
     CHECK_FALSE(it.admission.isReturning(it.urgent, 1s));
     for (int n = 0; n < 10; ++n) {
-        it.admission.countRequest(it.urgent, 3s);
+        it.admission.countRequest(it.urgent, 3s, TimePoint(1000s));
     }
     CHECK(it.admission.isReturning(it.urgent, 2800ms));
     CHECK_FALSE(it.admission.isReturning(it.urgent, 2900ms));
@@ -123,3 +123,63 @@
     other.services = {{"unknown", 1}};
     CHECK(it.admission.isMostUrgent(other));
 }
+
+// Load: a burst of orders meets queues that allocations, which may wait, have filled. Guards against orders that are
+// refused more often than allocations because of their shorter objective.
+TEST_CASE("less urgent requests leave room in the queue for urgent ones that were seen lately")
+{
+    BalancePolicy policy;
+    policy.reservesForUrgent = true;
+    SharedService it{policy};
+    const TimePoint now{1000s};
+    const auto limit = [&](const Route &route, bool isReturning, TimePoint at) {
+        return it.admission.admissibleUtilization(route, route.objective, 5s, false, isReturning, at);
+    };
+    it.admission.countRequest(it.urgent, {}, now);
+    for (const bool isReturning : {false, true}) {
+        CHECK(limit(it.deferrable, isReturning, now + 3s) < limit(it.urgent, false, now + 3s));
+        CHECK(limit(it.deferrable, isReturning, now + 3s) >= 0.9);
+    }
+    const Duration objective = it.deferrable.objective;
+    CHECK(it.admission.admissibleUtilization(it.deferrable, objective, 5s, true, false, now)
+          < it.admission.admissibleUtilization(it.urgent, it.urgent.objective, 5s, true, false, now));
+}
+
+// Load: allocations only, after the last order of a burst. Guards against capacity that is kept for nobody.
+TEST_CASE("capacity kept for urgent requests is released three seconds after the last one")
+{
+    BalancePolicy policy;
+    policy.reservesForUrgent = true;
+    SharedService it{policy};
+    const TimePoint now{1000s};
+    const auto limitAt = [&](TimePoint at) {
+        return it.admission.admissibleUtilization(it.deferrable, 1500ms, 5s, false, false, at);
+    };
+    const double unused = limitAt(now);
+    it.admission.countRequest(it.deferrable, {}, now);
+    CHECK(limitAt(now) == Approx(unused));
+    it.admission.countRequest(it.urgent, {}, now);
+    CHECK(limitAt(now + 3s) < unused);
+    CHECK(limitAt(now + 3001ms) == Approx(unused));
+    // No urgent request is in sight, so the less urgent one has the thresholds of an urgent one.
+    Route alone = it.deferrable;
+    alone.priority = 0;
+    CHECK(unused == Approx(it.admission.admissibleUtilization(alone, 1500ms, 5s, false, false, now)));
+}
+
+// Guards against a change of deployments that do not set reserve_for_urgent.
+TEST_CASE("without a reserve for urgent requests the limit does not depend on them")
+{
+    SharedService it{{}};
+    const TimePoint now{1000s};
+    AdmissionQuery query;
+    query.objectiveLeft = it.deferrable.objective;
+    query.timeLeft = 5s;
+    query.serviceTime = it.admission.stats(it.deferrable.name).serviceTime();
+    query.warmServiceTime = it.admission.stats(it.deferrable.name).warmServiceTime();
+    for (int n = 0; n < 2; ++n) {
+        CHECK(it.admission.admissibleUtilization(it.deferrable, it.deferrable.objective, 5s, false, false, now)
+              == Approx(admissibleUtilization(query)));
+        it.admission.countRequest(it.urgent, {}, now);
+    }
+}
--- a/unittests/Fleet/SettingsTest.cpp
+++ b/unittests/Fleet/SettingsTest.cpp
@@ -110,6 +110,20 @@
     }
 }
 
+// Guards against new behavior in deployments whose settings do not call for it, and against values that are dropped.
+TEST_CASE("an entry host's policy settings are off by default and must be true or false")
+{
+    const auto [key, member] = GENERATE(std::make_pair("reserve_for_urgent", &BalancePolicy::reservesForUrgent));
+    nlohmann::json json = entryJson();
+    CHECK_FALSE(parse(json, FleetRole::Entry).policy.*member);
+    json["policy"][key] = true;
+    CHECK(parse(json, FleetRole::Entry).policy.*member);
+    for (const nlohmann::json &value : {nlohmann::json("true"), nlohmann::json(1), nlohmann::json()}) {
+        json["policy"][key] = value;
+        CHECK_THROWS_AS(parse(json, FleetRole::Entry), InvalidInput);
+    }
+}
+
 TEST_CASE("a control host listens at peer_listen and not at its peer address")
 {
     const Folder folder;
