Balance: refused callers return by a schedule, and find capacity

Retry-After was derived from the one queue that the request met, with a random part, and a returning caller competed with new requests. With schedule_returns, ReturnSchedule spreads the callers of an overloaded service at the rate at which its slots become free, the most urgent and oldest first, within a third of their time left. New requests leave room for callers who are due, for 100 ms after their time at most. A part of a slot can't be kept, so a share of the targets keeps one; the ids choose them, so that all hosts choose the same. Off by default.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -37,6 +37,9 @@
     double lateDeadlineShare = 0.35;
     /// Tells refused callers to retry when the queue that they met will have drained.
     bool derivesRetryAfterFromQueue = true;
+    /// Spreads the return times that refused callers of an overloaded service are told, and keeps capacity for callers
+    /// who are due.
+    bool schedulesReturns = false;
     /// Limits less urgent requests of a service to a lower utilization than urgent ones, but only while urgent requests
     /// were seen in the last seconds. false: they are always limited, by their own objective.
     bool reservesForUrgent = false;
--- a/lib/Balance/Admission.cpp
+++ b/lib/Balance/Admission.cpp
@@ -105,7 +105,8 @@
 bool AdmissionControl::isReturning(const Route &route, std::optional<Duration> deadline) const
 {
     const auto stats = m_stats.find(route.name);
-    if (m_policy.lateDeadlineShare <= 0 || !deadline || stats == m_stats.end()) {
+    const bool isRelevant = m_policy.lateDeadlineShare > 0 || m_policy.schedulesReturns;
+    if (!isRelevant || !deadline || stats == m_stats.end()) {
         return false;
     }
     const std::optional<Duration> usual = stats->second.firstTryDeadline();
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -172,6 +172,9 @@
     m_budgets.at(open.service).countRequest(m_now);
     open.isCallerRetry = m_admission.isReturning(open.route, event.deadline);
     m_admission.countRequest(open.route, event.deadline, m_now);
+    if (open.isCallerRetry) {
+        m_returns.returned(open.service, open.route.priority, m_now);
+    }
     const Placement placement = place(open);
     if (placement.target == nullptr) {
         const double excess = std::max(0.0, placement.utilization - placement.admissibleUtilization);
@@ -240,6 +243,14 @@
     }
     const Milliseconds least = minRetryAfterFor(open.route);
     const Milliseconds drain = std::chrono::duration_cast<Milliseconds>(drainTime);
+    if (reason == Refusal::Overloaded) {
+        const Duration timeLeft = open.deadline - m_now;
+        const std::optional<Duration> scheduled = m_returns.adviseAt(
+            open.service, open.route.priority, std::max<Duration>(drainTime, least), timeLeft, m_now);
+        if (scheduled) {
+            return std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(*scheduled));
+        }
+    }
     Milliseconds base = m_settings.policy.derivesRetryAfterFromQueue ? std::clamp(drain, least, MaxRetryAfter) : least;
     if (reason == Refusal::Backpressure) {
         base = std::clamp(drain, least, MaxBackpressureRetryAfter);
@@ -368,6 +379,7 @@
         m_link.take(static_cast<double>(event.answerBytes) + AnswerHeadBytes - attempt.expectedBytes, m_now);
         m_admission.stats(open.route.name).addAnswerBytes(event.answerBytes);
         m_admission.stats(open.route.name).addServiceTime(m_now - attempt.startedAt, attempt.utilization);
+        m_returns.addServiceTime(open.service, m_now - attempt.startedAt, attempt.utilization);
         recordServiceTime(open, m_now - attempt.startedAt);
         m_out->emplace_back(PassAnswer{open.request.id, event.attempt});
         if (!event.isFailure) {
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -5,6 +5,7 @@
 #include "LinkBudget.h"
 #include "RegionPlan.h"
 #include "RetryBudget.h"
+#include "ReturnSchedule.h"
 #include "ShedWatch.h"
 #include "TargetSet.h"
 
@@ -151,6 +152,7 @@
     Placement place(const OpenRequest &open);
     Placement placeInRegion(const OpenRequest &open, const std::string &region, bool keepsKey = true);
     double admissibleUtilization(const OpenRequest &open, bool isInOtherRegion) const;
+    double reservedUtilization(const OpenRequest &open, const TargetState &target) const;
     std::string pickRegion(const OpenRequest &open);
     std::string regionByPlan(const OpenRequest &open, std::uint64_t key) const;
     std::string boundRegion(const OpenRequest &open) const;
@@ -158,12 +160,14 @@
     std::string pickService(const Route &route);
     bool fitsLink(const OpenRequest &open);
     void updatePlans();
+    void scheduleReturns(const std::string &service, const RegionSlots &capacity);
 
     BalanceSettings m_settings;
     std::string m_region;
     std::mt19937_64 m_random;
     TargetSet m_targets;
     AdmissionControl m_admission;
+    ReturnSchedule m_returns; ///< empty unless BalancePolicy::schedulesReturns
     std::shared_ptr<const RouteTable> m_table;
     std::optional<RouteIndex> m_routeIndex; ///< of m_table
     std::optional<UpdateReceived> m_lastUpdate;
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -92,6 +92,7 @@
         return placement;
     }
     placement.utilization = (placement.target->estimatedRequests(m_now) + 1) / placement.target->slots();
+    placement.admissibleUtilization -= reservedUtilization(open, *placement.target);
     return placement;
 }
 
@@ -102,6 +103,19 @@
                                              open.isCallerRetry, m_now);
 }
 
+// All hosts keep the same targets' slots free, as a host can't keep a part of a slot: a share of the targets, by their
+// ids, keeps one. A request that was admitted before is older than the callers who return.
+double Balancer::Impl::reservedUtilization(const OpenRequest &open, const TargetState &target) const
+{
+    if (open.isCallerRetry || open.attemptsStarted > 0) {
+        return 0;
+    }
+    const double reserved = m_returns.reservedUtilization(open.service, open.route.priority, m_now);
+    const double oneSlot = 1 / target.slots();
+    const bool keepsSlot = reserved > 0 && unitInterval(hash64(target.report.id)) * oneSlot < reserved;
+    return keepsSlot ? std::max(reserved, oneSlot) : 0;
+}
+
 // Small answers are never held back: the bound on large answers leaves capacity for them.
 bool Balancer::Impl::fitsLink(const OpenRequest &open)
 {
@@ -153,7 +167,7 @@
         return regionHasNoTarget ? other : rejected;
     }
     const bool isInOtherRegion = other.target->region != m_region;
-    if (other.utilization > admissibleUtilization(open, isInOtherRegion)) {
+    if (other.utilization > admissibleUtilization(open, isInOtherRegion) - reservedUtilization(open, *other.target)) {
         return {nullptr, other.utilization, Refusal::Overloaded, other.admissibleUtilization};
     }
     const bool mayMove = regionHasNoTarget || !isInOtherRegion
@@ -162,6 +176,16 @@
     return mayMove ? other : rejected;
 }
 
+// As many callers return to this host as it sends away, so it schedules for an equal part of all slots.
+void Balancer::Impl::scheduleReturns(const std::string &service, const RegionSlots &capacity)
+{
+    double slots = 0;
+    for (const auto &[region, it] : capacity) {
+        slots += it;
+    }
+    m_returns.setSlots(service, slots / static_cast<double>(std::max<std::size_t>(1, m_targets.entryHosts())));
+}
+
 void Balancer::Impl::updatePlans()
 {
     if (m_now < m_plansDueAt || !m_table) {
@@ -176,6 +200,9 @@
         const std::map<std::string, double> capacity = m_targets.capacity(
             service.name, serviceTime == m_meanServiceTime.end() ? std::nullopt : std::optional(serviceTime->second),
             m_now);
+        if (m_settings.policy.schedulesReturns) {
+            scheduleReturns(service.name, capacity);
+        }
         RegionSlots demand = m_targets.demand(service.name);
         const RegionSlots bound = m_targets.boundDemand(service.name);
         double sum = 0;
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -47,6 +47,7 @@
     policy.hashesRegions = reader.boolean("steady_regions", policy.hashesRegions);
     policy.lateDeadlineShare = reader.number("late_part", 0, 1, policy.lateDeadlineShare);
     policy.derivesRetryAfterFromQueue = reader.boolean("advise_by_queue", policy.derivesRetryAfterFromQueue);
+    policy.schedulesReturns = reader.boolean("schedule_returns", policy.schedulesReturns);
     policy.reservesForUrgent = reader.boolean("reserve_for_urgent", policy.reservesForUrgent);
     return policy;
 }
--- a/unittests/Fleet/SettingsTest.cpp
+++ b/unittests/Fleet/SettingsTest.cpp
@@ -113,7 +113,8 @@
 // Guards against new behavior in deployments whose settings do not call for it, and against values that are dropped.
 TEST_CASE("an entry host's policy settings are off by default and must be true or false")
 {
-    const auto [key, member] = GENERATE(std::make_pair("reserve_for_urgent", &BalancePolicy::reservesForUrgent));
+    const auto [key, member] = GENERATE(std::make_pair("reserve_for_urgent", &BalancePolicy::reservesForUrgent),
+                                        std::make_pair("schedule_returns", &BalancePolicy::schedulesReturns));
     nlohmann::json json = entryJson();
     CHECK_FALSE(parse(json, FleetRole::Entry).policy.*member);
     json["policy"][key] = true;
