--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -160,7 +160,6 @@
     std::string pickService(const Route &route);
     bool fitsLink(const OpenRequest &open);
     void updatePlans();
-    void scheduleReturns(const std::string &service, const RegionSlots &capacity);
 
     BalanceSettings m_settings;
     std::string m_region;
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -19,6 +19,15 @@
 constexpr Milliseconds MinResponseTimeout{600};
 constexpr Milliseconds PlanInterval{200};
 
+double sumOf(const RegionSlots &slots)
+{
+    double sum = 0;
+    for (const auto &[region, it] : slots) {
+        sum += it;
+    }
+    return sum;
+}
+
 } // namespace
 
 std::string Balancer::Impl::pickService(const Route &route)
@@ -176,16 +185,6 @@
     return mayMove ? other : rejected;
 }
 
-// As many callers return to this host as it sends away, so it schedules for an equal part of all slots.
-void Balancer::Impl::scheduleReturns(const std::string &service, const RegionSlots &capacity)
-{
-    double slots = 0;
-    for (const auto &[region, it] : capacity) {
-        slots += it;
-    }
-    m_returns.setSlots(service, slots / static_cast<double>(std::max<std::size_t>(1, m_targets.entryHosts())));
-}
-
 void Balancer::Impl::updatePlans()
 {
     if (m_now < m_plansDueAt || !m_table) {
@@ -201,29 +200,21 @@
             service.name, serviceTime == m_meanServiceTime.end() ? std::nullopt : std::optional(serviceTime->second),
             m_now);
         if (m_settings.policy.schedulesReturns) {
-            scheduleReturns(service.name, capacity);
+            // As many callers return to this host as it sends away, so it schedules for an equal part of all slots.
+            const auto hosts = static_cast<double>(std::max<std::size_t>(1, m_targets.entryHosts()));
+            m_returns.setSlots(service.name, sumOf(capacity) / hosts);
         }
         RegionSlots demand = m_targets.demand(service.name);
         const RegionSlots bound = m_targets.boundDemand(service.name);
-        double sum = 0;
-        for (const RegionSlots &slots : {demand, bound}) {
-            for (const auto &[region, it] : slots) {
-                sum += it;
-            }
-        }
-        if (sum < 1) {
+        if (sumOf(demand) + sumOf(bound) < 1) {
             // No demand is known yet: all regions are assumed to have the same.
-            double total = 0;
-            for (const auto &[region, slots] : capacity) {
-                total += slots;
-            }
             demand.clear();
             std::set<std::string> regions;
             for (const auto &[zone, region] : m_settings.regionOfZone) {
                 regions.insert(region);
             }
             for (const std::string &region : regions) {
-                demand[region] = total / static_cast<double>(regions.size());
+                demand[region] = sumOf(capacity) / static_cast<double>(regions.size());
             }
         }
         const auto [plan, isNew] = m_plans.try_emplace(service.name, step);
--- a/lib/Balance/RetryAdvice.h
+++ b/lib/Balance/RetryAdvice.h
@@ -21,6 +21,7 @@
 constexpr Milliseconds MaxBackpressureRetryAfter{5000};
 /// For requests without a known route, and thus without an objective, such as before the first routing arrives.
 constexpr Milliseconds NoRoutingRetryAfter{300};
+
 /// Returns the shortest time that a refused caller of a route is told to wait.
 inline Milliseconds minRetryAfterFor(const Route &route)
 {
