--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -95,6 +95,7 @@
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
     , m_targets(m_settings)
+    , m_admission(m_settings.policy)
     , m_quarantine(m_settings.firstProbeDelay)
     , m_quotas(m_settings.host, m_settings.address)
     , m_link(m_settings.linkBytesPerSecond)
@@ -116,7 +117,7 @@
     m_table = event.table;
     m_routeIndex.emplace(m_table);
     m_quotas.setTableVersion(m_table->version);
-    updateUrgentPriorities();
+    m_admission.setTable(*m_table);
     m_targets.setTable(m_table);
     m_targets.setEvacuatedZones(event.evacuatedZones, m_now);
     m_plansDueAt = {};
@@ -164,14 +165,15 @@
     if (refuseOrProbe(open)) {
         return;
     }
-    const Duration serviceTime = m_stats[route->name].serviceTime().value_or(route->objective / 2);
+    const Duration serviceTime = m_admission.stats(route->name).serviceTime().value_or(route->objective / 2);
     m_arrivals[{open.service, boundRegion(open)}].add(m_now, std::chrono::duration<double>(serviceTime).count());
-    m_requestedBytes.add(m_now, m_stats[route->name].answerBytes() + AnswerHeadBytes);
+    m_requestedBytes.add(m_now, m_admission.answerBytes(route->name) + AnswerHeadBytes);
     m_shiftAllowances[open.service].countRequest(m_now);
     m_budgets.at(open.service).countRequest(m_now);
-    open.isCallerRetry = isCallerRetry(open);
-    if (event.deadline) {
-        m_stats[route->name].addDeadline(*event.deadline);
+    open.isCallerRetry = m_admission.isReturning(open.route, event.deadline);
+    m_admission.countRequest(open.route, event.deadline, m_now);
+    if (open.isCallerRetry) {
+        m_returns.returned(open.service, open.route.priority, m_now);
     }
     const Placement placement = place(open);
     if (placement.target == nullptr) {
@@ -196,7 +198,7 @@
     TargetState &target = *placement.target;
     m_targets.attemptStarted(target, m_now);
     const unsigned number = ++open.attemptsStarted;
-    const double bytes = m_stats[open.route.name].answerBytes() + AnswerHeadBytes;
+    const double bytes = m_admission.answerBytes(open.route.name) + AnswerHeadBytes;
     m_link.take(bytes, m_now);
     open.attempts[number] = {{target.report.id, target.report.startedAt},
                              target.report.address,
@@ -244,6 +246,14 @@
     }
     const Milliseconds least = minRetryAfterFor(open.route);
     const Milliseconds drain = std::chrono::duration_cast<Milliseconds>(drainTime);
+    if (reason == Refusal::Overloaded) {
+        const Duration timeLeft = open.deadline - m_now;
+        const std::optional<Duration> scheduled = m_returns.adviseAt(
+            open.service, open.route.priority, std::max<Duration>(drainTime, least), timeLeft, m_now);
+        if (scheduled) {
+            return std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(*scheduled));
+        }
+    }
     Milliseconds base = m_settings.policy.derivesRetryAfterFromQueue ? std::clamp(drain, least, MaxRetryAfter) : least;
     if (reason == Refusal::Backpressure) {
         base = std::clamp(drain, least, MaxBackpressureRetryAfter);
@@ -370,8 +380,9 @@
     }
     if (event.outcome == AttemptOutcome::Answered) {
         m_link.take(static_cast<double>(event.answerBytes) + AnswerHeadBytes - attempt.expectedBytes, m_now);
-        m_stats[open.route.name].addAnswerBytes(event.answerBytes);
-        m_stats[open.route.name].addServiceTime(m_now - attempt.startedAt, attempt.utilization);
+        m_admission.stats(open.route.name).addAnswerBytes(event.answerBytes);
+        m_admission.stats(open.route.name).addServiceTime(m_now - attempt.startedAt, attempt.utilization);
+        m_returns.addServiceTime(open.service, m_now - attempt.startedAt, attempt.utilization);
         recordServiceTime(open, m_now - attempt.startedAt);
         m_out->emplace_back(PassAnswer{open.request.id, event.attempt});
         if (!event.isFailure) {
@@ -436,7 +447,7 @@
 
 bool Balancer::Impl::isTargetUnresponsive(const Attempt &attempt, const Route &route)
 {
-    const Duration serviceTime = m_stats[route.name].serviceTime().value_or(route.objective);
+    const Duration serviceTime = m_admission.stats(route.name).serviceTime().value_or(route.objective);
     const Duration hedgeTimeout = std::max<Duration>(MinHedgeTimeout, serviceTime * HedgeTimeoutFactor);
     const TargetState *target = m_targets.find(attempt.target);
     const bool isUnresponsive = target == nullptr || target->isUnresponsive(m_now, hedgeTimeout);
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -4,9 +4,7 @@
 // refused at once: the caller may retry, and a queue of requests that will be late serves nobody.
 //
 //===----------------------------------------------------------------------===//
-#include "Admission.h"
 #include "Impl.h"
-#include "RetryAdvice.h"
 
 namespace pepperlug::fleet
 {
@@ -14,8 +12,6 @@
 namespace
 {
 
-/// Assumed round trip to a target in another region.
-constexpr Milliseconds OtherRegionLatency{60};
 /// Share of maxShift for requests that leave their region outside the plan.
 constexpr double UnplannedShiftShare = 0.2;
 /// Utilization of all targets of a service up to which a returning caller may use a target without the key's data. The
@@ -25,7 +21,15 @@
 constexpr int ResponseTimeoutFactor = 3;
 constexpr Milliseconds MinResponseTimeout{600};
 constexpr Milliseconds PlanInterval{200};
-constexpr unsigned LowestPriority = std::numeric_limits<unsigned>::max();
+
+double sumOf(const RegionSlots &slots)
+{
+    double sum = 0;
+    for (const auto &[region, it] : slots) {
+        sum += it;
+    }
+    return sum;
+}
 
 } // namespace
 
@@ -86,12 +90,12 @@
     query.excluded = open.triedTargets;
     query.homeRegions = &open.route.homeRegions;
     query.region = region;
-    const Duration serviceTime = m_stats[open.route.name].serviceTime().value_or(open.route.objective);
+    const Duration serviceTime = m_admission.stats(open.route.name).serviceTime().value_or(open.route.objective);
     query.responseTimeout = std::max<Duration>(MinResponseTimeout, serviceTime * ResponseTimeoutFactor);
     query.admissibleUtilization = admissibleUtilization(open, !region.empty() && region != m_region);
     Placement placement;
     placement.admissibleUtilization = query.admissibleUtilization;
-    query.isUrgent = isMostUrgent(open.route);
+    query.isUrgent = m_admission.isMostUrgent(open.route);
     const TargetChoice choice = m_targets.choose(query, m_now);
     placement.target = choice.target;
     if (placement.target == nullptr) {
@@ -100,68 +104,34 @@
         return placement;
     }
     placement.utilization = (placement.target->estimatedRequests(m_now) + 1) / placement.target->slots();
+    placement.admissibleUtilization -= reservedUtilization(open, *placement.target);
     return placement;
 }
 
-// Computed in advance, since every request needs it and a table may have hundreds of routes. A tenant's priority
-// overrides that of a route.
-void Balancer::Impl::updateUrgentPriorities()
-{
-    m_urgentPriority.clear();
-    std::optional<unsigned> tenantPriority;
-    bool usesRoutePriority = m_table->tenants.empty();
-    for (const Tenant &tenant : m_table->tenants) {
-        usesRoutePriority |= !tenant.priority;
-        tenantPriority = std::min(tenantPriority.value_or(LowestPriority), tenant.priority.value_or(LowestPriority));
-    }
-    for (const Route &route : m_table->routes) {
-        const unsigned own = usesRoutePriority || route.isPublic ? route.priority : LowestPriority;
-        const unsigned priority = std::min(own, tenantPriority.value_or(LowestPriority));
-        for (const WeightedService &it : route.services) {
-            const auto [entry, isNew] = m_urgentPriority.try_emplace(it.service, priority);
-            entry->second = std::min(entry->second, priority);
-        }
-    }
-}
-
-bool Balancer::Impl::isMostUrgent(const Route &route) const
-{
-    const auto it = m_urgentPriority.find(route.services.front().service);
-    return it == m_urgentPriority.end() || route.priority <= it->second;
-}
-
 double Balancer::Impl::admissibleUtilization(const OpenRequest &open, bool isInOtherRegion) const
 {
-    AdmissionQuery query;
-    const auto stats = m_stats.find(open.route.name);
-    if (stats != m_stats.end()) {
-        query.serviceTime = stats->second.serviceTime();
-        query.warmServiceTime = stats->second.warmServiceTime();
-    }
-    query.objectiveLeft = open.route.objective - (m_now - open.arrivedAt);
-    query.timeLeft = open.deadline - m_now;
-    query.extraLatency = isInOtherRegion ? OtherRegionLatency : Milliseconds(0);
-    query.isUrgent = isMostUrgent(open.route);
-    query.lateDeadlineShare = open.isCallerRetry ? m_settings.policy.lateDeadlineShare : 0;
-    return pepperlug::fleet::admissibleUtilization(query);
+    const Duration objectiveLeft = open.route.objective - (m_now - open.arrivedAt);
+    return m_admission.admissibleUtilization(open.route, objectiveLeft, open.deadline - m_now, isInOtherRegion,
+                                             open.isCallerRetry, m_now);
 }
 
-// A caller that was refused before has less time left than at its first try. One that did not wait as advised
-// gets no precedence.
-bool Balancer::Impl::isCallerRetry(const OpenRequest &open)
+// All hosts keep the same targets' slots free, as a host can't keep a part of a slot: a share of the targets, by their
+// ids, keeps one. A request that was admitted before is older than the callers who return.
+double Balancer::Impl::reservedUtilization(const OpenRequest &open, const TargetState &target) const
 {
-    if (m_settings.policy.lateDeadlineShare <= 0 || !open.request.deadline) {
-        return false;
+    if (open.isCallerRetry || open.attemptsStarted > 0) {
+        return 0;
     }
-    const std::optional<Duration> usual = m_stats[open.route.name].firstTryDeadline();
-    return usual && *usual - *open.request.deadline >= minRetryAfterFor(open.route);
+    const double reserved = m_returns.reservedUtilization(open.service, open.route.priority, m_now);
+    const double oneSlot = 1 / target.slots();
+    const bool keepsSlot = reserved > 0 && unitInterval(hash64(target.report.id)) * oneSlot < reserved;
+    return keepsSlot ? std::max(reserved, oneSlot) : 0;
 }
 
 // Small answers are never held back: the bound on large answers leaves capacity for them.
 bool Balancer::Impl::fitsLink(const OpenRequest &open)
 {
-    const auto stats = m_stats.find(open.route.name);
-    const double bytes = stats == m_stats.end() ? 0 : stats->second.answerBytes();
+    const double bytes = m_admission.answerBytes(open.route.name);
     return bytes < static_cast<double>(LargeAnswerBytes) || m_link.has(bytes, m_now);
 }
 
@@ -211,7 +181,7 @@
         return regionHasNoTarget ? other : rejected;
     }
     const bool isInOtherRegion = other.target->region != m_region;
-    if (other.utilization > admissibleUtilization(open, isInOtherRegion)) {
+    if (other.utilization > admissibleUtilization(open, isInOtherRegion) - reservedUtilization(open, *other.target)) {
         return {nullptr, other.utilization, Refusal::Overloaded, other.admissibleUtilization};
     }
     const bool mayMove = regionHasNoTarget || !isInOtherRegion
@@ -234,27 +204,22 @@
         const std::map<std::string, double> capacity = m_targets.capacity(
             service.name, serviceTime == m_meanServiceTime.end() ? std::nullopt : std::optional(serviceTime->second),
             m_now);
+        if (m_settings.policy.schedulesReturns) {
+            // As many callers return to this host as it sends away, so it schedules for an equal part of all slots.
+            const auto hosts = static_cast<double>(std::max<std::size_t>(1, m_targets.entryHosts()));
+            m_returns.setSlots(service.name, sumOf(capacity) / hosts);
+        }
         RegionSlots demand = m_targets.demand(service.name);
         const RegionSlots bound = m_targets.boundDemand(service.name);
-        double sum = 0;
-        for (const RegionSlots &slots : {demand, bound}) {
-            for (const auto &[region, it] : slots) {
-                sum += it;
-            }
-        }
-        if (sum < 1) {
+        if (sumOf(demand) + sumOf(bound) < 1) {
             // No demand is known yet: all regions are assumed to have the same.
-            double total = 0;
-            for (const auto &[region, slots] : capacity) {
-                total += slots;
-            }
             demand.clear();
             std::set<std::string> regions;
             for (const auto &[zone, region] : m_settings.regionOfZone) {
                 regions.insert(region);
             }
             for (const std::string &region : regions) {
-                demand[region] = total / static_cast<double>(regions.size());
+                demand[region] = sumOf(capacity) / static_cast<double>(regions.size());
             }
         }
         double slots = 0;
