--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -211,7 +211,10 @@
         }
         RegionSlots demand = m_targets.demand(service.name);
         const RegionSlots bound = m_targets.boundDemand(service.name);
-        if (sumOf(demand) + sumOf(bound) < 1) {
+        const double sum = sumOf(demand) + sumOf(bound);
+        const double slots = sumOf(capacity);
+        m_utilization[service.name] = slots > 0 ? sum / slots : 1;
+        if (sum < 1) {
             // No demand is known yet: all regions are assumed to have the same.
             demand.clear();
             std::set<std::string> regions;
@@ -219,14 +222,9 @@
                 regions.insert(region);
             }
             for (const std::string &region : regions) {
-                demand[region] = sumOf(capacity) / static_cast<double>(regions.size());
+                demand[region] = slots / static_cast<double>(regions.size());
             }
         }
-        double slots = 0;
-        for (const auto &[region, it] : capacity) {
-            slots += it;
-        }
-        m_utilization[service.name] = slots > 0 ? sum / slots : 1;
         const auto [plan, isNew] = m_plans.try_emplace(service.name, step);
         plan->second.moveTowards(plannedShares(m_region, capacity, demand, bound), capacity, m_now);
     }
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -46,12 +46,12 @@
 
 bool isEquivalent(const std::vector<ServiceDemand> &lhs, const std::vector<ServiceDemand> &rhs)
 {
-    return std::equal(
-        lhs.begin(), lhs.end(), rhs.begin(), rhs.end(), [](const ServiceDemand &before, const ServiceDemand &after) {
-            const double larger = std::max({before.slots, after.slots, 1.0});
-            return before.service == after.service && before.homeRegion == after.homeRegion
-                && std::abs(before.slots - after.slots) < DemandTolerance * larger;
-        });
+    return std::equal(lhs.begin(), lhs.end(), rhs.begin(), rhs.end(),
+                      [](const ServiceDemand &before, const ServiceDemand &after) {
+                          const double larger = std::max({before.slots, after.slots, 1.0});
+                          return before.service == after.service && before.homeRegion == after.homeRegion
+                              && std::abs(before.slots - after.slots) < DemandTolerance * larger;
+                      });
 }
 
 bool isEquivalent(const Registry::HostEntry &old, const HostReport &report, TimePoint)
--- a/unittests/Fleet/SettingsTest.cpp
+++ b/unittests/Fleet/SettingsTest.cpp
@@ -124,6 +124,8 @@
     nlohmann::json control = controlJson();
     control["spare_connections"] = 1;
     CHECK_THROWS_AS(parse(control, FleetRole::Control), InvalidInput);
+}
+
 // Guards against new behavior in deployments whose settings do not call for it, and against values that are dropped.
 TEST_CASE("an entry host's policy settings are off by default and must be true or false")
 {
