--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -24,11 +24,11 @@
 /// Place of a list that earlier versions send. Sent as an empty list, and not read.
 struct RemovedList {
     template <typename Packer>
-    void msgpack_pack(Packer &packer) const
+    void msgpack_pack(Packer &packer) const // NOLINT(readability-identifier-naming): named by the library
     {
         packer.pack_array(0);
     }
-    void msgpack_unpack(const msgpack::object &)
+    void msgpack_unpack(const msgpack::object &) // NOLINT(readability-identifier-naming): named by the library
     {
     }
 };
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -118,7 +118,7 @@
     void onQuotaLoan(const IncomingCallPtr &call);
     void updateQuotaMembers(TimePoint now);
     void advanceQuotas(TimePoint now);
-    void carryOut(QuotaEffects effects);
+    void carryOut(const QuotaEffects &effects);
     void borrowTokens(const BorrowTokens &effect);
 
     // RegistrySuspects.cpp
--- a/lib/Fleet/RegistryQuotas.cpp
+++ b/lib/Fleet/RegistryQuotas.cpp
@@ -28,7 +28,7 @@
     m_quotaCalls[id] = call;
     QuotaEffects effects;
     m_quotas.receive(id, std::move(request), now, effects);
-    carryOut(std::move(effects));
+    carryOut(effects);
 }
 
 void RegistryDaemon::Impl::onQuotaLoan(const IncomingCallPtr &call)
@@ -72,7 +72,7 @@
     updateQuotaMembers(now);
     QuotaEffects effects;
     m_quotas.tick(now, effects);
-    carryOut(std::move(effects));
+    carryOut(effects);
     const QuotaIssuer::Totals &totals = m_quotas.totals();
     m_metrics.gauge("pepperlug_quota_tokens{state=\"granted\"}", static_cast<double>(totals.granted));
     m_metrics.gauge("pepperlug_quota_tokens{state=\"missing\"}", static_cast<double>(totals.missing));
@@ -82,7 +82,7 @@
 }
 
 // The mutex is held.
-void RegistryDaemon::Impl::carryOut(QuotaEffects effects)
+void RegistryDaemon::Impl::carryOut(const QuotaEffects &effects)
 {
     for (const QuotaEffect &effect : effects) {
         if (const auto *loan = std::get_if<BorrowTokens>(&effect)) {
@@ -107,7 +107,7 @@
                    const std::lock_guard lock(m_mutex);
                    QuotaEffects effects;
                    m_quotas.receiveLoan(wanted, lent, sentAt, m_clock.now(), effects);
-                   carryOut(std::move(effects));
+                   carryOut(effects);
                });
 }
 
