Balance: plans of regions follow the loss of targets at once

Cause: the share of a region that has lost targets moved at 3.75 in 100 per second, and the first reports of demand after a restart of all hosts kept all callers of the smallest region there. Its targets had two to four times as many requests as slots for 8 to 14 s, while those of other regions were 60 to 80 in 100 full.

Change: RegionPlanner takes the plans out of Balancer::Impl. Where the new setting follow_losses applies, planned shares are adopted at once for 6 s after a region has lost a fifth of its slots and after the first plan, and for that time an even demand is assumed.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -25,6 +25,13 @@
     double slack = 10; ///< additional retries in a window, over all hosts
 };
 
+/// When the plans of regions follow the loss of many targets at once, instead of at the bounded rate.
+enum class LossFollowing : std::uint8_t {
+    Off, ///< never
+    Paced, ///< where targets report a pace: they share their machines, so capacity varies
+    On, ///< always
+};
+
 /// Settings that choose between alternative algorithms.
 struct BalancePolicy {
     /// Number of targets in a region that may serve a key. A target is used only if all before it in the key's ranking
@@ -43,6 +50,7 @@
     /// Limits less urgent requests of a service to a lower utilization than urgent ones, but only while urgent requests
     /// were seen in the last seconds. false: they are always limited, by their own objective.
     bool reservesForUrgent = false;
+    LossFollowing lossFollowing = LossFollowing::Off;
 };
 
 struct BalanceSettings {
@@ -116,6 +124,8 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    /// Time that work takes at present, in percent of the usual time; nothing if the target does not report it.
+    std::optional<unsigned> pacePercent{};
 };
 
 /// The head of a large successful answer has arrived. The body is streamed to the caller as it arrives.
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -95,12 +95,13 @@
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
     , m_targets(m_settings)
+    , m_region(m_targets.regionOf(m_settings.zone))
     , m_admission(m_settings.policy)
+    , m_plans(m_settings, m_region)
     , m_quarantine(m_settings.firstProbeDelay)
     , m_quotas(m_settings.host, m_settings.address)
     , m_link(m_settings.linkBytesPerSecond)
 {
-    m_region = m_targets.regionOf(m_settings.zone);
 }
 
 void Balancer::Impl::reduce(const BalanceEvent &event, TimePoint now, BalanceEffects &out)
@@ -120,7 +121,7 @@
     m_admission.setTable(*m_table);
     m_targets.setTable(m_table);
     m_targets.setEvacuatedZones(event.evacuatedZones, m_now);
-    m_plansDueAt = {};
+    m_plans.expire();
     updatePlans();
 }
 
@@ -370,6 +371,7 @@
     const Attempt attempt = ended->second;
     open.attempts.erase(ended);
     m_targets.attemptEnded(attempt.target, event.outcome, event.load, m_now);
+    m_hasPacedTargets |= event.load && event.load->pacePercent;
     recordShed(open, event, attempt.target.id);
     if (attempt.usesLimitShare
         && (event.outcome == AttemptOutcome::NotSent || event.outcome == AttemptOutcome::Withdrawn)) {
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -3,7 +3,7 @@
 
 #include "Admission.h"
 #include "LinkBudget.h"
-#include "RegionPlan.h"
+#include "RegionPlanner.h"
 #include "RetryBudget.h"
 #include "ReturnSchedule.h"
 #include "ShedWatch.h"
@@ -168,11 +168,12 @@
     std::string pickService(const Route &route);
     bool fitsLink(const OpenRequest &open);
     void updatePlans();
+    bool followsLosses() const;
 
     BalanceSettings m_settings;
-    std::string m_region;
     std::mt19937_64 m_random;
     TargetSet m_targets;
+    std::string m_region;
     AdmissionControl m_admission;
     ReturnSchedule m_returns; ///< empty unless BalancePolicy::schedulesReturns
     std::shared_ptr<const RouteTable> m_table;
@@ -180,9 +181,8 @@
     std::optional<UpdateReceived> m_lastUpdate;
     bool m_isSuspended = false;
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
-    std::map<std::string, RegionPlan> m_plans; ///< by service
-    /// Demand of all regions over slots, by service; only of services with demand that home regions bind.
-    std::map<std::string, double> m_utilization;
+    RegionPlanner m_plans;
+    bool m_hasPacedTargets = false; ///< a target has reported its pace
     std::map<std::string, RetryBudget> m_budgets; ///< by service
     std::map<std::string, ShedWatch> m_sheds; ///< by service
     Quarantine m_quarantine;
@@ -198,7 +198,6 @@
     std::map<std::string, double> m_meanServiceTime; ///< by service: seconds, over recent answers
     std::map<std::string, std::vector<double>> m_serviceCredits; ///< by route: credit of each of its services
     TimePoint m_now{};
-    TimePoint m_plansDueAt{};
     BalanceEffects *m_out = nullptr;
 };
 
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -20,7 +20,6 @@
 /// Service times without an answer after which a target counts as unresponsive.
 constexpr int ResponseTimeoutFactor = 3;
 constexpr Milliseconds MinResponseTimeout{600};
-constexpr Milliseconds PlanInterval{200};
 
 } // namespace
 
@@ -46,13 +45,7 @@
 
 std::string Balancer::Impl::regionByPlan(const OpenRequest &open, std::uint64_t key) const
 {
-    const auto plan = m_plans.find(open.service);
-    if (!open.route.homeRegions.empty() || plan == m_plans.end()) {
-        return m_region;
-    }
-    const RegionPlan &shares = plan->second;
-    const std::string region =
-        m_settings.policy.hashesRegions ? shares.regionForKey(key) : shares.regionAt(unitInterval(key));
+    const std::string region = open.route.homeRegions.empty() ? m_plans.regionFor(open.service, key) : std::string();
     return region.empty() ? m_region : region;
 }
 
@@ -139,8 +132,8 @@
 
 bool Balancer::Impl::maySpillByPlan(const OpenRequest &open) const
 {
-    const auto it = m_utilization.find(open.service);
-    return it != m_utilization.end() && it->second <= MaxSpillUtilization && open.route.homeRegions.empty();
+    const std::optional<double> utilization = m_plans.utilizationWithBound(open.service);
+    return utilization && *utilization <= MaxSpillUtilization && open.route.homeRegions.empty();
 }
 
 Balancer::Impl::Placement Balancer::Impl::place(const OpenRequest &open)
@@ -187,46 +180,28 @@
 
 void Balancer::Impl::updatePlans()
 {
-    if (m_now < m_plansDueAt || !m_table) {
+    if (!m_table || !m_plans.isDue(m_now)) {
         return;
     }
-    m_plansDueAt = m_now + PlanInterval;
-    // Half of the bound: the states that it compares lie two windows apart, and random choices move some requests too.
-    const double window = std::chrono::duration<double>(m_settings.shiftWindow).count();
-    const double step = m_settings.maxShift / window / 2;
     for (const ServiceTraits &service : m_table->services) {
         const auto serviceTime = m_meanServiceTime.find(service.name);
-        const RegionSlots capacity = m_targets.capacity(
-            service.name, serviceTime == m_meanServiceTime.end() ? std::nullopt : std::optional(serviceTime->second),
-            m_now);
+        const std::optional<double> mean =
+            serviceTime == m_meanServiceTime.end() ? std::nullopt : std::optional(serviceTime->second);
+        RegionState state{m_targets.capacity(service.name, mean, m_now), m_targets.demand(service.name),
+                          m_targets.boundDemand(service.name)};
         if (m_settings.policy.schedulesReturns) {
             // As many callers return to this host as it sends away, so it schedules for an equal part of all slots.
             const auto hosts = static_cast<double>(std::max<std::size_t>(1, m_targets.entryHosts()));
-            m_returns.setSlots(service.name, sumOf(capacity) / hosts);
-        }
-        RegionSlots demand = m_targets.demand(service.name);
-        const RegionSlots bound = m_targets.boundDemand(service.name);
-        const double sum = sumOf(demand) + sumOf(bound);
-        const double slots = sumOf(capacity);
-        if (bound.empty()) {
-            m_utilization.erase(service.name);
-        } else {
-            m_utilization[service.name] = slots > 0 ? sum / slots : 1;
-        }
-        if (sum < 1) {
-            // No demand is known yet: all regions are assumed to have the same.
-            demand.clear();
-            std::set<std::string> regions;
-            for (const auto &[zone, region] : m_settings.regionOfZone) {
-                regions.insert(region);
-            }
-            for (const std::string &region : regions) {
-                demand[region] = slots / static_cast<double>(regions.size());
-            }
+            m_returns.setSlots(service.name, sumOf(state.capacity) / hosts);
         }
-        const auto [plan, isNew] = m_plans.try_emplace(service.name, step);
-        plan->second.moveTowards(plannedShares(m_region, capacity, demand, bound), capacity, m_now);
+        m_plans.update(service.name, std::move(state), followsLosses(), m_now);
     }
 }
 
+bool Balancer::Impl::followsLosses() const
+{
+    const LossFollowing following = m_settings.policy.lossFollowing;
+    return following == LossFollowing::On || (following == LossFollowing::Paced && m_hasPacedTargets);
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Balance/RegionPlan.cpp
+++ b/lib/Balance/RegionPlan.cpp
@@ -13,6 +13,11 @@
 
 /// Utilization up to which a region serves all of its own callers.
 constexpr double FullUtilization = 0.6;
+/// Fraction of a region's slots whose loss within seconds is followed at once. Single targets that restart are fewer.
+constexpr double LargeLoss = 0.2;
+/// Half-life of the capacity that a loss is measured against. Targets that fail at the same moment are reported as lost
+/// within two of their report intervals of 1.5 s.
+constexpr std::chrono::duration<double> CapacityHalfLife{6.0};
 /// Spare slots below which a region counts as full.
 constexpr double MinSpareSlots = 0.5;
 
@@ -82,16 +87,38 @@
 {
 }
 
-void RegionPlan::moveTowards(const RegionShares &planned, const std::map<std::string, double> &capacity, TimePoint now)
+// Targets of a region that fails are reported as lost one after the other, so the comparison is with the highest
+// capacity of the last seconds, which decays.
+bool RegionPlan::hasLostSlots(const RegionSlots &capacity, TimePoint now)
+{
+    const double halves = m_recentCapacity.empty() ? 0 : secondsOf(now - m_notedAt) / CapacityHalfLife.count();
+    bool hasLost = m_recentCapacity.empty();
+    for (auto &[region, recent] : m_recentCapacity) {
+        recent *= std::exp2(-halves);
+        hasLost |= valueOr0(capacity, region) < recent * (1 - LargeLoss);
+    }
+    for (const auto &[region, slots] : capacity) {
+        double &recent = m_recentCapacity[region];
+        recent = std::max(recent, slots);
+    }
+    m_notedAt = now;
+    return hasLost;
+}
+
+void RegionPlan::moveTowards(const RegionShares &planned, const RegionSlots &capacity, TimePoint now,
+                             bool followsLosses)
 {
     if (planned.empty()) {
         return;
     }
+    if (followsLosses && hasLostSlots(capacity, now)) {
+        m_settledAt = now + SettleTime;
+    }
     // The first plan is adopted as a whole, and traffic leaves a region without targets at once.
     const bool leavesEmptyRegion = std::any_of(m_shares.begin(), m_shares.end(), [&](const auto &it) {
         return it.second > 0 && valueOr0(capacity, it.first) <= 0;
     });
-    if (m_shares.empty() || leavesEmptyRegion) {
+    if (m_shares.empty() || leavesEmptyRegion || (followsLosses && now < m_settledAt)) {
         m_shares = planned;
         m_movedAt = now;
         return;
--- a/lib/Balance/RegionPlan.h
+++ b/lib/Balance/RegionPlan.h
@@ -30,10 +30,17 @@
 class RegionPlan
 {
 public:
+    /// Time after a loss, or after the first plan, until the demand that a plan needs is known: reports of demand cross
+    /// two hosts and are averaged over some seconds.
+    static constexpr std::chrono::seconds SettleTime{6};
+
     /// `maxStep`: share of the requests that may move to other regions in a second.
     explicit RegionPlan(double maxStep);
 
-    void moveTowards(const RegionShares &planned, const std::map<std::string, double> &capacity, TimePoint now);
+    /// `followsLosses`: after a region has lost many of its slots, and after the first plan, the planned shares are
+    /// adopted at once until they have settled. Requests that stay with a region that can't serve them are late.
+    void moveTowards(const RegionShares &planned, const RegionSlots &capacity, TimePoint now,
+                     bool followsLosses = false);
     /// Region for a point in [0, 1); empty while there is no plan.
     std::string regionAt(double point) const;
     /// Region for a key, by weighted rendezvous hashing: a region whose share grows gains keys, and no other key moves.
@@ -41,9 +48,15 @@
     const RegionShares &shares() const;
 
 private:
+    /// Returns true if a region has just lost many slots, or there was no capacity before.
+    bool hasLostSlots(const RegionSlots &capacity, TimePoint now);
+
     double m_maxStep;
     RegionShares m_shares;
     TimePoint m_movedAt{};
+    RegionSlots m_recentCapacity; ///< highest one of the last seconds
+    TimePoint m_notedAt{}; ///< when m_recentCapacity was updated
+    TimePoint m_settledAt{};
 };
 
 } // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Balance/RegionPlanner.cpp
@@ -0,0 +1,93 @@
+//===- RegionPlanner.cpp - Regions that serve an entry host's callers -----===//
+#include "RegionPlanner.h"
+
+#include <algorithm>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+constexpr Milliseconds PlanInterval{200};
+/// Demand in slots below which none is known yet.
+constexpr double MinKnownDemand = 1;
+
+} // namespace
+
+RegionPlanner::RegionPlanner(const BalanceSettings &settings, std::string region)
+    : m_settings(settings)
+    , m_region(std::move(region))
+{
+}
+
+bool RegionPlanner::isDue(TimePoint now)
+{
+    if (now < m_dueAt) {
+        return false;
+    }
+    m_dueAt = now + PlanInterval;
+    return true;
+}
+
+void RegionPlanner::expire()
+{
+    m_dueAt = {};
+}
+
+RegionSlots RegionPlanner::evenDemand(const RegionSlots &capacity) const
+{
+    std::set<std::string> regions;
+    for (const auto &[zone, region] : m_settings.regionOfZone) {
+        regions.insert(region);
+    }
+    RegionSlots demand;
+    for (const std::string &region : regions) {
+        demand[region] = sumOf(capacity) / static_cast<double>(regions.size());
+    }
+    return demand;
+}
+
+// Half of the bound: the states that it compares lie two windows apart, and random choices move some requests too.
+double RegionPlanner::maxStep() const
+{
+    return m_settings.maxShift / std::chrono::duration<double>(m_settings.shiftWindow).count() / 2;
+}
+
+// After all hosts have restarted, a small region would keep all of its callers by the first reports of demand, which
+// come from a few hosts.
+void RegionPlanner::update(const std::string &service, RegionState state, bool followsLosses, TimePoint now)
+{
+    const auto [place, isNew] = m_plans.try_emplace(service, ServicePlan{RegionPlan(maxStep()), now, std::nullopt});
+    ServicePlan &it = place->second;
+    const double sum = sumOf(state.demand) + sumOf(state.bound);
+    const double slots = sumOf(state.capacity);
+    it.utilizationWithBound = state.bound.empty() ? std::nullopt : std::optional(slots > 0 ? sum / slots : 1);
+    if (sum < MinKnownDemand) {
+        state.demand = evenDemand(state.capacity);
+    } else if (followsLosses && now < it.startedAt + RegionPlan::SettleTime) {
+        for (const auto &[region, demand] : evenDemand(state.capacity)) {
+            state.demand[region] = std::max(state.demand[region], demand);
+        }
+    }
+    const RegionShares planned = plannedShares(m_region, state.capacity, state.demand, state.bound);
+    it.plan.moveTowards(planned, state.capacity, now, followsLosses);
+}
+
+std::string RegionPlanner::regionFor(const std::string &service, std::uint64_t key) const
+{
+    const auto it = m_plans.find(service);
+    if (it == m_plans.end()) {
+        return {};
+    }
+    const RegionPlan &plan = it->second.plan;
+    return m_settings.policy.hashesRegions ? plan.regionForKey(key) : plan.regionAt(unitInterval(key));
+}
+
+std::optional<double> RegionPlanner::utilizationWithBound(const std::string &service) const
+{
+    const auto it = m_plans.find(service);
+    return it == m_plans.end() ? std::nullopt : it->second.utilizationWithBound;
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -40,6 +40,22 @@
     return bounds;
 }
 
+LossFollowing readLossFollowing(ObjectReader &reader, LossFollowing fallback)
+{
+    static const std::map<std::string, LossFollowing> Names{
+        {"off", LossFollowing::Off}, {"paced", LossFollowing::Paced}, {"on", LossFollowing::On}};
+    if (!reader.has("follow_losses")) {
+        return fallback;
+    }
+    const std::string name = reader.text("follow_losses");
+    const auto it = Names.find(name);
+    if (it == Names.end()) {
+        reader.fault("follow_losses", "\"" + name + "\" is not one of \"off\", \"paced\" and \"on\"");
+        return fallback;
+    }
+    return it->second;
+}
+
 BalancePolicy readPolicy(ObjectReader &reader)
 {
     BalancePolicy policy;
@@ -50,6 +66,7 @@
     policy.derivesRetryAfterFromQueue = reader.boolean("advise_by_queue", policy.derivesRetryAfterFromQueue);
     policy.schedulesReturns = reader.boolean("schedule_returns", policy.schedulesReturns);
     policy.reservesForUrgent = reader.boolean("reserve_for_urgent", policy.reservesForUrgent);
+    policy.lossFollowing = readLossFollowing(reader, policy.lossFollowing);
     return policy;
 }
 
@@ -95,6 +112,7 @@
         settings.bounds = readBounds(*bounds);
         bounds->finish();
     }
+    settings.contracts = reader.texts("contracts", false);
     settings.logLinesPerSecond = static_cast<unsigned>(reader.integer("log_lines_per_s", 0, 1000000, DefaultLogLines));
     if (role == FleetRole::Entry) {
         if (std::optional<ObjectReader> policy = reader.object("policy", false)) {
