Balance: demand of regions without queues and without the way to other regions

Cause: hosts of the smallest region reported three times the demand of others for the same requests. The times of their answers include the way to other regions and the queues of overloaded targets, so their region was planned to be half as used as the others. At the start of traffic, the first reports kept half of its callers there.

--- a/lib/Balance/Admission.cpp
+++ b/lib/Balance/Admission.cpp
@@ -19,8 +19,6 @@
 constexpr double LessUrgentFreeUtilization = 0.9;
 /// Lower bound of the service time in seconds; avoids a division by zero.
 constexpr double MinServiceTime = 1e-6;
-/// Assumed round trip to a target in another region.
-constexpr Milliseconds OtherRegionLatency{60};
 /// Time since the last urgent request after which less urgent ones may use the capacity kept for it. Urgent requests
 /// come in bursts, which a shorter time would meet with full queues.
 constexpr std::chrono::seconds UrgentInterval{3};
--- a/lib/Balance/Admission.h
+++ b/lib/Balance/Admission.h
@@ -14,6 +14,9 @@
 namespace pepperlug::fleet
 {
 
+/// Assumed round trip to a target in another region.
+constexpr Milliseconds OtherRegionLatency{60};
+
 /// Input of an admission decision.
 struct AdmissionQuery {
     Duration objectiveLeft{}; ///< until the answer would be late
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -167,7 +167,7 @@
         return;
     }
     const Duration serviceTime = m_admission.stats(route->name).serviceTime().value_or(route->objective / 2);
-    m_arrivals[{open.service, boundRegion(open)}].add(m_now, std::chrono::duration<double>(serviceTime).count());
+    m_arrivals[{open.service, boundRegion(open)}].add(m_now, secondsOf(occupancy(open.route, serviceTime)));
     m_requestedBytes.add(m_now, m_admission.answerBytes(route->name) + AnswerHeadBytes);
     m_shiftAllowances[open.service].countRequest(m_now);
     m_budgets.at(open.service).countRequest(m_now);
@@ -206,7 +206,8 @@
                              m_now,
                              placement.utilization,
                              bytes,
-                             target.limit.has_value()};
+                             target.limit.has_value(),
+                             target.region != m_region};
     open.triedTargets.insert(target.report.id);
     open.lastTarget = target.report.id;
     StartAttempt effect;
@@ -357,6 +358,24 @@
     }
 }
 
+// The way to another region, a new connection there, and a target's queue occupy no slot. If they counted, the hosts of
+// a region that is overloaded, or whose callers are served elsewhere, would report more demand for the same requests.
+Duration Balancer::Impl::occupancy(const Route &route, Duration serviceTime) const
+{
+    const auto it = m_localStats.find(route.name);
+    const std::optional<Duration> local = it == m_localStats.end() ? std::nullopt : it->second.serviceTime();
+    return followsLosses() ? local.value_or(serviceTime) : serviceTime;
+}
+
+// The way to another region occupies no slot. If it counted, the hosts of a region whose callers are served elsewhere
+// would report more demand than others for the same requests, and their region would be planned to be less used.
+Duration Balancer::Impl::timeAtTarget(const Attempt &attempt) const
+{
+    const Duration took = m_now - attempt.startedAt;
+    const bool isRemote = attempt.isInOtherRegion && followsLosses();
+    return isRemote ? std::max<Duration>(took - OtherRegionLatency, took / 2) : took;
+}
+
 void Balancer::Impl::handle(const AttemptEnded &event)
 {
     const auto it = m_open.find(static_cast<std::uint64_t>(event.id));
@@ -383,9 +402,14 @@
     if (event.outcome == AttemptOutcome::Answered) {
         m_link.take(static_cast<double>(event.answerBytes) + AnswerHeadBytes - attempt.expectedBytes, m_now);
         m_admission.stats(open.route.name).addAnswerBytes(event.answerBytes);
-        m_admission.stats(open.route.name).addServiceTime(m_now - attempt.startedAt, attempt.utilization);
-        m_returns.addServiceTime(open.service, m_now - attempt.startedAt, attempt.utilization);
-        recordServiceTime(open, m_now - attempt.startedAt);
+        const Duration took = timeAtTarget(attempt);
+        const bool hasWaited = !event.load || event.load->waiting > 0;
+        if (!attempt.isInOtherRegion && !hasWaited && followsLosses()) {
+            m_localStats[open.route.name].addServiceTime(took, attempt.utilization);
+        }
+        m_admission.stats(open.route.name).addServiceTime(took, attempt.utilization);
+        m_returns.addServiceTime(open.service, took, attempt.utilization);
+        recordServiceTime(open, took);
         m_out->emplace_back(PassAnswer{open.request.id, event.attempt});
         if (!event.isFailure) {
             clearSuspicion(open);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -41,6 +41,7 @@
         double utilization = 0;
         double expectedBytes = 0; ///< taken from the link's budget for the answer
         bool usesLimitShare = false; ///< taken from this host's share of the target's rate limit
+        bool isInOtherRegion = false;
     };
 
     /// A token, and the tenant whose limit it is of. The key of a request may be given to another tenant meanwhile.
@@ -111,6 +112,8 @@
     bool isTargetUnresponsive(const Attempt &attempt, const Route &route);
     void hedgeUnresponsive();
     void cancelAttempts(OpenRequest &open);
+    Duration timeAtTarget(const Attempt &attempt) const;
+    Duration occupancy(const Route &route, Duration serviceTime) const;
     void recordShed(OpenRequest &open, const AttemptEnded &event, const std::string &target);
     bool mayRetry(const OpenRequest &open, AttemptOutcome outcome);
     Milliseconds retryAfter(const OpenRequest &open, Refusal reason, Duration drainTime);
@@ -194,6 +197,7 @@
     /// Slots that the requests occupy, by service and by the region that home regions bind them to; empty: none.
     std::map<std::pair<std::string, std::string>, ArrivalRate> m_arrivals;
     ArrivalRate m_requestedBytes;
+    std::map<std::string, RouteStats> m_localStats; ///< by route: of answers of this host's region
     std::map<std::string, ShiftAllowance> m_shiftAllowances; ///< by service
     std::map<std::string, double> m_meanServiceTime; ///< by service: seconds, over recent answers
     std::map<std::string, std::vector<double>> m_serviceCredits; ///< by route: credit of each of its services
--- a/lib/Balance/RegionPlan.cpp
+++ b/lib/Balance/RegionPlan.cpp
@@ -143,6 +143,11 @@
     m_shares = next;
 }
 
+void RegionPlan::adoptUntil(TimePoint until)
+{
+    m_settledAt = std::max(m_settledAt, until);
+}
+
 std::string RegionPlan::regionAt(double point) const
 {
     for (const auto &[region, share] : m_shares) {
--- a/lib/Balance/RegionPlan.h
+++ b/lib/Balance/RegionPlan.h
@@ -41,6 +41,8 @@
     /// adopted at once until they have settled. Requests that stay with a region that can't serve them are late.
     void moveTowards(const RegionShares &planned, const RegionSlots &capacity, TimePoint now,
                      bool followsLosses = false);
+    /// Adopts planned shares at once until then.
+    void adoptUntil(TimePoint until);
     /// Region for a point in [0, 1); empty while there is no plan.
     std::string regionAt(double point) const;
     /// Region for a key, by weighted rendezvous hashing: a region whose share grows gains keys, and no other key moves.
--- a/lib/Balance/RegionPlanner.cpp
+++ b/lib/Balance/RegionPlanner.cpp
@@ -58,19 +58,27 @@
 // come from a few hosts.
 void RegionPlanner::update(const std::string &service, RegionState state, bool followsLosses, TimePoint now)
 {
-    const auto [place, isNew] = m_plans.try_emplace(service, ServicePlan{RegionPlan(maxStep()), now, std::nullopt});
-    ServicePlan &it = place->second;
+    ServicePlan &it =
+        m_plans.try_emplace(service, ServicePlan{RegionPlan(maxStep()), std::nullopt, std::nullopt}).first->second;
     const double sum = sumOf(state.demand) + sumOf(state.bound);
     const double slots = sumOf(state.capacity);
     it.utilizationWithBound = state.bound.empty() ? std::nullopt : std::optional(slots > 0 ? sum / slots : 1);
+    bool isSettling = false;
     if (sum < MinKnownDemand) {
         state.demand = evenDemand(state.capacity);
-    } else if (followsLosses && now < it.startedAt + RegionPlan::SettleTime) {
+    } else {
+        it.demandKnownAt = it.demandKnownAt.value_or(now);
+        isSettling = followsLosses && now < *it.demandKnownAt + RegionPlan::SettleTime;
+    }
+    if (isSettling) {
         for (const auto &[region, demand] : evenDemand(state.capacity)) {
             state.demand[region] = std::max(state.demand[region], demand);
         }
     }
     const RegionShares planned = plannedShares(m_region, state.capacity, state.demand, state.bound);
+    if (isSettling) {
+        it.plan.adoptUntil(*it.demandKnownAt + RegionPlan::SettleTime);
+    }
     it.plan.moveTowards(planned, state.capacity, now, followsLosses);
 }
 
--- a/lib/Balance/RegionPlanner.h
+++ b/lib/Balance/RegionPlanner.h
@@ -43,7 +43,7 @@
 private:
     struct ServicePlan {
         RegionPlan plan;
-        TimePoint startedAt{};
+        std::optional<TimePoint> demandKnownAt; ///< when demand was reported first
         std::optional<double> utilizationWithBound;
     };
 
