Balance: losses of regions are followed once, and returns keep the bounded rate

Cause, found in review of the plans that follow losses: - A region that had lost nearly all of its slots counted as losing them until the compared capacity had decayed: 10 s for a half, more than an hour for all. For that time every plan was adopted at once, also when its targets came back. - Targets that were back within 6 s of their loss got all callers at once, with cold caches. - With "paced", the first pace that a target reported was taken for a first plan, also long after it. - The assumed demand began with the first routing, not with the first plan, so it had ended if targets came later. - The compared capacity decayed between two updates, so that a loss after a pause of more than 2 s was missed or smaller. - A follow_losses that is not text was reported twice.

Change: a loss is reported once, and measured from what is left after it; a region that regains a fifth of its slots ends the time after its loss; capacity is noted also while losses are not followed. Balancer passes on RegionLossFollowed and regionShares(); entry hosts write pepperlug_plan_losses, pepperlug_region_share and the state line region-loss.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -256,6 +256,14 @@
     bool isLocal = false; ///< observed by this host, which must report it to other hosts
 };
 
+/// A region has lost many of its targets' slots, and the plan of a service follows the loss at once.
+struct RegionLossFollowed {
+    std::string service;
+    std::string region;
+    double slotsBefore = 0;
+    double slotsNow = 0;
+};
+
 /// Sends the head of an attempt's answer to the caller, and its body as it arrives.
 struct PassHead {
     RequestId id{};
@@ -306,7 +314,7 @@
 
 using BalanceEffect =
     std::variant<StartAttempt, CancelAttempt, CheckTarget, RequestProbe, RequestQuota, SuspectChanged, BackoffStarted,
-                 BackpressureChanged, PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
+                 BackpressureChanged, RegionLossFollowed, PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
 using BalanceEffects = std::vector<BalanceEffect>;
 
 /// State of an entry host's load balancing.
@@ -335,6 +343,9 @@
     bool maySend(RequestId id, unsigned attempt) const;
     /// Number of targets that may be used now, over all services.
     std::size_t usableTargets(TimePoint now) const;
+    /// Share of this host's callers that each region serves, by service and region. A region without a share may be
+    /// missing.
+    std::map<std::string, std::map<std::string, double>> regionShares() const;
     /// Requests under which targets crashed.
     const Quarantine &quarantine() const;
     /// Backpressure that targets advertise.
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -513,6 +513,11 @@
     return m_targets.usable(now);
 }
 
+std::map<std::string, RegionShares> Balancer::Impl::regionShares() const
+{
+    return m_plans.shares();
+}
+
 const Quarantine &Balancer::Impl::quarantine() const
 {
     return m_quarantine;
@@ -565,6 +570,11 @@
     return m_impl->usableTargets(now);
 }
 
+std::map<std::string, std::map<std::string, double>> Balancer::regionShares() const
+{
+    return m_impl->regionShares();
+}
+
 const Quarantine &Balancer::quarantine() const
 {
     return m_impl->quarantine();
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -30,6 +30,7 @@
     bool isSuspended() const;
     bool maySend(RequestId id, unsigned attempt) const;
     std::size_t usableTargets(TimePoint now) const;
+    std::map<std::string, RegionShares> regionShares() const;
     const Quarantine &quarantine() const;
     const BackpressureTable &backpressure() const;
 
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -194,7 +194,9 @@
             const auto hosts = static_cast<double>(std::max<std::size_t>(1, m_targets.entryHosts()));
             m_returns.setSlots(service.name, sumOf(state.capacity) / hosts);
         }
-        m_plans.update(service.name, std::move(state), followsLosses(), m_now);
+        for (const RegionLoss &it : m_plans.update(service.name, std::move(state), followsLosses(), m_now)) {
+            m_out->emplace_back(RegionLossFollowed{service.name, it.region, it.before, it.now});
+        }
     }
 }
 
--- a/lib/Balance/RegionPlan.cpp
+++ b/lib/Balance/RegionPlan.cpp
@@ -88,40 +88,76 @@
 }
 
 // Targets of a region that fails are reported as lost one after the other, so the comparison is with the highest
-// capacity of the last seconds, which decays.
-bool RegionPlan::hasLostSlots(const RegionSlots &capacity, TimePoint now)
+// capacity of the last seconds, which decays to the last one: updates may be seconds apart. After a loss it starts
+// again from what is left: a region that has lost nearly all of its slots would otherwise count as losing them for
+// minutes.
+std::vector<RegionLoss> RegionPlan::findLosses(const RegionSlots &capacity, TimePoint now)
 {
-    const double halves = m_recentCapacity.empty() ? 0 : secondsOf(now - m_notedAt) / CapacityHalfLife.count();
-    bool hasLost = m_recentCapacity.empty();
+    std::vector<RegionLoss> losses;
+    const double remaining = std::exp2(-secondsOf(now - m_notedAt) / CapacityHalfLife.count());
+    m_notedAt = now;
     for (auto &[region, recent] : m_recentCapacity) {
-        recent *= std::exp2(-halves);
-        hasLost |= valueOr0(capacity, region) < recent * (1 - LargeLoss);
+        recent = std::max(recent * remaining, valueOr0(m_lastCapacity, region));
+        const double slots = valueOr0(capacity, region);
+        if (slots < recent * (1 - LargeLoss)) {
+            losses.push_back({region, recent, slots});
+            m_lowestSince[region] = slots;
+            recent = slots;
+        }
     }
     for (const auto &[region, slots] : capacity) {
         double &recent = m_recentCapacity[region];
         recent = std::max(recent, slots);
     }
-    m_notedAt = now;
-    return hasLost;
+    m_lastCapacity = capacity;
+    return losses;
+}
+
+bool RegionPlan::hasRegainedSlots(const RegionSlots &capacity)
+{
+    bool hasRegained = false;
+    for (auto &[region, lowest] : m_lowestSince) {
+        const double slots = valueOr0(capacity, region);
+        hasRegained = hasRegained || slots * (1 - LargeLoss) > lowest;
+        lowest = std::min(lowest, slots);
+    }
+    return hasRegained;
+}
+
+bool RegionPlan::isStarting(TimePoint now) const
+{
+    return m_shares.empty() || now < m_startedAt + SettleTime;
 }
 
-void RegionPlan::moveTowards(const RegionShares &planned, const RegionSlots &capacity, TimePoint now,
-                             bool followsLosses)
+// Losses are noted even if they are not followed, so that a plan that begins to follow them does not take the present
+// capacity for a first one. A region that regains slots ends the time after its loss: the caches of its targets are
+// cold, so its share may return at the bounded rate only.
+std::vector<RegionLoss> RegionPlan::moveTowards(const RegionShares &planned, const RegionSlots &capacity, TimePoint now,
+                                                bool followsLosses)
 {
     if (planned.empty()) {
-        return;
+        return {};
     }
-    if (followsLosses && hasLostSlots(capacity, now)) {
+    std::vector<RegionLoss> losses = findLosses(capacity, now);
+    if (!losses.empty()) {
         m_settledAt = now + SettleTime;
+    } else if (now >= m_settledAt || hasRegainedSlots(capacity)) {
+        m_settledAt = now;
+        m_lowestSince.clear();
+    }
+    if (!followsLosses) {
+        losses.clear();
     }
+    const bool isSettling = isStarting(now) || now < m_settledAt;
+    m_startedAt = m_shares.empty() ? now : m_startedAt;
     // The first plan is adopted as a whole, and traffic leaves a region without targets at once.
     const bool leavesEmptyRegion = std::any_of(m_shares.begin(), m_shares.end(), [&](const auto &it) {
         return it.second > 0 && valueOr0(capacity, it.first) <= 0;
     });
-    if (m_shares.empty() || leavesEmptyRegion || (followsLosses && now < m_settledAt)) {
+    if (m_shares.empty() || leavesEmptyRegion || (followsLosses && isSettling)) {
         m_shares = planned;
         m_movedAt = now;
-        return;
+        return losses;
     }
     double moved = 0;
     for (const auto &[region, share] : planned) {
@@ -130,7 +166,7 @@
     const double allowed = m_maxStep * std::chrono::duration<double>(now - m_movedAt).count();
     m_movedAt = now;
     if (moved <= 0) {
-        return;
+        return losses;
     }
     const double part = std::min(1.0, allowed / moved);
     RegionShares next;
@@ -141,6 +177,7 @@
         next[region] += share * part;
     }
     m_shares = next;
+    return losses;
 }
 
 std::string RegionPlan::regionAt(double point) const
--- a/lib/Balance/RegionPlanner.cpp
+++ b/lib/Balance/RegionPlanner.cpp
@@ -56,22 +56,23 @@
 
 // After all hosts have restarted, a small region would keep all of its callers by the first reports of demand, which
 // come from a few hosts.
-void RegionPlanner::update(const std::string &service, RegionState state, bool followsLosses, TimePoint now)
+std::vector<RegionLoss> RegionPlanner::update(const std::string &service, RegionState state, bool followsLosses,
+                                              TimePoint now)
 {
-    const auto [place, isNew] = m_plans.try_emplace(service, ServicePlan{RegionPlan(maxStep()), now, std::nullopt});
+    const auto [place, isNew] = m_plans.try_emplace(service, ServicePlan{RegionPlan(maxStep()), std::nullopt});
     ServicePlan &it = place->second;
     const double sum = sumOf(state.demand) + sumOf(state.bound);
     const double slots = sumOf(state.capacity);
     it.utilizationWithBound = state.bound.empty() ? std::nullopt : std::optional(slots > 0 ? sum / slots : 1);
     if (sum < MinKnownDemand) {
         state.demand = evenDemand(state.capacity);
-    } else if (followsLosses && now < it.startedAt + RegionPlan::SettleTime) {
+    } else if (followsLosses && it.plan.isStarting(now)) {
         for (const auto &[region, demand] : evenDemand(state.capacity)) {
             state.demand[region] = std::max(state.demand[region], demand);
         }
     }
     const RegionShares planned = plannedShares(m_region, state.capacity, state.demand, state.bound);
-    it.plan.moveTowards(planned, state.capacity, now, followsLosses);
+    return it.plan.moveTowards(planned, state.capacity, now, followsLosses);
 }
 
 std::string RegionPlanner::regionFor(const std::string &service, std::uint64_t key) const
@@ -90,4 +91,13 @@
     return it == m_plans.end() ? std::nullopt : it->second.utilizationWithBound;
 }
 
+std::map<std::string, RegionShares> RegionPlanner::shares() const
+{
+    std::map<std::string, RegionShares> shares;
+    for (const auto &[service, it] : m_plans) {
+        shares[service] = it.plan.shares();
+    }
+    return shares;
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Balance/RegionPlanner.h
+++ b/lib/Balance/RegionPlanner.h
@@ -32,18 +32,19 @@
     /// Makes the plans due at once.
     void expire();
     /// Updates the plan of a service. `followsLosses`: see RegionPlan::moveTowards(); in that case the first reports of
-    /// demand do not count as all demand.
-    void update(const std::string &service, RegionState state, bool followsLosses, TimePoint now);
+    /// demand do not count as all demand. Returns the losses that are followed.
+    std::vector<RegionLoss> update(const std::string &service, RegionState state, bool followsLosses, TimePoint now);
 
     /// Returns the region for a key; empty while the service has no plan.
     std::string regionFor(const std::string &service, std::uint64_t key) const;
     /// Demand of all regions over slots; nothing if home regions bind no demand.
     std::optional<double> utilizationWithBound(const std::string &service) const;
+    /// Shares of the host's callers that the regions serve, by service.
+    std::map<std::string, RegionShares> shares() const;
 
 private:
     struct ServicePlan {
         RegionPlan plan;
-        TimePoint startedAt{};
         std::optional<double> utilizationWithBound;
     };
 
--- a/lib/Fleet/GatewayBackpressure.cpp
+++ b/lib/Fleet/GatewayBackpressure.cpp
@@ -1,6 +1,8 @@
 //===- GatewayBackpressure.cpp - Backpressure at an entry host ------------===//
 #include "GatewayImpl.h"
 
+#include <cmath>
+
 namespace pepperlug::fleet
 {
 
@@ -57,4 +59,14 @@
                     {"noticed_here", effect.isLocal}});
 }
 
+void GatewayDaemon::Impl::carryOut(const RegionLossFollowed &effect)
+{
+    m_metrics.count("pepperlug_plan_losses");
+    m_events.state("region-loss",
+                   {{"service", effect.service},
+                    {"region", effect.region},
+                    {"slots_before", std::round(effect.slotsBefore)},
+                    {"slots", std::round(effect.slotsNow)}});
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -322,6 +322,7 @@
     applyUpdates<BackpressureReceived>(reply.backpressure, reply.epoch, m_acknowledgedBackpressure);
     updateRouting(info.from, reply);
     reportViewAge();
+    reportRegionShares();
 }
 
 bool GatewayDaemon::Impl::isReady()
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -92,6 +92,7 @@
     void onRoutingFetched(const Address &from, TimePoint sentAt, const PeerReply &reply);
     void applyRouting(const Address &from, const std::vector<std::string> &changes);
     void reportViewAge();
+    void reportRegionShares();
     std::uint64_t activeRoutingIndex() const;
 
     // GatewayBackpressure.cpp
@@ -99,6 +100,7 @@
     void onTargetSignal(const Incarnation &target, const AnswerFields &fields, TimePoint sentAt);
     void carryOut(const BackoffStarted &effect);
     void carryOut(const BackpressureChanged &effect);
+    void carryOut(const RegionLossFollowed &effect);
 
     // GatewaySuspects.cpp
     void addSuspectReports(FleetWatchCall &call, const std::string &epoch);
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -49,11 +49,10 @@
     }
     const std::string name = reader.text("follow_losses");
     const auto it = Names.find(name);
-    if (it == Names.end()) {
+    if (it == Names.end() && !name.empty()) {
         reader.fault("follow_losses", "\"" + name + "\" is not one of \"off\", \"paced\" and \"on\"");
-        return fallback;
     }
-    return it->second;
+    return it == Names.end() ? fallback : it->second;
 }
 
 BalancePolicy readPolicy(ObjectReader &reader)
--- a/unittests/Balance/RegionPlanTest.cpp
+++ b/unittests/Balance/RegionPlanTest.cpp
@@ -48,6 +48,64 @@
     CHECK(plan.regionAt(0.01) == "b");
 }
 
+// Guards against queues in a region that has lost targets, while others have free slots.
+TEST_CASE("the loss of a fifth of a region's slots is followed at once, and less is not")
+{
+    RegionPlan plan(0.05);
+    plan.moveTowards({{"a", 1}}, {{"a", 10}, {"b", 10}}, Start, true);
+    const TimePoint later = Start + RegionPlan::SettleTime;
+    CHECK(plan.moveTowards({{"a", 1}}, {{"a", 10}, {"b", 10}}, later, true).empty());
+    SECTION("less")
+    {
+        CHECK(plan.moveTowards({{"a", 0.5}, {"b", 0.5}}, {{"a", 8.1}, {"b", 10}}, later + 1ms, true).empty());
+        CHECK(plan.shares().at("b") < 0.001);
+    }
+    SECTION("a fifth")
+    {
+        const std::vector<RegionLoss> losses =
+            plan.moveTowards({{"a", 0.5}, {"b", 0.5}}, {{"a", 7.9}, {"b", 10}}, later + 1ms, true);
+        REQUIRE(losses.size() == 1);
+        CHECK(losses.front().region == "a");
+        CHECK(losses.front().now == 7.9);
+        CHECK(plan.shares().at("b") == Approx(0.5));
+    }
+    SECTION("a fifth, without the setting")
+    {
+        CHECK(plan.moveTowards({{"a", 0.5}, {"b", 0.5}}, {{"a", 7.9}, {"b", 10}}, later + 1ms).empty());
+        CHECK(plan.shares().at("b") < 0.001);
+    }
+}
+
+// Guards against callers that stay at the bounded rate where the first reports of demand, which are incomplete, sent
+// them.
+TEST_CASE("plans are adopted at once until the first one has settled")
+{
+    const bool followsLosses = GENERATE(true, false);
+    RegionPlan plan(0.05);
+    const RegionSlots slots{{"a", 10}, {"b", 10}};
+    plan.moveTowards({{"a", 1}}, slots, Start, followsLosses);
+    plan.moveTowards({{"a", 0.4}, {"b", 0.6}}, slots, Start + 1s, followsLosses);
+    CHECK(plan.shares().at("b") == Approx(followsLosses ? 0.6 : 0.05));
+    CHECK(plan.isStarting(Start + 1s));
+    CHECK_FALSE(plan.isStarting(Start + RegionPlan::SettleTime));
+}
+
+// Guards against plans that are adopted at once for minutes after a region has lost nearly all of its slots.
+TEST_CASE("a loss is followed for the settle time only")
+{
+    const double left = GENERATE(0.5, 5.0);
+    RegionPlan plan(0.05);
+    plan.moveTowards({{"a", 1}}, {{"a", 10}, {"b", 10}}, Start, true);
+    // No update for 20 s: the loss is measured against the capacity until then.
+    const TimePoint now = Start + 20s;
+    const RegionSlots rest{{"a", left}, {"b", 10}};
+    CHECK(plan.moveTowards({{"a", 0.9}, {"b", 0.1}}, rest, now + 1s, true).size() == 1);
+    CHECK(plan.moveTowards({{"a", 0.5}, {"b", 0.5}}, rest, now + 6900ms, true).empty());
+    CHECK(plan.shares().at("b") == Approx(0.5));
+    CHECK(plan.moveTowards({{"a", 0.2}, {"b", 0.8}}, rest, now + 7s, true).empty());
+    CHECK(plan.shares().at("b") == Approx(0.505));
+}
+
 TEST_CASE("keys are distributed by the shares, and a share that grows moves no other key")
 {
     constexpr std::uint64_t Keys = 2000;
--- a/unittests/Fleet/SettingsTest.cpp
+++ b/unittests/Fleet/SettingsTest.cpp
@@ -43,6 +43,16 @@
     return parseFleetSettings(json.dump(), "file", role);
 }
 
+Findings findingsOf(const nlohmann::json &json, FleetRole role)
+{
+    try {
+        parse(json, role);
+    } catch (const InvalidInput &ex) {
+        return ex.findings();
+    }
+    return {};
+}
+
 /// Returns an address on a loopback network that no other test process uses, so that no port is taken.
 Address addressOn(unsigned host, std::uint16_t port)
 {
@@ -141,6 +151,47 @@
     }
 }
 
+// Guards against losses that are followed where the settings do not say so, and against values that are dropped.
+TEST_CASE("follow_losses is off by default, and has three values")
+{
+    nlohmann::json json = entryJson();
+    CHECK(parse(json, FleetRole::Entry).policy.lossFollowing == LossFollowing::Off);
+    for (const auto &[name, following] : std::vector<std::pair<std::string, LossFollowing>>{
+             {"off", LossFollowing::Off}, {"paced", LossFollowing::Paced}, {"on", LossFollowing::On}}) {
+        json["policy"]["follow_losses"] = name;
+        CHECK(parse(json, FleetRole::Entry).policy.lossFollowing == following);
+    }
+    for (const auto &[value, reason] : std::vector<std::pair<nlohmann::json, std::string>>{
+             {"always", R"("always" is not one of "off", "paced" and "on")"},
+             {"On", R"("On" is not one of "off", "paced" and "on")"},
+             {"", "must be text that is not empty"},
+             {true, "must be text that is not empty"},
+             {nullptr, "must be text that is not empty"}}) {
+        json["policy"]["follow_losses"] = value;
+        const Findings findings = findingsOf(json, FleetRole::Entry);
+        REQUIRE(findings.size() == 1);
+        CHECK(findings.front().file == "file");
+        CHECK(findings.front().path == "/policy/follow_losses");
+        CHECK(findings.front().reason == reason);
+    }
+}
+
+// Guards against contracts that are dropped, so that a deployment runs without the behavior that they call for.
+TEST_CASE("contracts are a list of texts, empty by default")
+{
+    nlohmann::json json = entryJson();
+    CHECK(parse(json, FleetRole::Entry).contracts.empty());
+    json["contracts"] = {"tenants", "pressure"};
+    CHECK(parse(json, FleetRole::Entry).contracts == std::vector<std::string>{"tenants", "pressure"});
+    for (const nlohmann::json &value : {nlohmann::json("pressure"), nlohmann::json({"tenants", 1})}) {
+        json["contracts"] = value;
+        const Findings findings = findingsOf(json, FleetRole::Entry);
+        REQUIRE(findings.size() == 1);
+        CHECK(findings.front().file == "file");
+        CHECK(findings.front().path == "/contracts");
+    }
+}
+
 TEST_CASE("a control host listens at peer_listen and not at its peer address")
 {
     const Folder folder;
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -1,5 +1,6 @@
 //===- DialectTest.cpp - The platform's words and the product's ----------===//
 #include "platform/Dialect.h"
+#include "platform/Contracts.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -380,6 +381,55 @@
     CHECK_FALSE(Clients::readAnswer({200, {{"X-Upstream-Load", "3,x,8"}}, {}}).load);
 }
 
+// Guards against a host that takes an unreadable pace for one, and so follows losses where it should not, and against
+// a load that is dropped with its pace.
+TEST_CASE("the fourth figure of a load is a pace from 1 to 10000, and anything else is ignored")
+{
+    const auto read = [](const std::string &load) {
+        return Clients::readAnswer({200, {{"X-Upstream-Seal", "s"}, {"X-Upstream-Load", load}}, {}}).load;
+    };
+    for (const auto &[text, pace] :
+         std::vector<std::pair<std::string, std::optional<unsigned>>>{{"3,1,8", {}},
+                                                                      {"3,1,8,", {}},
+                                                                      {"3,1,8,100", 100},
+                                                                      {"3,1,8,1", 1},
+                                                                      {"3,1,8,10000", 10000},
+                                                                      {"3,1,8,0", {}},
+                                                                      {"3,1,8,10001", {}},
+                                                                      {"3,1,8,99999999999", {}},
+                                                                      {"3,1,8,-5", {}},
+                                                                      {"3,1,8,2.5", {}},
+                                                                      {"3,1,8,fast", {}},
+                                                                      {"3,1,8,100x", {}},
+                                                                      {"3,1,8,100,5", {}}}) {
+        CAPTURE(text);
+        const std::optional<TargetLoad> load = read(text);
+        REQUIRE(load);
+        CHECK(load->running == 3);
+        CHECK(load->waiting == 1);
+        CHECK(load->slots == 8);
+        CHECK(load->pacePercent == pace);
+    }
+    CHECK_FALSE(read("3,1"));
+}
+
+// Guards against losses that are followed in deployments whose contracts do not call for it.
+TEST_CASE("a contract of pressure turns following of losses on where it is \"paced\"")
+{
+    const auto [contracts, before, after] = GENERATE(table<std::vector<std::string>, LossFollowing, LossFollowing>(
+        {{{}, LossFollowing::Paced, LossFollowing::Paced},
+         {{"tenants", "pressures"}, LossFollowing::Paced, LossFollowing::Paced},
+         {{"tenants", "pressure"}, LossFollowing::Paced, LossFollowing::On},
+         {{"pressure"}, LossFollowing::Off, LossFollowing::Off},
+         {{"pressure"}, LossFollowing::On, LossFollowing::On},
+         {{}, LossFollowing::Off, LossFollowing::Off}}));
+    FleetSettings settings;
+    settings.contracts = contracts;
+    settings.policy.lossFollowing = before;
+    platform::applyContracts(settings);
+    CHECK(settings.policy.lossFollowing == after);
+}
+
 TEST_CASE("a limit that an answer names is a decimal number, and anything else is told as unreadable")
 {
     const auto read = [](const std::vector<HeaderField> &headers) {
