Fleet: test of the metrics of region plans; lint finding

The test runs an entry host with follow_losses "on", and guards against shares and losses that operators can't see and a setting that does not reach the balancer. The log line has whole slots.

--- a/lib/Fleet/GatewayBackpressure.cpp
+++ b/lib/Fleet/GatewayBackpressure.cpp
@@ -65,8 +65,8 @@
     m_events.state("region-loss",
                    {{"service", effect.service},
                     {"region", effect.region},
-                    {"slots_before", std::round(effect.slotsBefore)},
-                    {"slots", std::round(effect.slotsNow)}});
+                    {"slots_before", std::lround(effect.slotsBefore)},
+                    {"slots", std::lround(effect.slotsNow)}});
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -142,8 +142,9 @@
     }
     for (auto &[service, shares] : all) {
         for (const auto &[zone, region] : m_settings.regionOfZone) {
-            m_metrics.gauge("pepperlug_region_share{service=\"" + service + "\",region=\"" + region + "\"}",
-                            shares[region]);
+            std::string name = "pepperlug_region_share{service=\"";
+            name.append(service).append("\",region=\"").append(region).append("\"}");
+            m_metrics.gauge(name, shares[region]);
         }
     }
 }
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -24,6 +24,26 @@
     CHECK(metricsText.find("pepperlug_refusals{reason=\"no-route\"} 1") != std::string::npos);
 }
 
+// Guards against losses and shares that operators can't see, and against a setting that does not reach the balancer.
+TEST_CASE("metrics of an entry host have the shares of regions and the losses that were followed")
+{
+    System system;
+    const FakeTarget first("i-1");
+    const FakeTarget second("i-2");
+    system.restartEntryHost(LossFollowing::On);
+    system.putTable("r2", "0");
+    REQUIRE(system.sendReport("i-1", first, 1).status == 200);
+    REQUIRE(system.sendReport("i-2", second, 1).status == 200);
+    REQUIRE(system.becomesReady());
+    const auto contains = [&](const std::string &line) {
+        return System::eventually([&] { return system.metrics().body.find(line) != std::string::npos; });
+    };
+    CHECK(contains("pepperlug_region_share{service=\"s\",region=\"r1\"} 1"));
+    CHECK(contains("pepperlug_region_share{service=\"s\",region=\"r2\"} 0"));
+    REQUIRE(system.sendReport("i-2", second, 2, "draining").status == 200);
+    CHECK(contains("pepperlug_plan_losses 1"));
+}
+
 TEST_CASE("a target gets no new requests after its drain is acknowledged")
 {
     ServingSystem serving;
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -282,6 +282,14 @@
         gateway = std::make_unique<GatewayDaemon>(m_entry, m_clock, callerDialect<platform::Clients>());
     }
 
+    /// Ends the entry host and starts it with another value of policy.follow_losses.
+    void restartEntryHost(LossFollowing lossFollowing)
+    {
+        gateway.reset();
+        m_entry.policy.lossFollowing = lossFollowing;
+        gateway = std::make_unique<GatewayDaemon>(m_entry, m_clock, callerDialect<platform::Clients>());
+    }
+
     /// Starts a further entry host at an address of its own.
     std::unique_ptr<GatewayDaemon> startEntryHost(unsigned number)
     {
