--- a/lib/Balance/RegionPlanner.cpp
+++ b/lib/Balance/RegionPlanner.cpp
@@ -56,30 +56,27 @@
 
 // After all hosts have restarted, a small region would keep all of its callers by the first reports of demand, which
 // come from a few hosts.
-void RegionPlanner::update(const std::string &service, RegionState state, bool followsLosses, TimePoint now)
+std::vector<RegionLoss> RegionPlanner::update(const std::string &service, RegionState state, bool followsLosses,
+                                              TimePoint now)
 {
-    ServicePlan &it =
-        m_plans.try_emplace(service, ServicePlan{RegionPlan(maxStep()), std::nullopt, std::nullopt}).first->second;
+    const auto [place, isNew] = m_plans.try_emplace(service, ServicePlan{RegionPlan(maxStep()), false, std::nullopt});
+    ServicePlan &it = place->second;
     const double sum = sumOf(state.demand) + sumOf(state.bound);
     const double slots = sumOf(state.capacity);
     it.utilizationWithBound = state.bound.empty() ? std::nullopt : std::optional(slots > 0 ? sum / slots : 1);
-    bool isSettling = false;
     if (sum < MinKnownDemand) {
         state.demand = evenDemand(state.capacity);
-    } else {
-        it.demandKnownAt = it.demandKnownAt.value_or(now);
-        isSettling = followsLosses && now < *it.demandKnownAt + RegionPlan::SettleTime;
+    } else if (!it.isDemandKnown) {
+        it.isDemandKnown = true;
+        it.plan.beginSettling(now);
     }
-    if (isSettling) {
+    if (sum >= MinKnownDemand && followsLosses && it.plan.isStarting(now)) {
         for (const auto &[region, demand] : evenDemand(state.capacity)) {
             state.demand[region] = std::max(state.demand[region], demand);
         }
     }
     const RegionShares planned = plannedShares(m_region, state.capacity, state.demand, state.bound);
-    if (isSettling) {
-        it.plan.adoptUntil(*it.demandKnownAt + RegionPlan::SettleTime);
-    }
-    it.plan.moveTowards(planned, state.capacity, now, followsLosses);
+    return it.plan.moveTowards(planned, state.capacity, now, followsLosses);
 }
 
 std::string RegionPlanner::regionFor(const std::string &service, std::uint64_t key) const
@@ -98,4 +95,13 @@
     return it == m_plans.end() ? std::nullopt : it->second.utilizationWithBound;
 }
 
+std::map<std::string, RegionShares> RegionPlanner::shares() const
+{
+    std::map<std::string, RegionShares> shares;
+    for (const auto &[service, it] : m_plans) {
+        shares[service] = it.plan.shares();
+    }
+    return shares;
+}
+
 } // namespace pepperlug::fleet
