Quota: tenants of small limits are served while control hosts restart

A restarted control host withheld 35 in 100 of each limit for 14 s, for rates that its previous incarnation may have reserved. Nothing can be reserved from a reserve of less than one request, so a limit that small is issued in full. The bucket of a restarted host still begins empty.

The reply to a later call of an entry host refused requests whose own call was still held for a loan; they wait for the reply to their own call now. Requests that wait when a host becomes isolated take its reserved tokens; before, they blocked later ones until their time was over.

Peers in other regions are asked for tokens if those of the own region do not reply within 20 ms. A lender keeps back whole tokens only.

--- a/include/pepperlug/Quota.h
+++ b/include/pepperlug/Quota.h
@@ -231,7 +231,8 @@
     std::optional<TimePoint> takeIsolated(Share &share, TimePoint now) const;
     std::optional<TimePoint> takeToken(Share &share, TimePoint now) const;
     static std::uint32_t expectedRequests(const Share &share, TimePoint now);
-    void decideWaiting(Share &share, TimePoint sentAt, TimePoint now);
+    void admitIsolated(Share &share, TimePoint now);
+    void decideWaiting(Share &share, TimePoint now);
     void applyGrants(TimePoint sentAt, const QuotaReply &reply);
     bool isCallDue(TimePoint now) const;
     void removeIdle(TimePoint now);
@@ -364,6 +365,7 @@
         ArrivalRate granted{GrantAveragingTime};
         Reserve reserved; ///< for all followers
         std::size_t pendingLoans = 0;
+        TimePoint askedAt{}; ///< when peers were asked last
         std::uint32_t wantedLoans = 0; ///< tokens that peers were asked for last
         std::uint32_t lentTokens = 0; ///< tokens that they have lent
         bool asksOtherRegions = false; ///< peers of the own region had too few tokens
@@ -400,6 +402,7 @@
     void finish(HeldCall &held, TimePoint now, QuotaEffects &out);
     void serveHeld(TimePoint now, QuotaEffects &out);
     static void finishLoans(Bucket &bucket, TimePoint now);
+    bool isRegionSilent(const Bucket &bucket, TimePoint now) const;
     void startLoans(const std::set<std::uint64_t> &tenants, TimePoint now, QuotaEffects &out);
     std::uint32_t wantedTokens(std::uint64_t tenant, const Bucket &bucket, TimePoint now) const;
     std::set<std::uint64_t> heldTenants() const;
--- a/lib/Quota/QuotaHolder.cpp
+++ b/lib/Quota/QuotaHolder.cpp
@@ -155,6 +155,18 @@
     return {id, QuotaDecision::Waiting, {}};
 }
 
+void QuotaHolder::admitIsolated(Share &share, TimePoint now)
+{
+    while (isIsolated(now) && !share.waiting.empty()) {
+        const std::optional<TimePoint> expiry = takeToken(share, now);
+        if (!expiry) {
+            return;
+        }
+        m_decided.push_back({share.waiting.front().id, QuotaDecision::Admitted, *expiry});
+        share.waiting.pop_front();
+    }
+}
+
 void QuotaHolder::cancel(const std::string &tenant, RequestId id)
 {
     const auto it = m_shares.find(tenantHash(tenant));
@@ -171,9 +183,11 @@
     }
 }
 
+// An isolated host refuses new requests while earlier ones wait, so those get the reserved tokens first.
 std::vector<QuotaResult> QuotaHolder::takeDecided(TimePoint now)
 {
     for (auto &[hash, share] : m_shares) {
+        admitIsolated(share, now);
         std::erase_if(share.waiting, [&](const Waiting &it) {
             if (now < it.until) {
                 return false;
@@ -230,13 +244,15 @@
     return call;
 }
 
-// Requests that a later call names wait for its reply, unless there are no tokens.
-void QuotaHolder::decideWaiting(Share &share, TimePoint sentAt, TimePoint now)
+// A request waits for the reply to the call that names it, unless there are no tokens. The reply to a later call does
+// not decide on it: the control host may still hold the earlier call while it borrows tokens.
+void QuotaHolder::decideWaiting(Share &share, TimePoint now)
 {
     while (!share.waiting.empty()) {
         const Waiting first = share.waiting.front();
         const std::optional<TimePoint> expiry = takeToken(share, now);
-        const bool mustWait = !expiry && (!first.calledAt || *first.calledAt > sentAt) && now >= share.exhaustedUntil;
+        const bool isUndecided = !first.calledAt || m_pending.contains(*first.calledAt);
+        const bool mustWait = !expiry && isUndecided && now >= share.exhaustedUntil;
         if (mustWait) {
             return;
         }
@@ -284,7 +300,7 @@
     m_hasFailed = false;
     applyGrants(sentAt, reply);
     for (auto &[hash, share] : m_shares) {
-        decideWaiting(share, sentAt, now);
+        decideWaiting(share, now);
     }
 }
 
--- a/lib/Quota/QuotaIssuer.cpp
+++ b/lib/Quota/QuotaIssuer.cpp
@@ -28,6 +28,8 @@
 /// host that has restarted and does not know what it had reserved. Together they are the whole part.
 constexpr double ReservedShare = 0.35;
 constexpr double RestartShare = 1 - ReservedShare;
+/// The least isolatedDepth() of a reserved rate. Nothing is ever reserved from a smaller reserve.
+constexpr double MinIsolatedDepth = 1;
 /// Relative change of a reserved rate that is reported to the host that may use it.
 constexpr double ReservationStep = 0.25;
 /// Tokens a second that a follower must use for a rate to be reserved for it. What is reserved for hosts that send a
@@ -46,6 +48,9 @@
 constexpr double BusyShare = 0.5;
 /// After all peers had no tokens. A third of the time within which unused tokens must reach the hosts that need them.
 constexpr Milliseconds LoanRetryDelay{150};
+/// Time without a reply of the peers in the own region after which those of other regions are asked. Calls within a
+/// region take a few milliseconds.
+constexpr Milliseconds RegionReplyTime{20};
 /// Between two searches for state that is not needed any more.
 constexpr std::chrono::seconds ExpiryInterval{1};
 /// Followers that are silent for longer have stopped using what was reserved for them.
@@ -145,7 +150,8 @@
 // have saved up is kept out of the bucket, so that all together save up one burst.
 void QuotaIssuer::refill(std::uint64_t tenant, Bucket &bucket, TimePoint now) const
 {
-    const bool mayHaveReserved = !m_isFirstStart && bucket.refilledAt < m_issuingSince + FollowerTimeout;
+    const bool mayHaveReserved = !m_isFirstStart && bucket.refilledAt < m_issuingSince + FollowerTimeout
+        && maxReserve(bucket.limit.limit).depth >= MinIsolatedDepth;
     const double part = mayHaveReserved ? RestartShare : 1;
     const Reserve isolated = usedByIsolated(tenant, bucket, now);
     const double rate = std::max(0.0, bucket.limit.limit.perSecond * share() * part - isolated.perSecond);
@@ -340,15 +346,31 @@
     return peers;
 }
 
+// A peer that restarts may not reply before the call times out, which is longer than requests wait.
+bool QuotaIssuer::isRegionSilent(const Bucket &bucket, TimePoint now) const
+{
+    const auto isElsewhere = [](const QuotaPeer &it) {
+        return !it.isInRegion;
+    };
+    return !bucket.asksOtherRegions && now - bucket.askedAt >= RegionReplyTime
+        && std::ranges::any_of(m_peers, isElsewhere);
+}
+
 void QuotaIssuer::startLoans(const std::set<std::uint64_t> &tenants, TimePoint now, QuotaEffects &out)
 {
     std::map<std::string, QuotaLoans> wantedOf;
     for (const std::uint64_t tenant : tenants) {
         const auto known = m_buckets.find(tenant);
-        if (known == m_buckets.end() || known->second.pendingLoans > 0 || now < known->second.nextLoanAt) {
+        if (known == m_buckets.end() || now < known->second.nextLoanAt) {
             continue;
         }
         Bucket &bucket = known->second;
+        if (bucket.pendingLoans > 0) {
+            if (!isRegionSilent(bucket, now)) {
+                continue;
+            }
+            bucket.asksOtherRegions = true;
+        }
         refill(tenant, bucket, now);
         const std::uint32_t wanted = wantedTokens(tenant, bucket, now);
         std::vector<const QuotaPeer *> peers = peersToAsk(bucket, wanted);
@@ -360,7 +382,8 @@
         for (const QuotaPeer *peer : peers) {
             wantedOf[peer->name].loans.push_back({tenant, bucket.limit, (wanted + count - 1) / count, {}});
         }
-        bucket.pendingLoans = count;
+        bucket.pendingLoans += count;
+        bucket.askedAt = now;
         bucket.wantedLoans = wanted;
         bucket.lentTokens = 0;
     }
@@ -380,7 +403,8 @@
             continue;
         }
         Bucket &bucket = bucketOf(it.tenant, it.limit, now);
-        const double spare = bucket.level - bucket.needed.perSecond(now) * ReserveTime.count();
+        // Only whole tokens are kept back: a fraction of one would serve no request here.
+        const double spare = bucket.level - std::floor(bucket.needed.perSecond(now) * ReserveTime.count());
         const std::uint32_t tokens = std::min(it.tokens, static_cast<std::uint32_t>(std::max(0.0, spare)));
         if (tokens > 0) {
             bucket.level -= tokens;
--- a/unittests/Quota/QuotaTest.cpp
+++ b/unittests/Quota/QuotaTest.cpp
@@ -275,8 +275,7 @@
         3, [](QuotaPlan &plan) { plan.controlRestartInterval = 2s; }, checkKeepsLimit);
 }
 
-// Run by the test QuotaControlRestarts.
-TEST_CASE("a tenant below its limit is served while control hosts restart in series", "[.control-restarts]")
+TEST_CASE("a tenant below its limit is served while control hosts restart in series", "[control-restarts]")
 {
     forEachSize(
         [](QuotaPlan &plan) {
@@ -537,6 +536,107 @@
     CHECK(holder.request(RequestId{3}, "t", Small, 50ms, now).decision == QuotaDecision::Refused);
 }
 
+// Guards against refusals of requests whose tokens are being borrowed, by replies to calls for other tenants.
+TEST_CASE("the reply to a later call does not refuse a request that an earlier call names")
+{
+    QuotaHolder holder("entry#1", "10.0.0.1:80");
+    TimePoint now(1000s);
+    const TimePoint firstCall = now;
+    CHECK(holder.request(RequestId{1}, "t", Small, 75ms, now).decision == QuotaDecision::Waiting);
+    REQUIRE(holder.nextCall(now));
+    now += 10ms;
+    const TimePoint secondCall = now;
+    CHECK(holder.request(RequestId{2}, "other", Small, 75ms, now).decision == QuotaDecision::Waiting);
+    REQUIRE(holder.nextCall(now));
+    now += 2ms;
+    holder.receive(secondCall, {"control#1", 1, true, {{tenantHash("other"), 1, 100ms, {}}}}, now);
+    const std::vector<QuotaResult> others = holder.takeDecided(now);
+    REQUIRE(others.size() == 1);
+    CHECK(others.front().id == RequestId{2});
+    CHECK(others.front().decision == QuotaDecision::Admitted);
+    now += 50ms;
+    holder.receive(firstCall, {"control#1", 2, true, {{tenantHash("t"), 1, 100ms, {}}}}, now);
+    const std::vector<QuotaResult> first = holder.takeDecided(now);
+    REQUIRE(first.size() == 1);
+    CHECK(first.front().id == RequestId{1});
+    CHECK(first.front().decision == QuotaDecision::Admitted);
+}
+
+namespace
+{
+
+constexpr auto SmallDemand = [](std::uint32_t needed) {
+    return QuotaCall{"entry#1", "10.0.0.1:80", 0, "", {{tenantHash("t"), {Small, 1}, needed, 0}}};
+};
+
+std::uint32_t grantedTokens(const QuotaEffects &effects)
+{
+    std::uint32_t sum = 0;
+    for (const QuotaEffect &it : effects) {
+        if (const auto *reply = std::get_if<SendQuotaReply>(&it)) {
+            for (const QuotaGrant &grant : reply->reply.grants) {
+                sum += grant.tokens;
+            }
+        }
+    }
+    return sum;
+}
+
+std::vector<std::string> askedPeers(const QuotaEffects &effects)
+{
+    std::vector<std::string> peers;
+    for (const QuotaEffect &it : effects) {
+        if (const auto *loan = std::get_if<BorrowTokens>(&it)) {
+            peers.push_back(loan->peer);
+        }
+    }
+    return peers;
+}
+
+} // namespace
+
+// Guards against requests that time out because a peer in the same region is restarting.
+TEST_CASE("peers in other regions are asked for tokens if those of the own region do not reply")
+{
+    QuotaIssuer issuer("control#1", Tolerance, false);
+    TimePoint now(1000s);
+    issuer.setMembers(6, now);
+    issuer.setPeers({{"near", true}, {"far", false}});
+    QuotaEffects effects;
+    issuer.receive(QuotaCallId{1}, SmallDemand(1), now, effects); // its bucket is empty
+    CHECK(askedPeers(effects) == std::vector<std::string>{"near"});
+    effects.clear();
+    now += 10ms;
+    issuer.tick(now, effects);
+    CHECK(effects.empty());
+    now += 15ms;
+    issuer.tick(now, effects);
+    CHECK(askedPeers(effects) == std::vector<std::string>{"far"});
+    effects.clear();
+    now += 15ms;
+    issuer.tick(now, effects);
+    CHECK(effects.empty());
+}
+
+// Guards against a restarted host that withholds a reserve that it cannot have given away.
+TEST_CASE("a restarted control host issues its whole part of a limit that is too small for reserved rates")
+{
+    const auto grantedAfter = [](bool isFirstStart, const TenantLimit &limit, Duration time) {
+        QuotaIssuer issuer("control#1", Tolerance, isFirstStart);
+        TimePoint now(1000s);
+        issuer.setMembers(6, now);
+        now += time;
+        QuotaCall call = SmallDemand(1000);
+        call.demands.front().limit.limit = limit;
+        QuotaEffects effects;
+        issuer.receive(QuotaCallId{1}, call, now, effects);
+        return grantedTokens(effects);
+    };
+    CHECK(grantedAfter(false, Small, 1ms) == 0); // an earlier incarnation may have issued the whole burst
+    CHECK(grantedAfter(false, Small, 10s) == grantedAfter(true, Small, 10s));
+    CHECK(grantedAfter(false, Middle, 10s) < 0.7 * grantedAfter(true, Middle, 10s));
+}
+
 TEST_CASE("a tenant without requests takes no resources")
 {
     QuotaHolder holder("entry#1", "10.0.0.1:80");
