--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -358,8 +358,9 @@
     }
 }
 
-// The way to another region, a new connection there, and a target's queue occupy no slot. If they counted, the hosts of
-// a region that is overloaded, or whose callers are served elsewhere, would report more demand for the same requests.
+// The round trip to another region, a new connection there, and a target's queue occupy no slot. If they counted, the
+// hosts of a region that is overloaded, or whose callers are served elsewhere, would report more demand for the same
+// requests, and their region would be planned to be less used than others.
 Duration Balancer::Impl::occupancy(const Route &route, Duration serviceTime) const
 {
     const auto it = m_localStats.find(route.name);
@@ -367,8 +368,7 @@
     return followsLosses() ? local.value_or(serviceTime) : serviceTime;
 }
 
-// The way to another region occupies no slot. If it counted, the hosts of a region whose callers are served elsewhere
-// would report more demand than others for the same requests, and their region would be planned to be less used.
+// Admission adds the round trip to another region to the predicted time of requests that go there.
 Duration Balancer::Impl::timeAtTarget(const Attempt &attempt) const
 {
     const Duration took = m_now - attempt.startedAt;
--- a/unittests/Balance/RegionDemandTest.cpp
+++ b/unittests/Balance/RegionDemandTest.cpp
@@ -45,10 +45,10 @@
 
 // Guards against a region whose callers are served elsewhere reporting more demand for the same requests, so that its
 // own targets are planned to be less used.
-TEST_CASE("the way to another region does not count as demand where losses are followed")
+TEST_CASE("the round trip to another region does not count as demand where losses are followed")
 {
     const double near = reportedDemand(LossFollowing::On, "z1", 30ms, 0);
-    const double far = reportedDemand(LossFollowing::On, "z3", 90ms, 0); // 60 ms on the way
+    const double far = reportedDemand(LossFollowing::On, "z3", 90ms, 0); // a round trip of 60 ms
     CHECK(far <= near * 1.6);
     CHECK(reportedDemand(LossFollowing::Off, "z3", 90ms, 0) > near * 2);
 }
