--- a/benchmarks/FleetBenchmark.cpp
+++ b/benchmarks/FleetBenchmark.cpp
@@ -1,7 +1,8 @@
 //===- FleetBenchmark.cpp - Cost of the decisions of a large fleet --------===//
 //
 // The argument is the number of targets; there is an entry host for ten of them, and nine control hosts. Counters give
-// the entries visited and the bytes encoded by one operation.
+// the entries visited and the bytes encoded by one operation. The arguments of the operations on tenants' limits are
+// the number of entry hosts that follow a control host, and of tenants with requests at each of them.
 //
 //===----------------------------------------------------------------------===//
 #include "Balance/TargetSet.h"
@@ -197,12 +198,94 @@
     countVisited(state, set.visitedTargets() - before);
 }
 
+constexpr QuotaTolerance Tolerance{5s, 0.1, 20};
+constexpr TenantLimit Limit{1000, 1000};
+
+std::string tenantOf(std::size_t n)
+{
+    return "tenant-" + std::to_string(n);
+}
+
+/// A call of one entry host that needs a token of one tenant.
+QuotaCall quotaCallOf(std::size_t host, std::size_t tenant)
+{
+    const std::string name = "edge-" + std::to_string(host);
+    return {name + "#" + digestHex(name).substr(0, 16),
+            "10.200.0." + std::to_string(host) + ":80",
+            0,
+            {},
+            {{tenantHash(tenantOf(tenant)), {Limit, 1}, 1, 0}}};
+}
+
+/// A control host issues a token.
+void issueToken(benchmark::State &state)
+{
+    const auto hosts = static_cast<std::size_t>(state.range(0));
+    const auto tenants = static_cast<std::size_t>(state.range(1));
+    QuotaIssuer issuer("core-0#" + digestHex("core-0").substr(0, 16), Tolerance, true);
+    TimePoint now = Start;
+    issuer.setMembers(1, now);
+    now += 30s;
+    std::vector<std::uint64_t> acknowledged(hosts);
+    std::size_t bytes = 0;
+    std::size_t n = 0;
+    const auto call = [&] {
+        const std::size_t host = n % hosts;
+        QuotaCall request = quotaCallOf(host, n / hosts % tenants);
+        request.acknowledged = acknowledged[host];
+        request.issuer = "core-0#" + digestHex("core-0").substr(0, 16);
+        ++n;
+        now += 1ms;
+        QuotaEffects effects;
+        issuer.receive(QuotaCallId{n}, request, now, effects);
+        for (const QuotaEffect &it : effects) {
+            const QuotaReply &reply = std::get<SendQuotaReply>(it).reply;
+            acknowledged[host] = reply.sequence;
+            bytes += encode(request).size() + encode(reply).size();
+        }
+    };
+    for (std::size_t first = 0; first < hosts * tenants; ++first) {
+        call();
+    }
+    bytes = 0;
+    for (auto _ : state) {
+        call();
+    }
+    state.counters["bytes"] = benchmark::Counter(static_cast<double>(bytes), benchmark::Counter::kAvgIterations);
+}
+
+/// An entry host requests a token, and gets it.
+void requestToken(benchmark::State &state)
+{
+    const auto tenants = static_cast<std::size_t>(state.range(1));
+    QuotaHolder holder("edge-0#1", "10.200.0.1:80");
+    TimePoint now = Start;
+    std::uint64_t n = 0;
+    const auto request = [&] {
+        now += 1ms;
+        ++n;
+        const std::string tenant = tenantOf(n % tenants);
+        holder.request(RequestId{n}, tenant, Limit, 75ms, now);
+        const std::optional<QuotaCall> call = holder.nextCall(now);
+        holder.receive(now, {"core-0#1", n, true, {{tenantHash(tenant), 1, 200ms, {}}}}, now);
+        benchmark::DoNotOptimize(holder.takeDecided(now));
+    };
+    for (std::size_t first = 0; first < tenants; ++first) {
+        request();
+    }
+    for (auto _ : state) {
+        request();
+    }
+}
+
 BENCHMARK(report)->Arg(FewTargets)->Arg(ManyTargets);
 BENCHMARK(renewals)->Arg(FewTargets)->Arg(ManyTargets);
 BENCHMARK(changeForFollower)->Arg(FewTargets)->Arg(ManyTargets);
 BENCHMARK(snapshot)->Arg(FewTargets)->Arg(ManyTargets)->Unit(benchmark::kMillisecond);
 BENCHMARK(confirmations)->Arg(FewTargets)->Arg(ManyTargets);
 BENCHMARK(choice)->Arg(FewTargets)->Arg(ManyTargets);
+BENCHMARK(issueToken)->Args({11, 75})->Args({109, 75})->Args({109, 1000});
+BENCHMARK(requestToken)->Args({1, 75})->Args({1, 1000});
 
 } // namespace
 
--- a/include/pepperlug/Quota.h
+++ b/include/pepperlug/Quota.h
@@ -12,6 +12,9 @@
 // reserved for it while it had contact. Its control host subtracts that rate from
 // its own bucket from before the entry host may use it until after it must stop.
 //
+// The bound assumes that members of the control group know of each other: while a
+// member that is cut off has been replaced, both issue a part of the limit.
+//
 // Pure: time and the random seed are passed in.
 //
 //===----------------------------------------------------------------------===//
@@ -37,12 +40,16 @@
 
 /// How long a host without contact to control hosts may use the rate that is reserved for it.
 constexpr std::chrono::seconds QuotaHoldTime{12};
-/// Time without a reply after which an entry host counts as isolated.
+/// Time without a reply after which an entry host counts as isolated: three calls in a row have failed.
 constexpr Milliseconds IsolationTimeout{1500};
 /// Timeout of a QuotaCall. A later reply is ignored.
 constexpr Milliseconds QuotaCallTimeout{180};
-/// Longest time for which a control host holds a QuotaCall while it borrows tokens: a round trip to another region.
-constexpr Milliseconds MaxBorrowTime{76};
+/// Longest time for which a control host holds a QuotaCall while it borrows tokens. Requests wait for an eighth of
+/// their objective, so a later reply comes too late for objectives of up to 600 ms.
+constexpr Milliseconds MaxBorrowTime{75};
+
+/// Returns how many requests an isolated host may have saved up at a reserved rate in requests per second.
+double isolatedDepth(double perSecond);
 
 /// Returns the identifier of a tenant in messages between hosts.
 std::uint64_t tenantHash(std::string_view name);
@@ -175,7 +182,7 @@
     QuotaResult request(RequestId id, const std::string &tenant, const TenantLimit &limit, Duration maxWait,
                         TimePoint now);
     /// Removes a waiting request whose caller has left.
-    void forget(const std::string &tenant, RequestId id);
+    void cancel(const std::string &tenant, RequestId id);
     /// Returns the token of a request that has not run. It expires when it would have expired.
     void refund(const std::string &tenant, TimePoint tokenExpiry);
     /// Returns the requests whose wait is over, in order.
@@ -276,6 +283,8 @@
     /// `isFirstStart`: this host has not issued anything before.
     QuotaIssuer(std::string issuer, const QuotaTolerance &tolerance, bool isFirstStart);
 
+    /// Tokens that are issued from now on keep to the tolerance.
+    void setTolerance(const QuotaTolerance &tolerance);
     /// Sets among how many control hosts the limits are divided; 0: this host has no part.
     void setMembers(std::size_t members, TimePoint now);
     /// Sets the control hosts that tokens can be borrowed from.
@@ -308,6 +317,22 @@
         double perSecond = 0;
     };
 
+    /// What hosts may use without contact.
+    struct Reserve {
+        double perSecond = 0;
+        double depth = 0; ///< isolatedDepth()
+        void add(double rate)
+        {
+            perSecond += rate;
+            depth += isolatedDepth(rate);
+        }
+        void subtract(double rate)
+        {
+            perSecond -= rate;
+            depth -= isolatedDepth(rate);
+        }
+    };
+
     /// Short, so that tokens for a burst are borrowed in time.
     static constexpr std::chrono::duration<double> NeedAveragingTime{1.0};
     /// Long enough that single tokens do not look like a rate that is worth reserving.
@@ -337,7 +362,7 @@
         ExpiringTokens borrowed;
         ArrivalRate needed{NeedAveragingTime};
         ArrivalRate granted{GrantAveragingTime};
-        double reservedPerSecond = 0; ///< for all followers
+        Reserve reserved; ///< for all followers
         std::size_t pendingLoans = 0;
         std::uint32_t wantedLoans = 0; ///< tokens that peers were asked for last
         std::uint32_t lentTokens = 0; ///< tokens that they have lent
@@ -357,17 +382,19 @@
     double toleratedRequests(const TenantLimit &limit) const;
     Duration lifetime(const TenantLimit &limit) const;
     double depth(const TenantLimit &limit) const;
-    double maxReservedPerSecond(const TenantLimit &limit) const;
-    double isolatedPerSecond(std::uint64_t tenant, TimePoint now) const;
+    Reserve maxReserve(const TenantLimit &limit) const;
+    Reserve usedByIsolated(std::uint64_t tenant, const Bucket &bucket, TimePoint now) const;
     Bucket &bucketOf(std::uint64_t tenant, const QuotaLimit &limit, TimePoint now);
     void refill(std::uint64_t tenant, Bucket &bucket, TimePoint now) const;
     void refillAll(TimePoint now);
+    void refillReserved(const Follower &follower, TimePoint now);
     Follower &followerOf(const QuotaCall &call, TimePoint now);
     void acknowledge(Follower &follower, std::uint64_t sequence);
     void removeReservations(const Follower &follower);
     static bool isIsolated(const Follower &follower, TimePoint now);
     void grant(HeldCall &held, QuotaDemand &demand, TimePoint now);
     void grantExpected(HeldCall &held, const QuotaDemand &demand, TimePoint now);
+    double reservedRate(const Bucket &bucket, const FollowerTenant &state, TimePoint now) const;
     void addReservations(HeldCall &held, Follower &follower, TimePoint now);
     bool mayStillGet(const HeldCall &held, TimePoint now) const;
     void finish(HeldCall &held, TimePoint now, QuotaEffects &out);
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -306,7 +306,7 @@
         return;
     }
     cancelAttempts(it->second);
-    m_quotas.forget(it->second.tenant, event.id);
+    m_quotas.cancel(it->second.tenant, event.id);
     m_open.erase(it);
 }
 
@@ -432,7 +432,7 @@
             continue;
         }
         cancelAttempts(open);
-        m_quotas.forget(open.tenant, open.request.id);
+        m_quotas.cancel(open.tenant, open.request.id);
         const Refusal unsent = open.awaitsProbe ? Refusal::Quarantined : Refusal::OverQuota;
         failRequest(open, open.awaitsProbe || open.awaitsToken ? unsent : Refusal::TimedOut);
         it = m_open.erase(it);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -43,12 +43,18 @@
         bool usesLimitShare = false; ///< taken from this host's share of the target's rate limit
     };
 
+    /// A token, and the tenant whose limit it is of. The key of a request may be given to another tenant meanwhile.
+    struct QuotaToken {
+        std::string tenant;
+        TimePoint expiry{};
+    };
+
     struct OpenRequest {
         CallerRequest request;
         Route route; ///< with the tenant's priority, and the home regions of both
         std::string tenant; ///< that the request is counted for; empty: none
         TenantLimit limit;
-        std::optional<TimePoint> tokenExpiry; ///< of the token that the request has taken from its tenant's limit
+        std::optional<QuotaToken> token; ///< that the request has taken from a tenant's limit
         bool awaitsToken = false; ///< not sent
         bool hasNoQuotaDecision = false; ///< no control host has decided in time whether the tenant is within its limit
         bool hasNoRegion = false; ///< no region may serve both the route and the tenant
@@ -157,6 +163,7 @@
     std::string pickRegion(const OpenRequest &open);
     std::string regionByPlan(const OpenRequest &open, std::uint64_t key) const;
     std::string boundRegion(const OpenRequest &open) const;
+    bool maySpillByPlan(const OpenRequest &open) const;
     Placement placeReturning(const OpenRequest &open);
     std::string pickService(const Route &route);
     bool fitsLink(const OpenRequest &open);
@@ -174,7 +181,8 @@
     bool m_isSuspended = false;
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
     std::map<std::string, RegionPlan> m_plans; ///< by service
-    std::map<std::string, double> m_utilization; ///< by service: demand of all regions over slots
+    /// Demand of all regions over slots, by service; only of services with demand that home regions bind.
+    std::map<std::string, double> m_utilization;
     std::map<std::string, RetryBudget> m_budgets; ///< by service
     std::map<std::string, ShedWatch> m_sheds; ///< by service
     Quarantine m_quarantine;
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -22,15 +22,6 @@
 constexpr Milliseconds MinResponseTimeout{600};
 constexpr Milliseconds PlanInterval{200};
 
-double sumOf(const RegionSlots &slots)
-{
-    double sum = 0;
-    for (const auto &[region, it] : slots) {
-        sum += it;
-    }
-    return sum;
-}
-
 } // namespace
 
 std::string Balancer::Impl::pickService(const Route &route)
@@ -135,8 +126,8 @@
     return bytes < static_cast<double>(LargeAnswerBytes) || m_link.has(bytes, m_now);
 }
 
-// By the shares of the plan, so that returning callers do not fill the targets of a small region. The sample of all
-// regions has as many targets of the smallest one as of the largest.
+// By the shares of the plan, so that returning callers do not fill the targets of a region that bound demand fills. The
+// sample of all regions has as many targets of the smallest one as of the largest.
 Balancer::Impl::Placement Balancer::Impl::placeReturning(const OpenRequest &open)
 {
     Placement placement = placeInRegion(open, regionByPlan(open, m_random()), false);
@@ -146,6 +137,12 @@
     return placement;
 }
 
+bool Balancer::Impl::maySpillByPlan(const OpenRequest &open) const
+{
+    const auto it = m_utilization.find(open.service);
+    return it != m_utilization.end() && it->second <= MaxSpillUtilization && open.route.homeRegions.empty();
+}
+
 Balancer::Impl::Placement Balancer::Impl::place(const OpenRequest &open)
 {
     if (open.hasNoRegion) {
@@ -167,9 +164,7 @@
     if (hasTarget && open.affinity != 0 && !open.isCallerRetry) {
         return rejected;
     }
-    const auto utilization = m_utilization.find(open.service);
-    const bool maySpill = utilization != m_utilization.end() && utilization->second <= MaxSpillUtilization;
-    if (hasTarget && maySpill && open.route.homeRegions.empty()) {
+    if (hasTarget && maySpillByPlan(open)) {
         const Placement returning = placeReturning(open);
         if (returning.target != nullptr) {
             return returning;
@@ -201,7 +196,7 @@
     const double step = m_settings.maxShift / window / 2;
     for (const ServiceTraits &service : m_table->services) {
         const auto serviceTime = m_meanServiceTime.find(service.name);
-        const std::map<std::string, double> capacity = m_targets.capacity(
+        const RegionSlots capacity = m_targets.capacity(
             service.name, serviceTime == m_meanServiceTime.end() ? std::nullopt : std::optional(serviceTime->second),
             m_now);
         if (m_settings.policy.schedulesReturns) {
@@ -213,7 +208,11 @@
         const RegionSlots bound = m_targets.boundDemand(service.name);
         const double sum = sumOf(demand) + sumOf(bound);
         const double slots = sumOf(capacity);
-        m_utilization[service.name] = slots > 0 ? sum / slots : 1;
+        if (bound.empty()) {
+            m_utilization.erase(service.name);
+        } else {
+            m_utilization[service.name] = slots > 0 ? sum / slots : 1;
+        }
         if (sum < 1) {
             // No demand is known yet: all regions are assumed to have the same.
             demand.clear();
--- a/lib/Balance/Quotas.cpp
+++ b/lib/Balance/Quotas.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-/// Fraction of the objective for which a request may wait for a token: callers then still get an answer in time.
+/// A request may wait for a token for an eighth of its objective, so that the answer can still be in time.
 constexpr int TokenWaitDivisor = 8;
 
 } // namespace
@@ -30,7 +30,7 @@
 
 QuotaDecision Balancer::Impl::requestToken(OpenRequest &open)
 {
-    if (open.limit.perSecond <= 0 || open.tokenExpiry) {
+    if (open.limit.perSecond <= 0 || open.token) {
         return QuotaDecision::Admitted;
     }
     const QuotaResult result =
@@ -38,25 +38,23 @@
     open.awaitsToken = result.decision == QuotaDecision::Waiting;
     open.hasNoQuotaDecision = result.decision == QuotaDecision::TimedOut;
     if (result.decision == QuotaDecision::Admitted) {
-        open.tokenExpiry = result.tokenExpiry;
+        open.token = {open.tenant, result.tokenExpiry};
     }
     return result.decision;
 }
 
 void Balancer::Impl::refundToken(const OpenRequest &open, Refusal reason)
 {
-    if (open.tokenExpiry && promisesNotRun(reason)) {
-        m_quotas.refund(open.tenant, *open.tokenExpiry);
+    if (open.token && promisesNotRun(reason)) {
+        m_quotas.refund(open.token->tenant, open.token->expiry);
     }
 }
 
 void Balancer::Impl::sendWithToken(OpenRequest &open, TimePoint tokenExpiry)
 {
-    open.tokenExpiry = tokenExpiry;
-    const std::string tenant = open.tenant;
+    open.token = {open.tenant, tokenExpiry};
     Placement placement{nullptr, 0, m_isSuspended ? Refusal::RoutingLate : Refusal::RouteChanged};
-    // The key may belong to another tenant by now, whose limit has not been charged.
-    if (refreshRoute(open) && open.tenant == tenant) {
+    if (refreshRoute(open)) {
         placement = place(open);
     }
     if (placement.target != nullptr) {
--- a/lib/Balance/RegionPlan.cpp
+++ b/lib/Balance/RegionPlan.cpp
@@ -22,11 +22,6 @@
     return it == values.end() ? 0.0 : it->second;
 }
 
-double sumOf(const std::map<std::string, double> &values)
-{
-    return std::accumulate(values.begin(), values.end(), 0.0, [](double n, const auto &it) { return n + it.second; });
-}
-
 RegionShares normalized(RegionShares shares)
 {
     const double sum = sumOf(shares);
@@ -41,6 +36,11 @@
 
 } // namespace
 
+double sumOf(const RegionSlots &slots)
+{
+    return std::accumulate(slots.begin(), slots.end(), 0.0, [](double n, const auto &it) { return n + it.second; });
+}
+
 RegionShares plannedShares(const std::string &region, const RegionSlots &capacity, const RegionSlots &demand,
                            const RegionSlots &bound)
 {
--- a/lib/Balance/RegionPlan.h
+++ b/lib/Balance/RegionPlan.h
@@ -18,6 +18,8 @@
 /// Slots of one service, by region.
 using RegionSlots = std::map<std::string, double>;
 
+double sumOf(const RegionSlots &slots);
+
 /// Computes which regions should serve a region's requests, so that no region has a higher utilization than the others
 /// without need. A region whose demand is at most `FullUtilization` of its slots serves all of it. `bound` is demand
 /// that can't be moved, in addition to `demand`; only what it leaves of a region's slots is divided.
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -132,7 +132,8 @@
         return false;
     }
     assignRoute(open, *route, caller);
-    return true;
+    // The limit of a tenant that has received the key meanwhile is not charged for this request.
+    return !open.token || open.token->tenant == open.tenant;
 }
 
 bool Balancer::Impl::leadsTo(const Route &route, const Tenant *tenant, const TargetState &target)
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -362,6 +362,7 @@
         const std::lock_guard lock(m_mutex);
         m_settings.seeds = settings.seeds;
         m_settings.bounds = settings.bounds;
+        m_quotas.setTolerance(settings.bounds.quotas);
     }
     m_events.state("reload", {{"seeds", settings.seeds.size()}});
 }
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -117,6 +117,7 @@
     void onQuota(const IncomingCallPtr &call);
     void onQuotaLoan(const IncomingCallPtr &call);
     void updateQuotaMembers(TimePoint now);
+    void reportQuotas(TimePoint now);
     void advanceQuotas(TimePoint now);
     void carryOut(const QuotaEffects &effects);
     void borrowTokens(const BorrowTokens &effect);
--- a/lib/Fleet/RegistryQuotas.cpp
+++ b/lib/Fleet/RegistryQuotas.cpp
@@ -59,20 +59,16 @@
     };
     std::vector<QuotaPeer> peers;
     for (const ControlMember &it : status.members) {
-        if (it.name != self) {
+        if (it.name != self && Address::parse(it.name)) {
             peers.push_back({it.name, regionOf(it.zone) == regionOf(m_settings.zone)});
         }
     }
     m_quotas.setPeers(std::move(peers));
+    reportQuotas(now);
 }
 
-// The mutex is held.
-void RegistryDaemon::Impl::advanceQuotas(TimePoint now)
+void RegistryDaemon::Impl::reportQuotas(TimePoint now)
 {
-    updateQuotaMembers(now);
-    QuotaEffects effects;
-    m_quotas.tick(now, effects);
-    carryOut(effects);
     const QuotaIssuer::Totals &totals = m_quotas.totals();
     m_metrics.gauge("pepperlug_quota_tokens{state=\"granted\"}", static_cast<double>(totals.granted));
     m_metrics.gauge("pepperlug_quota_tokens{state=\"missing\"}", static_cast<double>(totals.missing));
@@ -81,6 +77,15 @@
     m_metrics.gauge("pepperlug_quota_isolated_hosts", static_cast<double>(m_quotas.isolatedFollowers(now)));
 }
 
+// The mutex is held.
+void RegistryDaemon::Impl::advanceQuotas(TimePoint now)
+{
+    updateQuotaMembers(now);
+    QuotaEffects effects;
+    m_quotas.tick(now, effects);
+    carryOut(effects);
+}
+
 // The mutex is held.
 void RegistryDaemon::Impl::carryOut(const QuotaEffects &effects)
 {
@@ -99,11 +104,11 @@
 
 void RegistryDaemon::Impl::borrowTokens(const BorrowTokens &effect)
 {
-    const std::optional<Address> to = Address::parse(effect.peer);
+    const Address to = Address::parse(effect.peer).value(); // updateQuotaMembers() has checked it
     const TimePoint sentAt = m_clock.now();
-    m_net.call(to.value_or(m_settings.peer), path::FleetQuotaLoan, encode(effect.wanted), QuotaCallTimeout,
-               [this, wanted = effect.wanted, sentAt](const PeerReply &reply) {
-                   const auto [lent, reason] = readReply<QuotaLoans>(reply, "control host");
+    m_net.call(to, path::FleetQuotaLoan, encode(effect.wanted), QuotaCallTimeout,
+               [this, to, wanted = effect.wanted, sentAt](const PeerReply &reply) {
+                   const auto [lent, reason] = readReply<QuotaLoans>(reply, to.text());
                    const std::lock_guard lock(m_mutex);
                    QuotaEffects effects;
                    m_quotas.receiveLoan(wanted, lent, sentAt, m_clock.now(), effects);
--- a/lib/Quota/QuotaHolder.cpp
+++ b/lib/Quota/QuotaHolder.cpp
@@ -23,7 +23,7 @@
 constexpr Milliseconds ExhaustedTime{100};
 /// Time after the last request for which a tenant's state is kept.
 constexpr std::chrono::seconds IdleTime{3};
-/// Depth of the bucket of an isolated host: what it may use at once.
+/// Time for which an isolated host may save up its reserved rate.
 constexpr std::chrono::duration<double> IsolatedBurstTime{1.0};
 constexpr Milliseconds MinRetryAfter{500};
 constexpr Milliseconds MaxRetryAfter{5000};
@@ -35,6 +35,11 @@
     return hash64(name);
 }
 
+double isolatedDepth(double perSecond)
+{
+    return perSecond > 0 ? std::max(1.0, perSecond * IsolatedBurstTime.count()) : 0;
+}
+
 void ExpiringTokens::add(Batch batch)
 {
     if (batch.tokens > 0) {
@@ -106,9 +111,8 @@
         share.isolatedTokens = 0;
         share.isolatedAt = begin;
     }
-    const double depth = std::max(1.0, share.isolatedPerSecond * IsolatedBurstTime.count());
     const double gained = share.isolatedPerSecond * secondsOf(now - share.isolatedAt);
-    share.isolatedTokens = std::min(depth, share.isolatedTokens + gained);
+    share.isolatedTokens = std::min(isolatedDepth(share.isolatedPerSecond), share.isolatedTokens + gained);
     share.isolatedAt = now;
     if (share.isolatedTokens < 1) {
         return std::nullopt;
@@ -151,7 +155,7 @@
     return {id, QuotaDecision::Waiting, {}};
 }
 
-void QuotaHolder::forget(const std::string &tenant, RequestId id)
+void QuotaHolder::cancel(const std::string &tenant, RequestId id)
 {
     const auto it = m_shares.find(tenantHash(tenant));
     if (it != m_shares.end()) {
@@ -296,8 +300,8 @@
     }
 }
 
-// The reserved rate of a tenant that is removed must be removed at the issuer, too; it does so when the tenant's
-// requests have ceased.
+// A tenant for which a rate is reserved is kept until the issuer has withdrawn the rate, so that the calls continue
+// which show the issuer that it need not subtract it.
 void QuotaHolder::removeIdle(TimePoint now)
 {
     std::erase_if(m_shares, [now](const auto &it) {
--- a/lib/Quota/QuotaIssuer.cpp
+++ b/lib/Quota/QuotaIssuer.cpp
@@ -24,9 +24,8 @@
 constexpr double LifetimeToleranceShare = 0.5;
 constexpr Milliseconds MinLifetime{100};
 constexpr std::chrono::seconds MaxLifetime{2};
-/// Fractions of this host's part of a limit: reserved for isolated hosts, and the rate at which a host issues that has
-/// restarted and does not know what it had reserved. Together they are the whole part. Usual demand is below the second
-/// one, so a restart refuses nothing.
+/// Fractions of this host's part of a limit, of its rate and of its burst: reserved for isolated hosts, and issued by a
+/// host that has restarted and does not know what it had reserved. Together they are the whole part.
 constexpr double ReservedShare = 0.35;
 constexpr double RestartShare = 1 - ReservedShare;
 /// Relative change of a reserved rate that is reported to the host that may use it.
@@ -82,6 +81,11 @@
     refillAll(now);
 }
 
+void QuotaIssuer::setTolerance(const QuotaTolerance &tolerance)
+{
+    m_tolerance = tolerance;
+}
+
 void QuotaIssuer::setPeers(std::vector<QuotaPeer> peers)
 {
     m_peers = std::move(peers);
@@ -110,21 +114,24 @@
     return std::max(1.0, (limit.burst + std::max(0.0, toleratedRequests(limit) - used)) * share());
 }
 
-double QuotaIssuer::maxReservedPerSecond(const TenantLimit &limit) const
+QuotaIssuer::Reserve QuotaIssuer::maxReserve(const TenantLimit &limit) const
 {
-    return limit.perSecond * share() * ReservedShare;
+    return {limit.perSecond * share() * ReservedShare, depth(limit) * ReservedShare};
 }
 
-double QuotaIssuer::isolatedPerSecond(std::uint64_t tenant, TimePoint now) const
+QuotaIssuer::Reserve QuotaIssuer::usedByIsolated(std::uint64_t tenant, const Bucket &bucket, TimePoint now) const
 {
-    double sum = 0;
+    Reserve used;
+    if (bucket.reserved.perSecond <= 0) {
+        return used;
+    }
     for (const auto &[address, follower] : m_followers) {
-        if (isIsolated(follower, now)) {
-            const auto it = follower.tenants.find(tenant);
-            sum += it == follower.tenants.end() ? 0 : it->second.reservedPerSecond();
+        const auto it = isIsolated(follower, now) ? follower.tenants.find(tenant) : follower.tenants.end();
+        if (it != follower.tenants.end()) {
+            used.add(it->second.reservedPerSecond());
         }
     }
-    return sum;
+    return used;
 }
 
 // A follower takes itself for isolated IsolationTimeout after it has sent the last call whose reply it received, and
@@ -134,14 +141,17 @@
     return now - follower.contactAt > IsolationTimeout - QuotaCallTimeout;
 }
 
-// Rates change only when a follower's state does, and then the buckets are refilled first.
+// Rates change only when a follower's state does, and then its buckets are refilled first. What isolated followers may
+// have saved up is kept out of the bucket, so that all together save up one burst.
 void QuotaIssuer::refill(std::uint64_t tenant, Bucket &bucket, TimePoint now) const
 {
     const bool mayHaveReserved = !m_isFirstStart && bucket.refilledAt < m_issuingSince + FollowerTimeout;
-    const double issued = bucket.limit.limit.perSecond * share() * (mayHaveReserved ? RestartShare : 1);
-    const double rate = std::max(0.0, issued - isolatedPerSecond(tenant, now));
+    const double part = mayHaveReserved ? RestartShare : 1;
+    const Reserve isolated = usedByIsolated(tenant, bucket, now);
+    const double rate = std::max(0.0, bucket.limit.limit.perSecond * share() * part - isolated.perSecond);
     const double gained = rate * std::max(0.0, secondsOf(now - bucket.refilledAt));
-    bucket.level = std::min(depth(bucket.limit.limit), bucket.level + gained);
+    const double most = std::max(0.0, depth(bucket.limit.limit) * part - isolated.depth);
+    bucket.level = std::min(most, bucket.level + gained);
     bucket.refilledAt = std::max(bucket.refilledAt, now);
 }
 
@@ -152,6 +162,15 @@
     }
 }
 
+void QuotaIssuer::refillReserved(const Follower &follower, TimePoint now)
+{
+    for (const auto &[tenant, state] : follower.tenants) {
+        if (state.reservedPerSecond() > 0) {
+            refill(tenant, m_buckets.at(tenant), now);
+        }
+    }
+}
+
 // Nobody has taken tokens of a tenant that is not known, so its bucket has been filling since this host began to issue.
 QuotaIssuer::Bucket &QuotaIssuer::bucketOf(std::uint64_t tenant, const QuotaLimit &limit, TimePoint now)
 {
@@ -175,7 +194,7 @@
     Follower &follower = it->second;
     const bool mayChangeRates = !isNew && (follower.host != call.host || isIsolated(follower, now));
     if (mayChangeRates) {
-        refillAll(now);
+        refillReserved(follower, now);
     }
     if (follower.host != call.host) {
         removeReservations(follower);
@@ -194,19 +213,19 @@
         follower.replies.pop_front();
     }
     for (auto &[tenant, state] : follower.tenants) {
-        double &sum = m_buckets.at(tenant).reservedPerSecond;
-        sum -= state.reservedPerSecond();
+        Reserve &sum = m_buckets.at(tenant).reserved;
+        sum.subtract(state.reservedPerSecond());
         while (state.reservations.size() > 1 && state.reservations[1].sequence <= sequence) {
             state.reservations.pop_front();
         }
-        sum += state.reservedPerSecond();
+        sum.add(state.reservedPerSecond());
     }
 }
 
 void QuotaIssuer::removeReservations(const Follower &follower)
 {
     for (const auto &[tenant, state] : follower.tenants) {
-        m_buckets.at(tenant).reservedPerSecond -= state.reservedPerSecond();
+        m_buckets.at(tenant).reserved.subtract(state.reservedPerSecond());
     }
 }
 
@@ -448,23 +467,36 @@
 }
 
 // Reserved rates are divided by what was granted lately, so that a host that is cut off serves the same callers.
+double QuotaIssuer::reservedRate(const Bucket &bucket, const FollowerTenant &state, TimePoint now) const
+{
+    const double used = state.granted.perSecond(now);
+    const double granted = bucket.granted.perSecond(now);
+    if (used < MinReservingUse || granted <= 0) {
+        return 0;
+    }
+    const Reserve most = maxReserve(bucket.limit.limit);
+    Reserve others = bucket.reserved;
+    others.subtract(state.reservedPerSecond());
+    const double rate = std::min(most.perSecond * std::min(1.0, used / granted), most.perSecond - others.perSecond);
+    return rate > 0 && others.depth + isolatedDepth(rate) <= most.depth ? rate : 0;
+}
+
+// A follower that has followed another control host since its last call has dropped the rate, so it is told again.
 void QuotaIssuer::addReservations(HeldCall &held, Follower &follower, TimePoint now)
 {
+    const bool hasKept = held.call.issuer == m_issuer;
     for (auto &[tenant, state] : follower.tenants) {
         Bucket &bucket = m_buckets.at(tenant);
-        const double granted = bucket.granted.perSecond(now);
-        const double part = granted > 0 ? std::min(1.0, state.granted.perSecond(now) / granted) : 0;
-        const double most = maxReservedPerSecond(bucket.limit.limit);
-        const double others = bucket.reservedPerSecond - state.reservedPerSecond();
-        double target = std::min(most * part, std::max(0.0, most - others));
-        target = state.granted.perSecond(now) < MinReservingUse ? 0 : target;
+        const double target = reservedRate(bucket, state, now);
         const double last = state.reservations.back().perSecond;
         const bool isChanged = std::abs(target - last) > last * ReservationStep || (target <= 0 && last > 0);
-        if (!isChanged && state.reservations.size() == 1) {
+        const bool isKnown = state.reservations.size() == 1 && (hasKept || last <= 0);
+        if (!isChanged && isKnown) {
             continue;
         }
+        bucket.reserved.subtract(state.reservedPerSecond());
         state.reservations.push_back({held.reply.sequence, isChanged ? target : last});
-        bucket.reservedPerSecond = others + state.reservedPerSecond();
+        bucket.reserved.add(state.reservedPerSecond());
         held.reply.grants.push_back({tenant, 0, {}, static_cast<float>(state.reservations.back().perSecond)});
     }
 }
--- a/unittests/Balance/TenantTest.cpp
+++ b/unittests/Balance/TenantTest.cpp
@@ -338,6 +338,34 @@
     CHECK(host.refusal() == Refusal::RouteChanged);
 }
 
+TEST_CASE("a token of one tenant does not admit a request of another one that received the key")
+{
+    LimitedHost host;
+    host.table.tenants[1].limit = {10, 10};
+    host.publishTable();
+    const bool isSent = GENERATE(true, false);
+    const RequestId id = host.sendRequest("/read/x", "k1");
+    const RequestQuota call = *host.find<RequestQuota>();
+    const QuotaReply reply{"control#1", 1, true, {{tenantHash("t1"), 1, 500ms, {}}}};
+    if (isSent) {
+        host.reduce(QuotaReplied{call.sentAt, reply});
+    }
+    host.table.tenants[0].keyDigests = {"k1b"};
+    host.table.tenants[1].keyDigests = {"k2", "k1"};
+    host.publishTable();
+    if (isSent) {
+        host.end(id, 1, AttemptOutcome::Shed);
+    } else {
+        host.reduce(QuotaReplied{call.sentAt, reply});
+    }
+    CHECK(host.find<StartAttempt>() == nullptr);
+    CHECK(host.refusal() == Refusal::RouteChanged);
+    host.sendRequest("/read/x", "k1");
+    CHECK(host.find<StartAttempt>() == nullptr);
+    host.sendRequest("/read/x", "k1b"); // the token was returned to its tenant
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
 TEST_CASE("a control host that issues no tokens is not waited for")
 {
     LimitedHost host;
--- a/unittests/Quota/QuotaNetwork.h
+++ b/unittests/Quota/QuotaNetwork.h
@@ -45,6 +45,7 @@
     Duration cutAt{}; ///< a fraction of the entry hosts is cut off from all control hosts
     Duration cutLength{};
     double cutFraction = 0.3;
+    double othersPerSecond = 0; ///< requests a second of another tenant with the same limit, at all hosts
     Duration restartAllAt{}; ///< all hosts crash at once and start again 1 s later
     Duration restartInterval{}; ///< between two restarts of entry hosts
     Duration controlRestartInterval{}; ///< between two restarts of control hosts
@@ -121,6 +122,7 @@
     static constexpr Duration LoweredLimitDelay = 2500ms;
     static constexpr unsigned ControlHostsPerRegion = 2;
     static constexpr const char *Name = "tenant";
+    static constexpr const char *OtherName = "other";
 
     struct Entry {
         std::optional<Policy> policy; ///< nothing: the host is down
@@ -272,6 +274,22 @@
             const auto host = static_cast<unsigned>(m_usedHosts[m_random() % m_usedHosts.size()]);
             at(m_now + Duration(within(m_random)), [this, host] { sendRequest(host); });
         }
+        const double others = m_plan.othersPerSecond * secondsOf(RateStep);
+        const int otherCount = others > 0 ? std::poisson_distribution<int>(others)(m_random) : 0;
+        for (int n = 0; n < otherCount; ++n) {
+            const auto host = static_cast<unsigned>(m_random() % m_entries.size());
+            at(m_now + Duration(within(m_random)), [this, host] { sendOtherRequest(host); });
+        }
+    }
+
+    /// A request of the other tenant, which is not counted.
+    void sendOtherRequest(unsigned n)
+    {
+        if (m_entries[n].policy) {
+            const auto id = static_cast<RequestId>(++m_lastRequest);
+            m_entries[n].policy->request(id, OtherName, m_limit, m_plan.maxWait, m_now);
+            advance(n);
+        }
     }
 
     void sendRequest(unsigned n)
@@ -299,6 +317,9 @@
     void decide(Entry &entry, const QuotaResult &result)
     {
         const auto it = entry.waiting.find(static_cast<std::uint64_t>(result.id));
+        if (it == entry.waiting.end()) {
+            return; // of the other tenant
+        }
         m_outcome.longestWait = std::max(m_outcome.longestWait, m_now - it->second);
         entry.waiting.erase(it);
         if (result.decision == QuotaDecision::Admitted) {
@@ -340,20 +361,22 @@
             const Entry &it = m_entries[n];
             return it.policy && it.incarnation == incarnation && !*isAnswered;
         };
-        at(m_now + QuotaCallTimeout, [this, n, control, sentAt, isAwaited, isAnswered] {
+        const auto fail = [this, n, control, sentAt, isAwaited, isAnswered] {
             if (isAwaited()) {
                 *isAnswered = true;
                 m_entries[n].avoided[control] = m_now + AvoidTime;
                 m_entries[n].policy->recordFailure(sentAt);
                 advance(n);
             }
-        });
+        };
+        at(m_now + QuotaCallTimeout, fail);
         if (!reaches(n, control)) {
             return;
         }
-        at(m_now + way, [this, n, control, way, sentAt, isAwaited, isAnswered, call = std::move(call)] {
+        at(m_now + way, [this, n, control, way, sentAt, isAwaited, isAnswered, fail, call = std::move(call)] {
             Control &host = m_controls[control];
             if (!host.issuer) {
+                at(m_now + way, fail); // nothing listens while the process restarts
                 return;
             }
             const std::uint64_t id = ++host.lastCall;
