--- a/benchmarks/FleetBenchmark.cpp
+++ b/benchmarks/FleetBenchmark.cpp
@@ -257,7 +257,7 @@
 /// An entry host requests a token, and gets it.
 void requestToken(benchmark::State &state)
 {
-    const auto tenants = static_cast<std::size_t>(state.range(1));
+    const std::size_t tenants = std::max<std::size_t>(1, static_cast<std::size_t>(state.range(1)));
     QuotaHolder holder("edge-0#1", "10.200.0.1:80");
     TimePoint now = Start;
     std::uint64_t n = 0;
--- a/unittests/Balance/ReturningCallersTest.cpp
+++ b/unittests/Balance/ReturningCallersTest.cpp
@@ -33,7 +33,7 @@
     const auto send = [&](const std::string &key, Duration deadline, std::optional<TargetLoad> load) {
         const RequestId id = host.request("/once/x", key, deadline);
         const auto *attempt = host.find<StartAttempt>();
-        const std::string target = attempt == nullptr ? std::string() : attempt->target;
+        std::string target = attempt == nullptr ? std::string() : attempt->target;
         host.now += 100ms;
         host.reduce(AttemptEnded{id, 1, AttemptOutcome::Answered, load, 0});
         return target;
