--- a/benchmarks/FleetBenchmark.cpp
+++ b/benchmarks/FleetBenchmark.cpp
@@ -2,9 +2,11 @@
 //
 // The argument is the number of targets; there is an entry host for ten of them, and nine control hosts. Counters give
 // the entries visited and the bytes encoded by one operation. The arguments of the operations on tenants' limits are
-// the number of entry hosts that follow a control host, and of tenants with requests at each of them.
+// the number of entry hosts that follow a control host, and of tenants with requests at each of them; that of a plan is
+// the number of regions.
 //
 //===----------------------------------------------------------------------===//
+#include "Balance/RegionPlanner.h"
 #include "Balance/TargetSet.h"
 #include "Fleet/PackedChanges.h"
 
@@ -278,6 +280,25 @@
     }
 }
 
+/// An entry host updates the plan of a service. The argument is the number of regions.
+void planOfService(benchmark::State &state)
+{
+    BalanceSettings settings;
+    RegionState regions;
+    for (std::int64_t n = 0; n < state.range(0); ++n) {
+        const std::string region = "region-" + std::to_string(n);
+        settings.regionOfZone[zoneOf(static_cast<std::size_t>(n))] = region;
+        regions.capacity[region] = 100;
+        regions.demand[region] = n == 0 ? 90 : 50;
+    }
+    RegionPlanner planner(settings, "region-0");
+    TimePoint now = Start;
+    for (auto _ : state) {
+        now += 200ms;
+        benchmark::DoNotOptimize(planner.update("s", regions, true, now));
+    }
+}
+
 BENCHMARK(report)->Arg(FewTargets)->Arg(ManyTargets);
 BENCHMARK(renewals)->Arg(FewTargets)->Arg(ManyTargets);
 BENCHMARK(changeForFollower)->Arg(FewTargets)->Arg(ManyTargets);
@@ -286,6 +307,7 @@
 BENCHMARK(choice)->Arg(FewTargets)->Arg(ManyTargets);
 BENCHMARK(issueToken)->Args({11, 75})->Args({109, 75})->Args({109, 1000});
 BENCHMARK(requestToken)->Args({1, 75})->Args({1, 1000});
+BENCHMARK(planOfService)->Arg(3)->Arg(9);
 
 } // namespace
 
--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -41,7 +41,7 @@
     FleetBounds bounds;
     Duration updateLease = UpdateLease; ///< how long others wait for a silent entry host; the same on all hosts
     Duration firstProbePause = FirstProbeDelay; ///< of quarantined requests; the same on all hosts
-    std::vector<std::string> contracts; ///< terms of the platform that the deployment is subject to
+    std::vector<std::string> features; ///< of the deployment, as its platform names them
     unsigned logLinesPerSecond = 0;
     // Entry hosts.
     Address callers;
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -167,7 +167,7 @@
         return;
     }
     const Duration serviceTime = m_admission.stats(route->name).serviceTime().value_or(route->objective / 2);
-    m_arrivals[{open.service, boundRegion(open)}].add(m_now, secondsOf(occupancy(open.route, serviceTime)));
+    m_demand.addRequest(open.service, boundRegion(open), route->name, serviceTime, m_now);
     m_requestedBytes.add(m_now, m_admission.answerBytes(route->name) + AnswerHeadBytes);
     m_shiftAllowances[open.service].countRequest(m_now);
     m_budgets.at(open.service).countRequest(m_now);
@@ -358,16 +358,6 @@
     }
 }
 
-// The round trip to another region, a new connection there, and a target's queue occupy no slot. If they counted, the
-// hosts of a region that is overloaded, or whose callers are served elsewhere, would report more demand for the same
-// requests, and their region would be planned to be less used than others.
-Duration Balancer::Impl::occupancy(const Route &route, Duration serviceTime) const
-{
-    const auto it = m_localStats.find(route.name);
-    const std::optional<Duration> local = it == m_localStats.end() ? std::nullopt : it->second.serviceTime();
-    return followsLosses() ? local.value_or(serviceTime) : serviceTime;
-}
-
 // Admission adds the round trip to another region to the predicted time of requests that go there.
 Duration Balancer::Impl::timeAtTarget(const Attempt &attempt) const
 {
@@ -403,9 +393,9 @@
         m_link.take(static_cast<double>(event.answerBytes) + AnswerHeadBytes - attempt.expectedBytes, m_now);
         m_admission.stats(open.route.name).addAnswerBytes(event.answerBytes);
         const Duration took = timeAtTarget(attempt);
-        const bool hasWaited = !event.load || event.load->waiting > 0;
-        if (!attempt.isInOtherRegion && !hasWaited && followsLosses()) {
-            m_localStats[open.route.name].addServiceTime(took, attempt.utilization);
+        if (followsLosses()) {
+            const bool hasQueue = !event.load || event.load->waiting > 0;
+            m_demand.addAnswer(open.route.name, {took, attempt.utilization, attempt.isInOtherRegion, hasQueue});
         }
         m_admission.stats(open.route.name).addServiceTime(took, attempt.utilization);
         m_returns.addServiceTime(open.service, took, attempt.utilization);
@@ -514,11 +504,7 @@
 
 std::vector<ServiceDemand> Balancer::Impl::demand(TimePoint now) const
 {
-    std::vector<ServiceDemand> demand;
-    for (const auto &[place, rate] : m_arrivals) {
-        demand.push_back({place.first, rate.perSecond(now), place.second});
-    }
-    return demand;
+    return m_demand.demand(now);
 }
 
 double Balancer::Impl::linkUse(TimePoint now) const
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Admission.h"
+#include "DemandEstimate.h"
 #include "LinkBudget.h"
 #include "RegionPlanner.h"
 #include "RetryBudget.h"
@@ -114,7 +115,6 @@
     void hedgeUnresponsive();
     void cancelAttempts(OpenRequest &open);
     Duration timeAtTarget(const Attempt &attempt) const;
-    Duration occupancy(const Route &route, Duration serviceTime) const;
     void recordShed(OpenRequest &open, const AttemptEnded &event, const std::string &target);
     bool mayRetry(const OpenRequest &open, AttemptOutcome outcome);
     Milliseconds retryAfter(const OpenRequest &open, Refusal reason, Duration drainTime);
@@ -195,10 +195,8 @@
     /// Targets that may have crashed and are being checked, with the digests of the requests whose connections ended.
     std::map<Incarnation, std::set<std::string>> m_pendingChecks;
     LinkBudget m_link;
-    /// Slots that the requests occupy, by service and by the region that home regions bind them to; empty: none.
-    std::map<std::pair<std::string, std::string>, ArrivalRate> m_arrivals;
+    DemandEstimate m_demand;
     ArrivalRate m_requestedBytes;
-    std::map<std::string, RouteStats> m_localStats; ///< by route: of answers of this host's region
     std::map<std::string, ShiftAllowance> m_shiftAllowances; ///< by service
     std::map<std::string, double> m_meanServiceTime; ///< by service: seconds, over recent answers
     std::map<std::string, std::vector<double>> m_serviceCredits; ///< by route: credit of each of its services
--- a/lib/Balance/RegionPlanner.cpp
+++ b/lib/Balance/RegionPlanner.cpp
@@ -76,7 +76,7 @@
         }
     }
     const RegionShares planned = plannedShares(m_region, state.capacity, state.demand, state.bound);
-    return it.plan.moveTowards(planned, state.capacity, now, followsLosses);
+    return it.plan.moveTowards(planned, state.unlimited.empty() ? state.capacity : state.unlimited, now, followsLosses);
 }
 
 std::string RegionPlanner::regionFor(const std::string &service, std::uint64_t key) const
--- a/lib/Balance/RegionPlanner.h
+++ b/lib/Balance/RegionPlanner.h
@@ -18,6 +18,9 @@
     RegionSlots capacity; ///< of usable targets
     RegionSlots demand; ///< by the callers' region, without `bound`
     RegionSlots bound; ///< demand that home regions bind to a region
+    /// Like `capacity`, without what rate limits of targets exclude; empty: the same. Losses are measured by it, since
+    /// the slots that a limit leaves change with the service time.
+    RegionSlots unlimited{};
 };
 
 /// Plans of an entry host, by service.
--- a/lib/Fleet/GatewayBackpressure.cpp
+++ b/lib/Fleet/GatewayBackpressure.cpp
@@ -1,8 +1,6 @@
 //===- GatewayBackpressure.cpp - Backpressure at an entry host ------------===//
 #include "GatewayImpl.h"
 
-#include <cmath>
-
 namespace pepperlug::fleet
 {
 
@@ -59,14 +57,4 @@
                     {"noticed_here", effect.isLocal}});
 }
 
-void GatewayDaemon::Impl::carryOut(const RegionLossFollowed &effect)
-{
-    m_metrics.count("pepperlug_plan_losses");
-    m_events.state("region-loss",
-                   {{"service", effect.service},
-                    {"region", effect.region},
-                    {"slots_before", std::lround(effect.slotsBefore)},
-                    {"slots", std::lround(effect.slotsNow)}});
-}
-
 } // namespace pepperlug::fleet
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -92,7 +92,6 @@
     void onRoutingFetched(const Address &from, TimePoint sentAt, const PeerReply &reply);
     void applyRouting(const Address &from, const std::vector<std::string> &changes);
     void reportViewAge();
-    void reportRegionShares();
     std::uint64_t activeRoutingIndex() const;
 
     // GatewayBackpressure.cpp
@@ -100,6 +99,9 @@
     void onTargetSignal(const Incarnation &target, const AnswerFields &fields, TimePoint sentAt);
     void carryOut(const BackoffStarted &effect);
     void carryOut(const BackpressureChanged &effect);
+
+    // GatewayRegions.cpp
+    void reportRegionShares();
     void carryOut(const RegionLossFollowed &effect);
 
     // GatewaySuspects.cpp
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -131,24 +131,6 @@
     reduce(received);
 }
 
-// Regions without a share are written as 0, so that a gauge does not keep the last share of a region that callers have
-// left.
-void GatewayDaemon::Impl::reportRegionShares()
-{
-    std::map<std::string, std::map<std::string, double>> all;
-    {
-        const std::lock_guard lock(m_mutex);
-        all = m_balancer->regionShares();
-    }
-    for (auto &[service, shares] : all) {
-        for (const auto &[zone, region] : m_settings.regionOfZone) {
-            std::string name = "pepperlug_region_share{service=\"";
-            name.append(service).append("\",region=\"").append(region).append("\"}");
-            m_metrics.gauge(name, shares[region]);
-        }
-    }
-}
-
 // Log index of the oldest routing by which this host decides. While it decides nothing, this may be an index that has
 // not arrived yet, so that nobody has to wait for it. The mutex is held.
 std::uint64_t GatewayDaemon::Impl::activeRoutingIndex() const
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -111,7 +111,7 @@
         settings.bounds = readBounds(*bounds);
         bounds->finish();
     }
-    settings.contracts = reader.texts("contracts", false);
+    settings.features = reader.texts("features", false);
     settings.logLinesPerSecond = static_cast<unsigned>(reader.integer("log_lines_per_s", 0, 1000000, DefaultLogLines));
     if (role == FleetRole::Entry) {
         if (std::optional<ObjectReader> policy = reader.object("policy", false)) {
--- a/test/soak/Cluster.cpp
+++ b/test/soak/Cluster.cpp
@@ -101,6 +101,7 @@
     nlohmann::json json = commonSettings(name, host, number);
     json["callers"] = addressOf(host, CallersPort).text();
     json["readiness"] = addressOf(host, ReadinessPort).text();
+    json["policy"] = {{"follow_losses", m_settings.followsLosses ? "on" : "off"}};
     std::filesystem::path file = m_settings.folder / (name + ".json");
     std::ofstream(file) << json.dump(1);
     return file;
--- a/test/soak/Cluster.h
+++ b/test/soak/Cluster.h
@@ -15,6 +15,7 @@
     std::filesystem::path folder; ///< for settings, data and what the programs write
     unsigned controlHosts = 3;
     unsigned entryHosts = 4;
+    bool followsLosses = false; ///< plans of regions follow losses of targets at once
 };
 
 /// Control and entry hosts in three zones of two regions, on loopback addresses of their own.
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -725,6 +725,7 @@
 {
     // One run in eight has as many hosts as a small machine bears.
     settings.entryHosts = seed % 8 == 7 ? ManyEntryHosts : 2 + static_cast<unsigned>(seed % 5);
+    settings.followsLosses = seed % 4 == 3;
     settings.folder = folder / ("seed-" + std::to_string(seed));
     std::filesystem::remove_all(settings.folder);
     std::filesystem::create_directories(settings.folder);
--- a/unittests/Balance/RegionPlannerTest.cpp
+++ b/unittests/Balance/RegionPlannerTest.cpp
@@ -269,6 +269,42 @@
     CHECK(regions.utilization("small") <= 1);
 }
 
+// Load: hosts have planned for long when the first callers arrive. Guards against small first reports of demand that
+// keep all callers of the smallest region there.
+TEST_CASE("the first reports of demand do not fill the smallest region when traffic begins long after the first plan")
+{
+    Regions regions(true);
+    regions.demand.clear();
+    regions.run(20s);
+    for (const double reported : {2.0, 2.0, 5.0, 5.0, 11.0, 20.0, 33.0}) {
+        for (const auto &[region, callers] : regions.callers) {
+            regions.demand[region] = reported;
+        }
+        regions.run(800ms);
+        CAPTURE(reported);
+        CHECK(regions.utilization("small") <= 1);
+    }
+}
+
+// Guards against a shift in calm: the slots that a target's rate limit leaves change with the service time.
+TEST_CASE("fewer slots by rate limits are not followed like a loss")
+{
+    RegionPlanner planner(settings(), "small");
+    const RegionSlots slots{{"small", 20}, {"medium", 80}, {"large", 100}};
+    const RegionSlots demand{{"small", 47}, {"medium", 47}, {"large", 47}};
+    TimePoint now(1000s);
+    const auto update = [&](double limited) {
+        return planner.update("s", {{{"small", limited}, {"medium", 80}, {"large", 100}}, demand, {}, slots}, true,
+                              now);
+    };
+    for (const TimePoint end = now + 20s; now < end; now += 200ms) {
+        CHECK(update(20).empty());
+    }
+    const double before = planner.shares().at("s").at("small");
+    CHECK(update(10).empty());
+    CHECK(before - planner.shares().at("s").at("small") <= MaxShift / 4 * 0.2 + Tolerance);
+}
+
 // Guards against regions that get more than their slots because the hosts of all regions move callers to them.
 TEST_CASE("plans of several hosts together keep each region's load within its slots")
 {
--- a/unittests/Fleet/SettingsTest.cpp
+++ b/unittests/Fleet/SettingsTest.cpp
@@ -176,19 +176,19 @@
     }
 }
 
-// Guards against contracts that are dropped, so that a deployment runs without the behavior that they call for.
-TEST_CASE("contracts are a list of texts, empty by default")
+// Guards against features that are dropped, so that a deployment runs without the behavior that they call for.
+TEST_CASE("features are a list of texts, empty by default")
 {
     nlohmann::json json = entryJson();
-    CHECK(parse(json, FleetRole::Entry).contracts.empty());
-    json["contracts"] = {"tenants", "pressure"};
-    CHECK(parse(json, FleetRole::Entry).contracts == std::vector<std::string>{"tenants", "pressure"});
+    CHECK(parse(json, FleetRole::Entry).features.empty());
+    json["features"] = {"tenants", "pressure"};
+    CHECK(parse(json, FleetRole::Entry).features == std::vector<std::string>{"tenants", "pressure"});
     for (const nlohmann::json &value : {nlohmann::json("pressure"), nlohmann::json({"tenants", 1})}) {
-        json["contracts"] = value;
+        json["features"] = value;
         const Findings findings = findingsOf(json, FleetRole::Entry);
         REQUIRE(findings.size() == 1);
         CHECK(findings.front().file == "file");
-        CHECK(findings.front().path == "/contracts");
+        CHECK(findings.front().path == "/features");
     }
 }
 
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -424,7 +424,7 @@
          {{"pressure"}, LossFollowing::On, LossFollowing::On},
          {{}, LossFollowing::Off, LossFollowing::Off}}));
     FleetSettings settings;
-    settings.contracts = contracts;
+    settings.features = contracts;
     settings.policy.lossFollowing = before;
     platform::applyContracts(settings);
     CHECK(settings.policy.lossFollowing == after);
