Consensus: a member that is behind is sent one message of entries at a time

Cause: a member without a disk rejects each heartbeat, and each rejection made the leader send all entries again, some 5 MB ten times a second. The copies shared the link (10 MB/s between regions), none arrived within the message timeout of 1 s.

A member that rejects an append now gets one message of entries, of 1 MiB or one entry more, and empty heartbeats until it has acknowledged it or 2 s have passed. So the link carries each entry once.

--- a/include/pepperlug/Consensus.h
+++ b/include/pepperlug/Consensus.h
@@ -241,6 +241,9 @@
         std::string diskId; ///< as the member itself reports
         std::uint64_t ackedRound = 0;
         TimePoint snapshotSentAt{};
+        bool isCatchingUp = false; ///< it has rejected an append, so entries are sent to it one message at a time
+        std::uint64_t pendingIndex = 0; ///< last entry of the message that it has not acknowledged; 0: none
+        TimePoint pendingSince{}; ///< when that message was sent
         TimePoint lastContact{};
     };
 
@@ -267,6 +270,8 @@
     void persistHardState();
     void replicate(const std::string &to);
     void replicateAll();
+    AppendRequest emptyAppend(std::uint64_t previousIndex) const;
+    void sendEntries(const std::string &to, Progress &progress);
     void advanceCommit();
     void commitTo(std::uint64_t index);
     void promoteLearner(const std::string &name);
--- a/lib/Consensus/Replication.cpp
+++ b/lib/Consensus/Replication.cpp
@@ -3,6 +3,10 @@
 // The leader holds a lease while a majority has acknowledged a heartbeat round that was sent less than the lease time
 // ago. Acknowledgements of members without a vote only advance their own progress.
 //
+// Entries are pipelined to members that are up to date. A member that rejects an append is caught up with one message
+// of entries at a time, and with empty heartbeats meanwhile: copies of a long log would share the link and none of them
+// would arrive within the message timeout.
+//
 //===----------------------------------------------------------------------===//
 #include "pepperlug/Consensus.h"
 
@@ -16,9 +20,10 @@
 {
 
 constexpr std::size_t MaxEntriesInMessage = 64;
-constexpr std::size_t MaxBytesInMessage = 4 * 1024 * 1024;
+constexpr std::size_t MaxBytesInMessage = 1024 * 1024;
 constexpr std::size_t MaxRoundsKept = 256;
-constexpr auto SnapshotResendInterval = std::chrono::seconds(2);
+/// Time after which a snapshot, or entries for a member that catches up, are sent again without an acknowledgement.
+constexpr auto ResendInterval = std::chrono::seconds(2);
 
 } // namespace
 
@@ -39,21 +44,36 @@
     }
 }
 
+AppendRequest Consensus::emptyAppend(std::uint64_t previousIndex) const
+{
+    return {sender(), m_round, previousIndex, termAt(previousIndex), m_commit, {}};
+}
+
 void Consensus::replicate(const std::string &to)
 {
     Progress &progress = m_progress[to];
     progress.nextIndex = std::clamp<std::uint64_t>(progress.nextIndex, 1, lastIndex() + 1);
     if (progress.nextIndex <= m_snapshot.index) {
         // The snapshot may be large, so it is not sent with each heartbeat. An empty append maintains the lease.
-        if (m_now < progress.snapshotSentAt + SnapshotResendInterval && progress.snapshotSentAt != TimePoint{}) {
-            send(to, AppendRequest{sender(), m_round, lastIndex(), termAt(lastIndex()), m_commit, {}});
+        if (m_now < progress.snapshotSentAt + ResendInterval && progress.snapshotSentAt != TimePoint{}) {
+            send(to, emptyAppend(lastIndex()));
             return;
         }
         progress.snapshotSentAt = m_now;
         send(to, SnapshotRequest{sender(), m_round, m_snapshot});
         return;
     }
-    AppendRequest request{sender(), m_round, progress.nextIndex - 1, termAt(progress.nextIndex - 1), m_commit, {}};
+    const bool isPending = progress.pendingIndex != 0 && m_now < progress.pendingSince + ResendInterval;
+    if (progress.isCatchingUp && isPending) {
+        send(to, emptyAppend(lastIndex()));
+        return;
+    }
+    sendEntries(to, progress);
+}
+
+void Consensus::sendEntries(const std::string &to, Progress &progress)
+{
+    AppendRequest request = emptyAppend(progress.nextIndex - 1);
     std::size_t bytes = 0;
     for (std::uint64_t n = progress.nextIndex; n <= lastIndex(); ++n) {
         if (request.entries.size() >= MaxEntriesInMessage || bytes > MaxBytesInMessage) {
@@ -62,8 +82,13 @@
         request.entries.push_back(entryAt(n));
         bytes += entryAt(n).data.size();
     }
-    // The entries count as received until a reply says otherwise, so that a burst of commands is sent once.
-    progress.nextIndex += request.entries.size();
+    if (progress.isCatchingUp) {
+        progress.pendingIndex = request.previousIndex + request.entries.size();
+        progress.pendingSince = m_now;
+    } else {
+        // The entries count as received until a reply says otherwise, so that a burst of commands is sent once.
+        progress.nextIndex += request.entries.size();
+    }
     send(to, std::move(request));
 }
 
@@ -181,15 +206,21 @@
         const std::uint64_t before = progress.nextIndex;
         progress.nextIndex = std::min(before, std::max(message.matchIndex, progress.matchIndex) + 1);
         if (progress.nextIndex < before) {
+            progress.isCatchingUp = true;
+            progress.pendingIndex = 0;
             replicate(from.name);
         }
         return;
     }
     progress.matchIndex = std::max(progress.matchIndex, message.matchIndex);
     progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
+    if (progress.matchIndex >= progress.pendingIndex) {
+        progress.pendingIndex = 0;
+    }
+    progress.isCatchingUp &= progress.matchIndex < lastIndex();
     advanceCommit();
     promoteLearner(from.name);
-    if (progress.nextIndex <= lastIndex()) {
+    if (progress.nextIndex <= lastIndex() && progress.pendingIndex == 0) {
         replicate(from.name);
     }
 }
