Consensus: no member counts as current before its leader knows what is committed

A host that starts then takes routing from before the restart for confirmed.

Cause: the commit index is not on the disk. It is 0 everywhere until the new leader has committed an entry of its own term, and a follower with commit index 0 had all that its leader had committed. A leader counted from its first round of replies on.

A follower is current only if the commit index it is told stands at an entry of the leader's term, a leader only once it has committed one. majority-regained names the commit index, and pepperlug_control_commit is a gauge of it, so that a member that is behind shows.

--- a/include/pepperlug/Consensus.h
+++ b/include/pepperlug/Consensus.h
@@ -222,11 +222,10 @@
     std::uint64_t lastIndex() const;
     const std::string &leader() const;
     const std::vector<ControlMember> &members() const;
-    /// Returns true if this host is a leader that holds its lease, or a follower that had all committed entries at a
-    /// recent contact to the leader.
-    bool isCurrent(TimePoint now) const;
     /// Returns true if this host is a leader that holds its lease and has applied all entries committed before its
-    /// term.
+    /// term, or a follower that had all committed entries at a recent contact to such a leader.
+    bool isCurrent(TimePoint now) const;
+    /// Returns true if this host is a leader that isCurrent().
     bool canRead(TimePoint now) const;
     bool isVoter() const;
     /// Returns the time of the last message from a leader; the start of this process if there was none.
--- a/lib/Consensus/Consensus.cpp
+++ b/lib/Consensus/Consensus.cpp
@@ -177,7 +177,7 @@
 TimePoint Consensus::currentUntil() const
 {
     if (m_role == ControlRole::Leader) {
-        return m_leaseUntil;
+        return termAt(m_commit) == m_hardState.term ? m_leaseUntil : TimePoint{};
     }
     // A follower in contact with a leader that lacks committed entries (a slow disk, a start) would have others use
     // outdated decisions.
@@ -186,7 +186,7 @@
 
 bool Consensus::canRead(TimePoint now) const
 {
-    return m_role == ControlRole::Leader && now < m_leaseUntil && termAt(m_commit) == m_hardState.term;
+    return m_role == ControlRole::Leader && isCurrent(now);
 }
 
 TimePoint Consensus::lastLeaderContact() const
--- a/lib/Consensus/Replication.cpp
+++ b/lib/Consensus/Replication.cpp
@@ -149,7 +149,10 @@
     }
     const std::uint64_t match = message.previousIndex + message.entries.size();
     commitTo(std::min(message.commit, match));
-    if (m_commit >= message.commit) {
+    // Until a leader has committed an entry of its own term, it does not know which entries of earlier terms are
+    // committed. After a restart of all members its commit index is 0.
+    const bool hasCommitted = message.commit >= m_snapshot.index && message.commit <= m_commit;
+    if (hasCommitted && termAt(message.commit) == from.term) {
         m_caughtUpAt = m_now;
     }
     reply.success = true;
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -163,13 +163,16 @@
 
 void RegistryDaemon::Impl::expire(TimePoint now)
 {
-    const bool isCurrent = m_log->status().isCurrent(now);
+    const ControlLogStatus status = m_log->status();
+    const bool isCurrent = status.isCurrent(now);
+    m_metrics.gauge("pepperlug_control_commit", static_cast<double>(status.commit));
     if (isCurrent && !m_wasCurrent) {
         m_currentSince = now;
     }
     if (isCurrent != m_wasCurrent) {
         m_notCurrentSince = now;
-        m_events.state(isCurrent ? "majority-regained" : "majority-lost", {{"term", m_log->status().term}});
+        m_events.state(isCurrent ? "majority-regained" : "majority-lost",
+                       {{"term", status.term}, {"commit", status.commit}});
     }
     m_wasCurrent = isCurrent;
     m_registry.expire(now, isCurrent && now - m_currentSince > MinCurrentTime);
