Fleet: a host that is slow keeps its suspension while control hosts answer it

Cause: a host that has known of newer routing for a lease decides nothing, says so, and is not waited for. It took itself for cut off once its last view was two leases old, and went on by the old routing. A view counts from when its poll was sent, so a reply that takes 3.6 s over a slow link looked like a cut. A host that had never had a view since its start was not suspended at all. Evidence: a stub control host that holds polls and answers heartbeats; the host resumed 1.0 s after its last poll with a lease of 0.5 s.

The reply to a heartbeat, which passes beside a long reply, now tells whether the control host has a majority, and the index of its routing (earlier versions send and ignore an empty one). A host counts as cut off once no such control host has answered anything for two leases. Lines routing-suspended and routing-resumed, gauge pepperlug_routing_suspended.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -91,6 +91,9 @@
     /// When this host learnt of the oldest routing version that it does not have; nothing if it has all.
     std::optional<TimePoint> behindSince{};
     bool isArriving = true; ///< the missing routing is being transferred; false: this host can't read it
+    /// Last sign of life of a control host that has a quorum; nothing: requestedAt. Later than requestedAt while a reply
+    /// takes long.
+    std::optional<TimePoint> heardAt{};
 };
 
 struct CallerRequest {
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -34,7 +34,8 @@
 // acknowledged.
 //
 // A suspended host stays suspended until it has every version that it was informed of: other hosts rely on the
-// suspension for each of these changes, and one of them may arrive while a later one is missing.
+// suspension for each of these changes, and one of them may arrive while a later one is missing. A slow reply does not
+// end the suspension, as long as control hosts answer heartbeats beside it.
 void Balancer::Impl::updateSuspension()
 {
     if (!m_lastUpdate || !m_lastUpdate->behindSince) {
@@ -43,7 +44,8 @@
     }
     const bool isLate = m_lastUpdate->isArriving && m_now - *m_lastUpdate->behindSince > m_settings.updateLease;
     // No acknowledgement waits for a host that is cut off, so it continues to serve.
-    const bool isCutOff = m_now - m_lastUpdate->requestedAt > LeasesUntilIsolated * m_settings.updateLease;
+    const TimePoint heardAt = std::max(m_lastUpdate->requestedAt, m_lastUpdate->heardAt.value_or(TimePoint{}));
+    const bool isCutOff = m_now - heardAt > LeasesUntilIsolated * m_settings.updateLease;
     m_isSuspended = !isCutOff && (isLate || m_isSuspended);
 }
 
--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -123,7 +123,15 @@
 // acknowledgements have to wait for it.
 void ControlWatch::sendHeartbeat(const Address &to)
 {
-    m_net.call(to, path::FleetAlive, encode(makeCall(to)), ReplyTimeout, [](const PeerReply &) {});
+    m_net.call(to, path::FleetAlive, encode(makeCall(to)), ReplyTimeout, [this, to](const PeerReply &reply) {
+        const bool isEmpty = reply.body.empty(); // from an earlier version
+        if (!m_hooks.onAlive || isEmpty) {
+            return;
+        }
+        if (const auto read = readReply<FleetAliveReply>(reply, to.text()); read.message) {
+            m_hooks.onAlive(*read.message);
+        }
+    });
 }
 
 void ControlWatch::sendPoll(const Address &to)
--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -34,6 +34,8 @@
         /// Applies a reply, whose changes may be moved out; the next request confirms it. Returns false if it refers to
         /// state that this host lacks, so that the next request has to ask for the full state.
         std::function<bool(const ReplyInfo &info, FleetWatchReply &reply)> onReply;
+        /// Receives the reply to a heartbeat that was sent while a poll is pending; may be empty.
+        std::function<void(const FleetAliveReply &reply)> onAlive;
         /// Called when the connection to a control host is lost or regained.
         std::function<void(const Address &peer, bool isLost, const std::string &reason)> onLink;
     };
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -75,6 +75,14 @@
                    removedLoadsSince, readsPacked);
 };
 
+/// Reply to path::FleetAlive. It is short, so it arrives beside a long reply on a slow link. Replies of earlier
+/// versions are empty.
+struct FleetAliveReply {
+    bool isCurrent = false; ///< the replying host has contact to a majority
+    std::uint64_t routingIndex = 0; ///< log index of its routing
+    MSGPACK_DEFINE(isCurrent, routingIndex);
+};
+
 /// Reply to path::FleetWatch.
 struct FleetWatchReply {
     std::string epoch;
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -94,6 +94,9 @@
         onControlReply(info, reply);
         return true;
     };
+    hooks.onAlive = [this](const FleetAliveReply &reply) {
+        onAlive(reply);
+    };
     hooks.onLink = [this](const Address &control, bool isLost, const std::string &reason) {
         onLink(control, isLost, reason);
     };
@@ -120,6 +123,7 @@
 void GatewayDaemon::Impl::tick()
 {
     reduce(BalanceTick{});
+    reportSuspension();
     reportUpdates();
     const TimePoint now = m_clock.now();
     updateSpareConnections(now);
@@ -305,6 +309,7 @@
         const std::lock_guard lock(m_mutex);
         if (reply.isCurrent) {
             m_viewAsOf = info.sentAt;
+            m_heardAt = m_clock.now();
         }
         m_followedHost = info.from;
         for (const AgedReport<HostReport> &it : reply.changes.hosts) {
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -92,6 +92,8 @@
     void onRoutingFetched(const Address &from, TimePoint sentAt, const PeerReply &reply);
     void applyRouting(const Address &from, const std::vector<std::string> &changes);
     void reportViewAge();
+    void onAlive(const FleetAliveReply &reply);
+    void reportSuspension();
     std::uint64_t activeRoutingIndex() const;
 
     // GatewayBackpressure.cpp
@@ -162,6 +164,8 @@
     std::size_t m_seedRequests = 0;
     TimePoint m_nextControlHostsRequest{};
     std::optional<TimePoint> m_viewAsOf; ///< this host knows all that a control host with a majority knew then
+    std::optional<TimePoint> m_heardAt; ///< when a control host with a majority last replied to a poll or a heartbeat
+    bool m_wasSuspended = false; ///< as of the last log line about it
     EpochVersion m_acknowledgedSuspects; ///< version of this host's quarantine that the followed host has
     EpochVersion m_acknowledgedBackpressure; ///< version of this host's backpressure table that the followed host has
     bool m_hasUnsentUpdates = false; ///< suspects or backpressure noticed since the last request
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -120,10 +120,11 @@
     UpdateReceived received;
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_viewAsOf) {
+        if (!m_heardAt) {
             return;
         }
-        received.requestedAt = *m_viewAsOf;
+        received.requestedAt = m_viewAsOf.value_or(TimePoint{});
+        received.heardAt = m_heardAt;
         received.behindSince = m_routingLag.behindSince();
         received.isArriving = !m_needsFullRouting;
     }
@@ -131,6 +132,37 @@
     reduce(received);
 }
 
+// A control host that answers while a long reply is on its way shows that this host is slow, not cut off.
+void GatewayDaemon::Impl::onAlive(const FleetAliveReply &reply)
+{
+    if (!reply.isCurrent) {
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_heardAt = m_clock.now();
+        m_routingLag.addAdvertised(reply.routingIndex, m_clock.now());
+    }
+    reportViewAge();
+}
+
+void GatewayDaemon::Impl::reportSuspension()
+{
+    const std::lock_guard lock(m_mutex);
+    const bool isSuspended = m_balancer->isSuspended();
+    if (isSuspended == m_wasSuspended) {
+        return;
+    }
+    m_wasSuspended = isSuspended;
+    m_metrics.gauge("pepperlug_routing_suspended", isSuspended ? 1 : 0);
+    m_events.state(isSuspended ? "routing-suspended" : "routing-resumed",
+                   {{"index", m_routing.index},
+                    {"newest_index", m_routingLag.newestIndex()},
+                    {"view_age_ms", viewAge().count()},
+                    {"heard_ms_ago",
+                     m_heardAt ? std::chrono::duration_cast<Milliseconds>(m_clock.now() - *m_heardAt).count() : -1}});
+}
+
 // Log index of the oldest routing by which this host decides. While it decides nothing, this may be an index that has
 // not arrived yet, so that nobody has to wait for it. The mutex is held.
 std::uint64_t GatewayDaemon::Impl::activeRoutingIndex() const
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -135,13 +135,15 @@
 
 void RegistryDaemon::Impl::onAlive(const IncomingCallPtr &call)
 {
+    FleetAliveReply reply;
     {
         const TimePoint now = m_clock.now();
         const std::lock_guard lock(m_mutex);
         receiveCall(call, now);
         resolvePending(now);
+        reply = {isCurrent(now), m_history.index()};
     }
-    call->reply(Ok, "");
+    call->reply(Ok, encode(reply));
 }
 
 void RegistryDaemon::Impl::onRouting(const IncomingCallPtr &call)
--- a/unittests/LateNews/PendingRoutingTest.cpp
+++ b/unittests/LateNews/PendingRoutingTest.cpp
@@ -4,6 +4,9 @@
 // times a second, which filled its slow link, and took itself for current. A stub control host counts the requests, and
 // advertises a routing that it withholds or that can't be parsed.
 //
+// Guards also against a host that takes a slow link for a cut: it had stopped deciding by an old routing, which other
+// hosts relied on, and resumed 3.6 s after its last poll although its control host answered all the time.
+//
 //===----------------------------------------------------------------------===//
 #include "Fleet/FleetMessages.h"
 #include "Fleet/System.h"
@@ -51,6 +54,8 @@
     }
 
     std::atomic<std::uint64_t> newestIndex{1};
+    std::atomic<bool> holdsPolls{false};
+    std::atomic<bool> isSilent{false}; ///< answers nothing at all
     std::atomic<unsigned> polls{0};
     std::atomic<unsigned> fetches{0};
 
@@ -70,6 +75,14 @@
             m_held.push_back({call, request, std::chrono::steady_clock::now() + request.maxWait});
             return;
         }
+        if (call->path() == fleet::path::FleetAlive) {
+            if (isSilent) {
+                m_withheld.push_back(call);
+            } else {
+                call->reply(200, encode(FleetAliveReply{true, newestIndex}));
+            }
+            return;
+        }
         if (call->path() == fleet::path::FleetRouting) {
             ++fetches;
             if (m_fault == RoutingFault::Unreadable) {
@@ -90,6 +103,9 @@
             {
                 const std::lock_guard lock(m_mutex);
                 std::erase_if(m_held, [this](const Held &held) {
+                    if (holdsPolls) {
+                        return false;
+                    }
                     const bool hasUpdates = held.request.since == 0 || held.request.newestRoutingIndex < newestIndex;
                     if (!hasUpdates && std::chrono::steady_clock::now() < held.until) {
                         return false;
@@ -112,6 +128,8 @@
         reply.routingIndex = newestIndex;
         if (request.routingIndex == 0) {
             reply.routingChanges = m_first.changesSince(0);
+            reply.changes.targets.push_back(
+                {{"t", "s", m_target.address(), "z1", 4, Presence::Ready, 0ms, 1}, 0ms, false});
         } else if (m_fault == RoutingFault::Unreadable && request.routingIndex < newestIndex) {
             reply.routingChanges = {"no change"};
         }
@@ -119,6 +137,7 @@
     }
 
     RoutingFault m_fault;
+    FakeTarget m_target{"t"};
     RoutingHistory m_first;
     std::mutex m_mutex;
     std::vector<Held> m_held;
@@ -132,14 +151,14 @@
 class Follower
 {
 public:
-    explicit Follower(RoutingFault fault)
+    explicit Follower(RoutingFault fault, Duration updateLease = 2 * EventTimeout)
         : control(addressOn(1, 17100), fault)
     {
         FleetSettings settings;
         settings.name = "entry";
         settings.zone = "z1";
         settings.regionOfZone = {{"z1", "r1"}};
-        settings.updateLease = 2 * EventTimeout;
+        settings.updateLease = updateLease;
         settings.maxBodyBytes = settings.maxAnswerBytes = 1 << 20;
         settings.peer = addressOn(2, 17100);
         settings.metrics = addressOn(2, 17103);
@@ -150,11 +169,16 @@
     }
 
     unsigned statusOfUnknown()
+    {
+        return statusOf("/unknown/x");
+    }
+
+    unsigned statusOf(const std::string &resource)
     {
         HttpCall call;
         call.to = m_gateway->callersAddress();
         call.method = "GET";
-        call.resource = "/unknown/x";
+        call.resource = resource;
         call.headers = {{"Host", "a.example"}, {"X-Request-Id", "q"}};
         call.timeout = 10s;
         return fetchOnce(m_client, call).answer.status;
@@ -198,3 +222,23 @@
 {
     checkRequestRate(RoutingFault::Unreadable);
 }
+
+// Guards against old routing that is used again after other hosts were told that it is not.
+TEST_CASE("a host whose polls are slow stays suspended while its control host answers heartbeats")
+{
+    constexpr Duration Lease = 500ms;
+    Follower follower(RoutingFault::Withheld, Lease);
+    StubControl &control = follower.control;
+    REQUIRE(System::eventually([&] { return follower.statusOf("/p/x") == 200; }));
+    control.newestIndex = 2;
+    REQUIRE(System::eventually([&] { return control.fetches > 0; }));
+    control.holdsPolls = true;
+    REQUIRE(System::eventually([&] { return follower.statusOf("/p/x") == 503; }));
+    const auto end = std::chrono::steady_clock::now() + 10 * Lease;
+    while (std::chrono::steady_clock::now() < end) {
+        REQUIRE(follower.statusOf("/p/x") == 503);
+        std::this_thread::sleep_for(RetryInterval);
+    }
+    control.isSilent = true; // now it is cut off, and serves what it can
+    CHECK(System::eventually([&] { return follower.statusOf("/p/x") == 200; }));
+}
