--- /dev/null
+++ b/unittests/Fleet/RelayTest.cpp
@@ -0,0 +1,356 @@
+//===- RelayTest.cpp - Entry hosts that are cut off from all targets ------===//
+//
+// Guards against hosts that try one target after the other while none is reachable for them, although other entry hosts
+// reach all. A stub control host for each of two entry hosts gives them different ways to the same targets.
+//
+//===----------------------------------------------------------------------===//
+#include "Fleet/FleetMessages.h"
+#include "Fleet/System.h"
+#include "pepperlug/Wire.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+using namespace pepperlug::fleet::test;
+
+namespace
+{
+
+/// From the beginning of a cut until requests are served again, with room for a busy machine.
+constexpr Duration NoticeTime = 4s;
+/// Requests to compare, and those that may fail of them.
+constexpr int Requests = 50;
+constexpr int MaxFailures = 2;
+
+/// An address at which connections are never completed: the kernel's queue is full.
+class Blackhole
+{
+public:
+    Blackhole()
+    {
+        m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof at;
+        REQUIRE(bind(m_listener, reinterpret_cast<const sockaddr *>(&at), length) == 0);
+        REQUIRE(listen(m_listener, 0) == 0);
+        REQUIRE(getsockname(m_listener, reinterpret_cast<sockaddr *>(&at), &length) == 0);
+        m_address = {"127.0.0.1", ntohs(at.sin_port)};
+        for (int &filler : m_fillers) {
+            filler = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+            connect(filler, reinterpret_cast<const sockaddr *>(&at), length);
+        }
+    }
+
+    ~Blackhole()
+    {
+        for (const int filler : m_fillers) {
+            ::close(filler);
+        }
+        ::close(m_listener);
+    }
+
+    Blackhole(const Blackhole &) = delete;
+    Blackhole &operator=(const Blackhole &) = delete;
+
+    std::string address() const
+    {
+        return m_address.text();
+    }
+
+private:
+    int m_listener = -1;
+    std::array<int, 4> m_fillers{};
+    Address m_address;
+};
+
+/// A control host that knows some targets and entry hosts.
+class StubControl
+{
+public:
+    explicit StubControl(const Address &at)
+    {
+        RouteTable table;
+        table.version = 1;
+        table.services = {{"s", 0, 0ms, 0}};
+        table.routes = {{"read", "a.example", "/read/", RouteKind::Repeatable, 4s, 1s, 1, {{"s", 1}}, 2, false, {}},
+                        {"once", "a.example", "/once/", RouteKind::OnceOnly, 4s, 1s, 1, {{"s", 1}}, 2, false, {}}};
+        m_routing.append({1, std::make_shared<RouteTable>(table), {}});
+        m_net.listen(at, [this](const IncomingCallPtr &call) { onCall(call); });
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~StubControl()
+    {
+        m_stop = true;
+        m_thread.join();
+        m_net.stop();
+    }
+
+    void setTarget(const std::string &id, const std::string &address)
+    {
+        const std::lock_guard lock(m_mutex);
+        TargetReport &target = m_targets[id];
+        target = {id, "s", address, "z1", 100, Presence::Ready, 0ms, target.sequence + 1};
+        ++m_version;
+    }
+
+    void setEntryHost(const std::string &id, const std::string &zone, const std::string &address)
+    {
+        const std::lock_guard lock(m_mutex);
+        HostReport &host = m_hosts[id];
+        host.id = id;
+        host.zone = zone;
+        host.address = address;
+        ++host.sequence;
+        ++m_version;
+    }
+
+private:
+    struct Held {
+        IncomingCallPtr call;
+        FleetWatchCall request;
+        std::chrono::steady_clock::time_point until;
+    };
+
+    void onCall(const IncomingCallPtr &call)
+    {
+        if (call->path() != fleet::path::FleetWatch) {
+            call->reply(200, "");
+            return;
+        }
+        const auto request = decode<FleetWatchCall>(call->body(), call->peer());
+        const std::lock_guard lock(m_mutex);
+        m_held.push_back({call, request, std::chrono::steady_clock::now() + request.maxWait});
+    }
+
+    void run()
+    {
+        while (!m_stop) {
+            {
+                const std::lock_guard lock(m_mutex);
+                std::erase_if(m_held, [this](const Held &held) {
+                    const bool isDue = held.request.since < m_version || std::chrono::steady_clock::now() >= held.until;
+                    if (isDue) {
+                        held.call->reply(200, encode(replyTo(held.request)));
+                    }
+                    return isDue;
+                });
+            }
+            std::this_thread::sleep_for(RetryInterval);
+        }
+    }
+
+    FleetWatchReply replyTo(const FleetWatchCall &request) const
+    {
+        FleetWatchReply reply;
+        reply.epoch = "life";
+        reply.version = m_version;
+        reply.isCurrent = true;
+        reply.isWhole = request.since == 0;
+        reply.routingIndex = 1;
+        reply.routingChanges = m_routing.changesSince(request.routingIndex);
+        for (const auto &[id, target] : m_targets) {
+            reply.changes.targets.push_back({target, 0ms, false});
+        }
+        for (const auto &[id, host] : m_hosts) {
+            reply.changes.hosts.push_back({host, 0ms, false});
+        }
+        return reply;
+    }
+
+    RoutingHistory m_routing;
+    std::mutex m_mutex;
+    std::uint64_t m_version = 1;
+    std::map<std::string, TargetReport> m_targets;
+    std::map<std::string, HostReport> m_hosts;
+    std::vector<Held> m_held;
+    std::atomic<bool> m_stop{false};
+    PeerNet m_net;
+    std::thread m_thread;
+};
+
+/// An entry host and its control host.
+class Entry
+{
+public:
+    explicit Entry(unsigned number)
+        : control(addressOn(number, 17200))
+    {
+        constexpr unsigned EntryOffset = 10;
+        FleetSettings settings;
+        settings.name = "entry-" + std::to_string(number);
+        settings.zone = "z1";
+        settings.regionOfZone = {{"z1", "r1"}};
+        settings.maxBodyBytes = settings.maxAnswerBytes = 1 << 20;
+        settings.peer = addressOn(number + EntryOffset, 17200);
+        settings.metrics = addressOn(number + EntryOffset, 17203);
+        settings.callers = settings.readiness = {"127.0.0.1", 0};
+        settings.seeds = {addressOn(number, 17201)};
+        m_gateway = std::make_unique<GatewayDaemon>(settings, m_clock, callerDialect<platform::Clients>());
+    }
+
+    HttpResult request(const std::string &resource)
+    {
+        HttpCall call;
+        call.to = m_gateway->callersAddress();
+        call.method = resource.starts_with("/once/") ? "POST" : "GET";
+        call.resource = resource;
+        call.headers = {
+            {"Host", "a.example"}, {"X-Request-Id", "q" + std::to_string(++m_requests)}, {"X-Deadline-Ms", "3000"}};
+        call.timeout = 10s;
+        return fetchOnce(m_client, call);
+    }
+
+    unsigned statusOf(const std::string &resource)
+    {
+        return request(resource).answer.status;
+    }
+
+    std::string address() const
+    {
+        return m_gateway->callersAddress().text();
+    }
+
+    StubControl control;
+
+private:
+    SteadyClock m_clock;
+    HttpClient m_client{1 << 20};
+    std::unique_ptr<GatewayDaemon> m_gateway;
+    int m_requests = 0;
+};
+
+/// Two entry hosts and three targets, which the first reaches by addresses of its own.
+class Pair
+{
+public:
+    Pair()
+    {
+        for (const auto &[id, target] : m_targets) {
+            second.control.setTarget(id, target->address());
+        }
+        reachTargets();
+        first.control.setEntryHost("entry-2", "z1", second.address());
+        second.control.setEntryHost("entry-1", "z1", first.address());
+        REQUIRE(System::eventually([&] { return first.statusOf("/read/x") == 200; }));
+        REQUIRE(System::eventually([&] { return second.statusOf("/read/x") == 200; }));
+    }
+
+    void reachTargets()
+    {
+        for (const auto &[id, target] : m_targets) {
+            first.control.setTarget(id, target->address());
+        }
+    }
+
+    void cutFirstOff(const std::string &address)
+    {
+        for (const auto &[id, target] : m_targets) {
+            first.control.setTarget(id, address);
+        }
+    }
+
+    void cutSecondOff(const std::string &address)
+    {
+        for (const auto &[id, target] : m_targets) {
+            second.control.setTarget(id, address);
+        }
+    }
+
+    int runs() const
+    {
+        int sum = 0;
+        for (const auto &[id, target] : m_targets) {
+            sum += target->runs();
+        }
+        return sum;
+    }
+
+    /// Sends requests at the first host for the time in which it may notice the cut.
+    void sendUntilNoticed()
+    {
+        const auto end = std::chrono::steady_clock::now() + NoticeTime;
+        while (std::chrono::steady_clock::now() < end) {
+            first.statusOf("/read/x");
+            std::this_thread::sleep_for(RetryInterval);
+        }
+    }
+
+    int failuresOf(const std::string &resource)
+    {
+        int failures = 0;
+        for (int n = 0; n < Requests; ++n) {
+            failures += first.statusOf(resource) == 200 ? 0 : 1;
+        }
+        return failures;
+    }
+
+private:
+    static std::map<std::string, std::unique_ptr<FakeTarget>> threeTargets()
+    {
+        std::map<std::string, std::unique_ptr<FakeTarget>> targets;
+        for (const char *id : {"t1", "t2", "t3"}) {
+            targets.emplace(id, std::make_unique<FakeTarget>(id));
+        }
+        return targets;
+    }
+
+    std::map<std::string, std::unique_ptr<FakeTarget>> m_targets = threeTargets();
+
+public:
+    Entry first{1};
+    Entry second{2};
+};
+
+/// An address that refuses connections.
+std::string refusingAddress()
+{
+    return addressOn(99, 17299).text();
+}
+
+} // namespace
+
+// Guards against callers who are refused by each host that reaches no target.
+TEST_CASE("a host whose connections to all targets are refused serves through another entry host")
+{
+    Pair pair;
+    pair.cutFirstOff(refusingAddress());
+    pair.sendUntilNoticed();
+    CHECK(pair.failuresOf("/read/x") <= MaxFailures);
+    const int runs = pair.runs();
+    CHECK(pair.failuresOf("/once/x") <= MaxFailures);
+    CHECK(pair.runs() - runs <= Requests);
+    pair.reachTargets();
+    CHECK(System::eventually([&] {
+        const HttpResult result = pair.first.request("/read/x");
+        return result.kind == HttpResult::Kind::Answered && result.answer.status == 200;
+    }));
+}
+
+TEST_CASE("a host whose connections to all targets hang serves through another entry host")
+{
+    Pair pair;
+    const Blackhole blackhole;
+    pair.cutFirstOff(blackhole.address());
+    pair.sendUntilNoticed();
+    CHECK(pair.failuresOf("/read/x") <= MaxFailures);
+    CHECK(pair.failuresOf("/once/x") <= MaxFailures);
+}
+
+// Guards against requests that hosts without targets pass on to each other.
+TEST_CASE("two hosts that reach no target refuse at once, as not run")
+{
+    Pair pair;
+    pair.cutFirstOff(refusingAddress());
+    pair.cutSecondOff(refusingAddress());
+    pair.sendUntilNoticed();
+    const auto begun = std::chrono::steady_clock::now();
+    for (int n = 0; n < Requests; ++n) {
+        CHECK(pair.first.statusOf("/once/x") == 503);
+    }
+    CHECK(std::chrono::steady_clock::now() - begun < NoticeTime);
+}
