Fleet: hosts that reach no target of a service relay to other entry hosts

Cause: each failure was charged to a target and none to the host. The host blocked one target after the other for 0.7 to 4 s and tried the next, 7 to 19 attempts a second without one answer in 12 s; it told nobody, so the directory went on naming it; and entry hosts did not talk to each other. Besides, a connection that a cut reset and a refusal after it counted as the crash of the target, against the request, at all hosts.

- lib/Reachability: missing answers and failed attempts are a reason to probe; a host is cut off from a service once new connections to three of its targets at a time fail in three rounds in a row, and reaches it again with one that connects.
So neither slow nor some dead targets count.
- lib/Balance/RelayHosts, Relaying: requests for such a service go to another entry host that reaches it, at most one hop, of the region while most of its hosts are not cut off; home regions hold.
That host decides as about its own callers' requests, quota and quarantine too.
What may have run is not sent again.
Without such a host it is refused at once.
- Hosts report such services; the directory leaves them out while they are at most as many as the others.
- A refused connection counts as a crash only if another target can be connected to.
Failures from before the end of a cut are forgotten.

RelayingTest, ReachabilityTest (a property with half of the targets failing).

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -11,6 +11,7 @@
 #include "pepperlug/Backpressure.h"
 #include "pepperlug/Quarantine.h"
 #include "pepperlug/Quota.h"
+#include "pepperlug/Reachability.h"
 
 #include <set>
 #include <variant>
@@ -91,8 +92,8 @@
     /// When this host learnt of the oldest routing version that it does not have; nothing if it has all.
     std::optional<TimePoint> behindSince{};
     bool isArriving = true; ///< the missing routing is being transferred; false: this host can't read it
-    /// Last sign of life of a control host that has a quorum; nothing: requestedAt. Later than requestedAt while a reply
-    /// takes long.
+    /// Last sign of life of a control host that has a quorum; nothing: requestedAt. Later than requestedAt while a
+    /// reply takes long.
     std::optional<TimePoint> heardAt{};
 };
 
@@ -104,6 +105,7 @@
     std::optional<Duration> deadline; ///< how long the caller waits for an answer
     std::string digest{}; ///< digestOf() the request; empty: it matches no other request
     std::string keyDigest{}; ///< digestOfSecret() of the caller's key; empty: the request has no key
+    bool isRelayed = false; ///< by another entry host, so this one must not relay it
 };
 
 struct CallerLeft {
@@ -151,6 +153,15 @@
 struct TargetChecked {
     Incarnation target;
     bool isConnectionRefused = false; ///< nothing listens at its address
+    /// Another target could be connected to right afterwards, or none was named. If not, the refusal says nothing about
+    /// the target: this host may be cut off.
+    bool isOtherReached = true;
+};
+
+/// Result of ProbeTarget.
+struct TargetProbed {
+    std::string service; ///< of the target
+    bool isConnected = false;
 };
 
 /// The head of a target's answer has arrived, also if no request waits for the answer any more.
@@ -191,15 +202,16 @@
 };
 
 using BalanceEvent = std::variant<RoutesChanged, ReportsChanged, UpdateReceived, CallerRequest, CallerLeft, AnswerBegun,
-                                  AttemptEnded, TargetSignalled, BackpressureReceived, TargetChecked, SuspectsReceived,
-                                  QuotaReplied, QuotaCallFailed, ProbeDecided, BalanceTick>;
+                                  AttemptEnded, TargetSignalled, BackpressureReceived, TargetChecked, TargetProbed,
+                                  SuspectsReceived, QuotaReplied, QuotaCallFailed, ProbeDecided, BalanceTick>;
 
 //===-- Effects ---------------------------------------------------------------===//
 
 struct StartAttempt {
     RequestId id{};
     unsigned attempt = 0; ///< 1 for the first
-    std::string target;
+    std::string relay; ///< entry host that the request is sent to in place of a target; empty: none
+    std::string target; ///< empty if it is relayed
     Milliseconds targetStartedAt{}; ///< identifies the incarnation, with the target's id
     std::string address;
     std::string zone;
@@ -222,6 +234,19 @@
 struct CheckTarget {
     Incarnation target;
     std::string address;
+    std::string otherAddress; ///< of another target, to connect to if the first refuses; empty: there is none
+};
+
+/// Checks whether a new connection to a target can be made.
+struct ProbeTarget {
+    std::string service;
+    std::string address;
+};
+
+/// This host has lost all targets of a service, or reaches some again.
+struct ReachabilityChanged {
+    std::string service;
+    bool isCutOff = false;
 };
 
 /// Asks the control hosts whether a quarantined request may be sent once as a probe.
@@ -297,6 +322,10 @@
     TimedOut, ///< may have run
 };
 const char *nameOf(Refusal refusal);
+/// Returns the refusal of a name; nothing if there is none.
+std::optional<Refusal> refusalNamed(std::string_view name);
+/// Returns true if the refusal concerns the refusing entry host alone, so that another one may serve the request.
+bool concernsHostAlone(Refusal refusal);
 /// Returns true if the refusal guarantees that the request has not run and never will.
 bool promisesNotRun(Refusal refusal);
 
@@ -315,9 +344,9 @@
     Refusal reason{}; ///< Lost or TimedOut
 };
 
-using BalanceEffect =
-    std::variant<StartAttempt, CancelAttempt, CheckTarget, RequestProbe, RequestQuota, SuspectChanged, BackoffStarted,
-                 BackpressureChanged, RegionLossFollowed, PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
+using BalanceEffect = std::variant<StartAttempt, CancelAttempt, CheckTarget, ProbeTarget, ReachabilityChanged,
+                                   RequestProbe, RequestQuota, SuspectChanged, BackoffStarted, BackpressureChanged,
+                                   RegionLossFollowed, PassHead, PassAnswer, AbortAnswer, RefuseRequest>;
 using BalanceEffects = std::vector<BalanceEffect>;
 
 /// State of an entry host's load balancing.
@@ -341,6 +370,8 @@
     std::uint64_t tableVersion() const;
     /// Returns true if this host neither sends nor denies requests because newer routing has not arrived in time.
     bool isSuspended() const;
+    /// Services none of whose targets this host reaches, in order. It relays requests for them.
+    std::vector<std::string> unreachableServices() const;
     /// Returns true if an attempt that is not sent yet may still be sent: its target accepts requests, and the current
     /// route leads there.
     bool maySend(RequestId id, unsigned attempt) const;
--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -75,6 +75,7 @@
     std::string caller; ///< the caller's statement of its identity, the same in each retry; empty if not given
     std::optional<Duration> deadline; ///< how long the caller waits
     std::string keyDigest; ///< digestOfSecret() of the key; empty if there is none, several, or an invalid one
+    bool isRelayed = false; ///< another entry host that reaches no target passes it on
 };
 
 /// Fields that an entry host adds to a request for a target.
@@ -85,8 +86,9 @@
     std::string tenant; ///< tenant of the request; empty if none
 };
 
-/// Fields of the status and head of a target's answer.
+/// Fields of the status and head of a target's answer, or of an entry host's that a request was relayed to.
 struct AnswerFields {
+    std::optional<Refusal> refusal; ///< an entry host's, in place of a target's answer
     bool isExecuted = true; ///< false if the target states that it did not execute the request
     bool isWrongTarget = false; ///< another incarnation uses the address
     bool hasRequiredFields = true; ///< has all headers that each answer must have
@@ -113,6 +115,9 @@
     {
         T::targetHeaders(headers, fields)
         } -> std::same_as<std::vector<HeaderField>>;
+    {
+        T::relayHeaders(headers, refusal.retryAfter)
+        } -> std::same_as<std::vector<HeaderField>>;
     {
         T::answersRequest(headers, text)
         } -> std::same_as<bool>;
@@ -133,6 +138,9 @@
     /// Returns the headers for a target: those of the caller, and the given fields.
     std::vector<HeaderField> (*targetHeaders)(const std::vector<HeaderField> &headers,
                                               const TargetRequestFields &fields);
+    /// Returns the headers for another entry host: those of the caller, the time left and the mark of a relayed
+    /// request.
+    std::vector<HeaderField> (*relayHeaders)(const std::vector<HeaderField> &headers, Duration timeLeft);
     /// Returns true if the head of an answer belongs to the request with this id.
     bool (*answersRequest)(const std::vector<HeaderField> &headers, const std::string &requestId);
     AnswerFields (*readAnswer)(const Answer &answer);
@@ -143,7 +151,8 @@
 template <CallerDialect T>
 CallerDialectTable callerDialect()
 {
-    return {&T::readRequest, &T::targetHeaders, &T::answersRequest, &T::readAnswer, &T::refusal, &T::isReadinessCheck};
+    return {&T::readRequest, &T::targetHeaders, &T::relayHeaders,    &T::answersRequest,
+            &T::readAnswer,  &T::refusal,       &T::isReadinessCheck};
 }
 
 //===-- Messages of targets and operators ---------------------------------===//
--- /dev/null
+++ b/include/pepperlug/Reachability.h
@@ -0,0 +1,53 @@
+//===- pepperlug/Reachability.h - Whether a host reaches targets -*- C++ -*-===//
+//
+// Tells an entry host that is cut off from all targets from one whose targets
+// fail one by one. Missing answers and failed attempts are only a reason to look:
+// the verdict rests on new connections to several targets at once, so that
+// neither slow targets nor the crash of some of them count. Pure: time is passed
+// in, and the caller makes the connections.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pepperlug/Support.h"
+
+#include <optional>
+
+namespace pepperlug::fleet
+{
+
+class TargetReachability
+{
+public:
+    /// Records that a request is sent to a target.
+    void recordSent(TimePoint now);
+    /// Records that a target answered a request.
+    void recordAnswer();
+    /// Records that a target could not be reached, or ended the connection without an answer.
+    void recordFailure();
+
+    /// Returns how many targets to probe now, and starts a round of as many probes; 0 if none is due. To be called
+    /// regularly.
+    std::size_t startProbes(TimePoint now);
+    /// Reduces the round in progress: fewer targets are known than startProbes() returned.
+    void limitRound(std::size_t probes, TimePoint now);
+    /// Records whether a probe could connect. Returns true if the verdict changed.
+    bool recordProbe(bool isConnected, TimePoint now);
+
+    /// Returns true if new connections to all probed targets failed in several rounds in a row.
+    bool isCutOff() const;
+
+private:
+    bool endRound(TimePoint now);
+
+    std::optional<TimePoint> m_awaitingSince; ///< a request was sent then, and no target has answered any since
+    bool m_hasFailure = false; ///< since the last round
+    bool m_isCutOff = false;
+    unsigned m_failedRounds = 0; ///< in a row
+    std::size_t m_pending = 0; ///< probes of the round in progress without a result
+    std::size_t m_connected = 0; ///< probes of the round that could connect
+    TimePoint m_roundStartedAt{};
+    TimePoint m_nextRoundAt{};
+};
+
+} // namespace pepperlug::fleet
--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -76,7 +76,9 @@
     std::vector<ServiceDemand> demand;
     std::uint64_t sequence = 0;
     double linkUse = 0; ///< demand of its callers, one way, as a fraction of its link; 0 if it can be ignored
-    MSGPACK_DEFINE(id, role, zone, address, peer, presence, demand, sequence, linkUse);
+    /// Of an entry host: services none of whose targets it reaches, in order. It relays its callers' requests for them.
+    std::vector<std::string> unreachableServices;
+    MSGPACK_DEFINE(id, role, zone, address, peer, presence, demand, sequence, linkUse, unreachableServices);
 };
 
 /// A report that one host passes on to another.
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -86,6 +86,33 @@
     return "lost";
 }
 
+std::optional<Refusal> refusalNamed(std::string_view name)
+{
+    for (auto it = Refusal::NoConfiguration; it <= Refusal::TimedOut;
+         it = static_cast<Refusal>(static_cast<int>(it) + 1)) {
+        if (name == nameOf(it)) {
+            return it;
+        }
+    }
+    return std::nullopt;
+}
+
+bool concernsHostAlone(Refusal refusal)
+{
+    switch (refusal) {
+    case Refusal::NoConfiguration:
+    case Refusal::NoRoute:
+    case Refusal::UnknownKey:
+    case Refusal::RoutingLate:
+    case Refusal::LinkFull:
+    case Refusal::NotReached:
+    case Refusal::Stopping:
+        return true;
+    default:
+        return false;
+    }
+}
+
 bool promisesNotRun(Refusal refusal)
 {
     return refusal != Refusal::Lost && refusal != Refusal::TimedOut;
@@ -95,6 +122,7 @@
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
     , m_targets(m_settings)
+    , m_relays(m_settings)
     , m_region(m_targets.regionOf(m_settings.zone))
     , m_admission(m_settings.policy)
     , m_plans(m_settings, m_region)
@@ -120,6 +148,7 @@
     m_quotas.setTableVersion(m_table->version);
     m_admission.setTable(*m_table);
     m_targets.setTable(m_table);
+    std::erase_if(m_reachability, [&](const auto &it) { return m_table->service(it.first) == nullptr; });
     m_targets.setEvacuatedZones(event.evacuatedZones, m_now);
     m_plans.expire();
     updatePlans();
@@ -128,6 +157,9 @@
 void Balancer::Impl::handle(const ReportsChanged &event)
 {
     m_targets.apply(event.changes, m_now);
+    for (const AgedReport<HostReport> &it : event.changes.hosts) {
+        m_relays.apply(it);
+    }
     m_targets.addRestored(event.restored, m_now);
     if (!event.demand.empty()) {
         m_targets.setDemand(event.demand);
@@ -166,12 +198,17 @@
     if (refuseOrProbe(open)) {
         return;
     }
+    if (isCutOff(open.service)) {
+        relayOrRefuse(open);
+        return;
+    }
     const Duration serviceTime = m_admission.stats(route->name).serviceTime().value_or(route->objective / 2);
     m_demand.addRequest(open.service, boundRegion(open), route->name, serviceTime, m_now);
     m_requestedBytes.add(m_now, m_admission.answerBytes(route->name) + AnswerHeadBytes);
     m_shiftAllowances[open.service].countRequest(m_now);
     m_budgets.at(open.service).countRequest(m_now);
-    open.isCallerRetry = m_admission.isReturning(open.route, event.deadline);
+    // A relayed request has less time left, although its caller has not returned.
+    open.isCallerRetry = !event.isRelayed && m_admission.isReturning(open.route, event.deadline);
     m_admission.countRequest(open.route, event.deadline, m_now);
     if (open.isCallerRetry) {
         m_returns.returned(open.service, open.route.priority, m_now);
@@ -198,6 +235,7 @@
 {
     TargetState &target = *placement.target;
     m_targets.attemptStarted(target, m_now);
+    m_reachability[open.service].recordSent(m_now);
     const unsigned number = ++open.attemptsStarted;
     const double bytes = m_admission.answerBytes(open.route.name) + AnswerHeadBytes;
     m_link.take(bytes, m_now);
@@ -207,7 +245,8 @@
                              placement.utilization,
                              bytes,
                              target.limit.has_value(),
-                             target.region != m_region};
+                             target.region != m_region,
+                             {}};
     open.triedTargets.insert(target.report.id);
     open.lastTarget = target.report.id;
     StartAttempt effect;
@@ -379,6 +418,11 @@
     }
     const Attempt attempt = ended->second;
     open.attempts.erase(ended);
+    if (!attempt.relay.empty()) {
+        endRelay(open, attempt, event);
+        return;
+    }
+    recordReachability(open.service, event.outcome);
     m_targets.attemptEnded(attempt.target, event.outcome, event.load, m_now);
     m_hasPacedTargets |= event.load && event.load->pacePercent;
     recordShed(open, event, attempt.target.id);
@@ -417,6 +461,10 @@
         return; // another attempt is in progress
     }
     const bool hasRoute = refreshRoute(open);
+    const bool mayRelay = isCutOff(open.service) && isCertainlyNotRun(event.outcome) && !open.mayHaveRun;
+    if (hasRoute && mayRelay && startRelay(open)) {
+        return;
+    }
     if (hasRoute && mayRetry(open, event.outcome)) {
         const Placement placement = place(open);
         if (placement.target != nullptr) {
@@ -457,7 +505,8 @@
 
 bool Balancer::Impl::mayHedge(const OpenRequest &open) const
 {
-    return open.attempts.size() == 1 && mayUseAnotherTarget(open, AttemptOutcome::TimedOut) && !open.hasAnswerBegun
+    return open.attempts.size() == 1 && open.attempts.begin()->second.relay.empty() && !isCutOff(open.service)
+        && mayUseAnotherTarget(open, AttemptOutcome::TimedOut) && !open.hasAnswerBegun
         && open.route.kind == RouteKind::Repeatable && open.attemptsStarted < open.route.attempts;
 }
 
@@ -492,6 +541,7 @@
     updateSuspension();
     endExpired();
     hedgeUnresponsive();
+    probeTargets();
     updatePlans();
     m_quarantine.removeExpired(m_now);
     expireLimits();
@@ -570,6 +620,11 @@
     return m_impl->isSuspended();
 }
 
+std::vector<std::string> Balancer::unreachableServices() const
+{
+    return m_impl->unreachableServices();
+}
+
 bool Balancer::maySend(RequestId id, unsigned attempt) const
 {
     return m_impl->maySend(id, attempt);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -5,6 +5,7 @@
 #include "DemandEstimate.h"
 #include "LinkBudget.h"
 #include "RegionPlanner.h"
+#include "RelayHosts.h"
 #include "RetryBudget.h"
 #include "ReturnSchedule.h"
 #include "ShedWatch.h"
@@ -29,6 +30,7 @@
     double linkUse(TimePoint now) const;
     std::uint64_t tableVersion() const;
     bool isSuspended() const;
+    std::vector<std::string> unreachableServices() const;
     bool maySend(RequestId id, unsigned attempt) const;
     std::size_t usableTargets(TimePoint now) const;
     std::map<std::string, RegionShares> regionShares() const;
@@ -44,6 +46,7 @@
         double expectedBytes = 0; ///< taken from the link's budget for the answer
         bool usesLimitShare = false; ///< taken from this host's share of the target's rate limit
         bool isInOtherRegion = false;
+        std::string relay; ///< id of the entry host that the request was relayed to; empty: sent to a target
     };
 
     /// A token, and the tenant whose limit it is of. The key of a request may be given to another tenant meanwhile.
@@ -69,6 +72,8 @@
         unsigned attemptsStarted = 0;
         std::map<unsigned, Attempt> attempts; ///< in progress, by number
         std::set<std::string> triedTargets;
+        std::set<std::string> triedRelays;
+        unsigned relaysStarted = 0;
         std::string lastTarget;
         bool mayHaveRun = false;
         bool isShedWithFreeSlots = false; ///< by the target of the last attempt
@@ -159,6 +164,17 @@
     void publishSuspect(const std::string &digest, const std::string &target, bool isLocal);
     Milliseconds timeUntilProbe(const OpenRequest &open) const;
 
+    // Relaying.cpp
+    bool isCutOff(const std::string &service) const;
+    void recordReachability(const std::string &service, AttemptOutcome outcome);
+    void probeTargets();
+    void probeTargets(const std::string &service, TargetReachability &reachability);
+    void handle(const TargetProbed &event);
+    bool startRelay(OpenRequest &open);
+    void relayOrRefuse(OpenRequest &open);
+    void relayUnanswered(const std::string &service);
+    void endRelay(OpenRequest &open, const Attempt &attempt, const AttemptEnded &event);
+
     // Placement.cpp
     Placement place(const OpenRequest &open);
     Placement placeInRegion(const OpenRequest &open, const std::string &region, bool keepsKey = true);
@@ -177,6 +193,8 @@
     BalanceSettings m_settings;
     std::mt19937_64 m_random;
     TargetSet m_targets;
+    std::map<std::string, TargetReachability> m_reachability; ///< by service
+    RelayHosts m_relays;
     std::string m_region;
     AdmissionControl m_admission;
     ReturnSchedule m_returns; ///< empty unless BalancePolicy::schedulesReturns
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -157,6 +157,10 @@
     }
     const OpenRequest &open = it->second;
     const auto started = open.attempts.find(attempt);
+    const bool isRelay = started != open.attempts.end() && !started->second.relay.empty();
+    if (isRelay) {
+        return identifyCaller(open.request, currentRoute(open)).isAllowed; // the other host decides the rest
+    }
     const TargetState *target = started == open.attempts.end() ? nullptr : m_targets.find(started->second.target);
     if (target == nullptr || !m_targets.acceptsRequests(*target) || target->isBackingOff(m_now)) {
         return false;
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -548,6 +548,38 @@
     return count;
 }
 
+// Reservoir sampling: each of the targets is equally likely.
+std::vector<const TargetState *> TargetSet::sample(std::size_t count, std::string_view service, std::mt19937_64 &random,
+                                                   TimePoint now, std::string_view excluded) const
+{
+    std::vector<const TargetState *> chosen;
+    std::size_t seen = 0;
+    for (const auto &[id, target] : m_targets) {
+        const bool isOfService = service.empty() || target.report.service == service;
+        if (!isOfService || !isUsable(target, now) || id == excluded) {
+            continue;
+        }
+        const std::size_t place = ++seen <= count ? seen - 1 : random() % seen;
+        if (place == chosen.size()) {
+            chosen.push_back(&target);
+        } else if (place < count) {
+            chosen[place] = &target;
+        }
+    }
+    return chosen;
+}
+
+void TargetSet::forgetFailures(std::string_view service)
+{
+    for (auto &[id, target] : m_targets) {
+        if (target.report.service == service) {
+            target.failures = 0;
+            target.blockedUntil = {};
+            target.awaitingSince.reset();
+        }
+    }
+}
+
 std::size_t TargetSet::entryHosts() const
 {
     return m_entryHosts.size();
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -11,6 +11,7 @@
 #include "pepperlug/Balance.h"
 #include "TargetRing.h"
 
+#include <random>
 #include <unordered_map>
 
 namespace pepperlug::fleet
@@ -128,6 +129,11 @@
     /// Demand on a service that home regions bind to each region, in slots.
     std::map<std::string, double> boundDemand(std::string_view service) const;
     std::size_t usable(TimePoint now) const;
+    /// Returns up to a number of usable targets of a service at random; of any service if it is empty.
+    std::vector<const TargetState *> sample(std::size_t count, std::string_view service, std::mt19937_64 &random,
+                                            TimePoint now, std::string_view excluded = {}) const;
+    /// Forgets failures of a service's targets that were this host's own.
+    void forgetFailures(std::string_view service);
     std::string regionOf(const std::string &zone) const;
     std::size_t entryHosts() const;
     /// Returns how many targets all calls together have read or changed.
--- a/lib/Fleet/GatewayBackpressure.cpp
+++ b/lib/Fleet/GatewayBackpressure.cpp
@@ -37,7 +37,8 @@
 // Takes only signals that certainly come from the target: another incarnation may use its address.
 void GatewayDaemon::Impl::onTargetSignal(const Incarnation &target, const AnswerFields &fields, TimePoint sentAt)
 {
-    if (!fields.isWrongTarget && (fields.hasRequiredFields || !fields.isExecuted)) {
+    const bool isRelayed = target.id.empty();
+    if (!isRelayed && !fields.isWrongTarget && (fields.hasRequiredFields || !fields.isExecuted)) {
         reduce(TargetSignalled{target, fields.backpressure, sentAt});
     }
 }
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -168,6 +168,7 @@
     report.presence = m_isClosed ? Presence::Gone : (m_isStopping ? Presence::Draining : Presence::Ready);
     report.demand = m_balancer->demand(m_clock.now());
     report.linkUse = m_balancer->linkUse(m_clock.now());
+    report.unreachableServices = m_balancer->unreachableServices();
     report.sequence = ++m_sequence;
     return report;
 }
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -112,6 +112,13 @@
     void carryOut(const RequestProbe &effect);
     void carryOut(const SuspectChanged &effect);
 
+    // GatewayRelays.cpp
+    std::vector<HeaderField> attemptHeaders(const StartAttempt &effect, const HttpRequest &http) const;
+    AnswerFields readAnswer(const Incarnation &target, const Answer &answer) const;
+    void connectTo(const std::string &address, std::function<void(const HttpResult &)> handler);
+    void carryOut(const ProbeTarget &effect);
+    void carryOut(const ReachabilityChanged &effect);
+
     // GatewayQuotas.cpp
     Address quotaHost(TimePoint now);
     void onQuotaReply(const Address &from, TimePoint sentAt, const PeerReply &reply);
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -34,6 +34,7 @@
     request.deadline = open.fields.deadline;
     request.digest = open.digest;
     request.keyDigest = open.fields.keyDigest;
+    request.isRelayed = open.fields.isRelayed;
     m_metrics.count("pepperlug_requests");
     {
         const std::lock_guard lock(m_mutex);
@@ -88,8 +89,7 @@
     call.to = *to;
     call.method = http.method;
     call.resource = http.resource;
-    call.headers = m_dialect.targetHeaders(endToEndHeaders(http.headers),
-                                           {effect.target, effect.timeLeft, effect.hasTenants, effect.tenant});
+    call.headers = attemptHeaders(effect, http);
     call.body = open.body;
     call.timeout = effect.timeLeft + ClientTimeoutMargin;
     call.connectTimeout = std::min<Duration>(ConnectTimeout, effect.timeLeft);
@@ -108,20 +108,23 @@
     const Incarnation target{effect.target, effect.targetStartedAt};
     const TimePoint sentAt = m_clock.now();
     call.onLargeHead = [this, id, attempt, target, sentAt](const Answer &head, std::uint64_t length) {
-        const AnswerFields fields = m_dialect.readAnswer(head);
+        const AnswerFields fields = readAnswer(target, head);
         onTargetSignal(target, fields, sentAt);
         return onAnswerBegun(id, attempt, head, fields, length);
     };
     call.onPart = [this, id, attempt](std::string_view part) {
         onAnswerPart(id, attempt, part);
     };
-    noteAttempt(*to, effect.zone, sentAt);
+    if (effect.relay.empty()) {
+        noteAttempt(*to, effect.zone, sentAt);
+    }
     m_metrics.count("pepperlug_attempts");
     m_events.decision("attempt",
                       {{"request", open.fields.requestId},
                        {"digest", open.digest},
                        {"attempt", effect.attempt},
                        {"target", effect.target},
+                       {"relay", effect.relay},
                        {"address", effect.address},
                        {"zone", effect.zone},
                        {"service", effect.service},
@@ -137,7 +140,7 @@
     open.calls[attempt] = m_client->start(std::move(call), [this, id, attempt, target, sentAt](HttpResult result) {
         AnswerFields fields;
         if (result.kind == HttpResult::Kind::Answered) {
-            fields = m_dialect.readAnswer(result.answer);
+            fields = readAnswer(target, result.answer);
             onTargetSignal(target, fields, sentAt);
         }
         onAttemptEnded(id, attempt, target, fields, std::move(result));
@@ -201,7 +204,11 @@
         return ended;
     }
     ended.load = fields.load;
-    if (fields.isWrongTarget) {
+    if (fields.refusal) {
+        const bool mayTryAnother = concernsHostAlone(*fields.refusal) && promisesNotRun(*fields.refusal);
+        ended.outcome = mayTryAnother ? AttemptOutcome::Shed : AttemptOutcome::Answered;
+        ended.isFailure = true;
+    } else if (fields.isWrongTarget) {
         ended.outcome = AttemptOutcome::WrongTarget;
     } else if (!fields.isExecuted) {
         ended.outcome = AttemptOutcome::Shed;
--- a/lib/Fleet/GatewaySuspects.cpp
+++ b/lib/Fleet/GatewaySuspects.cpp
@@ -30,22 +30,17 @@
 
 void GatewayDaemon::Impl::carryOut(const CheckTarget &effect)
 {
-    const std::optional<Address> to = Address::parse(effect.address);
-    if (!to) {
-        return;
-    }
-    HttpCall call;
-    call.to = *to;
-    call.method = "GET";
-    call.resource = "/";
-    call.connectsOnly = true;
-    call.timeout = ConnectTimeout; // a missing answer proves nothing
-    call.connectTimeout = ConnectTimeout;
     m_metrics.count("pepperlug_target_checks");
-    m_client->start(std::move(call), [this, target = effect.target](const HttpResult &result) {
+    connectTo(effect.address, [this, effect](const HttpResult &result) {
         m_events.state("target-checked",
-                       {{"target", target.id}, {"refused", result.isRefused}, {"reason", result.reason}});
-        reduce(TargetChecked{target, result.isRefused});
+                       {{"target", effect.target.id}, {"refused", result.isRefused}, {"reason", result.reason}});
+        if (!result.isRefused || effect.otherAddress.empty()) {
+            reduce(TargetChecked{effect.target, result.isRefused});
+            return;
+        }
+        connectTo(effect.otherAddress, [this, target = effect.target](const HttpResult &other) {
+            reduce(TargetChecked{target, true, other.kind == HttpResult::Kind::Answered});
+        });
     });
 }
 
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -241,14 +241,20 @@
     m_demand = m_registry.demand(m_settings.regionOfZone);
 }
 
+// Leaves out hosts that reach no target of some service, unless these are more than the others, which then could not
+// serve all callers.
 std::vector<std::string> RegistryDaemon::Impl::liveEntryHosts(const std::string &region) const
 {
     std::vector<std::string> addresses;
+    std::vector<std::string> cutOff;
     for (const Registry::LiveEntryHost &host : m_registry.liveEntryHosts(m_settings.regionOfZone)) {
         if (region.empty() || *host.region == region) {
-            addresses.push_back(host.report->address);
+            (host.report->unreachableServices.empty() ? addresses : cutOff).push_back(host.report->address);
         }
     }
+    if (cutOff.size() > addresses.size()) {
+        addresses.insert(addresses.end(), cutOff.begin(), cutOff.end());
+    }
     return addresses;
 }
 
--- /dev/null
+++ b/lib/Reachability/Reachability.cpp
@@ -0,0 +1,104 @@
+//===- Reachability.cpp - Whether a host reaches targets ------------------===//
+#include "pepperlug/Reachability.h"
+
+#include <algorithm>
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// Time without an answer from any target, while requests are sent, after which a target is probed.
+constexpr Milliseconds AnswerTimeout{400};
+/// A first round with one probe costs little where targets are only slow; the further ones decide.
+constexpr std::size_t FirstRoundProbes = 1;
+constexpr std::size_t RoundProbes = 3;
+/// Failed rounds in a row until the host counts as cut off.
+constexpr unsigned RoundsUntilCutOff = 3;
+/// Between the starts of two rounds while the verdict is open or the host is cut off.
+constexpr Milliseconds RoundInterval{200};
+/// After a round that could connect, or that led to no result.
+constexpr Milliseconds PauseAfterContact{1000};
+/// A round without all results is dropped after this time. Longer than a connection may take.
+constexpr Milliseconds RoundTimeout{1000};
+
+} // namespace
+
+void TargetReachability::recordSent(TimePoint now)
+{
+    m_awaitingSince = m_awaitingSince.value_or(now);
+}
+
+void TargetReachability::recordAnswer()
+{
+    m_awaitingSince.reset();
+}
+
+void TargetReachability::recordFailure()
+{
+    m_hasFailure = true;
+}
+
+std::size_t TargetReachability::startProbes(TimePoint now)
+{
+    if (m_pending > 0) {
+        if (now - m_roundStartedAt < RoundTimeout) {
+            return 0;
+        }
+        // The missing results prove nothing.
+        m_pending = 0;
+        m_nextRoundAt = now + PauseAfterContact;
+    }
+    const bool isUnanswered = m_awaitingSince && now - *m_awaitingSince > AnswerTimeout;
+    const bool hasReason = m_isCutOff || m_failedRounds > 0 || m_hasFailure || isUnanswered;
+    if (!hasReason || now < m_nextRoundAt) {
+        return 0;
+    }
+    m_hasFailure = false;
+    m_roundStartedAt = now;
+    m_connected = 0;
+    m_pending = m_failedRounds == 0 ? FirstRoundProbes : RoundProbes;
+    return m_pending;
+}
+
+void TargetReachability::limitRound(std::size_t probes, TimePoint now)
+{
+    m_pending = std::min(m_pending, probes);
+    if (m_pending == 0) {
+        m_nextRoundAt = now + PauseAfterContact; // there is nothing to probe
+    }
+}
+
+bool TargetReachability::recordProbe(bool isConnected, TimePoint now)
+{
+    if (m_pending == 0) {
+        return false; // of a round that timed out
+    }
+    m_connected += isConnected ? 1 : 0;
+    --m_pending;
+    return m_pending == 0 && endRound(now);
+}
+
+// One connection in a round shows that the host is not cut off from all targets.
+bool TargetReachability::endRound(TimePoint now)
+{
+    const bool before = m_isCutOff;
+    if (m_connected > 0) {
+        m_failedRounds = 0;
+        m_isCutOff = false;
+        m_nextRoundAt = now + PauseAfterContact;
+    } else {
+        ++m_failedRounds;
+        m_isCutOff |= m_failedRounds >= RoundsUntilCutOff;
+        m_nextRoundAt = m_roundStartedAt + RoundInterval;
+    }
+    return m_isCutOff != before;
+}
+
+bool TargetReachability::isCutOff() const
+{
+    return m_isCutOff;
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -56,7 +56,8 @@
 
 bool isEquivalent(const Registry::HostEntry &old, const HostReport &report, TimePoint)
 {
-    return old.report.presence == report.presence && old.report.address == report.address;
+    return old.report.presence == report.presence && old.report.address == report.address
+        && old.report.unreachableServices == report.unreachableServices;
 }
 
 bool isLoadEquivalent(const TargetReport &, const TargetReport &)
@@ -118,7 +119,12 @@
 
 std::uint32_t digestOf(const HostReport &report)
 {
-    return static_cast<std::uint32_t>(hash64(std::string(nameOf(report.presence)) + "|" + report.address));
+    std::string text = std::string(nameOf(report.presence)) + "|" + report.address;
+    // Hosts of earlier versions know no such services, and compute the digest of the text so far.
+    for (const std::string &service : report.unreachableServices) {
+        text += "|" + service;
+    }
+    return static_cast<std::uint32_t>(hash64(text));
 }
 
 void reduceColdTime(TargetReport &report, Duration passed)
--- /dev/null
+++ b/unittests/Balance/RelayingTest.cpp
@@ -0,0 +1,247 @@
+//===- RelayingTest.cpp - A host that is cut off from all targets ---------===//
+#include "Balance/BalanceFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+
+namespace
+{
+
+/// A host with four targets that answers its own probes.
+struct ProbedHost : Host {
+    explicit ProbedHost(const std::string &zone = "z1")
+        : Host(zone)
+    {
+        useTable();
+        for (const char *id : {"t1", "t2", "t3", "t4"}) {
+            report(targetOf(id));
+        }
+        report(entryOf("e2", "z1"));
+    }
+
+    using Host::report;
+
+    static HostReport entryOf(const std::string &id, const std::string &zone, bool isCutOff = false)
+    {
+        HostReport it = Host::entryOf(id, zone);
+        it.address = "10.9.0.1:80";
+        if (isCutOff) {
+            it.unreachableServices = {"s"};
+        }
+        return it;
+    }
+
+    /// Lets time pass; probes connect or fail at once.
+    void pass(Duration time, bool connects)
+    {
+        for (const TimePoint end = now + time; now < end; now += 25ms) {
+            reduce(BalanceTick{});
+            BalanceEffects all = effects;
+            for (std::size_t n = 0; n < all.size(); ++n) {
+                if (const auto *probe = std::get_if<ProbeTarget>(&all[n])) {
+                    ++probes;
+                    reduce(TargetProbed{std::string(probe->service), connects});
+                    all.insert(all.end(), effects.begin(), effects.end());
+                }
+            }
+            seen.insert(seen.end(), all.begin(), all.end());
+        }
+    }
+
+    bool isCutOff() const
+    {
+        return balancer.unreachableServices() == std::vector<std::string>{"s"};
+    }
+
+    void cutOff()
+    {
+        const RequestId id = request("/once/x");
+        end(id, 1, AttemptOutcome::NotSent);
+        end(id, 2, AttemptOutcome::NotSent);
+        pass(1s, false);
+        REQUIRE(isCutOff());
+    }
+
+    const StartAttempt *started() const
+    {
+        return find<StartAttempt>();
+    }
+
+    std::size_t probes = 0;
+    BalanceEffects seen; ///< effects of pass()
+};
+
+} // namespace
+
+TEST_CASE("a host that is cut off from all targets relays to another entry host, and to a second if that fails")
+{
+    ProbedHost host;
+    host.report(ProbedHost::entryOf("e3", "z2"));
+    host.cutOff();
+    const RequestId id = host.request("/once/x");
+    REQUIRE(host.started() != nullptr);
+    const std::string first = host.started()->relay;
+    CHECK_FALSE(first.empty());
+    CHECK(host.started()->target.empty());
+    CHECK(host.balancer.maySend(id, 1));
+    host.end(id, 1, AttemptOutcome::NotSent);
+    REQUIRE(host.started() != nullptr);
+    CHECK_FALSE(host.started()->relay.empty());
+    CHECK(host.started()->relay != first);
+    host.end(id, 2, AttemptOutcome::Shed);
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::NotReached);
+    CHECK(host.balancer.openRequests() == 0);
+}
+
+// Guards against a request that runs twice since its relay was lost.
+TEST_CASE("a relayed request that may have run is not sent again")
+{
+    for (const char *path : {"/once/x", "/read/x"}) {
+        ProbedHost host;
+        host.report(ProbedHost::entryOf("e3", "z2"));
+        host.cutOff();
+        const RequestId id = host.request(path);
+        host.end(id, 1, AttemptOutcome::Lost);
+        REQUIRE(host.find<RefuseRequest>() != nullptr);
+        CHECK(host.find<RefuseRequest>()->reason == Refusal::Lost);
+    }
+}
+
+TEST_CASE("an answer of the other host is passed on")
+{
+    ProbedHost host;
+    host.cutOff();
+    const RequestId id = host.request("/once/x");
+    host.end(id, 1, AttemptOutcome::Answered);
+    REQUIRE(host.find<PassAnswer>() != nullptr);
+    CHECK(host.balancer.openRequests() == 0);
+}
+
+// Guards against requests that go round between hosts without targets.
+TEST_CASE("a relayed request is not relayed again, and no host relays to one that is cut off")
+{
+    ProbedHost host;
+    host.cutOff();
+    host.reduce(CallerRequest{RequestId{77}, "h", "/once/x", {}, {}, {}, {}, true});
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::NotReached);
+    host.report(ProbedHost::entryOf("e2", "z1", true));
+    host.request("/once/x");
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->retryAfter > 0ms);
+}
+
+TEST_CASE("repeatable requests that wait for a silent target are relayed, others wait for it")
+{
+    ProbedHost host;
+    const RequestId read = host.request("/read/x");
+    const RequestId once = host.request("/once/x");
+    host.pass(2s - 25ms, false);
+    REQUIRE(host.isCutOff());
+    std::set<RequestId> relayed;
+    for (const BalanceEffect &it : host.seen) {
+        const auto *started = std::get_if<StartAttempt>(&it);
+        if (started != nullptr && !started->relay.empty()) {
+            relayed.insert(started->id);
+        }
+    }
+    CHECK(relayed.contains(read));
+    CHECK_FALSE(relayed.contains(once));
+}
+
+TEST_CASE("a request goes only to entry hosts of its home regions or of the own region")
+{
+    ProbedHost host;
+    host.table.routes[1].homeRegions = {"r1"};
+    host.useTable();
+    host.report(ProbedHost::entryOf("e2", "z1", true));
+    host.report(ProbedHost::entryOf("e3", "z3"));
+    host.cutOff();
+    host.request("/once/x");
+    CHECK(host.started() == nullptr);
+    host.request("/read/x");
+    REQUIRE(host.started() != nullptr);
+    CHECK(host.started()->relay == "e3");
+}
+
+// Guards against one host that serves the callers of all others of its region.
+TEST_CASE("hosts of other regions are used where most hosts of the region are cut off")
+{
+    ProbedHost host;
+    host.report(ProbedHost::entryOf("e4", "z2", true));
+    for (const char *id : {"e5", "e6", "e7"}) {
+        host.report(ProbedHost::entryOf(id, "z3"));
+    }
+    host.cutOff();
+    std::set<std::string> relays;
+    for (int n = 0; n < 40; ++n) {
+        host.request("/once/x");
+        REQUIRE(host.started() != nullptr);
+        relays.insert(host.started()->relay);
+    }
+    CHECK(relays == std::set<std::string>{"e2", "e5", "e6", "e7"});
+}
+
+// Guards against targets that stay blocked after a cut of the host itself.
+TEST_CASE("after a cut a host uses all targets within a second")
+{
+    ProbedHost host;
+    for (int n = 0; n < 40; ++n) {
+        const RequestId id = host.request("/read/x" + std::to_string(n));
+        host.end(id, 1, AttemptOutcome::NotSent);
+        host.end(id, 2, AttemptOutcome::NotSent);
+        host.now += 10ms;
+    }
+    host.pass(1s, false);
+    REQUIRE(host.isCutOff());
+    host.pass(1s, true);
+    CHECK_FALSE(host.isCutOff());
+    std::set<std::string> used;
+    for (int n = 0; n < 40; ++n) {
+        host.request("/once/x");
+        if (host.started() != nullptr) {
+            CHECK(host.started()->relay.empty());
+            used.insert(host.started()->target);
+        }
+    }
+    CHECK(used == std::set<std::string>{"t1", "t2", "t3", "t4"});
+}
+
+// Guards against innocent requests that are shut out everywhere since one host lost its connections.
+TEST_CASE("a refused connection counts as a crash only if another target can be connected to")
+{
+    ProbedHost host;
+    const auto endUnder = [&](bool isOtherReached) {
+        const auto id = static_cast<RequestId>(++host.lastRequest);
+        host.reduce(CallerRequest{id, "h", "/once/x", {}, {}, "digest"});
+        REQUIRE(host.started() != nullptr);
+        host.reduce(AttemptEnded{id, 1, AttemptOutcome::Lost, {}, 0, true});
+        REQUIRE(host.find<CheckTarget>() != nullptr);
+        const CheckTarget check = *host.find<CheckTarget>();
+        CHECK_FALSE(check.otherAddress.empty());
+        host.reduce(TargetChecked{check.target, true, isOtherReached});
+        return host.find<SuspectChanged>() != nullptr;
+    };
+    CHECK_FALSE(endUnder(false));
+    CHECK(endUnder(true));
+}
+
+// Guards against a host that relays everything since one service has no targets.
+TEST_CASE("a service that is out of reach does not affect another one")
+{
+    ProbedHost host;
+    host.table.services.push_back({"other", 100, 3s, 4});
+    host.table.routes.push_back(Host::routeOf("/other/", RouteKind::OnceOnly));
+    host.table.routes.back().services = {{"other", 1}};
+    host.useTable();
+    TargetReport target = Host::targetOf("o1");
+    target.service = "other";
+    host.report(target);
+    host.cutOff();
+    host.request("/other/x");
+    REQUIRE(host.started() != nullptr);
+    CHECK(host.started()->target == "o1");
+}
--- /dev/null
+++ b/unittests/Reachability/ReachabilityTest.cpp
@@ -0,0 +1,127 @@
+//===- ReachabilityTest.cpp - Hosts that are cut off from targets ---------===//
+#include "pepperlug/Reachability.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace pepperlug;
+using namespace pepperlug::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration Step = 25ms;
+
+/// A host whose probes end as the test says.
+struct Prober {
+    /// Runs for a time. `connects` says of each probe whether it connects; `takes`: how long one takes.
+    template <typename Connects>
+    void run(Duration time, Duration takes, Connects connects)
+    {
+        for (const TimePoint end = now + time; now < end; now += Step) {
+            for (std::size_t n = reachability.startProbes(now); n > 0; --n) {
+                ++probes;
+                due.emplace_back(now + takes, connects());
+            }
+            std::erase_if(due, [&](const auto &it) {
+                const bool isDue = it.first <= now;
+                if (isDue) {
+                    reachability.recordProbe(it.second, now);
+                }
+                return isDue;
+            });
+        }
+    }
+
+    TargetReachability reachability;
+    TimePoint now{1000s};
+    std::size_t probes = 0;
+    std::vector<std::pair<TimePoint, bool>> due;
+};
+
+constexpr auto Never = [] {
+    return false;
+};
+constexpr auto Always = [] {
+    return true;
+};
+
+} // namespace
+
+TEST_CASE("a host without requests or with answers probes nothing")
+{
+    Prober host;
+    host.run(5s, 1ms, Never);
+    CHECK(host.probes == 0);
+    for (int n = 0; n < 20; ++n) {
+        host.reachability.recordSent(host.now);
+        host.run(300ms, 1ms, Never);
+        host.reachability.recordAnswer();
+    }
+    CHECK(host.probes == 0);
+    CHECK_FALSE(host.reachability.isCutOff());
+}
+
+TEST_CASE("a host is cut off within two seconds of hanging connections, and reaches targets within one after it")
+{
+    Prober host;
+    host.reachability.recordSent(host.now);
+    host.run(2s, 350ms, Never);
+    CHECK(host.reachability.isCutOff());
+    host.run(10s, 350ms, Never);
+    CHECK(host.reachability.isCutOff());
+    host.run(1s, 1ms, Always);
+    CHECK_FALSE(host.reachability.isCutOff());
+}
+
+TEST_CASE("refused connections cut a host off at once, also while kept connections still answer")
+{
+    Prober host;
+    for (int n = 0; n < 20; ++n) {
+        host.reachability.recordSent(host.now);
+        host.reachability.recordFailure();
+        host.run(50ms, 1ms, Never);
+        host.reachability.recordAnswer();
+    }
+    CHECK(host.reachability.isCutOff());
+}
+
+// Guards against slow targets that cost a connection with each tick.
+TEST_CASE("targets that are only slow cost one probe a second")
+{
+    Prober host;
+    host.reachability.recordSent(host.now);
+    host.run(10s, 1ms, Always);
+    CHECK(host.probes <= 10);
+    CHECK_FALSE(host.reachability.isCutOff());
+}
+
+TEST_CASE("probes whose results are lost prove nothing, and do not stop further rounds")
+{
+    Prober host;
+    host.reachability.recordSent(host.now);
+    host.run(10s, 1min, Never);
+    CHECK_FALSE(host.reachability.isCutOff());
+    host.due.clear();
+    host.run(4s, 1ms, Never);
+    CHECK(host.reachability.isCutOff());
+}
+
+TEST_CASE("property: half of the targets failing rarely cuts a host off, and never for long")
+{
+    rc::check([] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        std::mt19937_64 random(seed);
+        Prober host;
+        Duration cutOff{};
+        for (int n = 0; n < 400; ++n) {
+            host.reachability.recordSent(host.now);
+            host.reachability.recordFailure();
+            host.run(Step, 1ms, [&] { return random() % 2 == 0; });
+            cutOff += host.reachability.isCutOff() ? Step : Duration(0);
+        }
+        RC_ASSERT(cutOff < 2s); // of 10 s
+    });
+}
