--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -35,7 +35,7 @@
     request.digest = open.digest;
     request.keyDigest = open.fields.keyDigest;
     request.isRelayed = open.fields.isRelayed;
-    m_metrics.count("pepperlug_requests");
+    m_metrics.count(open.fields.isRelayed ? "pepperlug_relayed_requests" : "pepperlug_requests");
     {
         const std::lock_guard lock(m_mutex);
         if (m_isClosed) {
@@ -118,7 +118,7 @@
     if (effect.relay.empty()) {
         noteAttempt(*to, effect.zone, sentAt);
     }
-    m_metrics.count("pepperlug_attempts");
+    m_metrics.count(effect.relay.empty() ? "pepperlug_attempts" : "pepperlug_relays");
     m_events.decision("attempt",
                       {{"request", open.fields.requestId},
                        {"digest", open.digest},
--- a/lib/Fleet/SharedChanges.cpp
+++ b/lib/Fleet/SharedChanges.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// Entry hosts receive the demand summed by region, and never connect to one another.
+// Entry hosts receive the demand summed by region, and connect to one another only by the address for callers.
 void removeLoad(RegistryChanges &changes)
 {
     for (AgedReport<HostReport> &it : changes.hosts) {
--- a/unittests/Fleet/RelayTest.cpp
+++ b/unittests/Fleet/RelayTest.cpp
@@ -41,7 +41,8 @@
         m_address = {"127.0.0.1", ntohs(at.sin_port)};
         for (int &filler : m_fillers) {
             filler = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-            connect(filler, reinterpret_cast<const sockaddr *>(&at), length);
+            // Returns before the connection is made.
+            static_cast<void>(connect(filler, reinterpret_cast<const sockaddr *>(&at), length));
         }
     }
 
