Balance: reason of relayed requests that a suspended host withdraws; hosts that are cut off probe every 400 ms

A withdrawn relay at a suspended host was told route-changed; it is routing-late. While a service's targets are gone all hosts probe them, so a round is started half as often once the verdict is there; a host serves by itself within a second of the end of a cut all the same (ReachabilityTest).

--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -163,11 +163,12 @@
         return; // another attempt is in progress
     }
     const bool hasRoute = refreshRoute(open);
-    const bool mayRepeat = isNotRun ? !open.mayHaveRun || open.route.kind == RouteKind::Repeatable : false;
-    if (hasRoute && mayRepeat && !open.hasAnswerBegun && startRelay(open)) {
+    const bool mayRepeat = !open.mayHaveRun || open.route.kind == RouteKind::Repeatable;
+    if (hasRoute && isNotRun && mayRepeat && !open.hasAnswerBegun && startRelay(open)) {
         return;
     }
-    Refusal reason = hasRoute ? Refusal::NotReached : Refusal::RouteChanged;
+    const Refusal unroutable = m_isSuspended ? Refusal::RoutingLate : Refusal::RouteChanged;
+    Refusal reason = hasRoute ? Refusal::NotReached : unroutable;
     if (open.mayHaveRun) {
         const bool isTimeout = event.outcome == AttemptOutcome::TimedOut || m_now >= open.deadline;
         reason = isTimeout ? Refusal::TimedOut : Refusal::Lost;
--- a/lib/Reachability/Reachability.cpp
+++ b/lib/Reachability/Reachability.cpp
@@ -16,8 +16,10 @@
 constexpr std::size_t RoundProbes = 3;
 /// Failed rounds in a row until the host counts as cut off.
 constexpr unsigned RoundsUntilCutOff = 3;
-/// Between the starts of two rounds while the verdict is open or the host is cut off.
+/// Between the starts of two rounds while the verdict is open.
 constexpr Milliseconds RoundInterval{200};
+/// The same while the host is cut off: all hosts probe a service whose targets are gone.
+constexpr Milliseconds CutOffRoundInterval{400};
 /// After a round that could connect, or that led to no result.
 constexpr Milliseconds PauseAfterContact{1000};
 /// A round without all results is dropped after this time. Longer than a connection may take.
@@ -91,7 +93,7 @@
     } else {
         ++m_failedRounds;
         m_isCutOff |= m_failedRounds >= RoundsUntilCutOff;
-        m_nextRoundAt = m_roundStartedAt + RoundInterval;
+        m_nextRoundAt = m_roundStartedAt + (m_isCutOff ? CutOffRoundInterval : RoundInterval);
     }
     return m_isCutOff != before;
 }
