Balance: a refused connection counts as a crash again, whether or not other targets can be reached

Cause: since a crash counted only if another target could be connected to. The request had crashed all eight targets at the same moment (target-checked with refused at eight targets within 40 ms, targets-lost 0.4 s later), so no crash was counted at most hosts.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -153,9 +153,6 @@
 struct TargetChecked {
     Incarnation target;
     bool isConnectionRefused = false; ///< nothing listens at its address
-    /// Another target could be connected to right afterwards, or none was named. If not, the refusal says nothing about
-    /// the target: this host may be cut off.
-    bool isOtherReached = true;
 };
 
 /// Result of ProbeTarget.
@@ -234,7 +231,6 @@
 struct CheckTarget {
     Incarnation target;
     std::string address;
-    std::string otherAddress; ///< of another target, to connect to if the first refuses; empty: there is none
 };
 
 /// Checks whether a new connection to a target can be made.
--- a/lib/Balance/Suspicion.cpp
+++ b/lib/Balance/Suspicion.cpp
@@ -31,9 +31,7 @@
     const auto [it, isNew] = m_pendingChecks.try_emplace(attempt.target);
     it->second.insert(open.request.digest);
     if (isNew) {
-        const std::vector<const TargetState *> others = m_targets.sample(1, {}, m_random, m_now, attempt.target.id);
-        m_out->emplace_back(CheckTarget{attempt.target, attempt.address,
-                                        others.empty() ? std::string() : others.front()->report.address});
+        m_out->emplace_back(CheckTarget{attempt.target, attempt.address});
     }
 }
 
@@ -43,10 +41,6 @@
     if (pending.empty() || !event.isConnectionRefused) {
         return;
     }
-    // A host that is cut off is refused everywhere, and would blame its requests for it at all hosts.
-    if (!event.isOtherReached) {
-        return;
-    }
     m_targets.markUnreachable(event.target, m_now);
     for (const std::string &digest : pending.mapped()) {
         if (m_quarantine.recordCrash(digest, event.target, m_now)) {
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -550,13 +550,13 @@
 
 // Reservoir sampling: each of the targets is equally likely.
 std::vector<const TargetState *> TargetSet::sample(std::size_t count, std::string_view service, std::mt19937_64 &random,
-                                                   TimePoint now, std::string_view excluded) const
+                                                   TimePoint now) const
 {
     std::vector<const TargetState *> chosen;
     std::size_t seen = 0;
     for (const auto &[id, target] : m_targets) {
-        const bool isOfService = service.empty() || target.report.service == service;
-        if (!isOfService || !isUsable(target, now) || id == excluded) {
+        const bool isOfService = target.report.service == service;
+        if (!isOfService || !isUsable(target, now)) {
             continue;
         }
         const std::size_t place = ++seen <= count ? seen - 1 : random() % seen;
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -129,9 +129,9 @@
     /// Demand on a service that home regions bind to each region, in slots.
     std::map<std::string, double> boundDemand(std::string_view service) const;
     std::size_t usable(TimePoint now) const;
-    /// Returns up to a number of usable targets of a service at random; of any service if it is empty.
+    /// Returns up to a number of usable targets of a service at random.
     std::vector<const TargetState *> sample(std::size_t count, std::string_view service, std::mt19937_64 &random,
-                                            TimePoint now, std::string_view excluded = {}) const;
+                                            TimePoint now) const;
     /// Forgets failures of a service's targets that were this host's own.
     void forgetFailures(std::string_view service);
     std::string regionOf(const std::string &zone) const;
--- a/lib/Fleet/GatewaySuspects.cpp
+++ b/lib/Fleet/GatewaySuspects.cpp
@@ -31,16 +31,10 @@
 void GatewayDaemon::Impl::carryOut(const CheckTarget &effect)
 {
     m_metrics.count("pepperlug_target_checks");
-    connectTo(effect.address, [this, effect](const HttpResult &result) {
+    connectTo(effect.address, [this, target = effect.target](const HttpResult &result) {
         m_events.state("target-checked",
-                       {{"target", effect.target.id}, {"refused", result.isRefused}, {"reason", result.reason}});
-        if (!result.isRefused || effect.otherAddress.empty()) {
-            reduce(TargetChecked{effect.target, result.isRefused});
-            return;
-        }
-        connectTo(effect.otherAddress, [this, target = effect.target](const HttpResult &other) {
-            reduce(TargetChecked{target, true, other.kind == HttpResult::Kind::Answered});
-        });
+                       {{"target", target.id}, {"refused", result.isRefused}, {"reason", result.reason}});
+        reduce(TargetChecked{target, result.isRefused});
     });
 }
 
