Balance: a request that is relayed returns the token that it had taken

Found by reading: a request that had a token of its tenant's limit when its target could not be reached was relayed, and the other host took a second token for it, so it counted twice. A request whose token came after this host was cut off was sent to a target first, which cost its caller the time that a connection may take. startRelay() returns the token unless the request is at a target; sendWithToken() relays at a host that is cut off. TenantTest, "a request that is relayed returns its token": without returning it the next request has to ask for one; passes now.

--- a/lib/Balance/Quotas.cpp
+++ b/lib/Balance/Quotas.cpp
@@ -55,6 +55,9 @@
     open.token = {open.tenant, tokenExpiry};
     Placement placement{nullptr, 0, m_isSuspended ? Refusal::RoutingLate : Refusal::RouteChanged};
     if (refreshRoute(open)) {
+        if (isCutOff(open.service) && startRelay(open)) {
+            return;
+        }
         placement = place(open);
     }
     if (placement.target != nullptr) {
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -99,6 +99,11 @@
     if (host == nullptr) {
         return false;
     }
+    const bool isAtTarget = !open.attempts.empty() || open.mayHaveRun;
+    if (!isAtTarget) {
+        refundToken(open, Refusal::NotReached); // the other host takes a token
+        open.token.reset();
+    }
     ++open.relaysStarted;
     open.triedRelays.insert(host->id);
     const unsigned number = ++open.attemptsStarted;
--- a/unittests/Balance/TenantTest.cpp
+++ b/unittests/Balance/TenantTest.cpp
@@ -285,6 +285,47 @@
     CHECK(host.find<StartAttempt>() == nullptr);
 }
 
+// Guards against a request that is counted at two hosts: by the one that relays it, and by the one that sends it.
+TEST_CASE("a request that is relayed returns its token")
+{
+    LimitedHost host;
+    HostReport other = Host::entryOf("e2", "z1");
+    other.address = "10.9.0.1:80";
+    host.report(other);
+    const auto endRound = [&](bool connects) {
+        host.receiveUpdate();
+        host.reduce(BalanceTick{});
+        const auto isProbe = [](const BalanceEffect &it) {
+            return std::holds_alternative<ProbeTarget>(it);
+        };
+        const auto probes = std::count_if(host.effects.begin(), host.effects.end(), isProbe);
+        REQUIRE(probes > 0);
+        for (auto left = probes; left > 0; --left) {
+            host.reduce(TargetProbed{"s", connects});
+        }
+    };
+    host.end(host.sendRequest("/once/x", "k2"), 1, AttemptOutcome::NotSent);
+    endRound(false);
+    host.now += 200ms;
+    endRound(false);
+    host.now += 200ms;
+    const RequestId id = host.sendRequest("/once/x", "k1");
+    REQUIRE(host.find<RequestQuota>() != nullptr);
+    const RequestQuota call = *host.find<RequestQuota>();
+    endRound(false);
+    REQUIRE(host.balancer.unreachableServices().size() == 1);
+    host.reduce(QuotaReplied{call.sentAt, {"control#1", 1, true, {{tenantHash("t1"), 1, 2s, {}}}}});
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->relay == "e2");
+    host.end(id, 1, AttemptOutcome::Answered);
+    host.now += 400ms;
+    endRound(true);
+    host.sendRequest("/once/x", "k1");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->relay.empty());
+    CHECK(host.find<RequestQuota>() == nullptr);
+}
+
 TEST_CASE("a request that waits for a token is refused as not run after an eighth of its objective")
 {
     LimitedHost host;
