Balance: one function names the reason of a request that has ended without an answer

It stood in handle(AttemptEnded) and in endRelay(), where a quarantined request was told not-reached. TargetReachability is of one service, and its comments say so.

--- a/include/pepperlug/Reachability.h
+++ b/include/pepperlug/Reachability.h
@@ -1,7 +1,7 @@
 //===- pepperlug/Reachability.h - Whether a host reaches targets -*- C++ -*-===//
 //
-// Tells an entry host that is cut off from all targets from one whose targets
-// fail one by one. Missing answers and failed attempts are only a reason to look:
+// Tells an entry host that is cut off from all targets of a service from one
+// whose targets fail one by one. Missing answers and failed attempts are only a reason to look:
 // the verdict rests on new connections to several targets at once, so that
 // neither slow targets nor the crash of some of them count. Pure: time is passed
 // in, and the caller makes the connections.
@@ -16,6 +16,7 @@
 namespace pepperlug::fleet
 {
 
+/// Whether an entry host reaches any target of one service.
 class TargetReachability
 {
 public:
@@ -34,7 +35,8 @@
     /// Records whether a probe could connect. Returns true if the verdict changed.
     bool recordProbe(bool isConnected, TimePoint now);
 
-    /// Returns true if new connections to all probed targets failed in several rounds in a row.
+    /// Returns true if new connections to all probed targets failed in several rounds in a row, and none has been made
+    /// since.
     bool isCutOff() const;
 
 private:
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -472,19 +472,22 @@
             return;
         }
     }
-    Refusal reason = event.outcome == AttemptOutcome::Shed ? Refusal::Overloaded : Refusal::NotReached;
-    if (isQuarantined(open)) {
-        reason = Refusal::Quarantined;
+    const Refusal unserved = event.outcome == AttemptOutcome::Shed ? Refusal::Overloaded : Refusal::NotReached;
+    failRequest(open, refusalAfter(open, event.outcome, hasRoute, unserved));
+    m_open.erase(it);
+}
+
+// `unserved`: the reason if the request has a route, is not quarantined and has certainly not run.
+Refusal Balancer::Impl::refusalAfter(const OpenRequest &open, AttemptOutcome outcome, bool hasRoute,
+                                     Refusal unserved) const
+{
+    if (open.mayHaveRun) {
+        return outcome == AttemptOutcome::TimedOut || m_now >= open.deadline ? Refusal::TimedOut : Refusal::Lost;
     }
     if (!hasRoute) {
-        reason = m_isSuspended ? Refusal::RoutingLate : Refusal::RouteChanged;
-    }
-    if (open.mayHaveRun) {
-        reason =
-            event.outcome == AttemptOutcome::TimedOut || m_now >= open.deadline ? Refusal::TimedOut : Refusal::Lost;
+        return m_isSuspended ? Refusal::RoutingLate : Refusal::RouteChanged;
     }
-    failRequest(open, reason);
-    m_open.erase(it);
+    return isQuarantined(open) ? Refusal::Quarantined : unserved;
 }
 
 void Balancer::Impl::endExpired()
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -114,6 +114,7 @@
     void startAttempt(OpenRequest &open, const Placement &placement);
     void refuse(OpenRequest &open, Refusal reason, Duration drainTime = {});
     void failRequest(OpenRequest &open, Refusal reason);
+    Refusal refusalAfter(const OpenRequest &open, AttemptOutcome outcome, bool hasRoute, Refusal unserved) const;
     void endExpired();
     bool mayHedge(const OpenRequest &open) const;
     bool isTargetUnresponsive(const Attempt &attempt, const Route &route);
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -172,13 +172,7 @@
     if (hasRoute && isNotRun && mayRepeat && !open.hasAnswerBegun && startRelay(open)) {
         return;
     }
-    const Refusal unroutable = m_isSuspended ? Refusal::RoutingLate : Refusal::RouteChanged;
-    Refusal reason = hasRoute ? Refusal::NotReached : unroutable;
-    if (open.mayHaveRun) {
-        const bool isTimeout = event.outcome == AttemptOutcome::TimedOut || m_now >= open.deadline;
-        reason = isTimeout ? Refusal::TimedOut : Refusal::Lost;
-    }
-    failRequest(open, reason);
+    failRequest(open, refusalAfter(open, event.outcome, hasRoute, Refusal::NotReached));
     m_open.erase(id);
 }
 
