--- a/unittests/Consensus/CatchUpTest.cpp
+++ b/unittests/Consensus/CatchUpTest.cpp
@@ -153,6 +153,9 @@
     std::uint64_t m_token = 0;
 };
 
+constexpr std::size_t Entries = 8;
+constexpr std::size_t EntryBytes = 6000;
+
 RecoveredLog logOf(std::size_t entries, std::size_t bytes)
 {
     RecoveredLog log;
@@ -163,18 +166,23 @@
     return log;
 }
 
+/// Two members with a log, and one that has lost its disk.
+struct NetworkWithEmptyMember : Network {
+    NetworkWithEmptyMember()
+    {
+        start("a", "initial", logOf(Entries, EntryBytes));
+        start("b", "initial", logOf(Entries, EntryBytes));
+        start("c", "new", {});
+    }
+};
+
 } // namespace
 
 // Guards against a leader that sends the whole log with each heartbeat to a member without a disk: the copies share the
 // link, and none arrives in time.
 TEST_CASE("a member that lost its disk catches up when each heartbeat would repeat the log")
 {
-    constexpr std::size_t Entries = 8;
-    constexpr std::size_t EntryBytes = 6000;
-    Network network;
-    network.start("a", "initial", logOf(Entries, EntryBytes));
-    network.start("b", "initial", logOf(Entries, EntryBytes));
-    network.start("c", "new", {});
+    NetworkWithEmptyMember network;
     network.run(5s);
     CHECK(network.members().at("c")->commitIndex() >= Entries);
     CHECK(network.members().at("c")->isCurrent(network.now));
@@ -185,12 +193,7 @@
 // Guards against a member that catches up only if nothing is proposed meanwhile.
 TEST_CASE("a member that lost its disk catches up while commands are proposed")
 {
-    constexpr std::size_t Entries = 8;
-    constexpr std::size_t EntryBytes = 6000;
-    Network network;
-    network.start("a", "initial", logOf(Entries, EntryBytes));
-    network.start("b", "initial", logOf(Entries, EntryBytes));
-    network.start("c", "new", {});
+    NetworkWithEmptyMember network;
     for (int n = 0; n < 30; ++n) {
         network.run(200ms);
         if (Consensus *leader = network.leader()) {
@@ -206,7 +209,6 @@
 // Guards against hosts that are told to rely on a control host which has applied nothing yet.
 TEST_CASE("after a restart of all members none counts as current before it has what was committed before")
 {
-    constexpr std::size_t Entries = 8;
     Network network;
     for (const std::string &name : Names) {
         network.start(name, "initial", logOf(Entries, 100));
--- a/unittests/Fleet/RelayTest.cpp
+++ b/unittests/Fleet/RelayTest.cpp
@@ -4,9 +4,7 @@
 // reach all. A stub control host for each of two entry hosts gives them different ways to the same targets.
 //
 //===----------------------------------------------------------------------===//
-#include "Fleet/FleetMessages.h"
-#include "Fleet/System.h"
-#include "pepperlug/Wire.h"
+#include "Fleet/HeldPolls.h"
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -80,14 +78,17 @@
         table.routes = {{"read", "a.example", "/read/", RouteKind::Repeatable, 4s, 1s, 1, {{"s", 1}}, 2, false, {}},
                         {"once", "a.example", "/once/", RouteKind::OnceOnly, 4s, 1s, 1, {{"s", 1}}, 2, false, {}}};
         m_routing.append({1, std::make_shared<RouteTable>(table), {}});
-        m_net.listen(at, [this](const IncomingCallPtr &call) { onCall(call); });
-        m_thread = std::thread([this] { run(); });
+        m_net.listen(at, [this](const IncomingCallPtr &call) {
+            if (call->path() == fleet::path::FleetWatch) {
+                m_polls.add(call);
+            } else {
+                call->reply(200, "");
+            }
+        });
     }
 
     ~StubControl()
     {
-        m_stop = true;
-        m_thread.join();
         m_net.stop();
     }
 
@@ -111,42 +112,15 @@
     }
 
 private:
-    struct Held {
-        IncomingCallPtr call;
-        FleetWatchCall request;
-        std::chrono::steady_clock::time_point until;
-    };
-
-    void onCall(const IncomingCallPtr &call)
+    bool hasUpdates(const FleetWatchCall &request) const
     {
-        if (call->path() != fleet::path::FleetWatch) {
-            call->reply(200, "");
-            return;
-        }
-        const auto request = decode<FleetWatchCall>(call->body(), call->peer());
         const std::lock_guard lock(m_mutex);
-        m_held.push_back({call, request, std::chrono::steady_clock::now() + request.maxWait});
-    }
-
-    void run()
-    {
-        while (!m_stop) {
-            {
-                const std::lock_guard lock(m_mutex);
-                std::erase_if(m_held, [this](const Held &held) {
-                    const bool isDue = held.request.since < m_version || std::chrono::steady_clock::now() >= held.until;
-                    if (isDue) {
-                        held.call->reply(200, encode(replyTo(held.request)));
-                    }
-                    return isDue;
-                });
-            }
-            std::this_thread::sleep_for(RetryInterval);
-        }
+        return request.since < m_version;
     }
 
     FleetWatchReply replyTo(const FleetWatchCall &request) const
     {
+        const std::lock_guard lock(m_mutex);
         FleetWatchReply reply;
         reply.epoch = "life";
         reply.version = m_version;
@@ -164,14 +138,15 @@
     }
 
     RoutingHistory m_routing;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::uint64_t m_version = 1;
     std::map<std::string, TargetReport> m_targets;
     std::map<std::string, HostReport> m_hosts;
-    std::vector<Held> m_held;
-    std::atomic<bool> m_stop{false};
     PeerNet m_net;
-    std::thread m_thread;
+    HeldPolls m_polls{[this](const FleetWatchCall &request) { return hasUpdates(request); },
+                      [this](const FleetWatchCall &request) {
+                          return replyTo(request);
+                      }};
 };
 
 /// An entry host and its control host.
--- a/unittests/LateNews/PendingRoutingTest.cpp
+++ b/unittests/LateNews/PendingRoutingTest.cpp
@@ -8,9 +8,7 @@
 // hosts relied on, and resumed 3.6 s after its last poll although its control host answered all the time.
 //
 //===----------------------------------------------------------------------===//
-#include "Fleet/FleetMessages.h"
-#include "Fleet/System.h"
-#include "pepperlug/Wire.h"
+#include "Fleet/HeldPolls.h"
 
 using namespace pepperlug;
 using namespace pepperlug::fleet;
@@ -43,36 +41,30 @@
         table.routes = {{"r", "a.example", "/p/", RouteKind::OnceOnly, 4s, 1s, 1, {{"s", 1}}, 2, false, {}}};
         m_first.append({1, std::make_shared<RouteTable>(table), {}});
         m_net.listen(at, [this](const IncomingCallPtr &call) { onCall(call); });
-        m_thread = std::thread([this] { run(); });
     }
 
     ~StubControl()
     {
-        m_stop = true;
-        m_thread.join();
         m_net.stop();
     }
 
+    /// Replies to no poll from now on.
+    void holdPolls()
+    {
+        m_polls.isPaused = true;
+    }
+
     std::atomic<std::uint64_t> newestIndex{1};
-    std::atomic<bool> holdsPolls{false};
     std::atomic<bool> isSilent{false}; ///< answers nothing at all
     std::atomic<unsigned> polls{0};
     std::atomic<unsigned> fetches{0};
 
 private:
-    struct Held {
-        IncomingCallPtr call;
-        FleetWatchCall request;
-        std::chrono::steady_clock::time_point until;
-    };
-
     void onCall(const IncomingCallPtr &call)
     {
         if (call->path() == fleet::path::FleetWatch) {
             ++polls;
-            const auto request = decode<FleetWatchCall>(call->body(), call->peer());
-            const std::lock_guard lock(m_mutex);
-            m_held.push_back({call, request, std::chrono::steady_clock::now() + request.maxWait});
+            m_polls.add(call);
             return;
         }
         if (call->path() == fleet::path::FleetAlive) {
@@ -95,29 +87,6 @@
         call->reply(200, "");
     }
 
-    // Replies as a control host does: at once if the newest routing is not known to the requester, otherwise after its
-    // maximum wait.
-    void run()
-    {
-        while (!m_stop) {
-            {
-                const std::lock_guard lock(m_mutex);
-                std::erase_if(m_held, [this](const Held &held) {
-                    if (holdsPolls) {
-                        return false;
-                    }
-                    const bool hasUpdates = held.request.since == 0 || held.request.newestRoutingIndex < newestIndex;
-                    if (!hasUpdates && std::chrono::steady_clock::now() < held.until) {
-                        return false;
-                    }
-                    held.call->reply(200, encode(replyTo(held.request)));
-                    return true;
-                });
-            }
-            std::this_thread::sleep_for(RetryInterval);
-        }
-    }
-
     FleetWatchReply replyTo(const FleetWatchCall &request) const
     {
         FleetWatchReply reply;
@@ -139,12 +108,14 @@
     RoutingFault m_fault;
     FakeTarget m_target{"t"};
     RoutingHistory m_first;
-    std::mutex m_mutex;
-    std::vector<Held> m_held;
     std::vector<IncomingCallPtr> m_withheld;
-    std::atomic<bool> m_stop{false};
     PeerNet m_net;
-    std::thread m_thread;
+    HeldPolls m_polls{[this](const FleetWatchCall &request) {
+                          return request.since == 0 || request.newestRoutingIndex < newestIndex;
+                      },
+                      [this](const FleetWatchCall &request) {
+                          return replyTo(request);
+                      }};
 };
 
 /// An entry host that follows the stub.
@@ -232,7 +203,7 @@
     REQUIRE(System::eventually([&] { return follower.statusOf("/p/x") == 200; }));
     control.newestIndex = 2;
     REQUIRE(System::eventually([&] { return control.fetches > 0; }));
-    control.holdsPolls = true;
+    control.holdPolls();
     REQUIRE(System::eventually([&] { return follower.statusOf("/p/x") == 503; }));
     const auto end = std::chrono::steady_clock::now() + 10 * Lease;
     while (std::chrono::steady_clock::now() < end) {
