Fleet tests: three forms of a cut, cuts in a row and an entry host that is replaced meanwhile

RelayTest had connections that are refused or hang from their start, and one request at a time. Now open connections are reset, go silent or live on while new ones fail, with ten requests at once, so that each needs a connection of its own. FaultProxy::refuseNew().

--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -85,6 +85,14 @@
     });
 }
 
+void FaultProxy::refuseNew()
+{
+    boost::asio::post(m_context, [this] {
+        boost::system::error_code ec; // it may be closed already
+        m_acceptor.close(ec);
+    });
+}
+
 void FaultProxy::narrow(std::uint64_t bytesPerSecond)
 {
     m_bytesPerSecond = bytesPerSecond;
--- a/unittests/Fleet/RelayTest.cpp
+++ b/unittests/Fleet/RelayTest.cpp
@@ -21,16 +21,22 @@
 /// Requests to compare, and those that may fail of them.
 constexpr int Requests = 50;
 constexpr int MaxFailures = 2;
+/// Requests that wait for their answers at the same time.
+constexpr int RequestsAtOnce = 10;
 
 /// An address at which connections are never completed: the kernel's queue is full.
 class Blackhole
 {
 public:
-    Blackhole()
+    /// `port`: nobody else must listen there; 0: the kernel chooses one.
+    explicit Blackhole(std::uint16_t port = 0)
     {
         m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int isReused = 1; // connections that were accepted before may still use the port
+        REQUIRE(setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &isReused, sizeof isReused) == 0);
         sockaddr_in at{};
         at.sin_family = AF_INET;
+        at.sin_port = htons(port);
         at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof at;
         REQUIRE(bind(m_listener, reinterpret_cast<const sockaddr *>(&at), length) == 0);
@@ -111,6 +117,14 @@
         ++m_version;
     }
 
+    void removeEntryHost(const std::string &id)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_hosts[id].presence = Presence::Gone;
+        ++m_hosts[id].sequence;
+        ++m_version;
+    }
+
 private:
     bool hasUpdates(const FleetWatchCall &request) const
     {
@@ -197,7 +211,14 @@
     SteadyClock m_clock;
     HttpClient m_client{1 << 20};
     std::unique_ptr<GatewayDaemon> m_gateway;
-    int m_requests = 0;
+    std::atomic<int> m_requests{0};
+};
+
+/// What becomes of a host's connections to targets when it is cut off from them.
+enum class CutForm : std::uint8_t {
+    Reset, ///< open connections are reset, new ones refused
+    Hanging, ///< open connections go silent, new ones are not completed
+    NewRefused, ///< open connections live on, new ones are refused
 };
 
 /// Two entry hosts and three targets, which the first reaches by addresses of its own.
@@ -207,13 +228,13 @@
     Pair()
     {
         for (const auto &[id, target] : m_targets) {
-            second.control.setTarget(id, target->address());
+            second->control.setTarget(id, target->address());
         }
         reachTargets();
-        first.control.setEntryHost("entry-2", "z1", second.address());
-        second.control.setEntryHost("entry-1", "z1", first.address());
+        first.control.setEntryHost(secondId(), "z1", second->address());
+        second->control.setEntryHost("entry-1", "z1", first.address());
         REQUIRE(System::eventually([&] { return first.statusOf("/read/x") == 200; }));
-        REQUIRE(System::eventually([&] { return second.statusOf("/read/x") == 200; }));
+        REQUIRE(System::eventually([&] { return second->statusOf("/read/x") == 200; }));
     }
 
     void reachTargets()
@@ -223,6 +244,37 @@
         }
     }
 
+    /// The first host reaches the targets through proxies from now on.
+    void useProxies()
+    {
+        for (const auto &[id, target] : m_targets) {
+            m_proxies.push_back(std::make_unique<soak::FaultProxy>(*Address::parse(target->address())));
+            first.control.setTarget(id, m_proxies.back()->address().text());
+        }
+        sendAtOnce("/read/x"); // opens connections
+    }
+
+    /// Requires useProxies().
+    void cutFirstOff(CutForm form)
+    {
+        for (const auto &proxy : m_proxies) {
+            if (form == CutForm::Reset) {
+                proxy->set(soak::LinkFault::Reset);
+            } else if (form == CutForm::Hanging) {
+                proxy->set(soak::LinkFault::Silent);
+            }
+            proxy->refuseNew();
+        }
+        if (form != CutForm::Hanging) {
+            return;
+        }
+        std::this_thread::sleep_for(10 * RetryInterval); // until the proxies have closed their listeners
+        for (const auto &proxy : m_proxies) {
+            m_blackholes.push_back(std::make_unique<Blackhole>(proxy->address().port));
+        }
+    }
+
+    /// The first host reaches no target at the address.
     void cutFirstOff(const std::string &address)
     {
         for (const auto &[id, target] : m_targets) {
@@ -233,7 +285,7 @@
     void cutSecondOff(const std::string &address)
     {
         for (const auto &[id, target] : m_targets) {
-            second.control.setTarget(id, address);
+            second->control.setTarget(id, address);
         }
     }
 
@@ -256,6 +308,36 @@
         }
     }
 
+    /// Sends some requests at the first host while the targets hold their answers, so that each needs a connection of
+    /// its own. Returns how many failed.
+    int sendAtOnce(const std::string &resource)
+    {
+        for (const auto &[id, target] : m_targets) {
+            target->hold();
+        }
+        std::vector<std::future<unsigned>> statuses;
+        for (int n = 0; n < RequestsAtOnce; ++n) {
+            statuses.push_back(std::async(std::launch::async, [&] { return first.statusOf(resource); }));
+        }
+        std::this_thread::sleep_for(10 * RetryInterval);
+        for (const auto &[id, target] : m_targets) {
+            target->release();
+        }
+        return static_cast<int>(
+            std::count_if(statuses.begin(), statuses.end(), [](auto &status) { return status.get() != 200; }));
+    }
+
+    /// Another entry host takes the place of the second.
+    void replaceSecond()
+    {
+        first.control.removeEntryHost(secondId());
+        second = std::make_unique<Entry>(++m_secondNumber);
+        for (const auto &[id, target] : m_targets) {
+            second->control.setTarget(id, target->address());
+        }
+        first.control.setEntryHost(secondId(), "z1", second->address());
+    }
+
     int failuresOf(const std::string &resource)
     {
         int failures = 0;
@@ -266,6 +348,11 @@
     }
 
 private:
+    std::string secondId() const
+    {
+        return "entry-" + std::to_string(m_secondNumber);
+    }
+
     static std::map<std::string, std::unique_ptr<FakeTarget>> threeTargets()
     {
         std::map<std::string, std::unique_ptr<FakeTarget>> targets;
@@ -276,10 +363,13 @@
     }
 
     std::map<std::string, std::unique_ptr<FakeTarget>> m_targets = threeTargets();
+    std::vector<std::unique_ptr<soak::FaultProxy>> m_proxies;
+    std::vector<std::unique_ptr<Blackhole>> m_blackholes;
+    unsigned m_secondNumber = 2;
 
 public:
     Entry first{1};
-    Entry second{2};
+    std::unique_ptr<Entry> second = std::make_unique<Entry>(m_secondNumber);
 };
 
 /// An address that refuses connections.
@@ -317,6 +407,42 @@
     CHECK(pair.failuresOf("/once/x") <= MaxFailures);
 }
 
+// Guards against a cut that is noticed in some of its forms only.
+TEST_CASE("a host serves through another one whatever becomes of its connections to targets")
+{
+    const CutForm form = GENERATE(CutForm::Reset, CutForm::Hanging, CutForm::NewRefused);
+    CAPTURE(static_cast<int>(form));
+    Pair pair;
+    pair.useProxies();
+    pair.cutFirstOff(form);
+    const auto end = std::chrono::steady_clock::now() + NoticeTime;
+    while (std::chrono::steady_clock::now() < end) {
+        pair.sendAtOnce("/read/x");
+    }
+    int failures = 0;
+    for (int sent = 0; sent < Requests; sent += RequestsAtOnce) {
+        failures += pair.sendAtOnce("/read/x") + pair.sendAtOnce("/once/x");
+    }
+    CHECK(failures <= 2 * MaxFailures);
+}
+
+// Guards against a host that goes on relaying to one that has ended, or after its own cut.
+TEST_CASE("a host that is cut off again and again is served by whichever other host there is")
+{
+    Pair pair;
+    for (int n = 0; n < 2; ++n) {
+        pair.cutFirstOff(refusingAddress());
+        pair.sendUntilNoticed();
+        CHECK(pair.failuresOf("/once/x") <= MaxFailures);
+        pair.reachTargets();
+        pair.sendUntilNoticed();
+        pair.cutSecondOff(refusingAddress()); // so the first has to serve by itself
+        CHECK(pair.failuresOf("/once/x") <= MaxFailures);
+        pair.replaceSecond();
+        REQUIRE(System::eventually([&] { return pair.second->statusOf("/read/x") == 200; }));
+    }
+}
+
 // Guards against requests that hosts without targets pass on to each other.
 TEST_CASE("two hosts that reach no target refuse at once, as not run")
 {
