--- a/unittests/Fleet/RelayTest.cpp
+++ b/unittests/Fleet/RelayTest.cpp
@@ -316,6 +316,7 @@
             target->hold();
         }
         std::vector<std::future<unsigned>> statuses;
+        statuses.reserve(RequestsAtOnce);
         for (int n = 0; n < RequestsAtOnce; ++n) {
             statuses.push_back(std::async(std::launch::async, [&] { return first.statusOf(resource); }));
         }
