Balance: a sample of targets has no more of them than asked for

Cause: TargetSet::sample() appended a target whenever the place it drew was the current length, also after the sample was full, so a sample grew with the logarithm of the number of targets. The test asks for one and three probes among 204 targets; it got eight and six before.

--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -559,10 +559,10 @@
         if (!isOfService || !isUsable(target, now)) {
             continue;
         }
-        const std::size_t place = ++seen <= count ? seen - 1 : random() % seen;
-        if (place == chosen.size()) {
+        ++seen;
+        if (chosen.size() < count) {
             chosen.push_back(&target);
-        } else if (place < count) {
+        } else if (const std::size_t place = random() % seen; place < count) {
             chosen[place] = &target;
         }
     }
--- a/unittests/Balance/RelayingTest.cpp
+++ b/unittests/Balance/RelayingTest.cpp
@@ -210,6 +210,25 @@
     CHECK(used == std::set<std::string>{"t1", "t2", "t3", "t4"});
 }
 
+// Guards against a round that connects to more targets the more there are.
+TEST_CASE("a round of probes connects to as many targets as the verdict needs")
+{
+    ProbedHost host;
+    for (int n = 0; n < 200; ++n) {
+        host.report(Host::targetOf("more-" + std::to_string(n)));
+    }
+    const auto probesOf = [&host] {
+        host.reduce(BalanceTick{});
+        return std::count_if(host.effects.begin(), host.effects.end(),
+                             [](const BalanceEffect &it) { return std::holds_alternative<ProbeTarget>(it); });
+    };
+    host.end(host.request("/once/x"), 1, AttemptOutcome::NotSent);
+    CHECK(probesOf() == 1);
+    host.reduce(TargetProbed{"s", false});
+    host.now += 200ms;
+    CHECK(probesOf() == 3);
+}
+
 // Guards against a host that relays everything since one service has no targets.
 TEST_CASE("a service that is out of reach does not affect another one")
 {
