Reachability: a host waits twice the usual time for an answer before it probes targets

The wait is now the longer of 400 ms and twice the mean service time of the route. A connection that is refused, or not made within 350 ms, is still a reason to probe at once.

--- a/include/pepperlug/Reachability.h
+++ b/include/pepperlug/Reachability.h
@@ -1,10 +1,10 @@
 //===- pepperlug/Reachability.h - Whether a host reaches targets -*- C++ -*-===//
 //
 // Tells an entry host that is cut off from all targets of a service from one
-// whose targets fail one by one. Missing answers and failed attempts are only a reason to look:
-// the verdict rests on new connections to several targets at once, so that
-// neither slow targets nor the crash of some of them count. Pure: time is passed
-// in, and the caller makes the connections.
+// whose targets fail one by one. Missing answers and failed attempts are only a
+// reason to look: the verdict rests on new connections to several targets at
+// once, so that neither slow targets nor the crash of some of them count. Pure:
+// time is passed in, and the caller makes the connections.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -20,8 +20,9 @@
 class TargetReachability
 {
 public:
-    /// Records that a request is sent to a target.
-    void recordSent(TimePoint now);
+    /// Records that a request is sent to a target. `usualTime`: that a target takes to answer such a request; zero if
+    /// it is not known.
+    void recordSent(TimePoint now, Duration usualTime);
     /// Records that a target answered a request.
     void recordAnswer();
     /// Records that a target could not be reached, or ended the connection without an answer.
@@ -42,7 +43,7 @@
 private:
     bool endRound(TimePoint now);
 
-    std::optional<TimePoint> m_awaitingSince; ///< a request was sent then, and no target has answered any since
+    std::optional<TimePoint> m_answerDueAt; ///< of a request that was sent since the last answer
     bool m_hasFailure = false; ///< since the last round
     bool m_isCutOff = false;
     unsigned m_failedRounds = 0; ///< in a row
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -235,7 +235,8 @@
 {
     TargetState &target = *placement.target;
     m_targets.attemptStarted(target, m_now);
-    m_reachability[open.service].recordSent(m_now);
+    const Duration usualTime = m_admission.stats(open.route.name).serviceTime().value_or(Duration(0));
+    m_reachability[open.service].recordSent(m_now, usualTime);
     const unsigned number = ++open.attemptsStarted;
     const double bytes = m_admission.answerBytes(open.route.name) + AnswerHeadBytes;
     m_link.take(bytes, m_now);
--- a/lib/Reachability/Reachability.cpp
+++ b/lib/Reachability/Reachability.cpp
@@ -9,8 +9,10 @@
 namespace
 {
 
-/// Time without an answer from any target, while requests are sent, after which a target is probed.
-constexpr Milliseconds AnswerTimeout{400};
+/// Time without an answer from any target, while requests are sent, after which a target is probed: at least the first,
+/// or a multiple of the usual time. A service that takes long would otherwise be probed all the time.
+constexpr Milliseconds MinAnswerTimeout{400};
+constexpr int AnswerTimeoutFactor = 2;
 /// A first round with one probe costs little where targets are only slow; the further ones decide.
 constexpr std::size_t FirstRoundProbes = 1;
 constexpr std::size_t RoundProbes = 3;
@@ -27,14 +29,15 @@
 
 } // namespace
 
-void TargetReachability::recordSent(TimePoint now)
+void TargetReachability::recordSent(TimePoint now, Duration usualTime)
 {
-    m_awaitingSince = m_awaitingSince.value_or(now);
+    const TimePoint dueAt = now + std::max<Duration>(MinAnswerTimeout, usualTime * AnswerTimeoutFactor);
+    m_answerDueAt = std::min(dueAt, m_answerDueAt.value_or(dueAt));
 }
 
 void TargetReachability::recordAnswer()
 {
-    m_awaitingSince.reset();
+    m_answerDueAt.reset();
 }
 
 void TargetReachability::recordFailure()
@@ -52,7 +55,7 @@
         m_pending = 0;
         m_nextRoundAt = now + PauseAfterContact;
     }
-    const bool isUnanswered = m_awaitingSince && now - *m_awaitingSince > AnswerTimeout;
+    const bool isUnanswered = m_answerDueAt && now > *m_answerDueAt;
     const bool hasReason = m_isCutOff || m_failedRounds > 0 || m_hasFailure || isUnanswered;
     if (!hasReason || now < m_nextRoundAt) {
         return 0;
--- a/unittests/Reachability/ReachabilityTest.cpp
+++ b/unittests/Reachability/ReachabilityTest.cpp
@@ -56,7 +56,7 @@
     host.run(5s, 1ms, Never);
     CHECK(host.probes == 0);
     for (int n = 0; n < 20; ++n) {
-        host.reachability.recordSent(host.now);
+        host.reachability.recordSent(host.now, 0ms);
         host.run(300ms, 1ms, Never);
         host.reachability.recordAnswer();
     }
@@ -67,7 +67,7 @@
 TEST_CASE("a host is cut off within two seconds of hanging connections, and reaches targets within one after it")
 {
     Prober host;
-    host.reachability.recordSent(host.now);
+    host.reachability.recordSent(host.now, 0ms);
     host.run(2s, 350ms, Never);
     CHECK(host.reachability.isCutOff());
     host.run(10s, 350ms, Never);
@@ -80,7 +80,7 @@
 {
     Prober host;
     for (int n = 0; n < 20; ++n) {
-        host.reachability.recordSent(host.now);
+        host.reachability.recordSent(host.now, 0ms);
         host.reachability.recordFailure();
         host.run(50ms, 1ms, Never);
         host.reachability.recordAnswer();
@@ -88,11 +88,27 @@
     CHECK(host.reachability.isCutOff());
 }
 
+// Guards against a connection for each answer of a service that always takes long.
+TEST_CASE("a host probes nothing while answers take about as long as usual")
+{
+    constexpr Duration UsualTime = 700ms;
+    Prober host;
+    for (int n = 0; n < 20; ++n) {
+        host.reachability.recordSent(host.now, UsualTime);
+        host.run(UsualTime + 200ms, 1ms, Never);
+        host.reachability.recordAnswer();
+    }
+    CHECK(host.probes == 0);
+    host.reachability.recordSent(host.now, UsualTime);
+    host.run(2 * UsualTime + 1s, 350ms, Never);
+    CHECK(host.probes > 0);
+}
+
 // Guards against slow targets that cost a connection with each tick.
 TEST_CASE("targets that are only slow cost one probe a second")
 {
     Prober host;
-    host.reachability.recordSent(host.now);
+    host.reachability.recordSent(host.now, 0ms);
     host.run(10s, 1ms, Always);
     CHECK(host.probes <= 10);
     CHECK_FALSE(host.reachability.isCutOff());
@@ -101,7 +117,7 @@
 TEST_CASE("probes whose results are lost prove nothing, and do not stop further rounds")
 {
     Prober host;
-    host.reachability.recordSent(host.now);
+    host.reachability.recordSent(host.now, 0ms);
     host.run(10s, 1min, Never);
     CHECK_FALSE(host.reachability.isCutOff());
     host.due.clear();
@@ -117,7 +133,7 @@
         Prober host;
         Duration cutOff{};
         for (int n = 0; n < 400; ++n) {
-            host.reachability.recordSent(host.now);
+            host.reachability.recordSent(host.now, 0ms);
             host.reachability.recordFailure();
             host.run(Step, 1ms, [&] { return random() % 2 == 0; });
             cutOff += host.reachability.isCutOff() ? Step : Duration(0);
