--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -87,10 +87,11 @@
 
 void FaultProxy::refuseNew()
 {
-    boost::asio::post(m_context, [this] {
-        boost::system::error_code ec; // it may be closed already
-        m_acceptor.close(ec);
-    });
+    const auto isClosed = boost::asio::post(m_context, boost::asio::use_future([this] {
+                                                boost::system::error_code ec; // it may be closed already
+                                                m_acceptor.close(ec);
+                                            }));
+    isClosed.wait();
 }
 
 void FaultProxy::narrow(std::uint64_t bytesPerSecond)
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -34,7 +34,7 @@
     void set(LinkFault fault);
     /// As when the process at the address ends: all connections do, and nothing listens there any more.
     void close();
-    /// Refuses new connections; open ones live on.
+    /// Refuses new connections; open ones live on. Returns when the address is free.
     void refuseNew();
     /// Sets LinkFault::Narrow: each connection has so many bytes a second towards its caller.
     void narrow(std::uint64_t bytesPerSecond);
--- a/unittests/Fleet/RelayTest.cpp
+++ b/unittests/Fleet/RelayTest.cpp
@@ -268,7 +268,6 @@
         if (form != CutForm::Hanging) {
             return;
         }
-        std::this_thread::sleep_for(10 * RetryInterval); // until the proxies have closed their listeners
         for (const auto &proxy : m_proxies) {
             m_blackholes.push_back(std::make_unique<Blackhole>(proxy->address().port));
         }
