Reachability: a request that is never answered costs one probe, not one a second

Found by reading: the wait for an answer ended only with an answer, so a host whose last request for a service was withdrawn or timed out connected to a target each second until the next answer came, also while it had no requests. A round of probes that connects ends the wait now; the next request begins another. The case of slow targets sends requests all the time now, and keeps its bound. A loop that stood twice in the test is Prober::serve().

--- a/include/pepperlug/Reachability.h
+++ b/include/pepperlug/Reachability.h
@@ -43,7 +43,7 @@
 private:
     bool endRound(TimePoint now);
 
-    std::optional<TimePoint> m_answerDueAt; ///< of a request that was sent since the last answer
+    std::optional<TimePoint> m_answerDueAt; ///< of a request that was sent since the last answer or connected round
     bool m_hasFailure = false; ///< since the last round
     bool m_isCutOff = false;
     unsigned m_failedRounds = 0; ///< in a row
--- a/lib/Reachability/Reachability.cpp
+++ b/lib/Reachability/Reachability.cpp
@@ -92,6 +92,7 @@
     if (m_connected > 0) {
         m_failedRounds = 0;
         m_isCutOff = false;
+        m_answerDueAt.reset(); // the next request is a reason to look again
         m_nextRoundAt = now + PauseAfterContact;
     } else {
         ++m_failedRounds;
--- a/unittests/Reachability/ReachabilityTest.cpp
+++ b/unittests/Reachability/ReachabilityTest.cpp
@@ -35,6 +35,16 @@
         }
     }
 
+    /// Sends requests one after the other, each of which is answered after a time. Probes fail.
+    void serve(int requests, Duration usualTime, Duration takes)
+    {
+        for (int n = 0; n < requests; ++n) {
+            reachability.recordSent(now, usualTime);
+            run(takes, 1ms, [] { return false; });
+            reachability.recordAnswer();
+        }
+    }
+
     TargetReachability reachability;
     TimePoint now{1000s};
     std::size_t probes = 0;
@@ -55,11 +65,7 @@
     Prober host;
     host.run(5s, 1ms, Never);
     CHECK(host.probes == 0);
-    for (int n = 0; n < 20; ++n) {
-        host.reachability.recordSent(host.now, 0ms);
-        host.run(300ms, 1ms, Never);
-        host.reachability.recordAnswer();
-    }
+    host.serve(20, 0ms, 300ms);
     CHECK(host.probes == 0);
     CHECK_FALSE(host.reachability.isCutOff());
 }
@@ -93,11 +99,7 @@
 {
     constexpr Duration UsualTime = 700ms;
     Prober host;
-    for (int n = 0; n < 20; ++n) {
-        host.reachability.recordSent(host.now, UsualTime);
-        host.run(UsualTime + 200ms, 1ms, Never);
-        host.reachability.recordAnswer();
-    }
+    host.serve(20, UsualTime, UsualTime + 200ms);
     CHECK(host.probes == 0);
     host.reachability.recordSent(host.now, UsualTime);
     host.run(2 * UsualTime + 1s, 350ms, Never);
@@ -106,11 +108,23 @@
 
 // Guards against slow targets that cost a connection with each tick.
 TEST_CASE("targets that are only slow cost one probe a second")
+{
+    Prober host;
+    for (const TimePoint end = host.now + 10s; host.now < end;) {
+        host.reachability.recordSent(host.now, 0ms);
+        host.run(Step, 1ms, Always);
+    }
+    CHECK(host.probes <= 10);
+    CHECK_FALSE(host.reachability.isCutOff());
+}
+
+// Guards against a host without further requests that probes until the next answer.
+TEST_CASE("a request that is never answered costs one probe if that connects")
 {
     Prober host;
     host.reachability.recordSent(host.now, 0ms);
     host.run(10s, 1ms, Always);
-    CHECK(host.probes <= 10);
+    CHECK(host.probes == 1);
     CHECK_FALSE(host.reachability.isCutOff());
 }
 
