--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -116,7 +116,7 @@
         T::targetHeaders(headers, fields)
         } -> std::same_as<std::vector<HeaderField>>;
     {
-        T::relayHeaders(headers, refusal.retryAfter)
+        T::relayHeaders(headers, fields.timeLeft)
         } -> std::same_as<std::vector<HeaderField>>;
     {
         T::answersRequest(headers, text)
