Registry: one regionOf() in place of four

EntryHosts, RelayHosts, GatewaySpares and RegistryQuotas each had the same lookup, with the same fallback to a region of the zone's own. The lookups that treat an unknown zone otherwise stay.

--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -81,6 +81,9 @@
     MSGPACK_DEFINE(id, role, zone, address, peer, presence, demand, sequence, linkUse, unreachableServices);
 };
 
+/// Returns the region of a zone; a zone that no region is known for is one of its own. The result may refer to `zone`.
+const std::string &regionOf(const std::map<std::string, std::string> &regionOfZone, const std::string &zone);
+
 /// A report that one host passes on to another.
 template <typename Report>
 struct AgedReport {
--- a/lib/Balance/EntryHosts.cpp
+++ b/lib/Balance/EntryHosts.cpp
@@ -89,8 +89,7 @@
 
 const std::string &EntryHosts::regionOf(const std::string &zone) const
 {
-    const auto it = m_regionOfZone.find(zone);
-    return it == m_regionOfZone.end() ? zone : it->second;
+    return fleet::regionOf(m_regionOfZone, zone);
 }
 
 const std::map<std::string, std::string> &EntryHosts::zones() const
--- a/lib/Balance/EntryHosts.h
+++ b/lib/Balance/EntryHosts.h
@@ -22,7 +22,7 @@
     std::size_t inRegion(const std::string &region) const;
     /// Returns the number of hosts by region; only of regions that have some.
     const std::map<std::string, std::size_t> &byRegion() const;
-    /// Returns the region of a zone; a zone that no region is known for is one of its own.
+    /// As fleet::regionOf().
     const std::string &regionOf(const std::string &zone) const;
     /// Returns the zone of each host by its id.
     const std::map<std::string, std::string> &zones() const;
--- a/lib/Balance/RelayHosts.cpp
+++ b/lib/Balance/RelayHosts.cpp
@@ -24,12 +24,6 @@
 {
 }
 
-std::string RelayHosts::regionOf(const std::string &zone) const
-{
-    const auto it = m_settings.regionOfZone.find(zone);
-    return it == m_settings.regionOfZone.end() ? zone : it->second;
-}
-
 void RelayHosts::apply(const AgedReport<HostReport> &report)
 {
     const HostReport &host = report.report;
@@ -43,14 +37,14 @@
     RelayHost &entry = m_hosts[host.id];
     entry.id = host.id;
     entry.address = host.address;
-    entry.region = regionOf(host.zone);
+    entry.region = regionOf(m_settings.regionOfZone, host.zone);
     entry.unreachableServices = host.unreachableServices;
 }
 
 // The hosts of the region that reach targets must not each relay for more than one other.
 bool RelayHosts::hasRoomInRegion(const std::string &service) const
 {
-    const std::string own = regionOf(m_settings.zone);
+    const std::string &own = regionOf(m_settings.regionOfZone, m_settings.zone);
     std::size_t cutOff = 1; // this one
     std::size_t others = 0;
     for (const auto &[id, host] : m_hosts) {
@@ -63,7 +57,7 @@
 
 const RelayHost *RelayHosts::choose(const RelayQuery &query, std::mt19937_64 &random, TimePoint now) const
 {
-    const std::string own = regionOf(m_settings.zone);
+    const std::string &own = regionOf(m_settings.regionOfZone, m_settings.zone);
     const bool staysInRegion = hasRoomInRegion(query.service);
     const auto isHome = [&](const std::string &region) {
         return query.homeRegions.empty() || std::ranges::find(query.homeRegions, region) != query.homeRegions.end();
--- a/lib/Balance/RelayHosts.h
+++ b/lib/Balance/RelayHosts.h
@@ -40,7 +40,6 @@
 
 private:
     bool hasRoomInRegion(const std::string &service) const;
-    std::string regionOf(const std::string &zone) const;
 
     const BalanceSettings &m_settings;
     std::unordered_map<std::string, RelayHost> m_hosts;
--- a/lib/Fleet/GatewaySpares.cpp
+++ b/lib/Fleet/GatewaySpares.cpp
@@ -15,11 +15,8 @@
 // The mutex is held.
 void GatewayDaemon::Impl::noteAttempt(const Address &target, const std::string &zone, TimePoint now)
 {
-    const auto regionOf = [&](const std::string &it) {
-        const auto found = m_settings.regionOfZone.find(it);
-        return found == m_settings.regionOfZone.end() ? it : found->second;
-    };
-    if (m_settings.spareConnections > 0 && regionOf(zone) != regionOf(m_settings.zone)) {
+    const auto &regions = m_settings.regionOfZone;
+    if (m_settings.spareConnections > 0 && regionOf(regions, zone) != regionOf(regions, m_settings.zone)) {
         m_recentTargets.addAttempt(target, now);
     }
 }
--- a/lib/Fleet/RegistryQuotas.cpp
+++ b/lib/Fleet/RegistryQuotas.cpp
@@ -53,14 +53,11 @@
     const std::string self = m_settings.peer.text();
     const bool isMember = std::ranges::any_of(status.members, [&](const ControlMember &it) { return it.name == self; });
     m_quotas.setMembers(isMember && !m_isLeaving ? status.members.size() : 0, now);
-    const auto regionOf = [&](const std::string &zone) {
-        const auto it = m_settings.regionOfZone.find(zone);
-        return it == m_settings.regionOfZone.end() ? zone : it->second;
-    };
+    const auto &regions = m_settings.regionOfZone;
     std::vector<QuotaPeer> peers;
     for (const ControlMember &it : status.members) {
         if (it.name != self && Address::parse(it.name)) {
-            peers.push_back({it.name, regionOf(it.zone) == regionOf(m_settings.zone)});
+            peers.push_back({it.name, regionOf(regions, it.zone) == regionOf(regions, m_settings.zone)});
         }
     }
     m_quotas.setPeers(std::move(peers));
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -154,6 +154,12 @@
 
 } // namespace
 
+const std::string &regionOf(const std::map<std::string, std::string> &regionOfZone, const std::string &zone)
+{
+    const auto it = regionOfZone.find(zone);
+    return it == regionOfZone.end() ? zone : it->second;
+}
+
 const char *nameOf(Presence presence)
 {
     switch (presence) {
