Gateway: lines of attempts name home regions, region and the routing of a relaying host

Where a request was outside its home regions, the lines could not tell which host was at fault: an attempt told that there are homes, not which, nor the region of its target or relay, nor by which routing the host that relayed a request had decided. A send that was withdrawn did not tell why.

attempt: homes, region, index, relayed_by_index. send-withheld and pepperlug_sends_withheld: the reason. Nothing is decided otherwise.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -77,6 +77,7 @@
 struct RoutesChanged {
     std::shared_ptr<const RouteTable> table;
     std::set<std::string> evacuatedZones;
+    std::uint64_t index = 0; ///< log index of both
 };
 
 struct ReportsChanged {
@@ -105,7 +106,9 @@
     std::optional<Duration> deadline; ///< how long the caller waits for an answer
     std::string digest{}; ///< digestOf() the request; empty: it matches no other request
     std::string keyDigest{}; ///< digestOfSecret() of the caller's key; empty: the request has no key
-    bool isRelayed = false; ///< by another entry host, so this one must not relay it
+    /// Log index of the routing by which another entry host relayed it here; this one must not relay it again. Nothing:
+    /// it comes from a caller.
+    std::optional<std::uint64_t> relayedByIndex{};
 };
 
 struct CallerLeft {
@@ -214,7 +217,9 @@
     std::string zone;
     std::string service;
     std::uint64_t tableVersion = 0; ///< of the table that the route is from
-    bool hasHomeRegions = false; ///< the route or the tenant names home regions
+    std::uint64_t routingIndex = 0; ///< log index of the routing in force at this host
+    std::string region; ///< of the target or relay
+    std::vector<std::string> homeRegions; ///< of the route and the tenant; empty: none
     bool hasTenants = false; ///< the table has tenants, so the caller's key is not passed to the target
     std::string tenant; ///< that the request is counted for; empty: none
     Duration timeLeft{}; ///< until the caller's deadline or the route's timeout
@@ -222,6 +227,19 @@
     Milliseconds loadAge{}; ///< of the load report that the estimate is based on; -1 ms: there is none
 };
 
+/// Why an attempt may not be sent any more.
+enum class Withheld : std::uint8_t {
+    Ended, ///< the attempt has ended
+    Suspended, ///< this host makes no decisions until newer routing arrives
+    Quarantined, ///< several targets crashed while they ran the request
+    TargetUnusable, ///< the target is leaving, limited or backing off
+    NoRoute, ///< the route or the caller's key was removed
+    OtherTenant, ///< the key was given to another tenant
+    OtherService, ///< the route leads to other services
+    OutsideRegions, ///< the home regions exclude the receiver's region
+};
+const char *nameOf(Withheld reason);
+
 struct CancelAttempt {
     RequestId id{};
     unsigned attempt = 0;
@@ -371,6 +389,8 @@
     /// Returns true if an attempt that is not sent yet may still be sent: its target accepts requests, and the current
     /// route leads there.
     bool maySend(RequestId id, unsigned attempt) const;
+    /// Returns why an attempt that is not sent yet may not be sent; nothing if it may.
+    std::optional<Withheld> withheldBecause(RequestId id, unsigned attempt) const;
     /// Number of targets that may be used now, over all services.
     std::size_t usableTargets(TimePoint now) const;
     /// Share of this host's callers that each region serves, by service and region. A region without a share may be
--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -75,7 +75,9 @@
     std::string caller; ///< the caller's statement of its identity, the same in each retry; empty if not given
     std::optional<Duration> deadline; ///< how long the caller waits
     std::string keyDigest; ///< digestOfSecret() of the key; empty if there is none, several, or an invalid one
-    bool isRelayed = false; ///< another entry host that reaches no target passes it on
+    /// Log index of the routing by which an entry host that reaches no target passes it on; nothing: it comes from a
+    /// caller.
+    std::optional<std::uint64_t> relayedByIndex;
 };
 
 /// Fields that an entry host adds to a request for a target.
@@ -86,6 +88,12 @@
     std::string tenant; ///< tenant of the request; empty if none
 };
 
+/// Fields that an entry host adds to a request for another one.
+struct RelayedRequestFields {
+    Duration timeLeft{};
+    std::uint64_t routingIndex = 0; ///< log index of the routing that the relay was decided by
+};
+
 /// Fields of the status and head of a target's answer, or of an entry host's that a request was relayed to.
 struct AnswerFields {
     std::optional<Refusal> refusal; ///< an entry host's, in place of a target's answer
@@ -107,7 +115,8 @@
 template <typename T>
 concept CallerDialect = requires(const HttpRequest &request, const Answer &answer,
                                  const std::vector<HeaderField> &headers, const std::string &text,
-                                 const TargetRequestFields &fields, const RefusalFields &refusal)
+                                 const TargetRequestFields &fields, const RelayedRequestFields &relayed,
+                                 const RefusalFields &refusal)
 {
     {
         T::readRequest(request)
@@ -116,7 +125,7 @@
         T::targetHeaders(headers, fields)
         } -> std::same_as<std::vector<HeaderField>>;
     {
-        T::relayHeaders(headers, fields.timeLeft)
+        T::relayHeaders(headers, relayed)
         } -> std::same_as<std::vector<HeaderField>>;
     {
         T::answersRequest(headers, text)
@@ -140,7 +149,8 @@
                                               const TargetRequestFields &fields);
     /// Returns the headers for another entry host: those of the caller, the time left and the mark of a relayed
     /// request.
-    std::vector<HeaderField> (*relayHeaders)(const std::vector<HeaderField> &headers, Duration timeLeft);
+    std::vector<HeaderField> (*relayHeaders)(const std::vector<HeaderField> &headers,
+                                             const RelayedRequestFields &fields);
     /// Returns true if the head of an answer belongs to the request with this id.
     bool (*answersRequest)(const std::vector<HeaderField> &headers, const std::string &requestId);
     AnswerFields (*readAnswer)(const Answer &answer);
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -86,6 +86,29 @@
     return "lost";
 }
 
+const char *nameOf(Withheld reason)
+{
+    switch (reason) {
+    case Withheld::Ended:
+        return "ended";
+    case Withheld::Suspended:
+        return "routing-late";
+    case Withheld::Quarantined:
+        return "shut-out";
+    case Withheld::TargetUnusable:
+        return "target-unusable";
+    case Withheld::NoRoute:
+        return "no-route";
+    case Withheld::OtherTenant:
+        return "other-tenant";
+    case Withheld::OtherService:
+        return "other-service";
+    case Withheld::OutsideRegions:
+        return "outside-regions";
+    }
+    return "ended";
+}
+
 std::optional<Refusal> refusalNamed(std::string_view name)
 {
     for (auto it = Refusal::NoConfiguration; it <= Refusal::TimedOut;
@@ -144,6 +167,7 @@
 void Balancer::Impl::handle(const RoutesChanged &event)
 {
     m_table = event.table;
+    m_routingIndex = event.index;
     m_routeIndex.emplace(m_table);
     m_quotas.setTableVersion(m_table->version);
     m_admission.setTable(*m_table);
@@ -208,7 +232,7 @@
     m_shiftAllowances[open.service].countRequest(m_now);
     m_budgets.at(open.service).countRequest(m_now);
     // A relayed request has less time left, although its caller has not returned.
-    open.isCallerRetry = !event.isRelayed && m_admission.isReturning(open.route, event.deadline);
+    open.isCallerRetry = !event.relayedByIndex && m_admission.isReturning(open.route, event.deadline);
     m_admission.countRequest(open.route, event.deadline, m_now);
     if (open.isCallerRetry) {
         m_returns.returned(open.service, open.route.priority, m_now);
@@ -259,7 +283,9 @@
     effect.zone = target.report.zone;
     effect.service = open.service;
     effect.tableVersion = open.tableVersion;
-    effect.hasHomeRegions = !open.route.homeRegions.empty();
+    effect.routingIndex = m_routingIndex;
+    effect.region = target.region;
+    effect.homeRegions = open.route.homeRegions;
     effect.hasTenants = !m_table->tenants.empty();
     effect.tenant = open.tenant;
     effect.timeLeft = open.deadline - m_now;
@@ -631,7 +657,12 @@
 
 bool Balancer::maySend(RequestId id, unsigned attempt) const
 {
-    return m_impl->maySend(id, attempt);
+    return !m_impl->withheldBecause(id, attempt);
+}
+
+std::optional<Withheld> Balancer::withheldBecause(RequestId id, unsigned attempt) const
+{
+    return m_impl->withheldBecause(id, attempt);
 }
 
 std::size_t Balancer::usableTargets(TimePoint now) const
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -31,7 +31,7 @@
     std::uint64_t tableVersion() const;
     bool isSuspended() const;
     std::vector<std::string> unreachableServices() const;
-    bool maySend(RequestId id, unsigned attempt) const;
+    std::optional<Withheld> withheldBecause(RequestId id, unsigned attempt) const;
     std::size_t usableTargets(TimePoint now) const;
     std::map<std::string, RegionShares> regionShares() const;
     const Quarantine &quarantine() const;
@@ -134,7 +134,7 @@
     void assignRoute(OpenRequest &open, const Route &route, const CallerIdentity &caller);
     static void assignTenant(OpenRequest &open, const CallerIdentity &caller);
     bool refreshRoute(OpenRequest &open);
-    static bool leadsTo(const Route &route, const Tenant *tenant, const TargetState &target);
+    std::optional<Withheld> withheldFromTarget(const OpenRequest &open, const Attempt &attempt) const;
 
     // Quotas.cpp
     void handle(const QuotaReplied &event);
@@ -201,6 +201,7 @@
     ReturnSchedule m_returns; ///< empty unless BalancePolicy::schedulesReturns
     std::shared_ptr<const RouteTable> m_table;
     std::optional<RouteIndex> m_routeIndex; ///< of m_table
+    std::uint64_t m_routingIndex = 0; ///< log index of the routing in force
     std::optional<UpdateReceived> m_lastUpdate;
     bool m_isSuspended = false;
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -92,7 +92,7 @@
 
 bool Balancer::Impl::startRelay(OpenRequest &open)
 {
-    if (open.request.isRelayed || open.relaysStarted >= MaxRelays || m_now >= open.deadline) {
+    if (open.request.relayedByIndex || open.relaysStarted >= MaxRelays || m_now >= open.deadline) {
         return false;
     }
     const RelayHost *host = m_relays.choose({open.service, open.route.homeRegions, open.triedRelays}, m_random, m_now);
@@ -118,7 +118,9 @@
     effect.address = host->address;
     effect.service = open.service;
     effect.tableVersion = open.tableVersion;
-    effect.hasHomeRegions = !open.route.homeRegions.empty();
+    effect.routingIndex = m_routingIndex;
+    effect.region = host->region;
+    effect.homeRegions = open.route.homeRegions;
     effect.timeLeft = open.deadline - m_now;
     effect.loadAge = Milliseconds(-1);
     m_out->emplace_back(std::move(effect));
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -138,41 +138,58 @@
     return !open.token || open.token->tenant == open.tenant;
 }
 
-bool Balancer::Impl::leadsTo(const Route &route, const Tenant *tenant, const TargetState &target)
-{
-    const auto isItsService = [&](const WeightedService &it) {
-        return it.service == target.report.service && it.weight > 0;
-    };
-    const bool isHomeOfTenant = tenant == nullptr || TargetSet::isHome(tenant->homeRegions, target);
-    return isHomeOfTenant && TargetSet::isHome(route.homeRegions, target)
-        && std::any_of(route.services.begin(), route.services.end(), isItsService);
-}
-
 // Called when a connection is ready, up to several hundred milliseconds after the target was chosen.
-bool Balancer::Impl::maySend(RequestId id, unsigned attempt) const
+std::optional<Withheld> Balancer::Impl::withheldBecause(RequestId id, unsigned attempt) const
 {
     const auto it = m_open.find(static_cast<std::uint64_t>(id));
-    if (it == m_open.end() || m_isSuspended || isQuarantined(it->second)) {
-        return false;
+    if (it == m_open.end()) {
+        return Withheld::Ended;
     }
     const OpenRequest &open = it->second;
     const auto started = open.attempts.find(attempt);
-    const bool isRelay = started != open.attempts.end() && !started->second.relay.empty();
-    if (isRelay) {
-        return identifyCaller(open.request, currentRoute(open)).isAllowed; // the other host decides the rest
+    if (started == open.attempts.end()) {
+        return Withheld::Ended;
     }
-    const TargetState *target = started == open.attempts.end() ? nullptr : m_targets.find(started->second.target);
-    if (target == nullptr || !m_targets.acceptsRequests(*target) || target->isBackingOff(m_now)) {
-        return false;
+    if (m_isSuspended) {
+        return Withheld::Suspended;
     }
-    const bool isBeyondLimit = target->limit && !started->second.usesLimitShare;
-    if (isBeyondLimit) {
-        return false; // the limit was received after the target was chosen
+    if (isQuarantined(open)) {
+        return Withheld::Quarantined;
+    }
+    if (!started->second.relay.empty()) {
+        // The other host decides the rest.
+        return identifyCaller(open.request, currentRoute(open)).isAllowed ? std::nullopt
+                                                                          : std::optional(Withheld::NoRoute);
+    }
+    return withheldFromTarget(open, started->second);
+}
+
+std::optional<Withheld> Balancer::Impl::withheldFromTarget(const OpenRequest &open, const Attempt &attempt) const
+{
+    const TargetState *target = m_targets.find(attempt.target);
+    // The limit may have been received after the target was chosen.
+    const bool isUsable = target != nullptr && m_targets.acceptsRequests(*target) && !target->isBackingOff(m_now)
+        && (!target->limit || attempt.usesLimitShare);
+    if (!isUsable) {
+        return Withheld::TargetUnusable;
     }
     const Route *route = currentRoute(open);
     const CallerIdentity caller = identifyCaller(open.request, route);
-    // The attempt carries the tenant that held the key when the target was chosen.
-    return caller.isAllowed && open.tenant == caller.name() && leadsTo(*route, caller.tenant, *target);
+    if (!caller.isAllowed) {
+        return Withheld::NoRoute;
+    }
+    if (open.tenant != caller.name()) {
+        return Withheld::OtherTenant; // the attempt carries the tenant that held the key when the target was chosen
+    }
+    const auto isItsService = [&](const WeightedService &it) {
+        return it.service == target->report.service && it.weight > 0;
+    };
+    if (std::none_of(route->services.begin(), route->services.end(), isItsService)) {
+        return Withheld::OtherService;
+    }
+    const bool isHomeOfTenant = caller.tenant == nullptr || TargetSet::isHome(caller.tenant->homeRegions, *target);
+    const bool isHome = isHomeOfTenant && TargetSet::isHome(route->homeRegions, *target);
+    return isHome ? std::nullopt : std::optional(Withheld::OutsideRegions);
 }
 
 } // namespace pepperlug::fleet
--- /dev/null
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -0,0 +1,51 @@
+//===- GatewayAttempts.cpp - Metrics and log lines of attempts ------------===//
+#include "GatewayImpl.h"
+
+namespace pepperlug::fleet
+{
+
+void GatewayDaemon::Impl::reportAttempt(const StartAttempt &effect, const OpenExchange &open)
+{
+    m_metrics.count(effect.relay.empty() ? "pepperlug_attempts" : "pepperlug_relays");
+    m_events.decision("attempt",
+                      {{"request", open.fields.requestId},
+                       {"digest", open.digest},
+                       {"attempt", effect.attempt},
+                       {"target", effect.target},
+                       {"relay", effect.relay},
+                       {"address", effect.address},
+                       {"zone", effect.zone},
+                       {"region", effect.region},
+                       {"service", effect.service},
+                       {"tenant", effect.tenant},
+                       {"key", open.fields.affinityKey},
+                       {"fill", effect.utilization},
+                       {"load_age_ms", effect.loadAge.count()},
+                       {"table", effect.tableVersion},
+                       {"newest_table", m_balancer->tableVersion()},
+                       {"index", effect.routingIndex},
+                       {"relayed_by_index", open.fields.relayedByIndex.value_or(0)},
+                       {"has_homes", !effect.homeRegions.empty()},
+                       {"homes", effect.homeRegions},
+                       {"view_age_ms", viewAge().count()},
+                       {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
+}
+
+bool GatewayDaemon::Impl::maySend(RequestId id, unsigned attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::optional<Withheld> reason = m_balancer->withheldBecause(id, attempt);
+    if (!reason) {
+        return true;
+    }
+    m_metrics.count(std::string("pepperlug_sends_withheld{reason=\"") + nameOf(*reason) + "\"}");
+    const OpenExchange *const open = findOpen(id);
+    m_events.decision("send-withheld",
+                      {{"request", open == nullptr ? std::string() : open->fields.requestId},
+                       {"attempt", attempt},
+                       {"reason", nameOf(*reason)},
+                       {"table", m_balancer->tableVersion()}});
+    return false;
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -112,6 +112,10 @@
     void carryOut(const RequestProbe &effect);
     void carryOut(const SuspectChanged &effect);
 
+    // GatewayAttempts.cpp
+    void reportAttempt(const StartAttempt &effect, const OpenExchange &open);
+    bool maySend(RequestId id, unsigned attempt);
+
     // GatewayRelays.cpp
     std::vector<HeaderField> attemptHeaders(const StartAttempt &effect, const HttpRequest &http) const;
     AnswerFields readAnswer(const Incarnation &target, const Answer &answer) const;
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -34,8 +34,8 @@
     request.deadline = open.fields.deadline;
     request.digest = open.digest;
     request.keyDigest = open.fields.keyDigest;
-    request.isRelayed = open.fields.isRelayed;
-    m_metrics.count(open.fields.isRelayed ? "pepperlug_relayed_requests" : "pepperlug_requests");
+    request.relayedByIndex = open.fields.relayedByIndex;
+    m_metrics.count(open.fields.relayedByIndex ? "pepperlug_relayed_requests" : "pepperlug_requests");
     {
         const std::lock_guard lock(m_mutex);
         if (m_isClosed) {
@@ -96,8 +96,7 @@
     call.sendWithin = SendTimeout;
     // State that this host has confirmed must hold also for requests that still wait for a connection.
     call.maySend = [this, id = effect.id, attempt = effect.attempt] {
-        const std::lock_guard lock(m_mutex);
-        return m_balancer->maySend(id, attempt);
+        return maySend(id, attempt);
     };
     call.acceptsHead = [accepts = m_dialect.answersRequest,
                         id = open.fields.requestId](const std::vector<HeaderField> &headers) {
@@ -118,25 +117,7 @@
     if (effect.relay.empty()) {
         noteAttempt(*to, effect.zone, sentAt);
     }
-    m_metrics.count(effect.relay.empty() ? "pepperlug_attempts" : "pepperlug_relays");
-    m_events.decision("attempt",
-                      {{"request", open.fields.requestId},
-                       {"digest", open.digest},
-                       {"attempt", effect.attempt},
-                       {"target", effect.target},
-                       {"relay", effect.relay},
-                       {"address", effect.address},
-                       {"zone", effect.zone},
-                       {"service", effect.service},
-                       {"tenant", effect.tenant},
-                       {"key", open.fields.affinityKey},
-                       {"fill", effect.utilization},
-                       {"load_age_ms", effect.loadAge.count()},
-                       {"table", effect.tableVersion},
-                       {"newest_table", m_balancer->tableVersion()},
-                       {"has_homes", effect.hasHomeRegions},
-                       {"view_age_ms", viewAge().count()},
-                       {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
+    reportAttempt(effect, open);
     open.calls[attempt] = m_client->start(std::move(call), [this, id, attempt, target, sentAt](HttpResult result) {
         AnswerFields fields;
         if (result.kind == HttpResult::Kind::Answered) {
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -104,7 +104,7 @@
                         {"evacuated", after.evacuatedZones},
                         {"from", from.text()}});
         m_metrics.gauge("pepperlug_routing_index", static_cast<double>(after.index));
-        reduce(RoutesChanged{after.table, after.evacuatedZones});
+        reduce(RoutesChanged{after.table, after.evacuatedZones, after.index});
     }
     // Set last, since requests report it and other hosts rely on it from then on.
     const std::lock_guard lock(m_mutex);
--- a/unittests/Balance/RelayingTest.cpp
+++ b/unittests/Balance/RelayingTest.cpp
@@ -125,7 +125,7 @@
 {
     ProbedHost host;
     host.cutOff();
-    host.reduce(CallerRequest{RequestId{77}, "h", "/once/x", {}, {}, {}, {}, true});
+    host.reduce(CallerRequest{RequestId{77}, "h", "/once/x", {}, {}, {}, {}, 0});
     REQUIRE(host.find<RefuseRequest>() != nullptr);
     CHECK(host.find<RefuseRequest>()->reason == Refusal::NotReached);
     host.report(ProbedHost::entryOf("e2", "z1", true));
--- a/unittests/Balance/TenantTest.cpp
+++ b/unittests/Balance/TenantTest.cpp
@@ -166,7 +166,7 @@
     host.sendRequest("/read/x", "k1");
     REQUIRE(host.find<StartAttempt>() != nullptr);
     CHECK(host.find<StartAttempt>()->target == "far");
-    CHECK(host.find<StartAttempt>()->hasHomeRegions);
+    CHECK(host.find<StartAttempt>()->homeRegions == std::vector<std::string>{"r2"});
     host.sendRequest("/once/x", "k1");
     CHECK(host.find<StartAttempt>()->target == "far");
     host.table.routes[1].homeRegions = {"r1"};
