Regions: one type for the regions that may receive a request

What callers saw: nothing was told to them, but the body of a request whose route and tenant have no home region in common was relayed to any region by a host that reaches no target of the service (50 of 50 in the new test), though nobody may serve it.

Cause: an empty list of home regions means "all". Where two lists were intersected the result could be empty and meant "none", and a flag beside the list told the two apart; only place() read the flag, the choice of a relay did not.

AllowedRegions is either unbound or a set that may be empty, made from the route and the tenant at one place and asked by the choice of targets, by the last check before a send, by the choice of relays, and for demand that is bound to a region. A request without any region is refused at once.

refreshRoute() checks the token's owner and the regions also when the table has not changed since its last call: it returned true the second time for what it had denied.

--- a/include/pepperlug/Routes.h
+++ b/include/pepperlug/Routes.h
@@ -68,6 +68,31 @@
     MSGPACK_DEFINE(name, keyDigests, priority, limit, homeRegions);
 };
 
+/// Regions whose targets and entry hosts may receive a request. An empty list of a route or tenant allows all regions,
+/// while a set that is bound to no region at all allows none.
+class AllowedRegions
+{
+public:
+    /// Allows all regions.
+    AllowedRegions() = default;
+    /// Allows the regions that both the route and the tenant name. `tenant`: null if the request has none.
+    AllowedRegions(const Route &route, const Tenant *tenant);
+
+    bool contains(std::string_view region) const;
+    /// Returns true if not all regions are allowed.
+    bool isBound() const;
+    /// Returns true if no region is allowed.
+    bool isEmpty() const;
+    /// Allowed regions in the order of the route's list; empty unless isBound().
+    const std::vector<std::string> &homes() const;
+
+private:
+    void restrictTo(const std::vector<std::string> &homeRegions);
+
+    bool m_isBound = false;
+    std::vector<std::string> m_homes;
+};
+
 /// Properties of the targets of a service.
 struct ServiceTraits {
     std::string name;
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -219,6 +219,10 @@
         refuse(open, Refusal::RoutingLate);
         return;
     }
+    if (open.regions.isEmpty()) {
+        refuse(open, Refusal::NoTarget);
+        return;
+    }
     if (refuseOrProbe(open)) {
         return;
     }
@@ -285,7 +289,7 @@
     effect.tableVersion = open.tableVersion;
     effect.routingIndex = m_routingIndex;
     effect.region = target.region;
-    effect.homeRegions = open.route.homeRegions;
+    effect.homeRegions = open.regions.homes();
     effect.hasTenants = !m_table->tenants.empty();
     effect.tenant = open.tenant;
     effect.timeLeft = open.deadline - m_now;
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -57,13 +57,13 @@
 
     struct OpenRequest {
         CallerRequest request;
-        Route route; ///< with the tenant's priority, and the home regions of both
+        Route route; ///< with the tenant's priority
+        AllowedRegions regions; ///< by the home regions of the route and the tenant
         std::string tenant; ///< that the request is counted for; empty: none
         TenantLimit limit;
         std::optional<QuotaToken> token; ///< that the request has taken from a tenant's limit
         bool awaitsToken = false; ///< not sent
         bool hasNoQuotaDecision = false; ///< no control host has decided in time whether the tenant is within its limit
-        bool hasNoRegion = false; ///< no region may serve both the route and the tenant
         std::uint64_t tableVersion = 0; ///< of the table that the route is from
         std::string service;
         std::uint64_t affinity = 0;
--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -45,7 +45,7 @@
 
 std::string Balancer::Impl::regionByPlan(const OpenRequest &open, std::uint64_t key) const
 {
-    const std::string region = open.route.homeRegions.empty() ? m_plans.regionFor(open.service, key) : std::string();
+    const std::string region = open.regions.isBound() ? std::string() : m_plans.regionFor(open.service, key);
     return region.empty() ? m_region : region;
 }
 
@@ -58,11 +58,10 @@
 // A region that serves the requests of tenants or routes with home regions has less room for others.
 std::string Balancer::Impl::boundRegion(const OpenRequest &open) const
 {
-    const std::vector<std::string> &homes = open.route.homeRegions;
-    if (homes.empty()) {
+    if (!open.regions.isBound()) {
         return {};
     }
-    return TargetSet::isHome(homes, m_region) ? m_region : homes.front();
+    return open.regions.contains(m_region) ? m_region : open.regions.homes().front();
 }
 
 Balancer::Impl::Placement Balancer::Impl::placeInRegion(const OpenRequest &open, const std::string &region,
@@ -72,7 +71,7 @@
     query.service = open.service;
     query.affinity = keepsKey ? open.affinity : 0;
     query.excluded = open.triedTargets;
-    query.homeRegions = &open.route.homeRegions;
+    query.regions = &open.regions;
     query.region = region;
     const Duration serviceTime = m_admission.stats(open.route.name).serviceTime().value_or(open.route.objective);
     query.responseTimeout = std::max<Duration>(MinResponseTimeout, serviceTime * ResponseTimeoutFactor);
@@ -133,14 +132,11 @@
 bool Balancer::Impl::maySpillByPlan(const OpenRequest &open) const
 {
     const std::optional<double> utilization = m_plans.utilizationWithBound(open.service);
-    return utilization && *utilization <= MaxSpillUtilization && open.route.homeRegions.empty();
+    return utilization && *utilization <= MaxSpillUtilization && !open.regions.isBound();
 }
 
 Balancer::Impl::Placement Balancer::Impl::place(const OpenRequest &open)
 {
-    if (open.hasNoRegion) {
-        return {nullptr, 0, Refusal::NoTarget};
-    }
     if (!fitsLink(open)) {
         return {nullptr, 0, Refusal::LinkFull};
     }
--- a/lib/Balance/RelayHosts.cpp
+++ b/lib/Balance/RelayHosts.cpp
@@ -59,14 +59,11 @@
 {
     const std::string &own = regionOf(m_settings.regionOfZone, m_settings.zone);
     const bool staysInRegion = hasRoomInRegion(query.service);
-    const auto isHome = [&](const std::string &region) {
-        return query.homeRegions.empty() || std::ranges::find(query.homeRegions, region) != query.homeRegions.end();
-    };
     std::vector<const RelayHost *> preferred;
     std::vector<const RelayHost *> others;
     for (const auto &[id, host] : m_hosts) {
         const bool isOwn = host.region == own;
-        const bool isAllowed = isOwn || isHome(host.region);
+        const bool isAllowed = isOwn || query.regions.contains(host.region);
         if (!isAllowed || !reaches(host, query.service) || now < host.avoidedUntil || query.excluded.contains(id)) {
             continue;
         }
--- a/lib/Balance/RelayHosts.h
+++ b/lib/Balance/RelayHosts.h
@@ -21,7 +21,7 @@
 /// Requirements of a request on the host that it is relayed to.
 struct RelayQuery {
     const std::string &service;
-    const std::vector<std::string> &homeRegions; ///< to which other regions it may go; empty: any
+    const AllowedRegions &regions; ///< to which it may go, besides this host's own region
     const std::set<std::string> &excluded; ///< ids
 };
 
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -95,7 +95,7 @@
     if (open.request.relayedByIndex || open.relaysStarted >= MaxRelays || m_now >= open.deadline) {
         return false;
     }
-    const RelayHost *host = m_relays.choose({open.service, open.route.homeRegions, open.triedRelays}, m_random, m_now);
+    const RelayHost *host = m_relays.choose({open.service, open.regions, open.triedRelays}, m_random, m_now);
     if (host == nullptr) {
         return false;
     }
@@ -120,7 +120,7 @@
     effect.tableVersion = open.tableVersion;
     effect.routingIndex = m_routingIndex;
     effect.region = host->region;
-    effect.homeRegions = open.route.homeRegions;
+    effect.homeRegions = open.regions.homes();
     effect.timeLeft = open.deadline - m_now;
     effect.loadAge = Milliseconds(-1);
     m_out->emplace_back(std::move(effect));
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -76,25 +76,15 @@
     return {tenant, tenant != nullptr || route->isPublic};
 }
 
-// If both the route and the tenant name home regions, the request may only go to regions that both name.
 void Balancer::Impl::assignTenant(OpenRequest &open, const CallerIdentity &caller)
 {
     const Tenant *tenant = caller.tenant;
-    open.hasNoRegion = false;
+    open.regions = {open.route, tenant};
     open.tenant = caller.name();
     open.limit = tenant != nullptr ? tenant->limit : TenantLimit{};
-    if (tenant == nullptr) {
-        return;
-    }
-    open.route.priority = tenant->priority.value_or(open.route.priority);
-    std::vector<std::string> &homes = open.route.homeRegions;
-    const std::vector<std::string> &others = tenant->homeRegions;
-    if (homes.empty() || others.empty()) {
-        homes.insert(homes.end(), others.begin(), others.end());
-        return;
+    if (tenant != nullptr) {
+        open.route.priority = tenant->priority.value_or(open.route.priority);
     }
-    std::erase_if(homes, [&](const std::string &it) { return std::ranges::find(others, it) == others.end(); });
-    open.hasNoRegion = homes.empty();
 }
 
 // Keeps the service if the route still leads to it by the new table, so that the weights of a split hold.
@@ -119,23 +109,24 @@
 
 // A request may be open for many seconds, and this host may have confirmed the newest table meanwhile. So each send
 // uses the current route, not the one of the arrival; otherwise every request that is retried after a change would use
-// a replaced route. Returns false if the route does not exist any more, or if the host is suspended.
+// a replaced route. Returns false if the route does not exist any more, if no region may serve it, or if the host is
+// suspended.
 bool Balancer::Impl::refreshRoute(OpenRequest &open)
 {
     if (m_isSuspended) {
         return false;
     }
-    if (open.tableVersion == m_table->version) {
-        return true;
-    }
-    const Route *route = currentRoute(open);
-    const CallerIdentity caller = identifyCaller(open.request, route);
-    if (!caller.isAllowed) {
-        return false;
+    if (open.tableVersion != m_table->version) {
+        const Route *route = currentRoute(open);
+        const CallerIdentity caller = identifyCaller(open.request, route);
+        if (!caller.isAllowed) {
+            return false;
+        }
+        assignRoute(open, *route, caller);
     }
-    assignRoute(open, *route, caller);
     // The limit of a tenant that has received the key meanwhile is not charged for this request.
-    return !open.token || open.token->tenant == open.tenant;
+    const bool isOfTokenOwner = !open.token || open.token->tenant == open.tenant;
+    return isOfTokenOwner && !open.regions.isEmpty();
 }
 
 // Called when a connection is ready, up to several hundred milliseconds after the target was chosen.
@@ -187,9 +178,8 @@
     if (std::none_of(route->services.begin(), route->services.end(), isItsService)) {
         return Withheld::OtherService;
     }
-    const bool isHomeOfTenant = caller.tenant == nullptr || TargetSet::isHome(caller.tenant->homeRegions, *target);
-    const bool isHome = isHomeOfTenant && TargetSet::isHome(route->homeRegions, *target);
-    return isHome ? std::nullopt : std::optional(Withheld::OutsideRegions);
+    const bool isAllowed = AllowedRegions(*route, caller.tenant).contains(target->region);
+    return isAllowed ? std::nullopt : std::optional(Withheld::OutsideRegions);
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Balance/TargetChoice.cpp
+++ b/lib/Balance/TargetChoice.cpp
@@ -36,8 +36,8 @@
         return rings;
     }
     for (const auto &[region, ring] : service->second) {
-        const bool isHomeRegion = query.homeRegions == nullptr || isHome(*query.homeRegions, region);
-        if (isHomeRegion && (query.region.empty() || query.region == region) && ring.mayHaveUsable()) {
+        const bool isAllowed = query.regions == nullptr || query.regions->contains(region);
+        if (isAllowed && (query.region.empty() || query.region == region) && ring.mayHaveUsable()) {
             rings.push_back(&ring);
         }
     }
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -369,16 +369,6 @@
     return isThere ? &it->second : nullptr;
 }
 
-bool TargetSet::isHome(const std::vector<std::string> &homeRegions, const TargetState &target)
-{
-    return isHome(homeRegions, target.region);
-}
-
-bool TargetSet::isHome(const std::vector<std::string> &homeRegions, const std::string &region)
-{
-    return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
-}
-
 void TargetSet::attemptStarted(TargetState &target, TimePoint now)
 {
     ++target.inFlight;
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -62,7 +62,7 @@
     std::string_view service;
     std::uint64_t affinity = 0; ///< 0: none
     std::set<std::string> excluded;
-    const std::vector<std::string> *homeRegions = nullptr; ///< null or empty: any
+    const AllowedRegions *regions = nullptr; ///< null: all
     std::string region; ///< empty: any
     Duration responseTimeout{}; ///< without an answer after which a target is avoided
     double admissibleUtilization = 1; ///< highest utilization at which the answer would be in time
@@ -99,9 +99,6 @@
     const TargetState *find(const Incarnation &incarnation) const;
     /// Returns true if the target is neither gone nor draining nor leaving, and its zone is not evacuated.
     bool acceptsRequests(const TargetState &target) const;
-    /// Returns true if a target is in one of the regions, or if there are none.
-    static bool isHome(const std::vector<std::string> &homeRegions, const TargetState &target);
-    static bool isHome(const std::vector<std::string> &homeRegions, const std::string &region);
 
     void attemptStarted(TargetState &target, TimePoint now);
     /// Records the end of an attempt. It does not affect a later incarnation under the same id.
--- a/unittests/Balance/RelayingTest.cpp
+++ b/unittests/Balance/RelayingTest.cpp
@@ -57,7 +57,13 @@
 
     void cutOff()
     {
-        const RequestId id = request("/once/x");
+        cutOffFrom("/once/x");
+    }
+
+    void cutOffFrom(const std::string &path, const std::string &keyDigest = {})
+    {
+        const auto id = static_cast<RequestId>(++lastRequest);
+        reduce(CallerRequest{id, "h", path, {}, {}, {}, keyDigest});
         end(id, 1, AttemptOutcome::NotSent);
         end(id, 2, AttemptOutcome::NotSent);
         pass(1s, false);
@@ -167,6 +173,25 @@
     CHECK(host.started()->relay == "e3");
 }
 
+// Guards against an empty set of allowed regions that is taken for "any region".
+TEST_CASE("a request that no region may serve is not relayed")
+{
+    ProbedHost host;
+    host.table.tenants = {{"a", {"k1"}, {}, {}, {"r2"}}, {"b", {"k2"}}};
+    host.table.routes[0].homeRegions = {"r1"};
+    host.useTable();
+    host.report(ProbedHost::entryOf("e3", "z3"));
+    host.cutOffFrom("/once/x", "k2");
+    std::size_t relayed = 0;
+    for (int n = 0; n < 50; ++n) {
+        host.reduce(CallerRequest{static_cast<RequestId>(++host.lastRequest), "h", "/read/x", {}, {}, {}, "k1"});
+        relayed += host.started() != nullptr ? 1 : 0;
+    }
+    CHECK(relayed == 0);
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::NoTarget);
+}
+
 // Guards against one host that serves the callers of all others of its region.
 TEST_CASE("hosts of other regions are used where most hosts of the region are cut off")
 {
