Relays: a request with home regions is relayed only to hosts of these

What callers saw: a request whose caller is in another region than the entry host that it connected to was relayed to a host of the entry host's region, which is neither a home region nor the caller's. 50 of 50 in the new test.

Cause: the own region was always allowed for a relay, as the caller is usually of that region. A host does not know its callers' regions: a caller whose old directory answer names hosts of other regions is not told apart.

The next host would have to send the request on to a home region in any case, so going there at once adds no crossing between regions.

The test "a request goes only to entry hosts of its home regions or of the own region" asserted the fault. It is replaced by one that allows the home regions alone, with 50 requests for each of two routes in place of one; it failed before.

--- a/lib/Balance/RelayHosts.cpp
+++ b/lib/Balance/RelayHosts.cpp
@@ -63,7 +63,7 @@
     std::vector<const RelayHost *> others;
     for (const auto &[id, host] : m_hosts) {
         const bool isOwn = host.region == own;
-        const bool isAllowed = isOwn || query.regions.contains(host.region);
+        const bool isAllowed = query.regions.contains(host.region);
         if (!isAllowed || !reaches(host, query.service) || now < host.avoidedUntil || query.excluded.contains(id)) {
             continue;
         }
--- a/lib/Balance/RelayHosts.h
+++ b/lib/Balance/RelayHosts.h
@@ -21,7 +21,7 @@
 /// Requirements of a request on the host that it is relayed to.
 struct RelayQuery {
     const std::string &service;
-    const AllowedRegions &regions; ///< to which it may go, besides this host's own region
+    const AllowedRegions &regions;
     const std::set<std::string> &excluded; ///< ids
 };
 
--- a/unittests/Balance/RelayingTest.cpp
+++ b/unittests/Balance/RelayingTest.cpp
@@ -158,19 +158,32 @@
     CHECK_FALSE(relayed.contains(once));
 }
 
-TEST_CASE("a request goes only to entry hosts of its home regions or of the own region")
+// Guards against a relay to the host's own region, which may be neither a home region nor the caller's.
+TEST_CASE("a request is relayed only to entry hosts of its home regions")
 {
     ProbedHost host;
+    host.table.routes[0].homeRegions = {"r2"};
     host.table.routes[1].homeRegions = {"r1"};
     host.useTable();
-    host.report(ProbedHost::entryOf("e2", "z1", true));
     host.report(ProbedHost::entryOf("e3", "z3"));
     host.cutOff();
-    host.request("/once/x");
-    CHECK(host.started() == nullptr);
+    std::set<std::string> readRelays;
+    std::set<std::string> onceRelays;
+    for (int n = 0; n < 50; ++n) {
+        host.request("/read/x");
+        REQUIRE(host.started() != nullptr);
+        readRelays.insert(host.started()->relay);
+        host.request("/once/x");
+        REQUIRE(host.started() != nullptr);
+        onceRelays.insert(host.started()->relay);
+    }
+    CHECK(readRelays == std::set<std::string>{"e3"});
+    CHECK(onceRelays == std::set<std::string>{"e2"});
+    host.report(ProbedHost::entryOf("e3", "z3", true));
     host.request("/read/x");
-    REQUIRE(host.started() != nullptr);
-    CHECK(host.started()->relay == "e3");
+    CHECK(host.started() == nullptr);
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::NotReached);
 }
 
 // Guards against an empty set of allowed regions that is taken for "any region".
