Relays: the region of the other host is checked again when the connection is there

What callers saw: a request was sent to a relay in a region that was no home region any more, up to 600 ms after the table that excludes it had come.

Cause: the check right before a send took a relay's place for granted, since "the other host decides the rest". Where the body goes to is decided here.

One function holds the receiver's region against the homes by the newest table, for targets and relays. A withdrawn relay is decided anew.

Test: RelayingTest, "a request that is to be relayed is withdrawn if the other host is outside new home regions"; the send was allowed before.

--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -274,7 +274,7 @@
                              placement.utilization,
                              bytes,
                              target.limit.has_value(),
-                             target.region != m_region,
+                             target.region,
                              {}};
     open.triedTargets.insert(target.report.id);
     open.lastTarget = target.report.id;
@@ -432,7 +432,7 @@
 Duration Balancer::Impl::timeAtTarget(const Attempt &attempt) const
 {
     const Duration took = m_now - attempt.startedAt;
-    const bool isRemote = attempt.isInOtherRegion && followsLosses();
+    const bool isRemote = attempt.region != m_region && followsLosses();
     return isRemote ? std::max<Duration>(took - OtherRegionLatency, took / 2) : took;
 }
 
@@ -470,7 +470,7 @@
         const Duration took = timeAtTarget(attempt);
         if (followsLosses()) {
             const bool hasQueue = !event.load || event.load->waiting > 0;
-            m_demand.addAnswer(open.route.name, {took, attempt.utilization, attempt.isInOtherRegion, hasQueue});
+            m_demand.addAnswer(open.route.name, {took, attempt.utilization, attempt.region != m_region, hasQueue});
         }
         m_admission.stats(open.route.name).addServiceTime(took, attempt.utilization);
         m_returns.addServiceTime(open.service, took, attempt.utilization);
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -45,7 +45,7 @@
         double utilization = 0;
         double expectedBytes = 0; ///< taken from the link's budget for the answer
         bool usesLimitShare = false; ///< taken from this host's share of the target's rate limit
-        bool isInOtherRegion = false;
+        std::string region; ///< of the target or relay when it was chosen
         std::string relay; ///< id of the entry host that the request was relayed to; empty: sent to a target
     };
 
@@ -134,7 +134,7 @@
     void assignRoute(OpenRequest &open, const Route &route, const CallerIdentity &caller);
     static void assignTenant(OpenRequest &open, const CallerIdentity &caller);
     bool refreshRoute(OpenRequest &open);
-    std::optional<Withheld> withheldFromTarget(const OpenRequest &open, const Attempt &attempt) const;
+    bool isStillUsable(const TargetState *target, const Attempt &attempt) const;
 
     // Quotas.cpp
     void handle(const QuotaReplied &event);
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -110,6 +110,7 @@
     Attempt &attempt = open.attempts[number];
     attempt.relay = host->id;
     attempt.address = host->address;
+    attempt.region = host->region;
     attempt.startedAt = m_now;
     StartAttempt effect;
     effect.id = open.request.id;
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -147,21 +147,10 @@
     if (isQuarantined(open)) {
         return Withheld::Quarantined;
     }
-    if (!started->second.relay.empty()) {
-        // The other host decides the rest.
-        return identifyCaller(open.request, currentRoute(open)).isAllowed ? std::nullopt
-                                                                          : std::optional(Withheld::NoRoute);
-    }
-    return withheldFromTarget(open, started->second);
-}
-
-std::optional<Withheld> Balancer::Impl::withheldFromTarget(const OpenRequest &open, const Attempt &attempt) const
-{
-    const TargetState *target = m_targets.find(attempt.target);
-    // The limit may have been received after the target was chosen.
-    const bool isUsable = target != nullptr && m_targets.acceptsRequests(*target) && !target->isBackingOff(m_now)
-        && (!target->limit || attempt.usesLimitShare);
-    if (!isUsable) {
+    const Attempt &sent = started->second;
+    const bool isRelay = !sent.relay.empty();
+    const TargetState *target = isRelay ? nullptr : m_targets.find(sent.target);
+    if (!isRelay && !isStillUsable(target, sent)) {
         return Withheld::TargetUnusable;
     }
     const Route *route = currentRoute(open);
@@ -169,17 +158,27 @@
     if (!caller.isAllowed) {
         return Withheld::NoRoute;
     }
+    if (!AllowedRegions(*route, caller.tenant).contains(isRelay ? sent.region : target->region)) {
+        return Withheld::OutsideRegions;
+    }
+    if (isRelay) {
+        return std::nullopt; // the other host decides the rest
+    }
     if (open.tenant != caller.name()) {
         return Withheld::OtherTenant; // the attempt carries the tenant that held the key when the target was chosen
     }
     const auto isItsService = [&](const WeightedService &it) {
         return it.service == target->report.service && it.weight > 0;
     };
-    if (std::none_of(route->services.begin(), route->services.end(), isItsService)) {
-        return Withheld::OtherService;
-    }
-    const bool isAllowed = AllowedRegions(*route, caller.tenant).contains(target->region);
-    return isAllowed ? std::nullopt : std::optional(Withheld::OutsideRegions);
+    const bool leadsThere = std::any_of(route->services.begin(), route->services.end(), isItsService);
+    return leadsThere ? std::nullopt : std::optional(Withheld::OtherService);
+}
+
+// The target's limit may have been received after it was chosen.
+bool Balancer::Impl::isStillUsable(const TargetState *target, const Attempt &attempt) const
+{
+    return target != nullptr && m_targets.acceptsRequests(*target) && !target->isBackingOff(m_now)
+        && (!target->limit || attempt.usesLimitShare);
 }
 
 } // namespace pepperlug::fleet
--- a/unittests/Balance/RelayingTest.cpp
+++ b/unittests/Balance/RelayingTest.cpp
@@ -186,6 +186,30 @@
     CHECK(host.find<RefuseRequest>()->reason == Refusal::NotReached);
 }
 
+// Guards against a relay that was decided by replaced home regions and is sent after the new table has arrived.
+TEST_CASE("a request that is to be relayed is withdrawn if the other host is outside new home regions")
+{
+    ProbedHost host;
+    host.table.routes[0].homeRegions = {"r2"};
+    host.useTable();
+    host.report(ProbedHost::entryOf("e3", "z3"));
+    host.report(ProbedHost::entryOf("e2", "z1", true));
+    host.cutOff();
+    const RequestId id = host.request("/read/x");
+    REQUIRE(host.started() != nullptr);
+    REQUIRE(host.started()->relay == "e3");
+    REQUIRE(host.balancer.maySend(id, 1));
+    host.table.routes[0].homeRegions = {"r1"};
+    ++host.table.version;
+    host.useTable();
+    host.report(ProbedHost::entryOf("e4", "z2"));
+    CHECK_FALSE(host.balancer.maySend(id, 1));
+    host.end(id, 1, AttemptOutcome::Withdrawn);
+    REQUIRE(host.started() != nullptr);
+    CHECK(host.started()->relay == "e4");
+    CHECK(host.balancer.maySend(id, 2));
+}
+
 // Guards against an empty set of allowed regions that is taken for "any region".
 TEST_CASE("a request that no region may serve is not relayed")
 {
