Relays: a host with older routing refuses what another host relays

What callers saw: a request that a host in touch with the control hosts had taken ran by the routing of another host that had lost touch: outside its new home regions, on a removed route, or in an evacuated zone.

Cause: what a host has confirmed must hold for all that it sends, but a relayed request carried nothing of what it was decided by, and the other host, which nobody waits for once it is out of its lease, decided by its own routing.

A relay carries the log index of the routing in force at its sender. A caller that sets the header itself is refused likewise, and gains nothing.

--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -215,7 +215,7 @@
         return;
     }
     assignRoute(open, *route, caller);
-    if (m_isSuspended) {
+    if (m_isSuspended || hasOlderRoutingThan(event)) {
         refuse(open, Refusal::RoutingLate);
         return;
     }
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -129,6 +129,7 @@
     void handle(const UpdateReceived &event);
     void updateSuspension();
     bool mayHaveMissedRoutes() const;
+    bool hasOlderRoutingThan(const CallerRequest &request) const;
     const Route *currentRoute(const OpenRequest &open) const;
     CallerIdentity identifyCaller(const CallerRequest &request, const Route *route) const;
     void assignRoute(OpenRequest &open, const Route &route, const CallerIdentity &caller);
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -61,6 +61,13 @@
     return !m_lastUpdate || m_lastUpdate->behindSince || m_now - m_lastUpdate->requestedAt > m_settings.updateLease;
 }
 
+// The host that relayed a request has confirmed routing that must apply to it. An older table here may allow regions
+// that are no home regions any more.
+bool Balancer::Impl::hasOlderRoutingThan(const CallerRequest &request) const
+{
+    return request.relayedByIndex && *request.relayedByIndex > m_routingIndex;
+}
+
 const Route *Balancer::Impl::currentRoute(const OpenRequest &open) const
 {
     return m_routeIndex->match(open.request.host, open.request.path);
--- a/unittests/Balance/BalanceFixture.h
+++ b/unittests/Balance/BalanceFixture.h
@@ -75,7 +75,7 @@
 
     void useTable(const std::set<std::string> &evacuated = {})
     {
-        reduce(RoutesChanged{std::make_shared<RouteTable>(table), evacuated});
+        reduce(RoutesChanged{std::make_shared<RouteTable>(table), evacuated, routingIndex});
     }
 
     void report(const TargetReport &target)
@@ -117,6 +117,7 @@
     }
 
     RouteTable table;
+    std::uint64_t routingIndex = 0; ///< of the next useTable()
     Balancer balancer;
     TimePoint now{1000s};
     BalanceEffects effects;
--- a/unittests/Balance/RelayingTest.cpp
+++ b/unittests/Balance/RelayingTest.cpp
@@ -229,6 +229,31 @@
     CHECK(host.find<RefuseRequest>()->reason == Refusal::NoTarget);
 }
 
+// Guards against a relay to a host whose routing is older, which may still send to regions that are no home any more.
+TEST_CASE("a relayed request is refused as not run by a host whose routing is older than that of the relaying one")
+{
+    Host host;
+    host.report(Host::targetOf("t1"));
+    host.routingIndex = 7;
+    host.useTable();
+    const auto relayedAt = [&](std::uint64_t index) {
+        CallerRequest request{static_cast<RequestId>(++host.lastRequest), "h", "/once/x", {}, {}};
+        request.relayedByIndex = index;
+        host.reduce(request);
+    };
+    relayedAt(8);
+    CHECK(host.find<StartAttempt>() == nullptr);
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    CHECK(host.find<RefuseRequest>()->reason == Refusal::RoutingLate);
+    CHECK(concernsHostAlone(Refusal::RoutingLate));
+    relayedAt(7);
+    CHECK(host.find<StartAttempt>() != nullptr);
+    host.routingIndex = 8;
+    host.useTable();
+    relayedAt(8);
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
 // Guards against one host that serves the callers of all others of its region.
 TEST_CASE("hosts of other regions are used where most hosts of the region are cut off")
 {
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -283,6 +283,24 @@
     CHECK(Clients::targetHeaders(sent, {"i-1", 1s, true, {}}) == rest); // a public route, without a key
 }
 
+// Guards against a caller whose own mark of a relayed request reaches another host, or lets requests go round.
+TEST_CASE("a relayed request bears the routing of the host that relays it, once")
+{
+    const auto headers =
+        Clients::relayHeaders({{"X-Relayed", "99"}, {"X-Deadline-Ms", "9000"}, {"A", "b"}}, {1234ms, 7});
+    CHECK(headers == std::vector<HeaderField>{{"A", "b"}, {"X-Deadline-Ms", "1234"}, {"X-Relayed", "7"}});
+    const auto relayedByIndex = [](const std::string &value) {
+        HttpRequest it = request("GET", "/p/x");
+        it.headers = {{"x-relayed", value}};
+        return Clients::readRequest(it).relayedByIndex;
+    };
+    CHECK(relayedByIndex("7") == 7);
+    CHECK(relayedByIndex("18446744073709551615") == std::numeric_limits<std::uint64_t>::max());
+    CHECK(relayedByIndex("many") == 0);
+    CHECK(relayedByIndex("-1") == 0);
+    CHECK(relayedByIndex("") == std::nullopt);
+}
+
 TEST_CASE("a caller's key is read only where it is the one key that it shows")
 {
     const auto digestOf = [](const std::vector<HeaderField> &headers) {
