Relays: a relay is decided anew if routing arrives before it is sent

Routing that arrived and was confirmed while the connection was made did not count: a host that is behind took the request by its own routing. The send is withheld once the index has changed. - A relay whose host had left in the meantime was sent to its address, which may belong to a target by then. It is withheld. - A host that refused since its routing was older was avoided for 500 ms, for all requests, although it gets the routing a moment later. - A withdrawn relay used up one of the two that a request has. - A mark that is no number counted as the oldest routing, and "7x" as 7. Lines of refusals name relayed_by_index, which is null for callers' own requests.

Tests: three of RelayingTest, and DialectTest.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -74,6 +74,8 @@
 
 //===-- Events ----------------------------------------------------------------===//
 
+enum class Refusal : std::uint8_t;
+
 struct RoutesChanged {
     std::shared_ptr<const RouteTable> table;
     std::set<std::string> evacuatedZones;
@@ -150,6 +152,7 @@
     std::uint64_t answerBytes = 0; ///< length of the body
     bool isConnectionLost = false; ///< Lost: the target closed or reset the connection
     bool isFailure = false; ///< Answered: with a status that reports a failure of the target itself
+    std::optional<Refusal> refusal{}; ///< of the entry host that the request was relayed to
 };
 
 /// Result of CheckTarget.
@@ -232,11 +235,12 @@
     Ended, ///< the attempt has ended
     Suspended, ///< this host makes no decisions until newer routing arrives
     Quarantined, ///< several targets crashed while they ran the request
-    TargetUnusable, ///< the target is leaving, limited or backing off
+    TargetUnusable, ///< the target is leaving, limited or backing off, or the relay has left
     NoRoute, ///< the route or the caller's key was removed
     OtherTenant, ///< the key was given to another tenant
     OtherService, ///< the route leads to other services
     OutsideRegions, ///< the home regions exclude the receiver's region
+    RoutingChanged, ///< a relay carries the index of routing that has been replaced
 };
 const char *nameOf(Withheld reason);
 
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -105,6 +105,8 @@
         return "other-service";
     case Withheld::OutsideRegions:
         return "outside-regions";
+    case Withheld::RoutingChanged:
+        return "routing-changed";
     }
     return "ended";
 }
@@ -275,6 +277,7 @@
                              bytes,
                              target.limit.has_value(),
                              target.region,
+                             m_routingIndex,
                              {}};
     open.triedTargets.insert(target.report.id);
     open.lastTarget = target.report.id;
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -46,6 +46,7 @@
         double expectedBytes = 0; ///< taken from the link's budget for the answer
         bool usesLimitShare = false; ///< taken from this host's share of the target's rate limit
         std::string region; ///< of the target or relay when it was chosen
+        std::uint64_t routingIndex = 0; ///< that a relay carries
         std::string relay; ///< id of the entry host that the request was relayed to; empty: sent to a target
     };
 
--- a/lib/Balance/RelayHosts.cpp
+++ b/lib/Balance/RelayHosts.cpp
@@ -73,6 +73,12 @@
     return hosts.empty() ? nullptr : hosts[random() % hosts.size()];
 }
 
+bool RelayHosts::isLive(const std::string &id, const std::string &address) const
+{
+    const auto it = m_hosts.find(id);
+    return it != m_hosts.end() && it->second.address == address;
+}
+
 void RelayHosts::avoid(const std::string &id, TimePoint now)
 {
     const auto it = m_hosts.find(id);
--- a/lib/Balance/RelayHosts.h
+++ b/lib/Balance/RelayHosts.h
@@ -35,6 +35,8 @@
     /// Returns a host at random that reaches the service, or null if there is none: of this host's region, or of all
     /// regions if most hosts of the region are cut off from the service.
     const RelayHost *choose(const RelayQuery &query, std::mt19937_64 &random, TimePoint now) const;
+    /// Returns true if the host is live at the address.
+    bool isLive(const std::string &id, const std::string &address) const;
     /// Records that a host could not be reached, or could not serve.
     void avoid(const std::string &id, TimePoint now);
 
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -111,6 +111,7 @@
     attempt.relay = host->id;
     attempt.address = host->address;
     attempt.region = host->region;
+    attempt.routingIndex = m_routingIndex;
     attempt.startedAt = m_now;
     StartAttempt effect;
     effect.id = open.request.id;
@@ -164,7 +165,10 @@
     }
     const bool isNotRun = isCertainlyNotRun(event.outcome);
     open.mayHaveRun |= !isNotRun;
-    if (event.outcome != AttemptOutcome::Withdrawn) {
+    if (event.outcome == AttemptOutcome::Withdrawn) {
+        --open.relaysStarted;
+        open.triedRelays.erase(attempt.relay);
+    } else if (event.refusal != Refusal::RoutingLate) {
         m_relays.avoid(attempt.relay, m_now);
     }
     if (!open.attempts.empty()) {
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -157,7 +157,7 @@
     const Attempt &sent = started->second;
     const bool isRelay = !sent.relay.empty();
     const TargetState *target = isRelay ? nullptr : m_targets.find(sent.target);
-    if (!isRelay && !isStillUsable(target, sent)) {
+    if (isRelay ? !m_relays.isLive(sent.relay, sent.address) : !isStillUsable(target, sent)) {
         return Withheld::TargetUnusable;
     }
     const Route *route = currentRoute(open);
@@ -169,7 +169,8 @@
         return Withheld::OutsideRegions;
     }
     if (isRelay) {
-        return std::nullopt; // the other host decides the rest
+        // The other host decides the rest, by routing that is at least as new as the one that the request carries.
+        return sent.routingIndex == m_routingIndex ? std::nullopt : std::optional(Withheld::RoutingChanged);
     }
     if (open.tenant != caller.name()) {
         return Withheld::OtherTenant; // the attempt carries the tenant that held the key when the target was chosen
--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -4,6 +4,12 @@
 namespace pepperlug::fleet
 {
 
+nlohmann::json GatewayDaemon::Impl::relayingIndexOf(const OpenExchange &open)
+{
+    const std::optional<std::uint64_t> &index = open.fields.relayedByIndex;
+    return index ? nlohmann::json(*index) : nlohmann::json();
+}
+
 void GatewayDaemon::Impl::reportAttempt(const StartAttempt &effect, const OpenExchange &open)
 {
     m_metrics.count(effect.relay.empty() ? "pepperlug_attempts" : "pepperlug_relays");
@@ -24,7 +30,7 @@
                        {"table", effect.tableVersion},
                        {"newest_table", m_balancer->tableVersion()},
                        {"index", effect.routingIndex},
-                       {"relayed_by_index", open.fields.relayedByIndex.value_or(0)},
+                       {"relayed_by_index", relayingIndexOf(open)},
                        {"has_homes", !effect.homeRegions.empty()},
                        {"homes", effect.homeRegions},
                        {"view_age_ms", viewAge().count()},
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -113,6 +113,8 @@
     void carryOut(const SuspectChanged &effect);
 
     // GatewayAttempts.cpp
+    /// Log index of the routing by which another host relayed the request; null if it comes from a caller.
+    static nlohmann::json relayingIndexOf(const OpenExchange &open);
     void reportAttempt(const StartAttempt &effect, const OpenExchange &open);
     bool maySend(RequestId id, unsigned attempt);
 
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -185,6 +185,7 @@
         return ended;
     }
     ended.load = fields.load;
+    ended.refusal = fields.refusal;
     if (fields.refusal) {
         const bool mayTryAnother = concernsHostAlone(*fields.refusal) && promisesNotRun(*fields.refusal);
         ended.outcome = mayTryAnother ? AttemptOutcome::Shed : AttemptOutcome::Answered;
@@ -306,6 +307,7 @@
                        {"tenant", effect.tenant},
                        {"target", effect.lastTarget},
                        {"table", m_balancer->tableVersion()},
+                       {"relayed_by_index", relayingIndexOf(*open)},
                        {"view_age_ms", viewAge().count()},
                        {"retry_after_ms", effect.retryAfter.count()},
                        {"took_ms", secondsOf(took) * 1000}});
--- a/unittests/Balance/RelayingTest.cpp
+++ b/unittests/Balance/RelayingTest.cpp
@@ -203,13 +203,67 @@
     ++host.table.version;
     host.useTable();
     host.report(ProbedHost::entryOf("e4", "z2"));
-    CHECK_FALSE(host.balancer.maySend(id, 1));
+    CHECK(host.balancer.withheldBecause(id, 1) == Withheld::OutsideRegions);
     host.end(id, 1, AttemptOutcome::Withdrawn);
     REQUIRE(host.started() != nullptr);
     CHECK(host.started()->relay == "e4");
     CHECK(host.balancer.maySend(id, 2));
 }
 
+// Guards against a relay that carries an older index than the routing which its sender has confirmed meanwhile: the
+// other host, if it is behind, would take its own routing for new enough.
+TEST_CASE("a request that is to be relayed is decided anew if other routing arrives before it is sent")
+{
+    ProbedHost host;
+    host.routingIndex = 7;
+    host.useTable();
+    host.cutOff();
+    const RequestId id = host.request("/once/x");
+    REQUIRE(host.started() != nullptr);
+    CHECK(host.started()->routingIndex == 7);
+    REQUIRE(host.balancer.maySend(id, 1));
+    for (unsigned attempt = 1; attempt < 5; ++attempt) {
+        ++host.routingIndex;
+        host.useTable({"z3"});
+        CHECK(host.balancer.withheldBecause(id, attempt) == Withheld::RoutingChanged);
+        host.end(id, attempt, AttemptOutcome::Withdrawn);
+        REQUIRE(host.started() != nullptr);
+        CHECK(host.started()->relay == "e2");
+        CHECK(host.started()->routingIndex == host.routingIndex);
+        CHECK(host.balancer.maySend(id, attempt + 1));
+    }
+}
+
+// Guards against a request that is relayed to whatever uses the address of a host that has left.
+TEST_CASE("a request is not relayed to a host that has left before it is sent")
+{
+    ProbedHost host;
+    host.cutOff();
+    const RequestId id = host.request("/once/x");
+    REQUIRE(host.balancer.maySend(id, 1));
+    HostReport left = ProbedHost::entryOf("e2", "z1");
+    left.presence = Presence::Gone;
+    ++left.sequence;
+    host.report(left);
+    CHECK(host.balancer.withheldBecause(id, 1) == Withheld::TargetUnusable);
+}
+
+// Guards against relays that are all avoided after each change of the routing, since they get it a moment later.
+TEST_CASE("a host that refuses a relayed request since its routing is older is asked again with the next request")
+{
+    ProbedHost host;
+    host.cutOff();
+    const RequestId id = host.request("/once/x");
+    REQUIRE(host.started() != nullptr);
+    AttemptEnded refused{id, 1, AttemptOutcome::Shed, {}, 0};
+    refused.refusal = Refusal::RoutingLate;
+    host.reduce(refused);
+    REQUIRE(host.find<RefuseRequest>() != nullptr);
+    host.request("/once/x");
+    REQUIRE(host.started() != nullptr);
+    CHECK(host.started()->relay == "e2");
+}
+
 // Guards against an empty set of allowed regions that is taken for "any region".
 TEST_CASE("a request that no region may serve is not relayed")
 {
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <limits>
+
 using namespace pepperlug;
 using namespace pepperlug::fleet;
 using namespace std::chrono_literals;
@@ -296,8 +298,9 @@
     };
     CHECK(relayedByIndex("7") == 7);
     CHECK(relayedByIndex("18446744073709551615") == std::numeric_limits<std::uint64_t>::max());
-    CHECK(relayedByIndex("many") == 0);
-    CHECK(relayedByIndex("-1") == 0);
+    for (const char *unreadable : {"many", "-1", "7x", "18446744073709551616"}) {
+        CHECK(relayedByIndex(unreadable) == std::numeric_limits<std::uint64_t>::max());
+    }
     CHECK(relayedByIndex("") == std::nullopt);
 }
 
