Tenants: an unsent attempt is held against the tenant that it was made for

Found by the review of the relays; nothing was seen on a deployment. - The check before a send compared the tenant of the request, which a hedge or a relay may have refreshed since: the first attempt, made for the former tenant of the key, was sent with that tenant's name. - An attempt of a public route that was made by a table without tenants was sent with the caller's key and tenant headers after the first tenants had come. Each attempt keeps its tenant and whether keys are in use.

Tests: two of TenantTest.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -237,7 +237,7 @@
     Quarantined, ///< several targets crashed while they ran the request
     TargetUnusable, ///< the target is leaving, limited or backing off, or the relay has left
     NoRoute, ///< the route or the caller's key was removed
-    OtherTenant, ///< the key was given to another tenant
+    OtherTenant, ///< the key was given to another tenant, or it must not be passed on any more
     OtherService, ///< the route leads to other services
     OutsideRegions, ///< the home regions exclude the receiver's region
     RoutingChanged, ///< a relay carries the index of routing that has been replaced
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -278,6 +278,8 @@
                              target.limit.has_value(),
                              target.region,
                              m_routingIndex,
+                             open.tenant,
+                             !m_table->tenants.empty(),
                              {}};
     open.triedTargets.insert(target.report.id);
     open.lastTarget = target.report.id;
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -47,6 +47,8 @@
         bool usesLimitShare = false; ///< taken from this host's share of the target's rate limit
         std::string region; ///< of the target or relay when it was chosen
         std::uint64_t routingIndex = 0; ///< that a relay carries
+        std::string tenant; ///< that the target is told
+        bool hasTenants = false; ///< the caller's key is not passed on
         std::string relay; ///< id of the entry host that the request was relayed to; empty: sent to a target
     };
 
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -172,8 +172,8 @@
         // The other host decides the rest, by routing that is at least as new as the one that the request carries.
         return sent.routingIndex == m_routingIndex ? std::nullopt : std::optional(Withheld::RoutingChanged);
     }
-    if (open.tenant != caller.name()) {
-        return Withheld::OtherTenant; // the attempt carries the tenant that held the key when the target was chosen
+    if (sent.tenant != caller.name() || sent.hasTenants == m_table->tenants.empty()) {
+        return Withheld::OtherTenant;
     }
     const auto isItsService = [&](const WeightedService &it) {
         return it.service == target->report.service && it.weight > 0;
--- a/unittests/Balance/TenantTest.cpp
+++ b/unittests/Balance/TenantTest.cpp
@@ -146,6 +146,43 @@
     CHECK(host.balancer.maySend(id, 2));
 }
 
+// Guards against an attempt that tells its target the tenant of an earlier table, since the request was refreshed for a
+// second attempt meanwhile.
+TEST_CASE("an unsent attempt for another tenant is withdrawn although a hedge was started for the new one")
+{
+    TenantHost host;
+    const RequestId id = host.sendRequest("/read/x", "k1");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    host.table.tenants[0].keyDigests = {"k1b"};
+    host.table.tenants[1].keyDigests = {"k2", "k1"};
+    host.publishTable();
+    host.now += 1600ms;
+    host.reduce(BalanceTick{});
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->tenant == "t2");
+    CHECK(host.balancer.withheldBecause(id, 1) == Withheld::OtherTenant);
+    CHECK(host.balancer.maySend(id, 2));
+}
+
+// Guards against a caller's key that is passed on to a target after keys have come into use.
+TEST_CASE("an unsent request is withdrawn if the first tenants come meanwhile")
+{
+    TenantHost host;
+    const std::vector<Tenant> tenants = std::exchange(host.table.tenants, {});
+    host.table.routes[1].isPublic = true;
+    host.publishTable();
+    const RequestId id = host.sendRequest("/once/x", "unknown");
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK_FALSE(host.find<StartAttempt>()->hasTenants);
+    host.table.tenants = tenants;
+    host.publishTable();
+    CHECK(host.balancer.withheldBecause(id, 1) == Withheld::OtherTenant);
+    host.end(id, 1, AttemptOutcome::Withdrawn);
+    REQUIRE(host.find<StartAttempt>() != nullptr);
+    CHECK(host.find<StartAttempt>()->hasTenants);
+    CHECK(host.balancer.maySend(id, 2));
+}
+
 TEST_CASE("a retry looks up the key again")
 {
     TenantHost host;
