Limits: half of the hosts that share a target's limit are of its region

Cause: the few hosts that share a limit were drawn from all entry hosts. Hosts of other regions send a target requests only by plan or for home regions; where all that were drawn were of other regions, nobody passed the limit on.

Half of them, rounded up, are now drawn from the hosts of the target's region, if it has as many; the others from elsewhere, since requests that home regions bind to the region come from everywhere. The number of them and their shares stay, so the limit holds as before. While hosts of the version before run beside, the two draw different ones.

--- a/lib/Balance/LimitShare.h
+++ b/lib/Balance/LimitShare.h
@@ -27,6 +27,16 @@
     return std::clamp<std::size_t>(MinOwners + static_cast<std::size_t>(further), 1, std::max<std::size_t>(1, hosts));
 }
 
+/// Returns how many of the owners are hosts of the target's region, given the number of hosts there and elsewhere. Half
+/// of the owners at least, since hosts of other regions may send the target nothing; not all, since requests that home
+/// regions bind to the target's region come from everywhere.
+inline std::size_t ownersInRegion(std::size_t owners, std::size_t hostsInRegion, std::size_t otherHosts)
+{
+    const std::size_t half = (owners + 1) / 2;
+    const std::size_t missingElsewhere = owners - std::min(owners, otherHosts);
+    return std::min(hostsInRegion, std::max(half, missingElsewhere));
+}
+
 /// Returns the share of one of `owners` owners, in requests.
 inline BucketConfig ownerShare(double perSecond, std::size_t owners)
 {
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -321,29 +321,44 @@
     }
 }
 
-// Returns how many live entry hosts rendezvous hashing ranks before this one for the target.
+// Returns how many live entry hosts rendezvous hashing ranks before this one for the target: of the hosts of the
+// target's region if this is one of them, otherwise of the others.
 std::size_t TargetSet::limitRank(TargetState &target) const
 {
     if (target.rankedAt != m_entryHosts.version()) {
         const std::uint64_t own = hash64(m_settings.host, target.hash);
+        const bool isInRegion = regionOf(m_settings.zone) == target.region;
         const auto &zones = m_entryHosts.zones();
         target.limitRank = static_cast<std::size_t>(std::count_if(zones.begin(), zones.end(), [&](const auto &it) {
-            return it.first != m_settings.host && hash64(it.first, target.hash) < own;
+            const bool isAlike = (m_entryHosts.regionOf(it.second) == target.region) == isInRegion;
+            return it.first != m_settings.host && isAlike && hash64(it.first, target.hash) < own;
         }));
         target.rankedAt = m_entryHosts.version();
     }
     return target.limitRank;
 }
 
+// Returns the number of hosts that share the limit, or nothing if this host is none of them.
+std::optional<std::size_t> TargetSet::limitOwners(TargetState &target) const
+{
+    const bool isInRegion = regionOf(m_settings.zone) == target.region;
+    const bool isUnlisted = !m_entryHosts.contains(m_settings.host);
+    const std::size_t hosts = m_entryHosts.size() + (isUnlisted ? 1 : 0);
+    const std::size_t inRegion = m_entryHosts.inRegion(target.region) + (isUnlisted && isInRegion ? 1 : 0);
+    const std::size_t owners = ownerCount(*target.limit, hosts);
+    const std::size_t ownersHere = ownersInRegion(owners, inRegion, hosts - inRegion);
+    const bool isOwner = limitRank(target) < (isInRegion ? ownersHere : owners - ownersHere);
+    return isOwner ? std::optional(owners) : std::nullopt;
+}
+
 // Returns nothing if a request may be sent now. Less urgent requests leave one saved request to urgent ones.
 std::optional<Duration> TargetSet::untilLimitAllows(TargetState &target, const TargetQuery &query, TimePoint now) const
 {
     if (!target.limit) {
         return std::nullopt;
     }
-    const std::size_t hosts = m_entryHosts.size() + (m_entryHosts.contains(m_settings.host) ? 0 : 1);
-    const std::size_t owners = ownerCount(*target.limit, hosts);
-    if (limitRank(target) >= owners) {
+    const std::optional<std::size_t> owners = limitOwners(target);
+    if (!owners) {
         // An owner may have capacity; this host can't know how soon.
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / *target.limit));
     }
@@ -351,7 +366,7 @@
         // Starts with a fraction of a request, so that owners that learn of a limit at once do not all send at once.
         target.bucket.emplace(unitInterval(hash64(target.report.id, m_settings.seed)));
     }
-    const BucketConfig share = ownerShare(*target.limit, owners);
+    const BucketConfig share = ownerShare(*target.limit, *owners);
     const double wanted = query.isUrgent ? 1 : 2;
     return target.bucket->has(wanted, share, now) ? std::nullopt
                                                   : std::optional(target.bucket->timeUntil(wanted, share));
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -42,7 +42,7 @@
     std::optional<double> limit; ///< requests per second from all hosts together
     /// This host's share of the limit in requests; nothing until one was considered.
     std::optional<TokenBucket> bucket;
-    std::size_t limitRank = 0; ///< of this host among those that may share the limit
+    std::size_t limitRank = 0; ///< of this host among those that are in the target's region, or not, as it is
     std::uint64_t rankedAt = 0; ///< version of the entry hosts that the rank is for; 0: not ranked yet
     unsigned countedSlots = 0; ///< that TargetRing::slots() includes
 
@@ -158,6 +158,7 @@
     static void setColdUntil(TargetState &target, TimePoint until, TimePoint now);
     bool mayReceiveWhileCold(TargetState &target, TimePoint now) const;
     std::size_t limitRank(TargetState &target) const;
+    std::optional<std::size_t> limitOwners(TargetState &target) const;
     std::optional<Duration> untilCapacity(TargetState &target, const TargetQuery &query, TimePoint now) const;
     std::optional<Duration> untilLimitAllows(TargetState &target, const TargetQuery &query, TimePoint now) const;
     std::size_t warmingHostCount(const TargetState &target) const;
