--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -222,7 +222,8 @@
     std::uint64_t tableVersion = 0; ///< of the table that the route is from
     std::uint64_t routingIndex = 0; ///< log index of the routing in force at this host
     std::string region; ///< of the target or relay
-    std::vector<std::string> homeRegions; ///< of the route and the tenant; empty: none
+    std::string route; ///< name
+    std::vector<std::string> homeRegions; ///< that the receiver is one of; empty: the request is not bound to any
     bool hasTenants = false; ///< the table has tenants, so the caller's key is not passed to the target
     std::string tenant; ///< that the request is counted for; empty: none
     Duration timeLeft{}; ///< until the caller's deadline or the route's timeout
@@ -326,7 +327,7 @@
     NoConfiguration, ///< this host has no configuration yet
     NoRoute,
     UnknownKey, ///< the route needs a tenant's key, and the request has none
-    RoutingLate, ///< no route is known here, but newer routing may have one
+    RoutingLate, ///< newer routing may apply: a route is unknown, the host is suspended, or the relaying one has it
     RouteChanged, ///< the route or the key was removed before the request could be sent; not run
     OverQuota, ///< the tenant has reached its rate limit
     NoTarget, ///< no usable target of the service
@@ -390,8 +391,8 @@
     bool isSuspended() const;
     /// Services none of whose targets this host reaches, in order. It relays requests for them.
     std::vector<std::string> unreachableServices() const;
-    /// Returns true if an attempt that is not sent yet may still be sent: its target accepts requests, and the current
-    /// route leads there.
+    /// Returns true if an attempt that is not sent yet may still be sent: its target accepts requests and the current
+    /// route leads there, or its relay is live and the routing that it carries is the current one.
     bool maySend(RequestId id, unsigned attempt) const;
     /// Returns why an attempt that is not sent yet may not be sent; nothing if it may.
     std::optional<Withheld> withheldBecause(RequestId id, unsigned attempt) const;
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -294,6 +294,7 @@
     effect.tableVersion = open.tableVersion;
     effect.routingIndex = m_routingIndex;
     effect.region = target.region;
+    effect.route = open.route.name;
     effect.homeRegions = open.regions.homes();
     effect.hasTenants = !m_table->tenants.empty();
     effect.tenant = open.tenant;
--- a/lib/Balance/RelayHosts.cpp
+++ b/lib/Balance/RelayHosts.cpp
@@ -55,6 +55,7 @@
     return others >= cutOff;
 }
 
+// The caller's region is not known, so this host's own region is no exception from the allowed regions.
 const RelayHost *RelayHosts::choose(const RelayQuery &query, std::mt19937_64 &random, TimePoint now) const
 {
     const std::string &own = regionOf(m_settings.regionOfZone, m_settings.zone);
--- a/lib/Balance/RelayHosts.h
+++ b/lib/Balance/RelayHosts.h
@@ -32,8 +32,8 @@
     explicit RelayHosts(const BalanceSettings &settings);
 
     void apply(const AgedReport<HostReport> &report);
-    /// Returns a host at random that reaches the service, or null if there is none: of this host's region, or of all
-    /// regions if most hosts of the region are cut off from the service.
+    /// Returns a host at random that reaches the service and is in an allowed region, or null if there is none: of this
+    /// host's region if possible, or of all regions if most hosts of this one are cut off from the service.
     const RelayHost *choose(const RelayQuery &query, std::mt19937_64 &random, TimePoint now) const;
     /// Returns true if the host is live at the address.
     bool isLive(const std::string &id, const std::string &address) const;
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -1,9 +1,10 @@
 //===- Relaying.cpp - Requests at a host that reaches no target -----------===//
 //
 // A host that is cut off from all targets of a service relays requests for it to another entry host, which decides
-// about them as about those of its own callers: admission, tenants' limits, quarantine, target and retries. A relayed
-// request is not relayed again. What the other host answers is passed on, except refusals that concern that host alone;
-// these state that the request has not run, so a second host is tried.
+// about them as about those of its own callers: admission, tenants' limits, quarantine, target and retries, but not by
+// older routing than that of the first host. A relayed request is not relayed again. What the other host answers is
+// passed on, except refusals that concern that host alone; these state that the request has not run, so a second host
+// is tried.
 //
 //===----------------------------------------------------------------------===//
 #include "Impl.h"
@@ -122,6 +123,7 @@
     effect.tableVersion = open.tableVersion;
     effect.routingIndex = m_routingIndex;
     effect.region = host->region;
+    effect.route = open.route.name;
     effect.homeRegions = open.regions.homes();
     effect.timeLeft = open.deadline - m_now;
     effect.loadAge = Milliseconds(-1);
--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -23,6 +23,7 @@
                        {"zone", effect.zone},
                        {"region", effect.region},
                        {"service", effect.service},
+                       {"route", effect.route},
                        {"tenant", effect.tenant},
                        {"key", open.fields.affinityKey},
                        {"fill", effect.utilization},
