Entry hosts: a log line and a counter for each poll that fails

A silent connection showed in one line, when it was given up, and in another one when a control host answered again. What was tried in between, and how long each attempt took, could not be told. poll-failed names the peer, the reason, the time that the poll took and the age of the view. No logic changed.

--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -176,6 +176,9 @@
             m_nextPollAt = m_mustSwitchHost ? m_now + RetryDelay : TimePoint{};
         }
     }
+    if (!message && m_hooks.onPollFailed) {
+        m_hooks.onPollFailed(from, info.sentAt, reason);
+    }
     if (linkChanged) {
         m_hooks.onLink(from, !message, reason);
     }
--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -36,6 +36,8 @@
         std::function<bool(const ReplyInfo &info, FleetWatchReply &reply)> onReply;
         /// Receives the reply to a heartbeat that was sent while a poll is pending; may be empty.
         std::function<void(const FleetAliveReply &reply)> onAlive;
+        /// Called for each poll without a usable reply; `sentAt` is when it was sent. May be empty.
+        std::function<void(const Address &peer, TimePoint sentAt, const std::string &reason)> onPollFailed;
         /// Called when the connection to a control host is lost or regained.
         std::function<void(const Address &peer, bool isLost, const std::string &reason)> onLink;
     };
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -97,6 +97,9 @@
     hooks.onAlive = [this](const FleetAliveReply &reply) {
         onAlive(reply);
     };
+    hooks.onPollFailed = [this](const Address &control, TimePoint sentAt, const std::string &reason) {
+        onPollFailed(control, sentAt, reason);
+    };
     hooks.onLink = [this](const Address &control, bool isLost, const std::string &reason) {
         onLink(control, isLost, reason);
     };
@@ -266,6 +269,18 @@
     }
 }
 
+// Between the loss of one control host and the contact to another, each attempt takes as long as its limit.
+void GatewayDaemon::Impl::onPollFailed(const Address &control, TimePoint sentAt, const std::string &reason)
+{
+    m_metrics.count("pepperlug_polls_failed");
+    const std::lock_guard lock(m_mutex);
+    m_events.state("poll-failed",
+                   {{"peer", control.text()},
+                    {"reason", reason},
+                    {"took_ms", std::chrono::duration_cast<Milliseconds>(m_clock.now() - sentAt).count()},
+                    {"view_age_ms", viewAge().count()}});
+}
+
 // Age of this host's view by its own clock; -1 ms if it never received one. The mutex is held.
 Milliseconds GatewayDaemon::Impl::viewAge() const
 {
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -66,6 +66,7 @@
     void onControlReply(const ReplyInfo &info, FleetWatchReply &reply);
     void logReply(const ReplyInfo &info, const FleetWatchReply &reply);
     Milliseconds viewAge() const;
+    void onPollFailed(const Address &control, TimePoint sentAt, const std::string &reason);
     void onLink(const Address &control, bool isLost, const std::string &reason);
     void reportUpdates();
     /// Passes a control host's updates of a shared table to the balancer, and stores up to where it has acknowledged
