--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -30,7 +30,14 @@
 
     Socket caller;
     Socket target;
+    bool isSilent(bool isToTarget) const
+    {
+        return isToTarget ? isSilentToTarget : isSilentFromTarget;
+    }
+
     bool hasLost = false;
+    bool isSilentToTarget = false;
+    bool isSilentFromTarget = false;
     std::array<char, BufferBytes> toTarget{};
     std::array<char, BufferBytes> toCaller{};
 };
@@ -94,6 +101,19 @@
     isClosed.wait();
 }
 
+void FaultProxy::silenceOpen(SilentWays ways)
+{
+    const auto isDone = boost::asio::post(m_context, boost::asio::use_future([this, ways] {
+                                              for (const auto &weak : m_sessions) {
+                                                  if (const auto session = weak.lock()) {
+                                                      session->isSilentToTarget |= ways != SilentWays::FromTarget;
+                                                      session->isSilentFromTarget |= ways != SilentWays::ToTarget;
+                                                  }
+                                              }
+                                          }));
+    isDone.wait();
+}
+
 void FaultProxy::narrow(std::uint64_t bytesPerSecond)
 {
     m_bytesPerSecond = bytesPerSecond;
@@ -112,6 +132,7 @@
         if (ec) {
             return;
         }
+        std::erase_if(m_sessions, [](const auto &weak) { return weak.expired(); });
         const auto session = std::make_shared<Session>(std::move(socket));
         m_sessions.push_back(session);
         if (m_fault == LinkFault::Reset) {
@@ -139,6 +160,9 @@
     auto &buf = isToTarget ? session->toTarget : session->toCaller;
     from.async_read_some(boost::asio::buffer(buf),
                          [this, session, isToTarget](const boost::system::error_code &ec, std::size_t size) {
+                             if (ec && session->isSilent(isToTarget)) {
+                                 return;
+                             }
                              if (ec) {
                                  end(session, false);
                                  return;
@@ -149,6 +173,10 @@
 
 void FaultProxy::pass(const std::shared_ptr<Session> &session, bool isToTarget, std::size_t size)
 {
+    if (session->isSilent(isToTarget)) {
+        pump(session, isToTarget);
+        return;
+    }
     if (isCut(isToTarget)) {
         session->hasLost = true;
         pump(session, isToTarget);
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -20,6 +20,9 @@
     Narrow, ///< what the target sends passes at a few bytes a second
 };
 
+/// The ways of a connection on which bytes are lost.
+enum class SilentWays : std::uint8_t { Both, ToTarget, FromTarget };
+
 /// Passes connections on to one target (which may be a host too), and spoils them as told.
 class FaultProxy
 {
@@ -36,6 +39,9 @@
     void close();
     /// Refuses new connections; open ones live on. Returns when the address is free.
     void refuseNew();
+    /// Open connections carry nothing on these ways any more, neither bytes nor their end; new ones work. Returns when
+    /// that holds.
+    void silenceOpen(SilentWays ways);
     /// Sets LinkFault::Narrow: each connection has so many bytes a second towards its caller.
     void narrow(std::uint64_t bytesPerSecond);
 
