Entry hosts: updates go beside the pending poll, which is not given up for them

Callers got answers by routing that had been replaced, and requests reached targets that had left, at hosts that noticed crashes or signals of targets all the time.

Cause: each update that a host noticed cancelled its pending poll and started it anew. A reply on its way was dropped with it, and the times after which a silent connection is given up began anew. With updates each 50 ms over a link of 120 ms no reply ever arrived; with updates each 50 to 500 ms a silent connection was never found out. Nobody waits for such a host after its lease.

Updates now go with a heartbeat beside the poll. The control host took reports, confirmations and updates from heartbeats before; it now also announces them at once, and a heartbeat of a host that has ended removes it.

--- a/lib/Fleet/ControlWatch.cpp
+++ b/lib/Fleet/ControlWatch.cpp
@@ -146,13 +146,9 @@
         m_polledAt = m_clock.now();
         m_lastSentAt = m_polledAt;
     }
-    const CallId id = m_net.call(
+    m_net.call(
         to, path::FleetWatch, encode(call), m_maxWait + ReplyTimeout,
         [this, to, number](const PeerReply &reply) { onReply(to, number, reply); }, CallLimit::Silence);
-    const std::lock_guard lock(m_mutex);
-    if (number == m_pollNumber) {
-        m_callId = id;
-    }
 }
 
 void ControlWatch::onReply(const Address &from, std::uint64_t number, const PeerReply &reply)
@@ -167,14 +163,11 @@
         }
         info.sentAt = m_polledAt;
         info.elapsed = m_clock.now() - m_polledAt;
-        const bool wasCancelled = !message && reason == "cancelled";
-        if (!wasCancelled) {
-            linkChanged = m_isLost != !message;
-            m_isLost = !message;
-            // A host without a majority may lack committed changes.
-            m_mustSwitchHost = !message || !message->isCurrent;
-            m_nextPollAt = m_mustSwitchHost ? m_now + RetryDelay : TimePoint{};
-        }
+        linkChanged = m_isLost != !message;
+        m_isLost = !message;
+        // A host without a majority may lack committed changes.
+        m_mustSwitchHost = !message || !message->isCurrent;
+        m_nextPollAt = m_mustSwitchHost ? m_now + RetryDelay : TimePoint{};
     }
     if (!message && m_hooks.onPollFailed) {
         m_hooks.onPollFailed(from, info.sentAt, reason);
@@ -197,17 +190,20 @@
     m_isPolling = false;
 }
 
-void ControlWatch::restartPoll()
+// The pending poll is not given up for it: its reply may be on its way, and a host that notices updates all the time
+// would never get one.
+void ControlWatch::sendReport()
 {
-    CallId id{};
+    Address to;
     {
         const std::lock_guard lock(m_mutex);
         if (!m_isPolling) {
             return;
         }
-        id = m_callId;
+        m_lastSentAt = m_clock.now();
+        to = m_control;
     }
-    m_net.cancel(id);
+    sendHeartbeat(to);
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -2,7 +2,8 @@
 //
 // Polls one control host for updates. The control host holds the reply until
 // there is an update, so that updates arrive at once. Each poll also serves as
-// a heartbeat of this host. When the control host fails or has lost its
+// a heartbeat of this host. What this host notices while a poll is pending goes
+// with a heartbeat beside it. When the control host fails or has lost its
 // majority, the next one is polled.
 //
 //===----------------------------------------------------------------------===//
@@ -48,8 +49,8 @@
     /// Sends a request if none is pending and the delay after a failure is over; sends heartbeats while one is pending.
     /// Must be called regularly.
     void poll(TimePoint now);
-    /// Cancels the pending request, so that the next poll() sends the newest report.
-    void restartPoll();
+    /// Sends the newest report at once if a poll is pending; otherwise the next poll does.
+    void sendReport();
 
 private:
     void sendPoll(const Address &to);
@@ -74,7 +75,6 @@
     std::uint64_t m_pollNumber = 0;
     TimePoint m_polledAt{};
     TimePoint m_lastSentAt{}; ///< when the last request or heartbeat was sent
-    CallId m_callId{};
     TimePoint m_nextPollAt{};
     TimePoint m_now{};
 };
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -156,7 +156,7 @@
         }
         m_hasUnsentUpdates = false;
     }
-    m_watch->restartPoll();
+    m_watch->sendReport();
 }
 
 HostReport GatewayDaemon::Impl::selfReport()
@@ -382,7 +382,7 @@
         m_isStopping = true;
     }
     m_callersServer->closeAfterAnswers();
-    m_watch->restartPoll();
+    m_watch->sendReport();
     const TimePoint deadline = startedAt + m_settings.bounds.gracePeriod - GraceReserve;
     for (;;) {
         std::this_thread::sleep_for(TickInterval);
@@ -398,7 +398,7 @@
         m_isClosed = true;
         open = m_open.size();
     }
-    m_watch->restartPoll();
+    m_watch->sendReport();
     m_events.state("stopped", {{"open_requests", open}});
     std::this_thread::sleep_for(FinalAnswersTime);
 }
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -75,7 +75,7 @@
     }
     reportViewAge();
     // A change waits for the confirmation of this host, which must not wait for the held reply.
-    m_watch->restartPoll();
+    m_watch->sendReport();
 }
 
 void GatewayDaemon::Impl::applyRouting(const Address &from, const std::vector<std::string> &changes)
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -89,7 +89,7 @@
         received.isNewest = false;
         return received;
     }
-    const bool isInitialHeartbeat = call->path() == path::FleetAlive && isUninitialized(request);
+    const bool isInitialHeartbeat = isLiveEntry && call->path() == path::FleetAlive && isUninitialized(request);
     if (received.isNewest && !isInitialHeartbeat) {
         recordConfirmations(request, isSameEpoch, now);
     } else if (isLiveEntry) {
@@ -140,6 +140,7 @@
         const TimePoint now = m_clock.now();
         const std::lock_guard lock(m_mutex);
         receiveCall(call, now);
+        announceUpdates(now);
         resolvePending(now);
         reply = {isCurrent(now), m_history.index()};
     }
--- a/unittests/Fleet/SilentConnectionTest.cpp
+++ b/unittests/Fleet/SilentConnectionTest.cpp
@@ -130,7 +130,7 @@
             const TimePoint now = m_clock.now();
             if (updateInterval > 0ms && now >= nextUpdate) {
                 nextUpdate = now + updateInterval;
-                m_watch.restartPoll();
+                m_watch.sendReport();
             }
             m_watch.poll(now);
             std::this_thread::sleep_for(DriveInterval);
