Peer network: connections that went silent are replaced, and not tried in turn

Cause: a kept connection was trusted until a call on it had run out of time. A host whose connection to its control host went silent took the next control host over a connection that it had kept from its start, silent as well, and so on: 1.2 s each. A call whose limit moved with bytes did not close its connection at all.

PeerChannel, a part of its own without sockets, now decides over which connection a call goes. The connection is judged by the time since a byte arrived on it, whatever calls come and go: after 0.5 s an unused one is replaced, and beside one in use a new one is made for the next call. A peer that refuses new connections keeps its old one; a suspended one gets one new connection, not many. Pings do not prolong the limit of a call. One timer for each peer in place of one for each call. Served connections that nobody uses are closed after a minute.

connection-silent lines, pepperlug_peer_connections_{made,silent}.

--- a/include/pepperlug/Wire.h
+++ b/include/pepperlug/Wire.h
@@ -17,6 +17,16 @@
 /// Longest body of a call or of its reply, in bytes.
 constexpr std::size_t MaxPeerMessageBytes = 64 * 1024 * 1024;
 
+/// Why a call has no reply.
+enum class CallFailure : std::uint8_t {
+    None, ///< it has one
+    Cancelled,
+    TimedOut,
+    ConnectionSilent, ///< nothing arrived on its connection any more, while a newer one to the same peer works
+    ConnectionLost, ///< its connection could not be made, or was closed
+    Refused, ///< by the peer or by the library
+};
+
 /// What came of a call.
 struct PeerReply {
     bool delivered = false; ///< the peer replied; status and body hold what it said
@@ -24,6 +34,7 @@
     unsigned status = 0;
     std::string body;
     std::string reason; ///< without a reply
+    CallFailure failure = CallFailure::None;
 };
 using ReplyHandler = std::function<void(PeerReply)>;
 
@@ -57,6 +68,16 @@
     std::uint64_t bytesReceived = 0;
     std::uint64_t callsMade = 0;
     std::uint64_t callsServed = 0;
+    std::uint64_t connectionsMade = 0;
+    std::uint64_t connectionsSilent = 0; ///< closed since nothing arrived on them any more
+};
+
+/// A connection that was closed since nothing arrived on it any more.
+struct SilentConnection {
+    Address peer;
+    Duration silence{}; ///< time since a byte arrived
+    std::size_t calls = 0; ///< that ended with it
+    bool isPeerAlive = false; ///< a newer connection to the peer works
 };
 
 /// All connections to other processes, run by one thread. Handlers run on that thread and must not wait.
@@ -68,6 +89,8 @@
     PeerNet(const PeerNet &) = delete;
     PeerNet &operator=(const PeerNet &) = delete;
 
+    /// Sets a handler that is told of silent connections, on the network thread. Must be called before any call.
+    void onSilence(std::function<void(const SilentConnection &)> handler);
     /// Listens; port 0 lets the kernel choose. Returns the address. Throws Error with step "listen".
     Address listen(const Address &address, CallHandler handler);
     /// Calls `path` at the peer. The handler is called exactly once unless stop() comes first.
--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -23,28 +23,37 @@
     std::size_t bytes = 0; ///< length of the body
 };
 
+/// Makes calls to other hosts.
+template <typename Net>
+concept PeerCaller = requires(Net net, const Address &to, std::string text, Duration time, ReplyHandler handler) {
+    net.call(to, text, text, time, handler, CallLimit::Silence);
+};
+
+struct ControlWatchHooks {
+    /// Returns the state of this host for another host, whose incarnation the epoch names: its report with a new
+    /// sequence number, its routing index, and its confirmations.
+    std::function<FleetWatchCall(const Address &to, const std::string &epoch)> makeCall;
+    std::function<std::vector<Address>()> candidates; ///< control hosts by preference, best first
+    /// Applies a reply, whose changes may be moved out; the next request confirms it. Returns false if it refers to
+    /// state that this host lacks, so that the next request has to ask for the full state.
+    std::function<bool(const ReplyInfo &info, FleetWatchReply &reply)> onReply;
+    /// Receives the reply to a heartbeat that was sent while a poll is pending; may be empty.
+    std::function<void(const FleetAliveReply &reply)> onAlive;
+    /// Called for each poll without a usable reply; `sentAt` is when it was sent. May be empty.
+    std::function<void(const Address &peer, TimePoint sentAt, const std::string &reason)> onPollFailed;
+    /// Called when the connection to a control host is lost or regained.
+    std::function<void(const Address &peer, bool isLost, const std::string &reason)> onLink;
+};
+
 /// Polls one control host at a time, and switches to another one when it fails.
-class ControlWatch
+template <PeerCaller Net>
+class BasicControlWatch
 {
 public:
-    struct Hooks {
-        /// Returns the state of this host for another host, whose incarnation the epoch names: its report with a new
-        /// sequence number, its routing index, and its confirmations.
-        std::function<FleetWatchCall(const Address &to, const std::string &epoch)> makeCall;
-        std::function<std::vector<Address>()> candidates; ///< control hosts by preference, best first
-        /// Applies a reply, whose changes may be moved out; the next request confirms it. Returns false if it refers to
-        /// state that this host lacks, so that the next request has to ask for the full state.
-        std::function<bool(const ReplyInfo &info, FleetWatchReply &reply)> onReply;
-        /// Receives the reply to a heartbeat that was sent while a poll is pending; may be empty.
-        std::function<void(const FleetAliveReply &reply)> onAlive;
-        /// Called for each poll without a usable reply; `sentAt` is when it was sent. May be empty.
-        std::function<void(const Address &peer, TimePoint sentAt, const std::string &reason)> onPollFailed;
-        /// Called when the connection to a control host is lost or regained.
-        std::function<void(const Address &peer, bool isLost, const std::string &reason)> onLink;
-    };
+    using Hooks = ControlWatchHooks;
 
     /// `maxWait`: the longest time for which a reply may be held.
-    ControlWatch(PeerNet &net, const Clock &clock, Milliseconds maxWait, Hooks hooks);
+    BasicControlWatch(Net &net, const Clock &clock, Milliseconds maxWait, Hooks hooks);
 
     /// Sends a request if none is pending and the delay after a failure is over; sends heartbeats while one is pending.
     /// Must be called regularly.
@@ -59,7 +68,7 @@
     void onReply(const Address &from, std::uint64_t number, const PeerReply &reply);
     Address next(const std::vector<Address> &candidates) const;
 
-    PeerNet &m_net;
+    Net &m_net;
     const Clock &m_clock;
     Milliseconds m_maxWait;
     Hooks m_hooks;
@@ -79,4 +88,6 @@
     TimePoint m_now{};
 };
 
+using ControlWatch = BasicControlWatch<PeerNet>;
+
 } // namespace pepperlug::fleet
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -2,6 +2,7 @@
 #include "../Daemon/HttpStatus.h"
 #include "GatewayImpl.h"
 #include "MetricsServer.h"
+#include "PeerMetrics.h"
 #include "PeerReplies.h"
 
 #include <algorithm>
@@ -103,6 +104,7 @@
     hooks.onLink = [this](const Address &control, bool isLost, const std::string &reason) {
         onLink(control, isLost, reason);
     };
+    m_net.onSilence([this](const SilentConnection &silent) { reportSilence(m_events, silent); });
     m_watch = std::make_unique<ControlWatch>(m_net, m_clock, PollMaxWait, std::move(hooks));
     m_callersServer = std::make_unique<HttpServer>(m_settings.callers, 1, callerLimits(m_settings), m_clock,
                                                    [this](const HttpExchangePtr &exchange) { onHttp(exchange); });
@@ -142,6 +144,7 @@
     }
     const std::lock_guard lock(m_mutex);
     m_metrics.gauge("pepperlug_view_age_seconds", secondsOf(viewAge()));
+    publishTraffic(m_metrics, m_net.traffic());
 }
 
 // Sends updates without waiting for the next regular request, up to half a second later: until then a request that
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -5,6 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "MetricsServer.h"
+#include "PeerMetrics.h"
 #include "RegistryImpl.h"
 
 #include <algorithm>
@@ -73,6 +74,7 @@
                     {"disk", m_log->diskId()},
                     {"first_start", m_settings.isFirstStart}});
     restoreCachedState();
+    m_net.onSilence([this](const SilentConnection &silent) { reportSilence(m_events, silent); });
     m_net.listen(m_settings.peerListen.value_or(m_settings.peer),
                  [this](const IncomingCallPtr &call) { onPeerCall(call); });
     m_log->start();
@@ -165,6 +167,7 @@
 {
     const ControlLogStatus status = m_log->status();
     const bool isCurrent = status.isCurrent(now);
+    publishTraffic(m_metrics, m_net.traffic());
     m_metrics.gauge("pepperlug_control_commit", static_cast<double>(status.commit));
     if (isCurrent && !m_wasCurrent) {
         m_currentSince = now;
--- a/lib/Wire/Http2Connection.cpp
+++ b/lib/Wire/Http2Connection.cpp
@@ -138,9 +138,19 @@
     return m_isOpen;
 }
 
-std::chrono::steady_clock::time_point Http2Connection::lastReceived() const
+bool Http2Connection::isUnusedSince(std::chrono::steady_clock::time_point time) const
 {
-    return m_lastReceived;
+    return m_streams.empty() && m_lastReceived < time;
+}
+
+void Http2Connection::onHeard(std::function<void(Heard)> handler)
+{
+    m_onHeard = std::move(handler);
+}
+
+void Http2Connection::onClosed(std::function<void()> handler)
+{
+    m_onClosed = std::move(handler);
 }
 
 boost::asio::any_io_executor Http2Connection::executor()
@@ -164,12 +174,19 @@
                                  }
                                  self->m_counters.bytesReceived += n;
                                  self->m_lastReceived = std::chrono::steady_clock::now();
+                                 self->m_hasReplyBytes = false;
+                                 if (self->m_onHeard) {
+                                     self->m_onHeard(Heard::Other);
+                                 }
                                  const auto *bytes = reinterpret_cast<const std::uint8_t *>(self->m_readBuf.data());
                                  const ssize_t result = nghttp2_session_mem_recv(self->m_session.get(), bytes, n);
                                  if (result < 0) {
                                      self->close(nghttp2_strerror(static_cast<int>(result)));
                                      return;
                                  }
+                                 if (self->m_hasReplyBytes && self->m_onHeard) {
+                                     self->m_onHeard(Heard::Reply);
+                                 }
                                  self->flush();
                                  if (self->m_isOpen) {
                                      self->read();
@@ -234,7 +251,7 @@
     const std::int32_t id =
         nghttp2_submit_request(m_session.get(), nullptr, headers.data(), headers.size(), &provider, nullptr);
     if (id < 0) {
-        handler({false, false, 0, {}, nghttp2_strerror(id)});
+        handler({false, false, 0, {}, nghttp2_strerror(id), CallFailure::Refused});
         return id;
     }
     Stream &stream = m_streams[id];
@@ -246,13 +263,19 @@
     return id;
 }
 
-void Http2Connection::resetStream(std::int32_t id, const std::string &reason)
+void Http2Connection::ping()
+{
+    nghttp2_submit_ping(m_session.get(), NGHTTP2_FLAG_NONE, nullptr);
+    flush();
+}
+
+void Http2Connection::resetStream(std::int32_t id, const std::string &reason, CallFailure failure)
 {
     Stream *stream = find(id);
     if (stream == nullptr) {
         return;
     }
-    failStream(*stream, reason);
+    failStream(*stream, reason, failure);
     nghttp2_submit_rst_stream(m_session.get(), NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
     flush();
 }
@@ -287,11 +310,11 @@
     }
 }
 
-void Http2Connection::failStream(Stream &stream, const std::string &reason)
+void Http2Connection::failStream(Stream &stream, const std::string &reason, CallFailure failure)
 {
     if (stream.onReply) {
         const ReplyHandler handler = std::exchange(stream.onReply, nullptr);
-        handler({false, stream.wasSent, 0, {}, reason});
+        handler({false, stream.wasSent, 0, {}, reason, failure});
     }
     if (stream.onCancel) {
         const std::function<void()> handler = std::exchange(stream.onCancel, nullptr);
@@ -299,7 +322,7 @@
     }
 }
 
-void Http2Connection::close(const std::string &reason)
+void Http2Connection::close(const std::string &reason, CallFailure failure)
 {
     if (!m_isOpen) {
         return;
@@ -309,7 +332,10 @@
     m_socket.close(ec);
     auto streams = std::exchange(m_streams, {});
     for (auto &[id, stream] : streams) {
-        failStream(stream, reason);
+        failStream(stream, reason, failure);
+    }
+    if (m_onClosed) {
+        m_onClosed();
     }
 }
 
@@ -339,7 +365,8 @@
         return;
     }
     stream.wasSent = stream.wasSent && code != NGHTTP2_REFUSED_STREAM;
-    failStream(stream, stream.isTooLarge ? "the reply is too large" : nghttp2_http2_strerror(code));
+    failStream(stream, stream.isTooLarge ? "the reply is too large" : nghttp2_http2_strerror(code),
+               CallFailure::Refused);
 }
 
 int Http2Connection::onBeginHeaders(nghttp2_session *, const nghttp2_frame *frame, void *self)
@@ -359,6 +386,7 @@
     if (stream == nullptr) {
         return 0;
     }
+    connectionOf(self)->m_hasReplyBytes = true;
     const std::string_view key(reinterpret_cast<const char *>(name), nameSize);
     const std::string text(reinterpret_cast<const char *>(value), valueSize);
     if (key == ":path") {
@@ -403,6 +431,7 @@
     if (stream == nullptr || stream->isTooLarge) {
         return 0;
     }
+    connectionOf(self)->m_hasReplyBytes = true;
     if (stream->in.size() + size > MaxPeerMessageBytes) {
         stream->isTooLarge = true;
         stream->in.clear();
--- a/lib/Wire/Http2Connection.h
+++ b/lib/Wire/Http2Connection.h
@@ -6,7 +6,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "pepperlug/Wire.h"
+#include "PeerChannel.h"
 
 #include <boost/asio.hpp>
 #include <nghttp2/nghttp2.h>
@@ -22,6 +22,8 @@
     std::atomic<std::uint64_t> bytesReceived{0};
     std::atomic<std::uint64_t> callsMade{0};
     std::atomic<std::uint64_t> callsServed{0};
+    std::atomic<std::uint64_t> connectionsMade{0};
+    std::atomic<std::uint64_t> connectionsSilent{0};
 };
 
 struct SessionDeleter {
@@ -38,18 +40,25 @@
 
     Http2Connection(TcpSocket socket, Side side, std::string peer, CallHandler handler, TrafficCounters &counters);
 
+    /// Handlers of events, called on the network thread; must be set before start().
+    void onHeard(std::function<void(Heard)> handler);
+    /// Called once, after the handlers of all calls.
+    void onClosed(std::function<void()> handler);
     /// Starts to read. Must be called once.
     void start();
     /// Client: submits a call. The handler is called once. Returns the stream.
     std::int32_t submitCall(const std::string &path, std::string body, ReplyHandler handler);
     /// Client: resets a stream; its handler is called as for a call without a reply.
-    void resetStream(std::int32_t stream, const std::string &reason);
+    void resetStream(std::int32_t stream, const std::string &reason, CallFailure failure);
+    /// Client: asks for a sign of life, which the library at the other side sends.
+    void ping();
     /// Server: replies on a stream if it is still open.
     void submitReply(std::int32_t stream, unsigned status, std::string body);
     void setCancelHandler(std::int32_t stream, std::function<void()> handler);
-    void close(const std::string &reason);
+    void close(const std::string &reason, CallFailure failure = CallFailure::ConnectionLost);
     bool isOpen() const;
-    std::chrono::steady_clock::time_point lastReceived() const;
+    /// Server: nothing has arrived since the time, and no call is open.
+    bool isUnusedSince(std::chrono::steady_clock::time_point time) const;
     boost::asio::any_io_executor executor();
 
 private:
@@ -69,7 +78,7 @@
     void read();
     void flush();
     void endStream(std::int32_t id, std::uint32_t code);
-    void failStream(Stream &stream, const std::string &reason);
+    static void failStream(Stream &stream, const std::string &reason, CallFailure failure);
     void serve(std::int32_t id);
     Stream *find(std::int32_t id);
 
@@ -97,6 +106,9 @@
     std::string m_nextBuf;
     bool m_isWriting = false;
     bool m_isOpen = true;
+    bool m_hasReplyBytes = false; ///< among the bytes that are being read
+    std::function<void(Heard)> m_onHeard;
+    std::function<void()> m_onClosed;
     std::chrono::steady_clock::time_point m_lastReceived;
 };
 
--- a/lib/Wire/PeerNet.cpp
+++ b/lib/Wire/PeerNet.cpp
@@ -1,7 +1,7 @@
 //===- PeerNet.cpp - Connections to the other processes -------------------===//
 //
-// A connection is made with the first call to a peer and kept. A call that runs out of time on a connection that has
-// been silent ever since closes it: the peer may be cut off without a word, and the next call should try afresh.
+// A connection is made with the first call to a peer and kept. PeerChannel decides which connection a call takes and
+// when one is given up; this file carries that out.
 //
 //===----------------------------------------------------------------------===//
 #include "Http2Connection.h"
@@ -16,10 +16,34 @@
 {
 
 constexpr auto ConnectTimeout = std::chrono::seconds(2);
-/// A call whose limit is on silence ends after so many limits in any case: other calls of the same connection may keep
-/// it from being silent while the peer has forgotten this one. With limits of 1 s the longest routing that was met, 67
-/// KB, passes at 8 KB a second.
-constexpr int MostLimits = 8;
+/// A served connection that was unused for longer is closed: callers make a new one long before, and one that went
+/// silent is never closed by its caller.
+constexpr auto ServedIdleLimit = std::chrono::minutes(1);
+
+const char *reasonOf(CloseCause cause)
+{
+    switch (cause) {
+    case CloseCause::Idle:
+        return "not used any more";
+    case CloseCause::Silent:
+        return "the connection is silent";
+    case CloseCause::TimedOut:
+        return "silent for a whole call";
+    }
+    return "";
+}
+
+const char *reasonOf(CallFailure failure)
+{
+    switch (failure) {
+    case CallFailure::Cancelled:
+        return "cancelled";
+    case CallFailure::TimedOut:
+        return "timed out";
+    default:
+        return "connection lost";
+    }
+}
 
 tcp::endpoint endpointOf(const Address &address)
 {
@@ -71,23 +95,35 @@
         return {address.ip, port};
     }
 
+    void onSilence(std::function<void(const SilentConnection &)> handler)
+    {
+        m_onSilence = std::move(handler);
+    }
+
     CallId call(const Address &to, std::string path, std::string body, Duration timeout, ReplyHandler handler,
                 CallLimit limit)
     {
         const auto id = static_cast<CallId>(++m_lastCall);
         auto open = std::make_shared<OpenCall>();
+        open->to = to;
         open->path = std::move(path);
         open->body = std::move(body);
         open->handler = std::move(handler);
-        open->timeout = timeout;
-        open->limit = limit;
-        asio::post(m_context, [this, id, to, open] { start(id, to, open); });
+        asio::post(m_context, [this, id, open, timeout, limit] { start(id, open, timeout, limit); });
         return id;
     }
 
     void cancel(CallId id)
     {
-        asio::post(m_context, [this, id] { giveUp(id, "cancelled"); });
+        asio::post(m_context, [this, id] {
+            const auto it = m_calls.find(id);
+            if (it != m_calls.end()) {
+                Peer &peer = peerAt(it->second->to);
+                PeerChannel::Effects effects;
+                peer.channel.cancel(id, now(), effects);
+                carryOut(peer, effects);
+            }
+        });
     }
 
     void stop()
@@ -96,18 +132,17 @@
             return;
         }
         asio::post(m_context, [this] {
+            m_isStopped = true;
             for (const auto &acceptor : m_acceptors) {
                 boost::system::error_code ec;
                 acceptor->close(ec);
             }
-            for (auto &[id, open] : m_calls) {
-                open->handler = nullptr;
-                open->timer->cancel();
-            }
             m_calls.clear();
             for (auto &[address, peer] : m_peers) {
-                if (peer.connection) {
-                    peer.connection->close("stopped");
+                for (const auto &[id, link] : std::exchange(peer->links, {})) {
+                    if (link.connection) {
+                        link.connection->close("stopped");
+                    }
                 }
             }
             for (const auto &weak : m_served) {
@@ -123,30 +158,55 @@
 
     PeerTraffic traffic() const
     {
-        return {m_counters.bytesSent, m_counters.bytesReceived, m_counters.callsMade, m_counters.callsServed};
+        return {m_counters.bytesSent,   m_counters.bytesReceived,   m_counters.callsMade,
+                m_counters.callsServed, m_counters.connectionsMade, m_counters.connectionsSilent};
     }
 
 private:
     struct OpenCall {
+        Address to;
         std::string path;
         std::string body;
         ReplyHandler handler;
-        Duration timeout{};
-        CallLimit limit{};
-        std::chrono::steady_clock::time_point startedAt;
-        Address to;
-        std::unique_ptr<asio::steady_timer> timer;
-        std::weak_ptr<Http2Connection> connection;
-        std::int32_t stream = 0; ///< 0 while the connection is being made
+        std::int32_t stream = 0; ///< 0 before it is submitted
     };
     using OpenCallPtr = std::shared_ptr<OpenCall>;
 
-    struct Peer {
+    /// A connection, or the attempt to make one.
+    struct Link {
+        std::shared_ptr<TcpSocket> socket; ///< while it is being connected
         std::shared_ptr<Http2Connection> connection;
-        bool isConnecting = false;
-        std::vector<CallId> waiting;
     };
 
+    struct Peer {
+        Peer(const Address &at, asio::io_context &context)
+            : address(at)
+            , timer(context)
+        {
+        }
+
+        Address address;
+        PeerChannel channel;
+        std::map<ConnectionId, Link> links;
+        asio::steady_timer timer; ///< for the limits of calls
+        std::optional<TimePoint> timerAt;
+        std::string connectError; ///< of the last attempt
+    };
+
+    static TimePoint now()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    Peer &peerAt(const Address &address)
+    {
+        std::unique_ptr<Peer> &peer = m_peers[address];
+        if (!peer) {
+            peer = std::make_unique<Peer>(address, m_context);
+        }
+        return *peer;
+    }
+
     void accept(const std::shared_ptr<tcp::acceptor> &acceptor, CallHandler handler)
     {
         acceptor->async_accept([this, acceptor, handler = std::move(handler)](const boost::system::error_code &ec,
@@ -161,7 +221,7 @@
                                                    : remote.address().to_string() + ":" + std::to_string(remote.port());
                 const auto connection = std::make_shared<Http2Connection>(
                     std::move(socket), Http2Connection::Side::Server, peer, handler, m_counters);
-                std::erase_if(m_served, [](const auto &weak) { return weak.expired(); });
+                closeUnused();
                 m_served.push_back(connection);
                 connection->start();
             }
@@ -169,65 +229,61 @@
         });
     }
 
-    void start(CallId id, const Address &to, const OpenCallPtr &open)
+    void closeUnused()
     {
-        open->to = to;
-        open->startedAt = std::chrono::steady_clock::now();
-        open->timer = std::make_unique<asio::steady_timer>(m_context);
-        m_calls[id] = open;
-        limitUntil(id, *open, open->startedAt + open->timeout);
-        Peer &peer = m_peers[to];
-        if (peer.connection && peer.connection->isOpen()) {
-            submit(id, *open, peer.connection);
-            return;
-        }
-        peer.waiting.push_back(id);
-        if (!peer.isConnecting) {
-            connect(to);
-        }
+        std::erase_if(m_served, [](const auto &weak) {
+            const auto connection = weak.lock();
+            if (connection && connection->isUnusedSince(now() - ServedIdleLimit)) {
+                connection->close("not used any more");
+            }
+            return !connection || !connection->isOpen();
+        });
     }
 
-    void limitUntil(CallId id, OpenCall &open, std::chrono::steady_clock::time_point end)
+    void start(CallId id, const OpenCallPtr &open, Duration timeout, CallLimit limit)
     {
-        open.timer->expires_at(end);
-        open.timer->async_wait([this, id](const boost::system::error_code &ec) {
-            if (!ec) {
-                onLimit(id);
-            }
-        });
+        m_calls[id] = open;
+        Peer &peer = peerAt(open->to);
+        PeerChannel::Effects effects;
+        peer.channel.start(id, timeout, limit, now(), effects);
+        carryOut(peer, effects);
     }
 
-    // Whoever gives up a reply that is on its way, and asks for it anew, fills a slow link with replies that nobody
-    // reads.
-    void onLimit(CallId id)
+    void carryOut(Peer &peer, const PeerChannel::Effects &effects)
     {
-        const auto it = m_calls.find(id);
-        if (it == m_calls.end()) {
+        if (m_isStopped) {
             return;
         }
-        OpenCall &open = *it->second;
-        const std::shared_ptr<Http2Connection> connection = open.connection.lock();
-        const auto now = std::chrono::steady_clock::now();
-        const bool isBounded = open.limit == CallLimit::Silence && now < open.startedAt + open.timeout * MostLimits;
-        if (isBounded && connection && connection->lastReceived() + open.timeout > now
-            && connection->lastReceived() > open.startedAt) {
-            limitUntil(id, open, connection->lastReceived() + open.timeout);
-            return;
+        for (const PeerChannel::Effect &effect : effects) {
+            std::visit([&](const auto &it) { carryOut(peer, it); }, effect);
         }
-        giveUp(id, "timed out");
+        setTimer(peer);
     }
 
-    void submit(CallId id, OpenCall &open, const std::shared_ptr<Http2Connection> &connection)
+    // A timer that fires before the next limit does no harm; most calls end long before theirs.
+    void setTimer(Peer &peer)
     {
-        open.connection = connection;
-        open.stream = connection->submitCall(open.path, std::move(open.body),
-                                             [this, id](PeerReply reply) { finish(id, std::move(reply)); });
+        const std::optional<TimePoint> next = peer.channel.nextLimit();
+        if (!next || (peer.timerAt && *peer.timerAt <= *next)) {
+            return;
+        }
+        peer.timerAt = next;
+        peer.timer.expires_at(*next);
+        peer.timer.async_wait([this, &peer](const boost::system::error_code &ec) {
+            if (ec) {
+                return;
+            }
+            peer.timerAt.reset();
+            PeerChannel::Effects effects;
+            peer.channel.expire(now(), effects);
+            carryOut(peer, effects);
+        });
     }
 
-    void connect(const Address &to)
+    void carryOut(Peer &peer, const PeerChannel::Connect &effect)
     {
-        m_peers[to].isConnecting = true;
-        auto socket = std::make_shared<TcpSocket>(m_context);
+        const auto socket = std::make_shared<TcpSocket>(m_context);
+        peer.links[effect.connection].socket = socket;
         auto timer = std::make_shared<asio::steady_timer>(m_context, ConnectTimeout);
         timer->async_wait([socket](const boost::system::error_code &ec) {
             if (!ec) {
@@ -235,47 +291,109 @@
                 socket->close(ignored);
             }
         });
-        socket->async_connect(endpointOf(to), [this, to, socket, timer](const boost::system::error_code &ec) {
-            timer->cancel();
-            Peer &peer = m_peers[to];
-            peer.isConnecting = false;
-            const std::vector<CallId> waiting = std::exchange(peer.waiting, {});
-            if (ec || !socket->is_open()) {
-                for (const CallId id : waiting) {
-                    finish(id, {false, false, 0, {}, ec ? ec.message() : "connect timed out"});
+        socket->async_connect(
+            endpointOf(peer.address),
+            [this, &peer, id = effect.connection, socket, timer](const boost::system::error_code &ec) {
+                timer->cancel();
+                if (!peer.links.contains(id)) {
+                    return; // given up meanwhile
                 }
-                return;
-            }
-            peer.connection = std::make_shared<Http2Connection>(std::move(*socket), Http2Connection::Side::Client,
-                                                                to.text(), nullptr, m_counters);
-            const std::shared_ptr<Http2Connection> connection = peer.connection;
-            connection->start();
-            for (const CallId id : waiting) {
-                const auto it = m_calls.find(id);
-                if (it != m_calls.end()) {
-                    submit(id, *it->second, connection);
+                if (ec || !socket->is_open()) {
+                    peer.connectError = ec ? ec.message() : "connect timed out";
+                    onLost(peer, id);
+                    return;
                 }
+                onConnected(peer, id, std::move(*socket));
+            });
+    }
+
+    void onConnected(Peer &peer, ConnectionId id, TcpSocket socket)
+    {
+        const auto connection = std::make_shared<Http2Connection>(std::move(socket), Http2Connection::Side::Client,
+                                                                  peer.address.text(), nullptr, m_counters);
+        peer.links[id] = {nullptr, connection};
+        ++m_counters.connectionsMade;
+        connection->onHeard([this, &peer, id](Heard heard) {
+            PeerChannel::Effects effects;
+            peer.channel.addHeard(id, heard, now(), effects);
+            if (!effects.empty()) {
+                carryOut(peer, effects);
             }
         });
+        connection->onClosed([this, &peer, id] { onLost(peer, id); });
+        connection->start();
+        PeerChannel::Effects effects;
+        peer.channel.setConnected(id, now(), effects);
+        carryOut(peer, effects);
     }
 
-    void giveUp(CallId id, const std::string &reason)
+    void onLost(Peer &peer, ConnectionId id)
     {
-        const auto it = m_calls.find(id);
-        if (it == m_calls.end()) {
+        peer.links.erase(id);
+        PeerChannel::Effects effects;
+        peer.channel.setLost(id, now(), effects);
+        carryOut(peer, effects);
+    }
+
+    void carryOut(Peer &peer, const PeerChannel::Submit &effect)
+    {
+        const auto call = m_calls.find(effect.call);
+        const auto link = peer.links.find(effect.connection);
+        if (call == m_calls.end() || link == peer.links.end()) {
             return;
         }
-        const OpenCallPtr open = it->second;
-        const std::shared_ptr<Http2Connection> connection = open->connection.lock();
-        if (!connection || open->stream <= 0) {
-            finish(id, {false, false, 0, {}, reason});
+        const OpenCallPtr open = call->second;
+        open->stream = link->second.connection->submitCall(
+            open->path, std::move(open->body),
+            [this, id = effect.call](PeerReply reply) { finish(id, std::move(reply)); });
+    }
+
+    void carryOut(Peer &peer, const PeerChannel::Ping &effect)
+    {
+        if (const auto it = peer.links.find(effect.connection); it != peer.links.end()) {
+            it->second.connection->ping();
+        }
+    }
+
+    void carryOut(Peer &peer, const PeerChannel::EndCall &effect)
+    {
+        const auto call = m_calls.find(effect.call);
+        if (call == m_calls.end()) {
+            return;
+        }
+        const bool isLost = effect.failure == CallFailure::ConnectionLost && !peer.connectError.empty();
+        const std::string reason = isLost ? peer.connectError : reasonOf(effect.failure);
+        const auto link = effect.connection ? peer.links.find(*effect.connection) : peer.links.end();
+        if (link == peer.links.end()) {
+            finish(effect.call, {false, false, 0, {}, reason, effect.failure});
+            return;
+        }
+        const std::shared_ptr<Http2Connection> connection = link->second.connection;
+        connection->resetStream(call->second->stream, reason, effect.failure);
+    }
+
+    void carryOut(Peer &peer, const PeerChannel::Close &effect)
+    {
+        const auto it = peer.links.find(effect.connection);
+        if (it == peer.links.end()) {
+            return;
+        }
+        const Link link = std::move(it->second);
+        peer.links.erase(it);
+        if (link.socket) {
+            boost::system::error_code ec;
+            link.socket->close(ec);
             return;
         }
-        const bool isSilent = connection->lastReceived() < open->startedAt;
-        connection->resetStream(open->stream, reason);
-        if (isSilent && reason == "timed out") {
-            connection->close("silent for a whole call");
+        const bool isSilent = effect.cause == CloseCause::Silent;
+        if (effect.cause != CloseCause::Idle) {
+            ++m_counters.connectionsSilent;
+            if (m_onSilence) {
+                m_onSilence({peer.address, effect.silence, effect.calls, isSilent});
+            }
         }
+        link.connection->close(reasonOf(effect.cause),
+                               isSilent ? CallFailure::ConnectionSilent : CallFailure::TimedOut);
     }
 
     void finish(CallId id, PeerReply reply)
@@ -286,10 +404,15 @@
         }
         const OpenCallPtr open = it->second;
         m_calls.erase(it);
-        open->timer->cancel();
+        Peer &peer = peerAt(open->to);
+        PeerChannel::Effects effects;
+        peer.channel.finish(id, reply.delivered, now(), effects);
         if (open->handler) {
             open->handler(std::move(reply));
         }
+        if (!effects.empty()) {
+            carryOut(peer, effects);
+        }
     }
 
     asio::io_context m_context;
@@ -298,8 +421,10 @@
     std::atomic<std::uint64_t> m_lastCall{0};
     std::vector<std::shared_ptr<tcp::acceptor>> m_acceptors;
     std::vector<std::weak_ptr<Http2Connection>> m_served;
-    std::map<Address, Peer> m_peers;
+    std::map<Address, std::unique_ptr<Peer>> m_peers;
     std::map<CallId, OpenCallPtr> m_calls;
+    std::function<void(const SilentConnection &)> m_onSilence;
+    bool m_isStopped = false;
     std::thread m_thread;
 };
 
@@ -310,6 +435,11 @@
 
 PeerNet::~PeerNet() = default;
 
+void PeerNet::onSilence(std::function<void(const SilentConnection &)> handler)
+{
+    m_impl->onSilence(std::move(handler));
+}
+
 Address PeerNet::listen(const Address &address, CallHandler handler)
 {
     return m_impl->listen(address, std::move(handler));
--- /dev/null
+++ b/unittests/Wire/PeerChannelTest.cpp
@@ -0,0 +1,214 @@
+//===- PeerChannelTest.cpp - Which connection a call takes ----------------===//
+#include "Wire/PeerChannel.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pepperlug;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr ConnectionId First{1};
+constexpr ConnectionId Second{2};
+constexpr CallId A{1};
+constexpr CallId B{2};
+constexpr CallId C{3};
+
+using ChannelEffects = PeerChannel::Effects;
+
+/// A channel with a clock; each event returns its effects.
+struct Channel {
+    ChannelEffects start(CallId call, Duration timeout = 1200ms, CallLimit limit = CallLimit::Silence)
+    {
+        return run([&](ChannelEffects &effects) { channel.start(call, timeout, limit, now, effects); });
+    }
+
+    ChannelEffects connected(ConnectionId id)
+    {
+        return run([&](ChannelEffects &effects) { channel.setConnected(id, now, effects); });
+    }
+
+    ChannelEffects lost(ConnectionId id)
+    {
+        return run([&](ChannelEffects &effects) { channel.setLost(id, now, effects); });
+    }
+
+    ChannelEffects heard(ConnectionId id, Heard heard)
+    {
+        return run([&](ChannelEffects &effects) { channel.addHeard(id, heard, now, effects); });
+    }
+
+    ChannelEffects finish(CallId call, bool isReplied = true)
+    {
+        return run([&](ChannelEffects &effects) { channel.finish(call, isReplied, now, effects); });
+    }
+
+    ChannelEffects cancel(CallId call)
+    {
+        return run([&](ChannelEffects &effects) { channel.cancel(call, now, effects); });
+    }
+
+    ChannelEffects expire()
+    {
+        return run([&](ChannelEffects &effects) { channel.expire(now, effects); });
+    }
+
+    template <typename Event>
+    ChannelEffects run(Event event)
+    {
+        ChannelEffects effects;
+        event(effects);
+        return effects;
+    }
+
+    /// Makes the first connection with call A, which stays open, and gets a byte on it.
+    void open()
+    {
+        start(A);
+        connected(First);
+        heard(First, Heard::Other);
+    }
+
+    /// The same, and call B on a second connection since the first one is silent.
+    void doubt()
+    {
+        open();
+        now += PeerChannel::TrustTime + 1ms;
+        start(B);
+    }
+
+    PeerChannel channel;
+    TimePoint now{1h};
+};
+
+using Connect = PeerChannel::Connect;
+using Submit = PeerChannel::Submit;
+using Ping = PeerChannel::Ping;
+using EndCall = PeerChannel::EndCall;
+using Close = PeerChannel::Close;
+
+} // namespace
+
+TEST_CASE("calls wait for the connection and then share it")
+{
+    Channel it;
+    CHECK(it.start(A) == ChannelEffects{Connect{First}});
+    CHECK(it.start(B).empty());
+    CHECK(it.connected(First) == ChannelEffects{Submit{First, A}, Submit{First, B}});
+    CHECK(it.start(C) == ChannelEffects{Submit{First, C}});
+}
+
+TEST_CASE("calls end with the attempt to connect")
+{
+    Channel it;
+    it.start(A);
+    CHECK(it.lost(First) == ChannelEffects{EndCall{std::nullopt, A, CallFailure::ConnectionLost}});
+    CHECK(it.start(B) == ChannelEffects{Connect{Second}});
+}
+
+// Guards against a call over a kept connection that went silent while it was idle.
+TEST_CASE("a connection that was idle for long is replaced")
+{
+    Channel it;
+    it.open();
+    it.finish(A);
+    it.now += PeerChannel::TrustTime;
+    CHECK(it.start(B) == ChannelEffects{Submit{First, B}});
+    it.finish(B);
+    it.now += 1ms;
+    CHECK(it.start(C)
+          == ChannelEffects{Close{First, CloseCause::Idle, PeerChannel::TrustTime + 1ms, 0}, Connect{Second}});
+}
+
+TEST_CASE("a silent connection is closed once a newer one gets a reply")
+{
+    Channel it;
+    it.open();
+    it.now += PeerChannel::TrustTime + 1ms;
+    CHECK(it.start(B) == ChannelEffects{Ping{First}, Connect{Second}});
+    it.now += 10ms;
+    CHECK(it.connected(Second) == ChannelEffects{Submit{Second, B}});
+    it.now += 10ms;
+    it.heard(Second, Heard::Reply);
+    CHECK(it.finish(B) == ChannelEffects{Close{First, CloseCause::Silent, PeerChannel::TrustTime + 21ms, 1}});
+    CHECK(it.start(C) == ChannelEffects{Submit{Second, C}});
+}
+
+TEST_CASE("a connection that answers the ping keeps its calls until they end")
+{
+    Channel it;
+    it.doubt();
+    it.connected(Second);
+    it.heard(First, Heard::Other);
+    it.heard(Second, Heard::Reply);
+    CHECK(it.finish(B).empty());
+    CHECK(it.finish(A) == ChannelEffects{Close{First, CloseCause::Idle, 0ms, 0}});
+}
+
+// Guards against a peer that accepts no new connections although the open one works.
+TEST_CASE("the older connection is used again if it answers before the newer one is made")
+{
+    Channel it;
+    it.doubt();
+    CHECK(it.heard(First, Heard::Other) == ChannelEffects{Close{Second, CloseCause::Idle, 0ms, 0}, Submit{First, B}});
+    CHECK(it.start(C) == ChannelEffects{Submit{First, C}});
+}
+
+TEST_CASE("the older connection is used again if no newer one can be made")
+{
+    Channel it;
+    it.doubt();
+    CHECK(it.lost(Second) == ChannelEffects{EndCall{std::nullopt, B, CallFailure::ConnectionLost}});
+    it.heard(First, Heard::Other);
+    CHECK(it.start(C) == ChannelEffects{Submit{First, C}});
+}
+
+// Guards against a new connection with each call to a peer that is suspended.
+TEST_CASE("a connection on which nothing ever arrived is not doubted")
+{
+    Channel it;
+    it.doubt();
+    it.connected(Second);
+    it.now += PeerChannel::TrustTime + 1ms;
+    CHECK(it.start(C) == ChannelEffects{Submit{Second, C}});
+}
+
+TEST_CASE("a limit on silence moves with the bytes of replies, not with other signs of life")
+{
+    Channel it;
+    it.open();
+    it.now += 1000ms;
+    it.heard(First, Heard::Reply);
+    it.now += 200ms;
+    CHECK(it.expire().empty());
+    it.now += 900ms;
+    it.heard(First, Heard::Other);
+    it.now += 100ms;
+    CHECK(it.expire() == ChannelEffects{EndCall{First, A, CallFailure::TimedOut}});
+}
+
+// Guards against a connection that is used again although a call's whole limit passed without a byte.
+TEST_CASE("a call that times out on a silent connection closes it")
+{
+    Channel it;
+    it.open();
+    it.now += 700ms;
+    it.heard(First, Heard::Reply);
+    it.now += 1200ms;
+    CHECK(it.expire()
+          == ChannelEffects{EndCall{First, A, CallFailure::TimedOut}, Close{First, CloseCause::TimedOut, 1200ms, 0}});
+}
+
+TEST_CASE("a call is cancelled once, on its connection or before it has one")
+{
+    Channel it;
+    it.start(A);
+    CHECK(it.cancel(A) == ChannelEffects{EndCall{std::nullopt, A, CallFailure::Cancelled}});
+    CHECK(it.cancel(A).empty());
+    CHECK(it.connected(First).empty());
+    it.start(B);
+    CHECK(it.cancel(B) == ChannelEffects{EndCall{First, B, CallFailure::Cancelled}});
+    CHECK_FALSE(it.channel.nextLimit());
+}
