Soak: open connections go silent for good, between hosts and to targets

One way or both, while new ones work, at a quarter of the steps; after the series all open connections between hosts go silent three times beside an acknowledged change. A generator of its own, so that the other faults of a seed stay as they are.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -51,6 +51,9 @@
 /// Sets the generator of what targets ask for apart from that of the others.
 constexpr std::uint64_t AsksSeries = 0x61736b73;
 
+/// Sets the generator of connections that go silent for good apart from the others.
+constexpr std::uint64_t SilenceSeries = 0x73696c65;
+
 /// What a seed plays besides the faults that each plays.
 struct SoakOptions {
     bool endsTargets = false; ///< a request that ends each target which runs it
@@ -86,6 +89,7 @@
         , m_random(seed)
         , m_linkRandom(seed ^ HostLinkSeries)
         , m_asksRandom(seed ^ AsksSeries)
+        , m_silenceRandom(seed ^ SilenceSeries)
         , m_cluster(settings)
         , m_control(m_cluster.controlAddresses())
         , m_operator(m_ledger, m_control)
@@ -111,6 +115,7 @@
         for (const auto end = m_clock.now() + length; m_clock.now() < end;) {
             disturb();
             disturbNews();
+            silenceConnections();
             if (m_options.hasBackpressure) {
                 letOneAsk();
             }
@@ -125,6 +130,7 @@
             checkBackpressure();
         }
         checkDrain();
+        checkSilence();
         checkNews();
         callers.stop();
         keepUp();
@@ -190,6 +196,31 @@
         (this->*it.step)();
     }
 
+    // Open connections to some hosts and targets carry nothing any more, one way or both.
+    void silenceConnections()
+    {
+        constexpr unsigned OneIn = 4;
+        if (m_silenceRandom() % OneIn != 0) {
+            return;
+        }
+        m_steps += "silence ";
+        silenceSome(m_cluster.controlLinks());
+        for (const auto &it : m_targets) {
+            silenceSome({&it->link()});
+        }
+    }
+
+    void silenceSome(const std::vector<FaultProxy *> &links)
+    {
+        constexpr std::array Ways{SilentWays::Both, SilentWays::ToTarget, SilentWays::FromTarget};
+        for (FaultProxy *link : links) {
+            const SilentWays ways = Ways[m_silenceRandom() % Ways.size()];
+            if (m_silenceRandom() % 2 == 0) {
+                link->silenceOpen(ways);
+            }
+        }
+    }
+
     // Some target asks for something, or stops asking. What was said that it leaves is not taken back.
     void letOneAsk()
     {
@@ -586,6 +617,25 @@
         }
     }
 
+    // What is acknowledged while connections between hosts go silent holds as at other times.
+    void checkSilence()
+    {
+        constexpr unsigned Rounds = 3;
+        constexpr unsigned MostMilliseconds = 2500;
+        for (unsigned n = 0; n < Rounds; ++n) {
+            clearManyRoutes();
+            for (FaultProxy *link : m_cluster.controlLinks()) {
+                link->silenceOpen(SilentWays::Both);
+            }
+            pass(Milliseconds(m_silenceRandom() % MostMilliseconds));
+            if (const std::optional<TimePoint> since = acknowledgeRoutes()) {
+                checkAddedRoutes(*since, std::nullopt);
+            }
+        }
+        clearManyRoutes();
+        pass(CalmTime);
+    }
+
     void checkNewsWithPause()
     {
         const unsigned paused = static_cast<unsigned>(m_linkRandom() % m_cluster.entryHosts().size());
@@ -702,7 +752,8 @@
     SoakOptions m_options;
     std::mt19937_64 m_random;
     std::mt19937_64 m_linkRandom; ///< for faults between hosts, and for large routings
-    std::mt19937_64 m_asksRandom; ///< for what targets ask for
+    std::mt19937_64 m_asksRandom;
+    std::mt19937_64 m_silenceRandom; ///< for connections that go silent
     SteadyClock m_clock;
     Ledger m_ledger;
     Cluster m_cluster;
