Soak: the check of rate limits asks targets that an entry host is near

It asked the first three targets, and failed if one of them got nothing. The check is as strict; it takes targets of regions with an entry host first. SilentConnectionTest: one finding of the linter.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -9,9 +9,11 @@
 #include "BackpressureCheck.h"
 #include "Cluster.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <set>
 
 namespace
 {
@@ -252,9 +254,10 @@
             it->ask({});
         }
         pass(CalmTime);
-        Target &limited = *m_targets[0];
-        Target &resting = *m_targets[1];
-        Target &leaving = *m_targets[2];
+        const std::vector<Target *> targets = targetsByNearness();
+        Target &limited = *targets[0];
+        Target &resting = *targets[1];
+        Target &leaving = *targets[2];
         const TimePoint askedAt = m_clock.now();
         limited.ask({Limit, std::nullopt, false});
         resting.ask({std::nullopt, Rest, false});
@@ -271,6 +274,22 @@
         resting.ask({});
     }
 
+    // Targets in regions of entry hosts first: others get requests only where these have no room, maybe none at all.
+    std::vector<Target *> targetsByNearness()
+    {
+        std::set<std::string> regions;
+        for (unsigned n = 0; n < m_cluster.entryHosts().size(); ++n) {
+            regions.insert(Cluster::regionOf(Cluster::zoneOf(n)));
+        }
+        std::vector<Target *> targets;
+        for (const std::unique_ptr<Target> &it : m_targets) {
+            targets.push_back(it.get());
+        }
+        std::stable_partition(targets.begin(), targets.end(),
+                              [&](const Target *it) { return regions.contains(Cluster::regionOf(it->zone())); });
+        return targets;
+    }
+
     void failUnlessEmpty(const std::string &rule, const std::string &broken)
     {
         if (!broken.empty()) {
--- a/unittests/Fleet/SilentConnectionTest.cpp
+++ b/unittests/Fleet/SilentConnectionTest.cpp
@@ -169,9 +169,8 @@
     CAPTURE(isFirstGone);
     std::array<StubHost, 4> controls;
     std::vector<Address> addresses;
-    for (const StubHost &it : controls) {
-        addresses.push_back(it.proxy->address());
-    }
+    std::transform(controls.begin(), controls.end(), std::back_inserter(addresses),
+                   [](const StubHost &it) { return it.proxy->address(); });
     WatchingHost host(addresses, 0ms);
     for (const Address &it : addresses) {
         host.call(it);
