--- a/lib/Fleet/ControlWatch.h
+++ b/lib/Fleet/ControlWatch.h
@@ -25,7 +25,8 @@
 
 /// Makes calls to other hosts.
 template <typename Net>
-concept PeerCaller = requires(Net net, const Address &to, std::string text, Duration time, ReplyHandler handler) {
+concept PeerCaller = requires(Net net, const Address &to, std::string text, Duration time, ReplyHandler handler)
+{
     net.call(to, text, text, time, handler, CallLimit::Silence);
 };
 
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -61,6 +61,8 @@
     std::atomic<LinkFault> m_fault{LinkFault::None};
     std::atomic<std::uint64_t> m_bytesPerSecond{1}; ///< while narrow
     boost::asio::io_context m_context;
+    /// The thread also serves calls of this class while no connection is open.
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work{m_context.get_executor()};
     boost::asio::ip::tcp::acceptor m_acceptor;
     Address m_address;
     std::vector<std::weak_ptr<Session>> m_sessions; ///< used on the proxy's thread only
