Peer network: a slow reply is not given up while the peer answers other calls

Cause: the limit of a poll moved with replies on its own connection alone. Since calls beside it may take a newer connection, a control host that answered heartbeats and held the poll lost its follower after 1.2 s, and the gap between two heartbeats became longer than before. PendingRoutingTest, "a host whose polls are slow stays suspended ...", failed once beside load for it (heard 1,010 ms ago, with a lease of 500 ms); the cause was found by reading.

The limit now moves with the peer's last reply on any connection and the last byte on the call's own one.

--- a/lib/Wire/PeerChannel.cpp
+++ b/lib/Wire/PeerChannel.cpp
@@ -185,7 +185,7 @@
     it->second.heardAt = now;
     it->second.pingedAt.reset();
     if (heard == Heard::Reply) {
-        it->second.repliedAt = now;
+        m_repliedAt = now;
     }
     if (m_doubted == connection && !m_connections[*m_current].isConnected) {
         returnToDoubted(now, effects);
@@ -218,9 +218,8 @@
     while (!m_limits.empty() && m_limits.begin()->first <= now) {
         const CallId id = m_limits.begin()->second;
         Call &call = m_calls.at(id);
-        const Connection &connection = m_connections.at(call.connection);
-        if (hasProgress(call, connection, now)) {
-            setLimit(id, call, connection.repliedAt + call.timeout);
+        if (const std::optional<TimePoint> limit = extendedLimit(call, now)) {
+            setLimit(id, call, *limit);
         } else {
             timeOut(id, now, effects);
         }
@@ -228,10 +227,13 @@
 }
 
 // Whoever gives up a reply that is on its way, and asks for it anew, fills a slow link with replies that nobody reads.
-bool PeerChannel::hasProgress(const Call &call, const Connection &connection, TimePoint now) const
+// Other calls may be answered over a newer connection, so both count: the peer's last reply, and the last byte here.
+std::optional<TimePoint> PeerChannel::extendedLimit(const Call &call, TimePoint now) const
 {
-    return call.limit == CallLimit::Silence && now < call.startedAt + call.timeout * MostLimits
-        && connection.repliedAt > call.startedAt && connection.repliedAt + call.timeout > now;
+    const TimePoint progressAt = std::min(m_repliedAt, m_connections.at(call.connection).heardAt);
+    const bool mayExtend = call.limit == CallLimit::Silence && now < call.startedAt + call.timeout * MostLimits;
+    const bool isAlive = progressAt > call.startedAt && progressAt + call.timeout > now;
+    return mayExtend && isAlive ? std::optional(progressAt + call.timeout) : std::nullopt;
 }
 
 // A connection on which nothing has arrived for as long as the call was allowed to take may be silent.
--- a/lib/Wire/PeerChannel.h
+++ b/lib/Wire/PeerChannel.h
@@ -89,7 +89,6 @@
         bool isConnected = false;
         bool hasHeard = false; ///< a byte has arrived
         TimePoint heardAt{}; ///< or when it was made
-        TimePoint repliedAt{}; ///< when bytes of a reply arrived
         std::optional<TimePoint> pingedAt; ///< without a byte since then
         std::set<CallId> calls; ///< submitted, or waiting for the connection
     };
@@ -110,7 +109,8 @@
     void closeIfUnused(ConnectionId id, TimePoint now, Effects &effects);
     void setLimit(CallId id, Call &call, TimePoint limitAt);
     void remove(CallId id);
-    bool hasProgress(const Call &call, const Connection &connection, TimePoint now) const;
+    /// Returns the next limit of a call that need not end yet; nothing if it has to.
+    std::optional<TimePoint> extendedLimit(const Call &call, TimePoint now) const;
     void timeOut(CallId id, TimePoint now, Effects &effects);
 
     std::map<ConnectionId, Connection> m_connections;
@@ -118,6 +118,7 @@
     std::optional<ConnectionId> m_doubted; ///< in use before m_current, and silent then
     std::map<CallId, Call> m_calls;
     std::set<std::pair<TimePoint, CallId>> m_limits;
+    TimePoint m_repliedAt{}; ///< when bytes of a reply arrived, on any connection
     std::uint64_t m_lastConnection = 0;
 };
 
--- a/unittests/Wire/PeerChannelTest.cpp
+++ b/unittests/Wire/PeerChannelTest.cpp
@@ -189,6 +189,23 @@
     CHECK(it.expire() == ChannelEffects{EndCall{First, A, CallFailure::TimedOut}});
 }
 
+// Guards against a slow reply that is given up while the peer answers other calls over a newer connection.
+TEST_CASE("a limit on silence moves with replies on a newer connection if the older one works")
+{
+    Channel it;
+    it.doubt();
+    it.connected(Second);
+    it.now += 1ms;
+    it.heard(First, Heard::Other);
+    it.heard(Second, Heard::Reply);
+    it.finish(B);
+    it.now += 700ms;
+    CHECK(it.expire().empty());
+    it.now += 500ms;
+    CHECK(it.expire()
+          == ChannelEffects{EndCall{First, A, CallFailure::TimedOut}, Close{First, CloseCause::TimedOut, 1200ms, 0}});
+}
+
 // Guards against a connection that is used again although a call's whole limit passed without a byte.
 TEST_CASE("a call that times out on a silent connection closes it")
 {
