--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -568,6 +568,8 @@
     CHECK_FALSE(echo.hasSeen("/behind"));
     // A caller that does not close is closed.
     socket.send(get("/behind"));
+    // Until the server's system knows that the answer has arrived, a sweep leaves the connection open.
+    REQUIRE(eventually([&] { return socket.isDelivered(); }));
     echo.clock.advance(std::chrono::seconds(3));
     echo.server.sweep();
     CHECK(eventually([&] { return socket.isReset(); }));
--- a/unittests/Http/RawSocket.h
+++ b/unittests/Http/RawSocket.h
@@ -5,6 +5,8 @@
 
 #include <boost/asio.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <thread>
 
 namespace pepperlug
@@ -50,6 +52,13 @@
         m_socket.close();
     }
 
+    /// Whether the other system has received all that was sent, and with it the acknowledgement of what was read.
+    bool isDelivered()
+    {
+        int unacknowledged = 0;
+        return ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+    }
+
     /// Whether sending fails, since the other side has closed the connection altogether.
     bool isReset()
     {
