Both kinds of hosts publish the same traffic of the peer network

Hosts under a bundle published two of the gauges and wrote no line when a connection was closed as silent, so that operators of bundles could not tell a lost connection from a lost host. The gauges and the text of the line are shared now (Wire/PeerReports.h); hosts of the platform keep their event (Fleet/PeerEvents.h).

--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -1,4 +1,5 @@
 //===- ControlDaemon.cpp - Life of a control host -------------------------===//
+#include "../Wire/PeerReports.h"
 #include "ControlImpl.h"
 #include "HttpStatus.h"
 
@@ -74,6 +75,9 @@
              + std::to_string(m_applied));
 
     const ControlPeer *self = findMember(m_settings.name);
+    m_net.onSilence([this](const SilentConnection &silent) {
+        tell("connection silent", silent.peer.text(), describeSilence(silent));
+    });
     m_net.listen(self->peer, [this](const IncomingCallPtr &call) { onPeerCall(call); });
     HttpLimits limits;
     limits.bodyBytes = MaxPeerMessageBytes / 2;
@@ -298,9 +302,7 @@
 
 void ControlDaemon::Impl::publishGauges()
 {
-    const PeerTraffic traffic = m_net.traffic();
-    m_metrics.gauge("pepperlug_peer_bytes_sent", static_cast<double>(traffic.bytesSent));
-    m_metrics.gauge("pepperlug_peer_bytes_received", static_cast<double>(traffic.bytesReceived));
+    publishTraffic(m_metrics, m_net.traffic());
     m_metrics.gauge("pepperlug_term", static_cast<double>(m_consensus->term()));
     m_metrics.gauge("pepperlug_commit_index", static_cast<double>(m_consensus->commitIndex()));
     m_metrics.gauge("pepperlug_leads", m_consensus->role() == ControlRole::Leader ? 1 : 0);
--- a/lib/Daemon/EntryDaemon.cpp
+++ b/lib/Daemon/EntryDaemon.cpp
@@ -1,4 +1,5 @@
 //===- EntryDaemon.cpp - Life of an entry host ----------------------------===//
+#include "../Wire/PeerReports.h"
 #include "EntryImpl.h"
 
 namespace pepperlug
@@ -55,6 +56,13 @@
     for (const Address &address : m_settings.zonePeers) {
         m_watched.push_back({address, false, false, {}, false});
     }
+    m_net.onSilence([this](const SilentConnection &silent) {
+        const nlohmann::json line{{"at_ms", m_clock.wallTime().count()},
+                                  {"what", "connection silent"},
+                                  {"subject", silent.peer.text()},
+                                  {"detail", describeSilence(silent)}};
+        m_states.write(line.dump());
+    });
     m_peerAddress = m_net.listen(m_settings.peer, [this](const IncomingCallPtr &call) { onPeerCall(call); });
     HttpLimits limits;
     limits.bodyBytes = m_settings.maxBodyBytes;
@@ -115,9 +123,7 @@
 
 void EntryDaemon::Impl::publishGauges()
 {
-    const PeerTraffic traffic = m_net.traffic();
-    m_metrics.gauge("pepperlug_peer_bytes_sent", static_cast<double>(traffic.bytesSent));
-    m_metrics.gauge("pepperlug_peer_bytes_received", static_cast<double>(traffic.bytesReceived));
+    publishTraffic(m_metrics, m_net.traffic());
     m_metrics.gauge("pepperlug_decision_lines_dropped", static_cast<double>(m_decisions.dropped()));
     m_metrics.gauge("pepperlug_state_lines_dropped", static_cast<double>(m_states.dropped()));
     const std::lock_guard lock(m_mutex);
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -1,8 +1,9 @@
 //===- GatewayDaemon.cpp - Lifecycle of an entry host ---------------------===//
 #include "../Daemon/HttpStatus.h"
+#include "../Wire/PeerReports.h"
 #include "GatewayImpl.h"
 #include "MetricsServer.h"
-#include "PeerMetrics.h"
+#include "PeerEvents.h"
 #include "PeerReplies.h"
 
 #include <algorithm>
--- a/lib/Fleet/PeerMetrics.h
+++ b/lib/Fleet/PeerEvents.h
@@ -1,4 +1,4 @@
-//===- PeerMetrics.h - Connections between hosts, for operators -*- C++ -*-===//
+//===- PeerEvents.h - Log lines of the peer network -------------*- C++ -*-===//
 #pragma once
 
 #include "EventLog.h"
@@ -17,12 +17,4 @@
                   {"peer_alive", silent.isPeerAlive}});
 }
 
-inline void publishTraffic(Metrics &metrics, const PeerTraffic &traffic)
-{
-    metrics.gauge("pepperlug_peer_calls_made", static_cast<double>(traffic.callsMade));
-    metrics.gauge("pepperlug_peer_bytes_sent", static_cast<double>(traffic.bytesSent));
-    metrics.gauge("pepperlug_peer_connections_made", static_cast<double>(traffic.connectionsMade));
-    metrics.gauge("pepperlug_peer_connections_silent", static_cast<double>(traffic.connectionsSilent));
-}
-
 } // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -4,8 +4,9 @@
 // hosts are passed from each control host to all others without consensus, since they are renewed all the time.
 //
 //===----------------------------------------------------------------------===//
+#include "../Wire/PeerReports.h"
 #include "MetricsServer.h"
-#include "PeerMetrics.h"
+#include "PeerEvents.h"
 #include "RegistryImpl.h"
 
 #include <algorithm>
