Peer network: unused connections are kept for 1.2 s in place of 0.5 s

Callers saw nothing. Hosts under a bundle call each other once a second (watches of the zone) or once in up to 0.8 s (leases), and since unused connections were replaced after 0.5 s, each such call made a connection.

A connection without calls is relied upon for 1.2 s now.

The new case of PeerChannelTest fails with 0.5 s (59 of 59 calls).

--- a/lib/Wire/PeerChannel.cpp
+++ b/lib/Wire/PeerChannel.cpp
@@ -16,8 +16,7 @@
 {
 
 /// A call whose limit is on silence ends after so many limits in any case: other calls of the same connection may keep
-/// it from being silent while the peer has forgotten this one. With limits of 1 s the longest routing that was met, 67
-/// KB, passes at 8 KB a second.
+/// it from being silent while the peer has forgotten this one.
 constexpr int MostLimits = 8;
 
 } // namespace
@@ -42,10 +41,11 @@
     }
     const ConnectionId id = *m_current;
     Connection &connection = m_connections[id];
-    if (!connection.isConnected || now - connection.heardAt <= TrustTime) {
+    const bool isUsed = !connection.calls.empty();
+    if (!connection.isConnected || now - connection.heardAt <= (isUsed ? TrustTime : UnusedTrustTime)) {
         return id;
     }
-    if (connection.calls.empty()) {
+    if (!isUsed) {
         close(id, CloseCause::Idle, now, effects);
         return choose(now, effects);
     }
--- a/lib/Wire/PeerChannel.h
+++ b/lib/Wire/PeerChannel.h
@@ -36,6 +36,8 @@
 public:
     /// Time without a byte after which a connection is not relied upon: a new call goes over a new one.
     static constexpr Milliseconds TrustTime{500};
+    /// The same for a connection without calls. Peers that call each other once a second keep theirs.
+    static constexpr Milliseconds UnusedTrustTime{1200};
 
     struct Connect {
         ConnectionId connection{};
