Peer network: an older connection that works outlives a silent newer one

Callers saw nothing that is known. Beside a connection that was silent a newer one is made; where the older one answers its ping and the newer one goes silent, the next call closed the older one with the calls on it, and made a third. Found by reading.

The older one takes new calls again then, and the newer one has to answer a ping. The new case of PeerChannelTest fails without it; 15,000 cases of SilencePropertyTest hold.

--- a/lib/Wire/PeerChannel.cpp
+++ b/lib/Wire/PeerChannel.cpp
@@ -40,7 +40,7 @@
         return open(now, effects);
     }
     const ConnectionId id = *m_current;
-    Connection &connection = m_connections[id];
+    const Connection &connection = m_connections[id];
     const bool isUsed = !connection.calls.empty();
     if (!connection.isConnected || now - connection.heardAt <= (isUsed ? TrustTime : UnusedTrustTime)) {
         return id;
@@ -50,17 +50,21 @@
         return choose(now, effects);
     }
     // Where a new connection brought nothing either, it is the peer that does not answer.
-    if (!connection.hasHeard) {
-        return id;
-    }
-    if (m_doubted) {
+    return connection.hasHeard ? replaceDoubtful(id, now, effects) : id;
+}
+
+ConnectionId PeerChannel::replaceDoubtful(ConnectionId id, TimePoint now, Effects &effects)
+{
+    const bool hasWorkingOne = m_doubted && !m_connections[*m_doubted].pingedAt;
+    if (m_doubted && !hasWorkingOne) {
         close(*m_doubted, CloseCause::TimedOut, now, effects);
     }
-    connection.pingedAt = now;
+    m_connections[id].pingedAt = now;
     effects.emplace_back(Ping{id});
-    const ConnectionId newer = open(now, effects);
+    const ConnectionId other = hasWorkingOne ? *m_doubted : open(now, effects);
+    m_current = other;
     m_doubted = id;
-    return newer;
+    return other;
 }
 
 ConnectionId PeerChannel::open(TimePoint now, Effects &effects)
