--- a/unittests/Fleet/SilencePropertyTest.cpp
+++ b/unittests/Fleet/SilencePropertyTest.cpp
@@ -237,15 +237,20 @@
     void carryOut(const Address &to, const PeerChannel::Close &effect)
     {
         m_hosts[to].links.erase(effect.connection);
-        std::vector<CallId> ended;
+        for (const CallId id : callsOn(to, effect.connection)) {
+            fail(id, effect.cause == CloseCause::Silent ? CallFailure::ConnectionSilent : CallFailure::TimedOut);
+        }
+    }
+
+    std::vector<CallId> callsOn(const Address &to, ConnectionId connection) const
+    {
+        std::vector<CallId> found;
         for (const auto &[id, call] : m_calls) {
-            if (call.to == to && call.connection == effect.connection) {
-                ended.push_back(id);
+            if (call.to == to && call.connection == connection) {
+                found.push_back(id);
             }
         }
-        for (const CallId id : ended) {
-            fail(id, effect.cause == CloseCause::Silent ? CallFailure::ConnectionSilent : CallFailure::TimedOut);
-        }
+        return found;
     }
 
     /// Runs an event at the control host, if what was sent to it arrives.
@@ -290,13 +295,7 @@
         if (host.links.erase(id) == 0) {
             return;
         }
-        std::vector<CallId> ended;
-        for (const auto &[call, open] : m_calls) {
-            if (open.to == address && open.connection == id) {
-                ended.push_back(call);
-            }
-        }
-        for (const CallId call : ended) {
+        for (const CallId call : callsOn(address, id)) {
             finish(call, {false, true, 0, {}, "lost", CallFailure::ConnectionLost});
         }
         PeerChannel::Effects effects;
