Soak: silences of each round are one way or both, and say so when they fail

checkSilence silenced connections both ways only, and a change that was not acknowledged there was reported as on narrow links.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -219,15 +219,20 @@
 
     void silenceSome(const std::vector<FaultProxy *> &links)
     {
-        constexpr std::array Ways{SilentWays::Both, SilentWays::ToTarget, SilentWays::FromTarget};
         for (FaultProxy *link : links) {
-            const SilentWays ways = Ways[m_silenceRandom() % Ways.size()];
+            const SilentWays ways = drawWays();
             if (m_silenceRandom() % 2 == 0) {
                 link->silenceOpen(ways);
             }
         }
     }
 
+    SilentWays drawWays()
+    {
+        constexpr std::array Ways{SilentWays::Both, SilentWays::ToTarget, SilentWays::FromTarget};
+        return Ways[m_silenceRandom() % Ways.size()];
+    }
+
     // Some target asks for something, or stops asking. What was said that it leaves is not taken back.
     void letOneAsk()
     {
@@ -649,10 +654,10 @@
         for (unsigned n = 0; n < Rounds; ++n) {
             clearManyRoutes();
             for (FaultProxy *link : m_cluster.controlLinks()) {
-                link->silenceOpen(SilentWays::Both);
+                link->silenceOpen(drawWays());
             }
             pass(Milliseconds(m_silenceRandom() % MostMilliseconds));
-            if (const std::optional<TimePoint> since = acknowledgeRoutes()) {
+            if (const std::optional<TimePoint> since = acknowledgeRoutes("connections are silent")) {
                 checkAddedRoutes(*since, std::nullopt);
             }
         }
@@ -665,7 +670,7 @@
         const unsigned paused = static_cast<unsigned>(m_linkRandom() % m_cluster.entryHosts().size());
         Process &host = *m_cluster.entryHosts()[paused];
         host.signal(SIGSTOP);
-        if (const std::optional<TimePoint> since = acknowledgeRoutes()) {
+        if (const std::optional<TimePoint> since = acknowledgeRoutes("links are narrow")) {
             checkAddedRoutes(*since, paused);
         }
         host.signal(SIGCONT);
@@ -675,7 +680,7 @@
     void checkNewsWithDeparture()
     {
         constexpr auto WatchTime = 1s;
-        const std::optional<TimePoint> routesSince = acknowledgeRoutes();
+        const std::optional<TimePoint> routesSince = acknowledgeRoutes("links are narrow");
         Target &leaving = *m_targets.back();
         if (!leaving.drain(RecoveryTime)) {
             m_ledger.fail("drain", "not acknowledged although links are only narrow");
@@ -694,13 +699,14 @@
         }
     }
 
-    std::optional<TimePoint> acknowledgeRoutes()
+    /// Returns when a routing with more routes was acknowledged. `state`: of the links, for the failure's text.
+    std::optional<TimePoint> acknowledgeRoutes(const std::string &state)
     {
         addManyRoutes();
         if (m_operator.putNext(RecoveryTime)) {
             return m_clock.now();
         }
-        m_ledger.fail("routes", "not acknowledged although links are only narrow");
+        m_ledger.fail("routes", "not acknowledged although only " + state);
         return std::nullopt;
     }
 
