Peer network: unused connections are replaced after 0.5 s again

Their code failed a test that guards a promise: "a host whose polls are slow stays suspended while its control host answers heartbeats" (PendingRoutingTest), seen in scripts/test beside a build.

Cause, from that run's lines: the first heartbeat beside the held poll took a new connection, since the poll's had no byte for 0.6 s; it answered its ping. The next heartbeat was sent over the newer connection, which is kept for 1.2 s now, so nothing asked the older one again. One second later it was closed as silent with the poll and a fetch on it, although the control host had answered a heartbeat 0.4 s before. The host counted as cut off, and decided by old routing that others relied on it not to use. With 0.5 s the unused newer connection is closed and the older one asked again.

The property did not show it: its control hosts reply to each poll in time.

--- a/lib/Wire/PeerChannel.cpp
+++ b/lib/Wire/PeerChannel.cpp
@@ -40,31 +40,26 @@
         return open(now, effects);
     }
     const ConnectionId id = *m_current;
-    const Connection &connection = m_connections[id];
-    const bool isUsed = !connection.calls.empty();
-    if (!connection.isConnected || now - connection.heardAt <= (isUsed ? TrustTime : UnusedTrustTime)) {
+    Connection &connection = m_connections[id];
+    if (!connection.isConnected || now - connection.heardAt <= TrustTime) {
         return id;
     }
-    if (!isUsed) {
+    if (connection.calls.empty()) {
         close(id, CloseCause::Idle, now, effects);
         return choose(now, effects);
     }
     // Where a new connection brought nothing either, it is the peer that does not answer.
-    return connection.hasHeard ? replaceDoubtful(id, now, effects) : id;
-}
-
-ConnectionId PeerChannel::replaceDoubtful(ConnectionId id, TimePoint now, Effects &effects)
-{
-    const bool hasWorkingOne = m_doubted && !m_connections[*m_doubted].pingedAt;
-    if (m_doubted && !hasWorkingOne) {
+    if (!connection.hasHeard) {
+        return id;
+    }
+    if (m_doubted) {
         close(*m_doubted, CloseCause::TimedOut, now, effects);
     }
-    m_connections[id].pingedAt = now;
+    connection.pingedAt = now;
     effects.emplace_back(Ping{id});
-    const ConnectionId other = hasWorkingOne ? *m_doubted : open(now, effects);
-    m_current = other;
+    const ConnectionId newer = open(now, effects);
     m_doubted = id;
-    return other;
+    return newer;
 }
 
 ConnectionId PeerChannel::open(TimePoint now, Effects &effects)
--- a/lib/Wire/PeerChannel.h
+++ b/lib/Wire/PeerChannel.h
@@ -36,8 +36,6 @@
 public:
     /// Time without a byte after which a connection is not relied upon: a new call goes over a new one.
     static constexpr Milliseconds TrustTime{500};
-    /// The same for a connection without calls. Peers that call each other once a second keep theirs.
-    static constexpr Milliseconds UnusedTrustTime{1200};
 
     struct Connect {
         ConnectionId connection{};
@@ -105,7 +103,6 @@
 
     /// Returns the connection for a new call.
     ConnectionId choose(TimePoint now, Effects &effects);
-    ConnectionId replaceDoubtful(ConnectionId id, TimePoint now, Effects &effects);
     ConnectionId open(TimePoint now, Effects &effects);
     void close(ConnectionId id, CloseCause cause, TimePoint now, Effects &effects);
     void returnToDoubted(TimePoint now, Effects &effects);
@@ -118,7 +115,7 @@
 
     std::map<ConnectionId, Connection> m_connections;
     std::optional<ConnectionId> m_current; ///< for new calls
-    std::optional<ConnectionId> m_doubted; ///< was m_current before, and silent then
+    std::optional<ConnectionId> m_doubted; ///< in use before m_current, and silent then
     std::map<CallId, Call> m_calls;
     std::set<std::pair<TimePoint, CallId>> m_limits;
     TimePoint m_repliedAt{}; ///< when bytes of a reply arrived, on any connection
