Peer network: an older connection in use is asked before it counts as silent

A host whose control host was slow with a poll, but answered what the host noticed, lost it: it took itself for cut off and could decide again by routing that others relied on it not to use.

Cause: the first heartbeat beside the slow poll takes a newer connection. Further calls go over that one, and nothing asks the older one any more; one limit after its last byte it was closed as silent with the poll on it.

A call over the newer connection pings the older one if that had no byte for 0.5 s. As the reply may overtake the answer to the ping, the older connection is closed only with the reply to a call, or over a connection, that was made after the ping.

--- a/lib/Wire/PeerChannel.cpp
+++ b/lib/Wire/PeerChannel.cpp
@@ -24,6 +24,7 @@
 void PeerChannel::start(CallId call, Duration timeout, CallLimit limit, TimePoint now, Effects &effects)
 {
     const ConnectionId id = choose(now, effects);
+    pingDoubted(now, effects);
     Call &open = m_calls[call];
     open = {id, now, timeout, limit, {}};
     setLimit(call, open, now + timeout);
@@ -55,8 +56,7 @@
     if (m_doubted) {
         close(*m_doubted, CloseCause::TimedOut, now, effects);
     }
-    connection.pingedAt = now;
-    effects.emplace_back(Ping{id});
+    ping(id, now, effects);
     const ConnectionId newer = open(now, effects);
     m_doubted = id;
     return newer;
@@ -66,11 +66,30 @@
 {
     const auto id = static_cast<ConnectionId>(++m_lastConnection);
     m_connections[id].heardAt = now;
+    m_connections[id].openedAt = now;
     m_current = id;
     effects.emplace_back(Connect{id});
     return id;
 }
 
+void PeerChannel::ping(ConnectionId id, TimePoint now, Effects &effects)
+{
+    m_connections[id].pingedAt = now;
+    effects.emplace_back(Ping{id});
+}
+
+// New calls go over the newer connection, so that nothing else would show whether the older one still works.
+void PeerChannel::pingDoubted(TimePoint now, Effects &effects)
+{
+    if (!m_doubted) {
+        return;
+    }
+    const Connection &older = m_connections[*m_doubted];
+    if (!older.pingedAt && now - older.heardAt > TrustTime) {
+        ping(*m_doubted, now, effects);
+    }
+}
+
 void PeerChannel::close(ConnectionId id, CloseCause cause, TimePoint now, Effects &effects)
 {
     const auto it = m_connections.find(id);
@@ -131,10 +150,15 @@
         return;
     }
     const ConnectionId id = it->second.connection;
+    const TimePoint startedAt = it->second.startedAt;
     remove(call);
     closeIfUnused(id, now, effects);
-    const bool isNewer = isReplied && m_doubted && m_current == id;
-    if (isNewer && m_connections[*m_doubted].pingedAt) {
+    if (!isReplied || !m_doubted || m_current != id) {
+        return;
+    }
+    // A reply may overtake the answer to a ping, unless the call or its connection was made after that ping.
+    const std::optional<TimePoint> pingedAt = m_connections[*m_doubted].pingedAt;
+    if (pingedAt && (startedAt > *pingedAt || m_connections[id].openedAt >= *pingedAt)) {
         close(*m_doubted, CloseCause::Silent, now, effects);
     }
 }
--- a/lib/Wire/PeerChannel.h
+++ b/lib/Wire/PeerChannel.h
@@ -88,6 +88,7 @@
     struct Connection {
         bool isConnected = false;
         bool hasHeard = false; ///< a byte has arrived
+        TimePoint openedAt{};
         TimePoint heardAt{}; ///< or when it was made
         std::optional<TimePoint> pingedAt; ///< without a byte since then
         std::set<CallId> calls; ///< submitted, or waiting for the connection
@@ -105,6 +106,8 @@
     ConnectionId choose(TimePoint now, Effects &effects);
     ConnectionId open(TimePoint now, Effects &effects);
     void close(ConnectionId id, CloseCause cause, TimePoint now, Effects &effects);
+    void ping(ConnectionId id, TimePoint now, Effects &effects);
+    void pingDoubted(TimePoint now, Effects &effects);
     void returnToDoubted(TimePoint now, Effects &effects);
     void closeIfUnused(ConnectionId id, TimePoint now, Effects &effects);
     void setLimit(CallId id, Call &call, TimePoint limitAt);
--- a/unittests/Fleet/SilentConnectionTest.cpp
+++ b/unittests/Fleet/SilentConnectionTest.cpp
@@ -44,6 +44,12 @@
     StubHost(const StubHost &) = delete;
     StubHost &operator=(const StubHost &) = delete;
 
+    /// Replies to no poll from now on.
+    void holdPolls()
+    {
+        m_polls.isPaused = true;
+    }
+
     std::unique_ptr<soak::FaultProxy> proxy;
     std::atomic<std::uint64_t> version{1};
 
@@ -85,6 +91,17 @@
         return m_version;
     }
 
+    /// Notices an update.
+    void notice()
+    {
+        m_watch.sendReport();
+    }
+
+    unsigned pollsFailed() const
+    {
+        return m_pollsFailed;
+    }
+
     /// Returns whether this host gets the version in time.
     bool hasInTime(std::uint64_t version) const
     {
@@ -118,6 +135,9 @@
             m_version = reply.version;
             return true;
         };
+        hooks.onPollFailed = [this](const Address &, TimePoint, const std::string &) {
+            ++m_pollsFailed;
+        };
         hooks.onLink = [](const Address &, bool, const std::string &) {
         };
         return hooks;
@@ -141,6 +161,7 @@
     PeerNet m_net;
     ControlWatch m_watch;
     std::atomic<std::uint64_t> m_version{0};
+    std::atomic<unsigned> m_pollsFailed{0};
     std::atomic<bool> m_stop{false};
     std::thread m_driver;
 };
@@ -197,3 +218,22 @@
     control.version = 2;
     CHECK(host.hasInTime(2));
 }
+
+// Guards against a host that takes itself for cut off, and serves by old routing, while its control host answers.
+TEST_CASE("a slow poll is kept while the control host answers what the host notices")
+{
+    const auto updateInterval = GENERATE(50ms, 250ms, 400ms);
+    CAPTURE(updateInterval.count());
+    constexpr unsigned Updates = 12;
+    StubHost control;
+    WatchingHost host({control.proxy->address()}, 0ms);
+    REQUIRE(System::eventually([&] { return host.version() == 1; }));
+    control.holdPolls();
+    // By now a heartbeat has taken a newer connection.
+    std::this_thread::sleep_for(2 * MaxWait);
+    for (unsigned n = 0; n < Updates; ++n) {
+        host.notice();
+        std::this_thread::sleep_for(updateInterval);
+    }
+    CHECK(host.pollsFailed() == 0);
+}
--- a/unittests/Wire/PeerChannelTest.cpp
+++ b/unittests/Wire/PeerChannelTest.cpp
@@ -1,6 +1,7 @@
 //===- PeerChannelTest.cpp - Which connection a call takes ----------------===//
 #include "Wire/PeerChannel.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace pepperlug;
@@ -206,6 +207,55 @@
           == ChannelEffects{EndCall{First, A, CallFailure::TimedOut}, Close{First, CloseCause::TimedOut, 1200ms, 0}});
 }
 
+// Guards against a held call whose connection counts as silent although nobody asked the peer over it.
+TEST_CASE("an older connection in use is pinged with calls over the newer one")
+{
+    Channel it;
+    it.doubt();
+    it.connected(Second);
+    it.heard(First, Heard::Other);
+    it.heard(Second, Heard::Reply);
+    it.finish(B);
+    for (std::uint64_t n = 3; n <= 12; ++n) {
+        it.now += 250ms;
+        const CallId call{n};
+        const ChannelEffects effects = it.start(call);
+        const bool isPinged =
+            std::find(effects.begin(), effects.end(), ChannelEffects::value_type(Ping{First})) != effects.end();
+        // The reply may overtake the answer to the ping.
+        it.heard(Second, Heard::Reply);
+        CHECK(it.finish(call).empty());
+        if (isPinged) {
+            it.heard(First, Heard::Other);
+        }
+        CHECK(it.expire().empty());
+    }
+}
+
+TEST_CASE("an older connection that leaves a later ping unanswered is closed with the next reply")
+{
+    Channel it;
+    it.doubt();
+    it.connected(Second);
+    it.heard(First, Heard::Other);
+    it.heard(Second, Heard::Reply);
+    it.finish(B);
+    it.now += 250ms;
+    it.start(C);
+    it.heard(Second, Heard::Reply);
+    it.finish(C);
+    it.now += 251ms;
+    constexpr CallId D{4};
+    constexpr CallId E{5};
+    CHECK(it.start(D) == ChannelEffects{Ping{First}, Submit{Second, D}});
+    it.heard(Second, Heard::Reply);
+    CHECK(it.finish(D).empty());
+    it.now += 250ms;
+    CHECK(it.start(E) == ChannelEffects{Submit{Second, E}});
+    it.heard(Second, Heard::Reply);
+    CHECK(it.finish(E) == ChannelEffects{Close{First, CloseCause::Silent, 751ms, 1}});
+}
+
 // Guards against a connection that is used again although a call's whole limit passed without a byte.
 TEST_CASE("a call that times out on a silent connection closes it")
 {
