Peer network: an older connection that works outlives a silent newer one

Callers saw nothing that is known. Where the newer of two connections went silent, the next call closed the older one with the calls on it, although it had answered its ping, and made a third. Found by reading.

The older one takes new calls again, and the newer one is asked.

--- a/lib/Wire/PeerChannel.cpp
+++ b/lib/Wire/PeerChannel.cpp
@@ -41,7 +41,7 @@
         return open(now, effects);
     }
     const ConnectionId id = *m_current;
-    Connection &connection = m_connections[id];
+    const Connection &connection = m_connections[id];
     if (!connection.isConnected || now - connection.heardAt <= TrustTime) {
         return id;
     }
@@ -50,16 +50,20 @@
         return choose(now, effects);
     }
     // Where a new connection brought nothing either, it is the peer that does not answer.
-    if (!connection.hasHeard) {
-        return id;
-    }
-    if (m_doubted) {
+    return connection.hasHeard ? replace(id, now, effects) : id;
+}
+
+ConnectionId PeerChannel::replace(ConnectionId id, TimePoint now, Effects &effects)
+{
+    const bool hasWorkingOne = m_doubted && !m_connections[*m_doubted].pingedAt;
+    if (m_doubted && !hasWorkingOne) {
         close(*m_doubted, CloseCause::TimedOut, now, effects);
     }
     ping(id, now, effects);
-    const ConnectionId newer = open(now, effects);
+    const ConnectionId other = hasWorkingOne ? *m_doubted : open(now, effects);
+    m_current = other;
     m_doubted = id;
-    return newer;
+    return other;
 }
 
 ConnectionId PeerChannel::open(TimePoint now, Effects &effects)
--- a/lib/Wire/PeerChannel.h
+++ b/lib/Wire/PeerChannel.h
@@ -104,6 +104,8 @@
 
     /// Returns the connection for a new call.
     ConnectionId choose(TimePoint now, Effects &effects);
+    /// Doubts a connection, and returns the one that takes its place.
+    ConnectionId replace(ConnectionId id, TimePoint now, Effects &effects);
     ConnectionId open(TimePoint now, Effects &effects);
     void close(ConnectionId id, CloseCause cause, TimePoint now, Effects &effects);
     void ping(ConnectionId id, TimePoint now, Effects &effects);
@@ -118,7 +120,7 @@
 
     std::map<ConnectionId, Connection> m_connections;
     std::optional<ConnectionId> m_current; ///< for new calls
-    std::optional<ConnectionId> m_doubted; ///< in use before m_current, and silent then
+    std::optional<ConnectionId> m_doubted; ///< was m_current before, and silent then
     std::map<CallId, Call> m_calls;
     std::set<std::pair<TimePoint, CallId>> m_limits;
     TimePoint m_repliedAt{}; ///< when bytes of a reply arrived, on any connection
--- a/unittests/Wire/PeerChannelTest.cpp
+++ b/unittests/Wire/PeerChannelTest.cpp
@@ -137,6 +137,26 @@
     CHECK(it.start(C) == ChannelEffects{Submit{Second, C}});
 }
 
+// Guards against the end of calls on an older connection that works, when it is the newer one that went silent.
+TEST_CASE("an older connection that answered its ping is used when the newer one is silent")
+{
+    Channel it;
+    it.doubt();
+    it.connected(Second);
+    it.heard(Second, Heard::Other);
+    it.now += 1ms;
+    it.heard(First, Heard::Other);
+    it.now += PeerChannel::TrustTime;
+    CHECK(it.start(C) == ChannelEffects{Ping{Second}, Submit{First, C}});
+    // The reply may overtake the answer to the ping.
+    it.heard(First, Heard::Reply);
+    CHECK(it.finish(C).empty());
+    it.now += 1ms;
+    CHECK(it.start(C) == ChannelEffects{Submit{First, C}});
+    it.heard(First, Heard::Reply);
+    CHECK(it.finish(C) == ChannelEffects{Close{Second, CloseCause::Silent, PeerChannel::TrustTime + 2ms, 1}});
+}
+
 TEST_CASE("a connection that answers the ping keeps its calls until they end")
 {
     Channel it;
