--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -28,13 +28,13 @@
     {
     }
 
-    Socket caller;
-    Socket target;
     bool isSilent(bool isToTarget) const
     {
         return isToTarget ? isSilentToTarget : isSilentFromTarget;
     }
 
+    Socket caller;
+    Socket target;
     bool hasLost = false;
     bool isSilentToTarget = false;
     bool isSilentFromTarget = false;
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -782,7 +782,7 @@
     SoakOptions m_options;
     std::mt19937_64 m_random;
     std::mt19937_64 m_linkRandom; ///< for faults between hosts, and for large routings
-    std::mt19937_64 m_asksRandom;
+    std::mt19937_64 m_asksRandom; ///< for what targets ask for
     std::mt19937_64 m_silenceRandom; ///< for connections that go silent
     SteadyClock m_clock;
     Ledger m_ledger;
