Targets: trailers are no part of the head

What callers saw: a target whose trailers alone say that it leaves got no request from then on, and trailers were passed on as header fields. A trailer line that begins with "HTTP/" removed the fields of the head.

Cause: the callback of header lines is called for trailers as well, and did not tell them apart. RFC 9110, 6.5.1: a recipient merges a trailer field only where its definition allows it, and none of those that are read here does.

Evidence: the new test failed before ("X-Other" in place of "Transfer-Encoding" as the only field).

Why it works: once the final head has ended, no line adds to it.

--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -76,6 +76,7 @@
     bool isWithdrawn = false; ///< what led to it had changed before it was sent
     bool isSpareClosed = false; ///< the spare connection was closed before anything was sent
     bool isLarge = false;
+    bool hasFinalHead = false; ///< what header lines follow are trailers
     bool isPassedOn = false; ///< the body goes to the call's handler as it arrives
 };
 
@@ -112,6 +113,7 @@
     constexpr long FirstFinalStatus = 200;
     long status = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    transfer.hasFinalHead = status >= FirstFinalStatus;
     const std::uint64_t length = lengthIn(transfer.answer.headers);
     transfer.isLarge = status >= FirstFinalStatus && length >= LargeAnswerBytes && transfer.call.method != "HEAD";
     if (!transfer.isLarge || !transfer.call.onLargeHead || length > transfer.maxAnswerBytes) {
@@ -125,6 +127,9 @@
 {
     auto *transfer = static_cast<Transfer *>(self);
     const std::size_t bytes = size * count;
+    if (transfer->hasFinalHead) {
+        return bytes; // a trailer says nothing that a head may say (RFC 9110, 6.5.1)
+    }
     std::string_view line(data, bytes);
     line = line.substr(0, line.find_last_not_of("\r\n") + 1);
     if (line.starts_with("HTTP/")) {
