Targets: a body in chunks is not passed on by a length beside it

What callers saw: where a head announces both a length and chunks, the caller was told the length, and got as many bytes as the chunks held, without a bound.

Cause: whether a large answer is passed on while it arrives was decided by Content-Length alone; a transfer coding overrides it (RFC 9112, 6.3), and that is what the library reads the body by.

Evidence: the new test failed before (the handler of large answers was called).

Why it works: such an answer has no length, so it is buffered and checked whole.

--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -96,12 +96,16 @@
     return bytes;
 }
 
-std::uint64_t lengthIn(const std::vector<HeaderField> &headers)
+// Nothing if the body is in chunks or ends with the connection. A transfer coding overrides a length (RFC 9112, 6.3).
+std::optional<std::uint64_t> lengthIn(const std::vector<HeaderField> &headers)
 {
-    std::uint64_t length = 0;
+    std::optional<std::uint64_t> length;
     for (const HeaderField &field : headers) {
+        if (sameName(field.name, "transfer-encoding")) {
+            return std::nullopt;
+        }
         if (sameName(field.name, "content-length")) {
-            std::from_chars(field.value.data(), field.value.data() + field.value.size(), length);
+            std::from_chars(field.value.data(), field.value.data() + field.value.size(), length.emplace());
         }
     }
     return length;
@@ -114,7 +118,7 @@
     long status = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
     transfer.hasFinalHead = status >= FirstFinalStatus;
-    const std::uint64_t length = lengthIn(transfer.answer.headers);
+    const std::uint64_t length = lengthIn(transfer.answer.headers).value_or(0);
     transfer.isLarge = status >= FirstFinalStatus && length >= LargeAnswerBytes && transfer.call.method != "HEAD";
     if (!transfer.isLarge || !transfer.call.onLargeHead || length > transfer.maxAnswerBytes) {
         return;
--- a/unittests/Http/EndlessAnswerTest.cpp
+++ b/unittests/Http/EndlessAnswerTest.cpp
@@ -14,6 +14,30 @@
 
 } // namespace
 
+// Guards against a body that is passed on beyond its announced length, as the chunks override it.
+TEST_CASE("a body in chunks is not passed on by the length that the head announces as well")
+{
+    const std::string body(LargeAnswerBytes, 'x');
+    const RawServer server({[&](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket,
+                        "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\nTransfer-Encoding: chunked\r\n\r\n4000\r\n" + body
+                            + "\r\n0\r\n\r\n");
+    }});
+    HttpClient client(MaxAnswerBytes);
+    HttpCall call = callTo(server.address());
+    std::atomic<bool> isPassedOn{false};
+    call.onLargeHead = [&](const Answer &, std::uint64_t) {
+        isPassedOn = true;
+        return true;
+    };
+    call.onPart = [](std::string_view) {
+    };
+    const HttpResult result = callAndWait(client, std::move(call));
+    CHECK_FALSE(isPassedOn);
+    CHECK(result.answer.body == body);
+}
+
 // Guards against trailers that are read as header fields, such as one by which a target takes leave.
 TEST_CASE("trailers are no part of the head")
 {
