Targets: an answer that announces too much is given up at its head

What callers saw: an answer of a length above max_answer_bytes ended as failed, but only after this host had read and kept max_answer_bytes of it.

Cause: the length in the head was looked at to pass the answer on, not to refuse it.

Evidence: the new test failed before (the call ended at its own timeout, as broken).

Why it works: the connection is closed at the end of the head.

--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -111,20 +111,28 @@
     return length;
 }
 
-// An interim head has no body, and neither has the answer to HEAD, whatever length it tells.
-void onHeadEnd(Transfer &transfer)
+// Returns false if the answer is not taken.
+bool onHeadEnd(Transfer &transfer)
 {
     constexpr long FirstFinalStatus = 200;
     long status = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
     transfer.hasFinalHead = status >= FirstFinalStatus;
-    const std::uint64_t length = lengthIn(transfer.answer.headers).value_or(0);
-    transfer.isLarge = status >= FirstFinalStatus && length >= LargeAnswerBytes && transfer.call.method != "HEAD";
-    if (!transfer.isLarge || !transfer.call.onLargeHead || length > transfer.maxAnswerBytes) {
-        return;
+    // An interim head has no body, and neither has the answer to HEAD, whatever length it tells.
+    if (!transfer.hasFinalHead || transfer.call.method == "HEAD") {
+        return true;
+    }
+    const std::optional<std::uint64_t> length = lengthIn(transfer.answer.headers);
+    if (!length) {
+        return true;
     }
-    transfer.answer.status = static_cast<unsigned>(status);
-    transfer.isPassedOn = transfer.call.onLargeHead(transfer.answer, length);
+    transfer.isTooLarge = *length > transfer.maxAnswerBytes;
+    transfer.isLarge = *length >= LargeAnswerBytes;
+    if (transfer.isLarge && !transfer.isTooLarge && transfer.call.onLargeHead) {
+        transfer.answer.status = static_cast<unsigned>(status);
+        transfer.isPassedOn = transfer.call.onLargeHead(transfer.answer, *length);
+    }
+    return !transfer.isTooLarge;
 }
 
 std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *self)
@@ -142,11 +150,7 @@
     }
     if (line.empty()) {
         const bool isAccepted = !transfer->call.acceptsHead || transfer->call.acceptsHead(transfer->answer.headers);
-        if (!isAccepted) {
-            return 0;
-        }
-        onHeadEnd(*transfer);
-        return bytes;
+        return isAccepted && onHeadEnd(*transfer) ? bytes : 0;
     }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
--- a/unittests/Http/EndlessAnswerTest.cpp
+++ b/unittests/Http/EndlessAnswerTest.cpp
@@ -53,3 +53,15 @@
     REQUIRE(result.answer.headers.size() == 1);
     CHECK(result.answer.headers[0].name == "Transfer-Encoding");
 }
+
+// Guards against an answer that is read up to the limit although its head says that it is longer.
+TEST_CASE("an answer that announces more than is taken is given up at its head")
+{
+    const RawServer server({[](RawServer::Socket &socket) {
+        RawServer::readRequest(socket);
+        RawServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n");
+        RawServer::readRequest(socket); // until the caller gives up
+    }});
+    HttpClient client(MaxAnswerBytes);
+    CHECK(callAndWait(client, callTo(server.address())).kind == HttpResult::Kind::TooLarge);
+}
