Targets: an answer without an end is a fault of its own

Cause: nothing but the body was bounded. Trailers and header lines were kept without a limit, the extensions of chunks counted nowhere, and a body of unknown length was kept up to max_answer_bytes by each call. Such a target was taken for a slow one.

Change: AnswerBudget counts all that arrives in an answer, by the one callback of the library that is told of all bytes, with bounds of the heads (64 KiB), trailers (16 KiB), framing (8 bytes a byte of payload, 64 KiB besides) and of a body of unknown length (max_unsized_answer_bytes, 4 MiB); the bodies of unknown length on their way share four times that, and the longest is given up beyond it. The outcome "endless" blocks the target at once, is no crash, ends the connection, and is followed by a retry where the request may be repeated. Line endless-answer, metric pepperlug_endless_answers{form}.

Why it works: the bounds hold in whatever form the bytes come, and what was received by then is all that such an answer can take.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -126,6 +126,7 @@
     WrongTarget, ///< another incarnation is at the address; not run
     Lost, ///< may have run; no usable answer
     TimedOut, ///< may have run; no answer in time
+    Endless, ///< may have run; what the target sends has no end
 };
 const char *nameOf(AttemptOutcome outcome);
 
--- a/include/pepperlug/Daemon.h
+++ b/include/pepperlug/Daemon.h
@@ -38,6 +38,7 @@
     std::string stateLog; ///< empty: none
     std::size_t maxBodyBytes = 0;
     std::size_t maxAnswerBytes = 0;
+    std::size_t maxUnsizedAnswerBytes = HttpClientLimits{}.unsizedBytes; ///< of an answer that announces no length
     Milliseconds headTimeout{};
     Strategy strategy = Strategy::Leases;
 };
--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -48,6 +48,7 @@
     Address readiness;
     std::size_t maxBodyBytes = 0;
     std::size_t maxAnswerBytes = 0;
+    std::size_t maxUnsizedAnswerBytes = HttpClientLimits{}.unsizedBytes; ///< of an answer that announces no length
     std::uint64_t linkBytesPerSecond = 0; ///< bandwidth of the link, both directions together; 0 for unlimited
     std::size_t spareConnections = 0; ///< most connections opened in advance to targets of other regions; 0 for none
     BalancePolicy policy;
--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -123,12 +123,22 @@
     std::function<void(std::string_view part)> onPart;
 };
 
+/// Forms in which the bytes of an answer arrive.
+enum class AnswerPart : std::uint8_t {
+    Head, ///< interim heads included
+    Body,
+    Framing, ///< sizes and extensions of chunks
+    Trailers,
+};
+const char *nameOf(AnswerPart part);
+
 struct HttpResult {
     enum class Kind {
         Answered, ///< a whole answer
         NotSent, ///< no byte of the request left this host
         Broken, ///< lost after it may have been sent
-        TooLarge, ///< the answer is longer than the client takes
+        TooLarge, ///< the answer announces a length that the client does not take
+        Endless, ///< more arrived than a sound target sends, and no end of the answer
     };
     Kind kind = Kind::NotSent;
     Answer answer;
@@ -137,6 +147,8 @@
     bool isConnectionLost = false; ///< Broken: the other side ended its connection, or it was reset
     bool isRefused = false; ///< nothing listens at the address
     bool isWithdrawn = false; ///< not sent, since HttpCall::maySend did not allow it any more
+    std::optional<AnswerPart> endlessPart; ///< Endless: what there was too much of
+    std::uint64_t receivedBytes = 0; ///< of the answer, in whatever form
 };
 using HttpResultHandler = std::function<void(HttpResult)>;
 
@@ -149,12 +161,25 @@
     std::uint64_t closedUnused = 0; ///< by either side
 };
 
+struct HttpClientLimits {
+    /// Bodies of unknown length and of the longest size that may be on their way at the same time.
+    static constexpr std::size_t UnsizedAnswersInAll = 4;
+
+    std::size_t answerBytes = 0; ///< longest body of an answer
+    /// Longest body of an answer that does not announce its length, if shorter.
+    std::size_t unsizedBytes = 4UL * 1024 * 1024;
+    /// The same for all answers on their way; beyond it the longest one is given up.
+    std::size_t unsizedBytesInAll = UnsizedAnswersInAll * unsizedBytes;
+    /// Bounds large answers, all together, so that they leave room on the host's link for small ones; 0 for no bound.
+    std::uint64_t bytesPerSecond = 0;
+};
+
 /// Calls over kept connections, run by one thread. Handlers run on that thread and must not wait.
 class HttpClient
 {
 public:
-    /// `bytesPerSecond` bounds large answers, all together, so that they leave room on the host's link for small ones;
-    /// 0 for no bound.
+    explicit HttpClient(const HttpClientLimits &limits);
+    /// With the other limits as usual.
     explicit HttpClient(std::size_t maxAnswerBytes, std::uint64_t bytesPerSecond = 0);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -45,6 +45,8 @@
         return "lost";
     case AttemptOutcome::TimedOut:
         return "timed-out";
+    case AttemptOutcome::Endless:
+        return "endless";
     }
     return "lost";
 }
@@ -492,8 +494,7 @@
     if (event.outcome == AttemptOutcome::Lost && event.isConnectionLost) {
         checkForCrash(open, attempt);
     }
-    open.mayHaveRun |=
-        open.hasAnswerBegun || event.outcome == AttemptOutcome::Lost || event.outcome == AttemptOutcome::TimedOut;
+    open.mayHaveRun |= open.hasAnswerBegun || !isCertainlyNotRun(event.outcome);
     if (!open.attempts.empty()) {
         return; // another attempt is in progress
     }
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -44,6 +44,7 @@
     case AttemptOutcome::Answered:
     case AttemptOutcome::Shed:
     case AttemptOutcome::WrongTarget:
+    case AttemptOutcome::Endless:
         m_reachability[service].recordAnswer();
         return;
     case AttemptOutcome::NotSent:
--- a/lib/Balance/Suspicion.cpp
+++ b/lib/Balance/Suspicion.cpp
@@ -41,7 +41,7 @@
     if (pending.empty() || !event.isConnectionRefused) {
         return;
     }
-    m_targets.markUnreachable(event.target, m_now);
+    m_targets.blockAtOnce(event.target, m_now);
     for (const std::string &digest : pending.mapped()) {
         if (m_quarantine.recordCrash(digest, event.target, m_now)) {
             publishSuspect(digest, event.target.id, true);
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -436,7 +436,8 @@
     case AttemptOutcome::Withdrawn:
         return; // does not concern the target
     case AttemptOutcome::NotSent:
-        markUnreachable(incarnation, now);
+    case AttemptOutcome::Endless:
+        blockAtOnce(incarnation, now);
         return;
     case AttemptOutcome::Lost:
     case AttemptOutcome::TimedOut:
@@ -446,7 +447,7 @@
     }
 }
 
-void TargetSet::markUnreachable(const Incarnation &incarnation, TimePoint now)
+void TargetSet::blockAtOnce(const Incarnation &incarnation, TimePoint now)
 {
     TargetState *target = find(incarnation);
     if (target == nullptr) {
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -105,8 +105,9 @@
     void attemptEnded(const Incarnation &incarnation, AttemptOutcome outcome, const std::optional<TargetLoad> &load,
                       TimePoint now);
     void attemptCancelled(const Incarnation &incarnation);
-    /// Records that no connection to the target could be made.
-    void markUnreachable(const Incarnation &incarnation, TimePoint now);
+    /// Records a failure after which the target is not used for a while: no connection to it could be made, or its
+    /// answer has no end.
+    void blockAtOnce(const Incarnation &incarnation, TimePoint now);
 
     /// Starts a back-off that a target asked for. Returns for how long this host sends it nothing.
     Duration startBackoff(const Incarnation &incarnation, std::chrono::duration<double> backoff, TimePoint now);
--- a/lib/Daemon/EntryDaemon.cpp
+++ b/lib/Daemon/EntryDaemon.cpp
@@ -24,7 +24,8 @@
     , m_decisions("decision", m_settings.decisionLog)
     , m_states("state", m_settings.stateLog)
     , m_startedAt(clock.now())
-    , m_client(m_settings.maxAnswerBytes)
+    , m_client(
+          HttpClientLimits{.answerBytes = m_settings.maxAnswerBytes, .unsizedBytes = m_settings.maxUnsizedAnswerBytes})
 {
     SteerSettings steer;
     steer.hostName = m_settings.name;
--- a/lib/Daemon/EntryEffects.cpp
+++ b/lib/Daemon/EntryEffects.cpp
@@ -92,6 +92,7 @@
     case HttpResult::Kind::NotSent:
         return AttemptResult::NotSent;
     case HttpResult::Kind::Broken:
+    case HttpResult::Kind::Endless:
         return AttemptResult::Broken;
     case HttpResult::Kind::TooLarge:
         return AttemptResult::TooLarge;
--- a/lib/Daemon/Settings.cpp
+++ b/lib/Daemon/Settings.cpp
@@ -54,6 +54,8 @@
     settings.stateLog = root.textOr("state_log", "");
     settings.maxBodyBytes = static_cast<std::size_t>(root.integer("max_body_bytes", 0, MaxBytes, 1 << 20));
     settings.maxAnswerBytes = static_cast<std::size_t>(root.integer("max_answer_bytes", 1024, MaxBytes, 8 << 20));
+    settings.maxUnsizedAnswerBytes = static_cast<std::size_t>(
+        root.integer("max_unsized_answer_bytes", 1024, MaxBytes, settings.maxUnsizedAnswerBytes));
     settings.headTimeout = readMilliseconds(root, "head_timeout_ms", 100, 600000, 10000);
     const std::string strategy = root.textOr("strategy", nameOf(Strategy::Leases));
     const std::optional<Strategy> parsed = parseStrategy(strategy);
--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -1,4 +1,5 @@
 //===- GatewayAttempts.cpp - Metrics and log lines of attempts ------------===//
+#include "../Daemon/HttpStatus.h"
 #include "GatewayImpl.h"
 
 namespace pepperlug::fleet
@@ -38,6 +39,54 @@
                        {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
 }
 
+AttemptEnded GatewayDaemon::Impl::classifyResult(RequestId id, unsigned attempt, const AnswerFields &fields,
+                                                 HttpResult &result)
+{
+    AttemptEnded ended{id, attempt, AttemptOutcome::Lost, {}, 0};
+    if (result.kind == HttpResult::Kind::NotSent) {
+        ended.outcome = result.isWithdrawn ? AttemptOutcome::Withdrawn : AttemptOutcome::NotSent;
+        return ended;
+    }
+    if (result.kind == HttpResult::Kind::Endless) {
+        ended.outcome = AttemptOutcome::Endless;
+        return ended;
+    }
+    if (result.kind != HttpResult::Kind::Answered) {
+        ended.outcome = result.timedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
+        return ended;
+    }
+    ended.load = fields.load;
+    ended.refusal = fields.refusal;
+    if (fields.refusal) {
+        const bool mayTryAnother = concernsHostAlone(*fields.refusal) && promisesNotRun(*fields.refusal);
+        ended.outcome = mayTryAnother ? AttemptOutcome::Shed : AttemptOutcome::Answered;
+        ended.isFailure = true;
+    } else if (fields.isWrongTarget) {
+        ended.outcome = AttemptOutcome::WrongTarget;
+    } else if (!fields.isExecuted) {
+        ended.outcome = AttemptOutcome::Shed;
+    } else if (!fields.hasRequiredFields) {
+        result.reason = "the answer lacks a required header";
+        ended.outcome = AttemptOutcome::Lost;
+    } else {
+        ended.outcome = AttemptOutcome::Answered;
+        ended.isFailure = result.answer.status >= ServerErrors;
+    }
+    return ended;
+}
+
+void GatewayDaemon::Impl::reportEndless(const OpenExchange &open, const Incarnation &target, const HttpResult &result)
+{
+    if (!result.endlessPart) {
+        return;
+    }
+    const char *const form = nameOf(*result.endlessPart);
+    m_metrics.count(std::string("pepperlug_endless_answers{form=\"") + form + "\"}");
+    m_events.decision(
+        "endless-answer",
+        {{"request", open.fields.requestId}, {"target", target.id}, {"form", form}, {"bytes", result.receivedBytes}});
+}
+
 bool GatewayDaemon::Impl::maySend(RequestId id, unsigned attempt)
 {
     const std::lock_guard lock(m_mutex);
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -76,7 +76,9 @@
     m_events.state("start", {{"role", "entry"}, {"zone", m_settings.zone}});
     const auto forLarge =
         static_cast<std::uint64_t>(static_cast<double>(m_settings.linkBytesPerSecond) * LargeAnswerShare);
-    m_client = std::make_unique<HttpClient>(m_settings.maxAnswerBytes, forLarge);
+    m_client = std::make_unique<HttpClient>(HttpClientLimits{.answerBytes = m_settings.maxAnswerBytes,
+                                                             .unsizedBytes = m_settings.maxUnsizedAnswerBytes,
+                                                             .bytesPerSecond = forLarge});
     ControlWatch::Hooks hooks;
     hooks.makeCall = [this](const Address &, const std::string &epoch) {
         const std::lock_guard lock(m_mutex);
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -117,6 +117,8 @@
     /// Log index of the routing by which another host relayed the request; null if it comes from a caller.
     static nlohmann::json relayingIndexOf(const OpenExchange &open);
     void reportAttempt(const StartAttempt &effect, const OpenExchange &open);
+    AttemptEnded classifyResult(RequestId id, unsigned attempt, const AnswerFields &fields, HttpResult &result);
+    void reportEndless(const OpenExchange &open, const Incarnation &target, const HttpResult &result);
     bool maySend(RequestId id, unsigned attempt);
 
     // GatewayRelays.cpp
@@ -154,7 +156,6 @@
     void carryOut(const RefuseRequest &effect);
     /// Counts the backpressure signals of an answer, and returns them for a log line.
     nlohmann::json countSignal(const BackpressureSignal &signal);
-    AttemptEnded classifyResult(RequestId id, unsigned attempt, const AnswerFields &fields, HttpResult &result);
 
     FleetSettings m_settings;
     const Clock &m_clock;
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -172,38 +172,6 @@
     }
 }
 
-AttemptEnded GatewayDaemon::Impl::classifyResult(RequestId id, unsigned attempt, const AnswerFields &fields,
-                                                 HttpResult &result)
-{
-    AttemptEnded ended{id, attempt, AttemptOutcome::Lost, {}, 0};
-    if (result.kind == HttpResult::Kind::NotSent) {
-        ended.outcome = result.isWithdrawn ? AttemptOutcome::Withdrawn : AttemptOutcome::NotSent;
-        return ended;
-    }
-    if (result.kind != HttpResult::Kind::Answered) {
-        ended.outcome = result.timedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
-        return ended;
-    }
-    ended.load = fields.load;
-    ended.refusal = fields.refusal;
-    if (fields.refusal) {
-        const bool mayTryAnother = concernsHostAlone(*fields.refusal) && promisesNotRun(*fields.refusal);
-        ended.outcome = mayTryAnother ? AttemptOutcome::Shed : AttemptOutcome::Answered;
-        ended.isFailure = true;
-    } else if (fields.isWrongTarget) {
-        ended.outcome = AttemptOutcome::WrongTarget;
-    } else if (!fields.isExecuted) {
-        ended.outcome = AttemptOutcome::Shed;
-    } else if (!fields.hasRequiredFields) {
-        result.reason = "the answer lacks a required header";
-        ended.outcome = AttemptOutcome::Lost;
-    } else {
-        ended.outcome = AttemptOutcome::Answered;
-        ended.isFailure = result.answer.status >= ServerErrors;
-    }
-    return ended;
-}
-
 void GatewayDaemon::Impl::onAttemptEnded(RequestId id, unsigned attempt, const Incarnation &target,
                                          const AnswerFields &fields, HttpResult result)
 {
@@ -228,6 +196,7 @@
                            {"connection_ended", result.isConnectionLost},
                            {"refused", result.isRefused},
                            {"signal", countSignal(fields.backpressure)}});
+        reportEndless(*open, target, result);
         if (ended.outcome == AttemptOutcome::Answered) {
             open->answer = std::move(result.answer);
         }
--- a/lib/Fleet/Settings.cpp
+++ b/lib/Fleet/Settings.cpp
@@ -123,6 +123,8 @@
         settings.maxBodyBytes = static_cast<std::size_t>(reader.integer("max_body_bytes", 0, MaxBytes, DefaultMaxBody));
         settings.maxAnswerBytes =
             static_cast<std::size_t>(reader.integer("max_answer_bytes", 1024, MaxBytes, DefaultMaxAnswer));
+        settings.maxUnsizedAnswerBytes = static_cast<std::size_t>(
+            reader.integer("max_unsized_answer_bytes", 1024, MaxBytes, settings.maxUnsizedAnswerBytes));
         settings.spareConnections =
             static_cast<std::size_t>(reader.integer("spare_connections", 0, MaxSpareConnections, 0));
         const double linkMbps = reader.number("link_mbps", 0, MaxLinkMbps, 0);
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -6,7 +6,7 @@
 // may be repeated. Second, the same count tells for certain whether any byte may have left.
 //
 //===----------------------------------------------------------------------===//
-#include "pepperlug/Http.h"
+#include "AnswerBudget.h"
 #include "SocketLoop.h"
 #include "SpareConnections.h"
 
@@ -57,6 +57,12 @@
 using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
 using MultiHandle = std::unique_ptr<CURLM, MultiDeleter>;
 
+/// What the answers on their way have in common.
+struct AnswerFlow {
+    std::uint64_t unsizedBytes = 0; ///< held of bodies of unknown length
+    std::vector<HttpCallId> endless; ///< calls whose answers have exceeded their budget
+};
+
 /// One call on its way.
 struct Transfer {
     HttpCallId id{};
@@ -64,6 +70,9 @@
     HttpResultHandler handler;
     std::size_t maxAnswerBytes = 0;
     std::uint64_t bytesPerSecond = 0; ///< that a large answer may use now; 0 for no bound
+    AnswerBudget budget;
+    AnswerFlow *flow = nullptr; ///< of all calls
+    std::uint64_t heldUnsized = 0; ///< part of AnswerFlow::unsizedBytes
     EasyHandle easy;
     HeaderList headers;
     Answer answer;
@@ -80,19 +89,38 @@
     bool isPassedOn = false; ///< the body goes to the call's handler as it arrives
 };
 
+// The only callback that is told of all bytes, before chunks are taken apart.
+int onReceived(CURL *, curl_infotype type, char *, std::size_t size, void *self)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    if (type == CURLINFO_HEADER_IN) {
+        transfer->budget.addHead(size);
+    } else if (type == CURLINFO_DATA_IN) {
+        transfer->budget.addBody(size);
+    } else {
+        return 0;
+    }
+    if (transfer->budget.exceeded()) {
+        transfer->flow->endless.push_back(transfer->id);
+    }
+    return 0;
+}
+
 std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self)
 {
     auto *transfer = static_cast<Transfer *>(self);
     const std::size_t bytes = size * count;
+    transfer->budget.addPayload(bytes);
     if (transfer->isPassedOn) {
         transfer->call.onPart({data, bytes});
         return bytes;
     }
-    if (transfer->answer.body.size() + bytes > transfer->maxAnswerBytes) {
-        transfer->isTooLarge = true;
+    if (transfer->budget.exceeded()) {
         return 0;
     }
     transfer->answer.body.append(data, bytes);
+    const std::uint64_t held = transfer->budget.unsizedPayload();
+    transfer->flow->unsizedBytes += held - std::exchange(transfer->heldUnsized, held);
     return bytes;
 }
 
@@ -126,6 +154,7 @@
     if (!length) {
         return true;
     }
+    transfer.budget.setSized();
     transfer.isTooLarge = *length > transfer.maxAnswerBytes;
     transfer.isLarge = *length >= LargeAnswerBytes;
     if (transfer.isLarge && !transfer.isTooLarge && transfer.call.onLargeHead) {
@@ -140,8 +169,12 @@
     auto *transfer = static_cast<Transfer *>(self);
     const std::size_t bytes = size * count;
     if (transfer->hasFinalHead) {
+        transfer->budget.addTrailer(bytes);
         return bytes; // a trailer says nothing that a head may say (RFC 9110, 6.5.1)
     }
+    if (transfer->budget.exceeded()) {
+        return 0;
+    }
     std::string_view line(data, bytes);
     line = line.substr(0, line.find_last_not_of("\r\n") + 1);
     if (line.starts_with("HTTP/")) {
@@ -244,6 +277,9 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeaderLine);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, onReceived);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L); // the callback above is not called without it
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeSending);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     if (call.connectsOnly) {
@@ -308,9 +344,35 @@
     return code == CURLE_COULDNT_CONNECT && reason == ECONNREFUSED;
 }
 
+// The library gives up a header line that exceeds a bound of its own, and bytes that do not begin with a status line.
+// Nothing would tell the end of these.
+bool tellsEndlessHead(CURLcode code)
+{
+    return code == CURLE_OUT_OF_MEMORY || code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY;
+}
+
+HttpResult endlessResult(AnswerPart part, std::uint64_t receivedBytes)
+{
+    HttpResult result;
+    result.kind = HttpResult::Kind::Endless;
+    result.reason = std::string("the answer has no end: too much of its ") + nameOf(part);
+    result.endlessPart = part;
+    result.receivedBytes = receivedBytes;
+    return result;
+}
+
 HttpResult resultOf(Transfer &transfer, CURLcode code)
 {
+    std::optional<AnswerPart> endless = transfer.budget.exceeded();
+    const bool isInHead = transfer.sendings > 0 && !transfer.hasFinalHead;
+    if (isInHead && tellsEndlessHead(code)) {
+        endless = AnswerPart::Head;
+    }
+    if (endless) {
+        return endlessResult(*endless, transfer.budget.received());
+    }
     HttpResult result;
+    result.receivedBytes = transfer.budget.received();
     if (code == CURLE_OK) {
         long status = 0;
         curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
@@ -343,9 +405,8 @@
 class HttpClient::Impl
 {
 public:
-    Impl(std::size_t maxAnswerBytes, std::uint64_t bytesPerSecond)
-        : m_maxAnswerBytes(maxAnswerBytes)
-        , m_bytesPerSecond(bytesPerSecond)
+    explicit Impl(const HttpClientLimits &limits)
+        : m_limits(limits)
     {
         static const CURLcode Started = curl_global_init(CURL_GLOBAL_DEFAULT);
         if (Started != CURLE_OK) {
@@ -372,8 +433,10 @@
         auto transfer = std::make_unique<Transfer>();
         transfer->call = std::move(call);
         transfer->handler = std::move(handler);
-        transfer->maxAnswerBytes = m_maxAnswerBytes;
-        transfer->bytesPerSecond = m_bytesPerSecond;
+        transfer->maxAnswerBytes = m_limits.answerBytes;
+        transfer->bytesPerSecond = m_limits.bytesPerSecond;
+        transfer->budget = AnswerBudget(std::min(m_limits.answerBytes, m_limits.unsizedBytes));
+        transfer->flow = &m_flow;
         HttpCallId id{};
         {
             const std::lock_guard lock(m_mutex);
@@ -450,6 +513,7 @@
             }
             m_loop->runOnce(m_usesSpares ? std::optional(SpareConnections::SweepInterval) : std::nullopt);
             collect();
+            endEndless();
             shareRate();
             sweepSpares();
         }
@@ -462,11 +526,7 @@
     void carryOut(Order &order)
     {
         if (!order.transfer) {
-            const auto it = m_transfers.find(order.id);
-            if (it != m_transfers.end()) {
-                curl_multi_remove_handle(m_multi.get(), it->second->easy.get());
-                m_transfers.erase(it);
-            }
+            take(order.id);
             return;
         }
         Transfer &transfer = *order.transfer;
@@ -487,6 +547,43 @@
         m_transfers.emplace(order.id, std::move(order.transfer));
     }
 
+    /// Removes a call and, unless its answer is whole, its connection. Null if there is none.
+    std::unique_ptr<Transfer> take(HttpCallId id)
+    {
+        auto node = m_transfers.extract(id);
+        if (node.empty()) {
+            return nullptr;
+        }
+        std::unique_ptr<Transfer> transfer = std::move(node.mapped());
+        curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
+        m_flow.unsizedBytes -= std::min(m_flow.unsizedBytes, transfer->heldUnsized);
+        return transfer;
+    }
+
+    void endEndless()
+    {
+        if (m_flow.unsizedBytes > m_limits.unsizedBytesInAll) {
+            const auto longest =
+                std::ranges::max_element(m_transfers, {}, [](const auto &it) { return it.second->heldUnsized; });
+            longest->second->budget.setUnaffordable();
+            m_flow.endless.push_back(longest->first);
+        }
+        for (const HttpCallId id : std::exchange(m_flow.endless, {})) {
+            const std::unique_ptr<Transfer> transfer = take(id);
+            if (transfer) { // it may have ended for another reason
+                noteUse(*transfer);
+                transfer->handler(resultOf(*transfer, CURLE_ABORTED_BY_CALLBACK));
+            }
+        }
+    }
+
+    void noteUse(const Transfer &transfer)
+    {
+        if (transfer.spares != nullptr) {
+            m_spareConnections.addUse(transfer.call.to, std::chrono::steady_clock::now());
+        }
+    }
+
     void sweepSpares()
     {
         const TimePoint now = std::chrono::steady_clock::now();
@@ -499,14 +596,15 @@
     // Large answers on their way share the bound alike.
     void shareRate()
     {
-        if (m_bytesPerSecond == 0) {
+        if (m_limits.bytesPerSecond == 0) {
             return;
         }
         const auto isLarge = [](const auto &it) {
             return it.second->isLarge;
         };
         const auto count = std::count_if(m_transfers.begin(), m_transfers.end(), isLarge);
-        const std::uint64_t share = m_bytesPerSecond / static_cast<std::uint64_t>(std::max<std::ptrdiff_t>(1, count));
+        const std::uint64_t share =
+            m_limits.bytesPerSecond / static_cast<std::uint64_t>(std::max<std::ptrdiff_t>(1, count));
         for (auto &[id, transfer] : m_transfers) {
             if (transfer->isLarge && transfer->bytesPerSecond != share) {
                 transfer->bytesPerSecond = share;
@@ -526,14 +624,9 @@
             const CURLcode code = message->data.result;
             Transfer *done = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &done);
-            const auto it = m_transfers.find(done->id);
-            const std::unique_ptr<Transfer> transfer = std::move(it->second);
-            m_transfers.erase(it);
-            curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
+            const std::unique_ptr<Transfer> transfer = take(done->id);
             HttpResult result = resultOf(*transfer, code);
-            if (transfer->spares != nullptr) {
-                m_spareConnections.addUse(transfer->call.to, std::chrono::steady_clock::now());
-            }
+            noteUse(*transfer);
             // A handle whose transfer ended before it had a connection keeps a read buffer of the former length, and
             // refuses another: the next answer would be read past its end.
             if (code == CURLE_OK && m_spare.size() < MaxSpare) {
@@ -544,8 +637,8 @@
         }
     }
 
-    std::size_t m_maxAnswerBytes;
-    std::uint64_t m_bytesPerSecond;
+    HttpClientLimits m_limits;
+    AnswerFlow m_flow;
     MultiHandle m_multi;
     std::unique_ptr<SocketLoop> m_loop;
     std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> m_transfers;
@@ -561,8 +654,13 @@
     std::thread m_thread;
 };
 
+HttpClient::HttpClient(const HttpClientLimits &limits)
+    : m_impl(std::make_unique<Impl>(limits))
+{
+}
+
 HttpClient::HttpClient(std::size_t maxAnswerBytes, std::uint64_t bytesPerSecond)
-    : m_impl(std::make_unique<Impl>(maxAnswerBytes, bytesPerSecond))
+    : HttpClient(HttpClientLimits{.answerBytes = maxAnswerBytes, .bytesPerSecond = bytesPerSecond})
 {
 }
 
--- a/unittests/Fleet/StubControl.h
+++ b/unittests/Fleet/StubControl.h
@@ -120,7 +120,7 @@
 class Entry
 {
 public:
-    explicit Entry(unsigned number, const std::string &zone = "z1")
+    explicit Entry(unsigned number, const std::string &zone = "z1", std::size_t maxAnswerBytes = 1 << 20)
         : control(addressOn(number, 17200))
     {
         constexpr unsigned EntryOffset = 10;
@@ -128,9 +128,10 @@
         settings.name = "entry-" + std::to_string(number);
         settings.zone = zone;
         settings.regionOfZone = {{"z1", "r1"}, {"z2", "r2"}};
-        settings.maxBodyBytes = settings.maxAnswerBytes = 1 << 20;
+        settings.maxBodyBytes = 1 << 20;
+        settings.maxAnswerBytes = maxAnswerBytes;
         settings.peer = addressOn(number + EntryOffset, 17200);
-        settings.metrics = addressOn(number + EntryOffset, 17203);
+        settings.metrics = m_metrics = addressOn(number + EntryOffset, 17203);
         settings.callers = settings.readiness = {"127.0.0.1", 0};
         settings.seeds = {addressOn(number, 17201)};
         m_gateway = std::make_unique<GatewayDaemon>(settings, m_clock, callerDialect<platform::Clients>());
@@ -138,14 +139,13 @@
 
     HttpResult request(const std::string &resource)
     {
-        HttpCall call;
-        call.to = m_gateway->callersAddress();
-        call.method = resource.starts_with("/once/") ? "POST" : "GET";
-        call.resource = resource;
-        call.headers = {
-            {"Host", "a.example"}, {"X-Request-Id", "q" + std::to_string(++m_requests)}, {"X-Deadline-Ms", "3000"}};
-        call.timeout = 10s;
-        return fetchOnce(m_client, call);
+        return fetchOnce(m_client, callFor(resource));
+    }
+
+    /// Starts a request whose answer the handler gets.
+    void start(const std::string &resource, HttpResultHandler handler)
+    {
+        m_client.start(callFor(resource), std::move(handler));
     }
 
     unsigned statusOf(const std::string &resource)
@@ -158,10 +158,36 @@
         return m_gateway->callersAddress().text();
     }
 
+    /// Value of a metric; 0 if it is absent.
+    double metric(const std::string &name)
+    {
+        HttpCall call;
+        call.to = m_metrics;
+        call.method = "GET";
+        call.resource = "/metrics";
+        call.timeout = 10s;
+        const std::string text = "\n" + fetchOnce(m_client, call).answer.body;
+        const std::size_t at = text.find("\n" + name + " ");
+        return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size() + 2));
+    }
+
     StubControl control;
 
 private:
+    HttpCall callFor(const std::string &resource)
+    {
+        HttpCall call;
+        call.to = m_gateway->callersAddress();
+        call.method = resource.starts_with("/once/") ? "POST" : "GET";
+        call.resource = resource;
+        call.headers = {
+            {"Host", "a.example"}, {"X-Request-Id", "q" + std::to_string(++m_requests)}, {"X-Deadline-Ms", "3000"}};
+        call.timeout = 10s;
+        return call;
+    }
+
     SteadyClock m_clock;
+    Address m_metrics;
     HttpClient m_client{1 << 20};
     std::unique_ptr<GatewayDaemon> m_gateway;
     std::atomic<int> m_requests{0};
