Balance: one request at a time tries a target after a block

What callers saw: a target that fails each request for seconds got all requests of a moment when its block of 0.7 to 4 s ended, each of which fails or comes late, until the first of them failed again.

Cause: the end of a block closed the circuit, although nothing had shown that the target answers again.

Change: FailureBlock, a part of its own with the failures and the block that TargetSet kept; after a block one request at a time goes to the target until an answer comes.

Evidence: FailingTargetTest, "after a block one request at a time tries the target"; there was no such state before.

--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -16,9 +16,6 @@
 constexpr double ColdMargin = 0.8;
 /// Unconfirmed targets are unusable after this time. A target reports several times within it.
 constexpr std::chrono::seconds ConfirmationTimeout{6};
-constexpr Milliseconds MinBlock{700};
-constexpr Milliseconds MaxBlock{4000};
-constexpr unsigned FailuresToBlock = 3;
 /// Upper bound of a back-off: a target must not be lost for good by one answer.
 constexpr std::chrono::minutes MaxBackoff{5};
 /// Share of a back-off over which hosts that began it at the same moment spread their return, and its upper bound.
@@ -426,7 +423,7 @@
     case AttemptOutcome::Answered:
     case AttemptOutcome::Shed:
         target->isRecovering &= outcome == AttemptOutcome::Shed;
-        target->failures = 0;
+        target->failures.recordAnswer();
         target->awaitingSince = target->inFlight > 0 ? std::optional(now) : std::nullopt;
         return;
     case AttemptOutcome::WrongTarget:
@@ -441,8 +438,7 @@
         return;
     case AttemptOutcome::Lost:
     case AttemptOutcome::TimedOut:
-        ++target->failures;
-        blockAfterFailures(*target, now);
+        target->failures.recordFailure(now);
         return;
     }
 }
@@ -453,17 +449,7 @@
     if (target == nullptr) {
         return;
     }
-    target->failures = std::max(target->failures + 1, FailuresToBlock);
-    blockAfterFailures(*target, now);
-}
-
-void TargetSet::blockAfterFailures(TargetState &target, TimePoint now)
-{
-    if (target.failures < FailuresToBlock) {
-        return;
-    }
-    const unsigned doublings = std::min(target.failures - FailuresToBlock, 4U);
-    target.blockedUntil = now + std::min<Duration>(MinBlock * (1 << doublings), MaxBlock);
+    target->failures.recordOutage(now);
 }
 
 std::map<std::string, double> TargetSet::capacity(std::string_view service, std::optional<double> serviceTime,
@@ -579,8 +565,7 @@
 {
     for (auto &[id, target] : m_targets) {
         if (target.report.service == service) {
-            target.failures = 0;
-            target.blockedUntil = {};
+            target.failures.clear();
             target.awaitingSince.reset();
         }
     }
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "EntryHosts.h"
+#include "FailureBlock.h"
 #include "LimitShare.h"
 #include "pepperlug/Balance.h"
 #include "TargetRing.h"
@@ -34,8 +35,7 @@
     unsigned inFlightAtLoad = 0;
     TimePoint loadAt{};
     std::optional<TimePoint> awaitingSince; ///< requests are in flight without any answer since then
-    unsigned failures = 0; ///< consecutive ones
-    TimePoint blockedUntil{};
+    FailureBlock failures;
     bool isLeaving = false; ///< reported in an answer
     TimePoint backoffUntil{}; ///< this host sends it nothing until then
     bool isRecovering = false; ///< has not run a request of this host since its last back-off
@@ -155,7 +155,6 @@
     bool isUsable(const TargetState &target, TimePoint now) const;
     /// Time between two requests of this host to a cold target; nothing if there is no limit.
     std::optional<Duration> coldRequestInterval(const TargetState &target) const;
-    static void blockAfterFailures(TargetState &target, TimePoint now);
     static void setColdUntil(TargetState &target, TimePoint until, TimePoint now);
     bool mayReceiveWhileCold(TargetState &target, TimePoint now) const;
     std::size_t limitRank(TargetState &target) const;
