Balance: a target that is outrun by a hedged attempt is charged with a failure

What callers saw: a target that never answers, or never ends, kept its share of the requests that may be repeated, each of them late by 0.5 s or more: 13 of 60 in the new test.

Cause: when the hedged attempt was answered, the first one was cancelled, and with it everything that spoke against its target: the attempt, and since when the target had been unresponsive.

Change: an attempt that is cancelled since a later one was answered counts as a failure of its target. Callers that leave, and answers by way of another entry host, charge nobody.

Evidence: FailingTargetTest failed before (13 where at most 5 are allowed).

--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -370,10 +370,15 @@
     }
 }
 
-void Balancer::Impl::cancelAttempts(OpenRequest &open)
+// An attempt is in progress beside an earlier one only if the target of that one was unresponsive.
+void Balancer::Impl::cancelAttempts(OpenRequest &open, const Attempt *answered)
 {
     for (const auto &[number, attempt] : open.attempts) {
-        m_targets.attemptCancelled(attempt.target);
+        if (answered != nullptr && attempt.startedAt < answered->startedAt) {
+            m_targets.attemptOutrun(attempt.target, m_now);
+        } else {
+            m_targets.attemptCancelled(attempt.target);
+        }
         m_out->emplace_back(CancelAttempt{open.request.id, number});
     }
     open.attempts.clear();
@@ -416,7 +421,7 @@
     open.hasAnswerBegun = true;
     m_out->emplace_back(PassHead{event.id, event.attempt});
     auto kept = open.attempts.extract(event.attempt);
-    cancelAttempts(open);
+    cancelAttempts(open, &kept.mapped());
     open.attempts.insert(std::move(kept));
 }
 
@@ -487,7 +492,7 @@
         if (!event.isFailure) {
             clearSuspicion(open);
         }
-        cancelAttempts(open);
+        cancelAttempts(open, &attempt);
         m_open.erase(it);
         return;
     }
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -122,7 +122,8 @@
     bool mayHedge(const OpenRequest &open) const;
     bool isTargetUnresponsive(const Attempt &attempt, const Route &route);
     void hedgeUnresponsive();
-    void cancelAttempts(OpenRequest &open);
+    /// `answered`: the attempt that another target has answered, if that is the reason.
+    void cancelAttempts(OpenRequest &open, const Attempt *answered = nullptr);
     Duration timeAtTarget(const Attempt &attempt) const;
     void recordShed(OpenRequest &open, const AttemptEnded &event, const std::string &target);
     bool mayRetry(const OpenRequest &open, AttemptOutcome outcome);
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -405,6 +405,14 @@
     }
 }
 
+void TargetSet::attemptOutrun(const Incarnation &incarnation, TimePoint now)
+{
+    attemptCancelled(incarnation);
+    if (TargetState *const target = find(incarnation); target != nullptr) {
+        target->failures.recordFailure(now);
+    }
+}
+
 void TargetSet::attemptEnded(const Incarnation &incarnation, AttemptOutcome outcome,
                              const std::optional<TargetLoad> &load, TimePoint now)
 {
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -105,6 +105,8 @@
     void attemptEnded(const Incarnation &incarnation, AttemptOutcome outcome, const std::optional<TargetLoad> &load,
                       TimePoint now);
     void attemptCancelled(const Incarnation &incarnation);
+    /// Records that an attempt was cancelled because another target answered the request, to which it was sent later.
+    void attemptOutrun(const Incarnation &incarnation, TimePoint now);
     /// Records a failure after which the target is not used for a while: no connection to it could be made, or its
     /// answer has no end.
     void blockAtOnce(const Incarnation &incarnation, TimePoint now);
--- a/unittests/Balance/FailingTargetTest.cpp
+++ b/unittests/Balance/FailingTargetTest.cpp
@@ -40,3 +40,46 @@
         CHECK(block.blockedUntil() - now <= 4s);
     }
 }
+
+// Guards against a target that never answers, but keeps its share since its attempts are cancelled when a hedged one is
+// answered.
+TEST_CASE("a target that is outrun by a later attempt again and again is not used for a while")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("i-1"));
+    host.report(Host::targetOf("i-2"));
+    const std::string mute = "i-1";
+    int toMute = 0;
+    for (int n = 0; n < 60; ++n) {
+        const RequestId id = host.request("/read/" + std::to_string(n));
+        if (host.find<StartAttempt>()->target == mute) {
+            ++toMute;
+            host.now += 1600ms; // longer than an attempt may take before it is hedged
+            host.reduce(BalanceTick{});
+            REQUIRE(host.find<StartAttempt>() != nullptr);
+            host.end(id, 2, AttemptOutcome::Answered);
+        } else {
+            host.now += 20ms;
+            host.end(id, 1, AttemptOutcome::Answered);
+        }
+    }
+    CHECK(toMute <= 5);
+}
+
+TEST_CASE("a target is not charged where its callers leave")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("i-1"));
+    host.report(Host::targetOf("i-2"));
+    std::set<std::string> used;
+    for (int n = 0; n < 20; ++n) {
+        const RequestId id = host.request("/read/" + std::to_string(n));
+        REQUIRE(host.find<StartAttempt>() != nullptr);
+        used.insert(host.find<StartAttempt>()->target);
+        host.now += 100ms;
+        host.reduce(CallerLeft{id});
+    }
+    CHECK(used.size() == 2);
+}
