Reachability: a host whose targets are silent behind a device relays as well

Cause: the verdict that a host is cut off rested on new connections, and the device accepts them. Evidence that a target is reached is a byte from it.

Change: a probe asks, over a new connection, for an incarnation that no target has. Targets turn that away at once without a free slot, and none runs it. Any byte of an answer counts. The label of pepperlug_target_probes is "answered" in place of "connected".

Evidence: RelayTest with the form "accepted" failed before and passes; a property over generated cuts holds the verdict to 4 s after a cut begins, and its end to 1 s.

Why it works: no device in between can answer for a target, and the rounds of the verdict are what they were.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -165,7 +165,7 @@
 /// Result of ProbeTarget.
 struct TargetProbed {
     std::string service; ///< of the target
-    bool isConnected = false;
+    bool isAnswered = false; ///< in whatever way
 };
 
 /// The head of a target's answer has arrived, also if no request waits for the answer any more.
@@ -257,7 +257,7 @@
     std::string address;
 };
 
-/// Checks whether a new connection to a target can be made.
+/// Checks whether a target answers over a new connection.
 struct ProbeTarget {
     std::string service;
     std::string address;
--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -109,6 +109,7 @@
     Duration timeout{};
     std::string fromIp; ///< local address to call from; empty for any
     bool connectsOnly = false; ///< nothing is sent; answered once a connection is made
+    bool usesNewConnection = false; ///< neither a kept one nor one opened in advance; it is not kept afterwards
     bool mayRepeat = false; ///< the library may send it again where a kept connection turns out to be closed
     Duration connectTimeout = std::chrono::seconds(1);
     /// A request that could not be sent within this time of start() is not sent any more.
--- a/include/pepperlug/Reachability.h
+++ b/include/pepperlug/Reachability.h
@@ -2,9 +2,10 @@
 //
 // Tells an entry host that is cut off from all targets of a service from one
 // whose targets fail one by one. Missing answers and failed attempts are only a
-// reason to look: the verdict rests on new connections to several targets at
-// once, so that neither slow targets nor the crash of some of them count. Pure:
-// time is passed in, and the caller makes the connections.
+// reason to look: the verdict rests on probes of several targets at once, each
+// over a new connection, so that neither slow targets nor the crash of some of
+// them count. A probe succeeds if any byte comes back. Pure: time is passed in,
+// and the caller sends the probes.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -33,22 +34,21 @@
     std::size_t startProbes(TimePoint now);
     /// Reduces the round in progress: fewer targets are known than startProbes() returned.
     void limitRound(std::size_t probes, TimePoint now);
-    /// Records whether a probe could connect. Returns true if the verdict changed.
-    bool recordProbe(bool isConnected, TimePoint now);
+    /// Records whether a probe was answered. Returns true if the verdict changed.
+    bool recordProbe(bool isAnswered, TimePoint now);
 
-    /// Returns true if new connections to all probed targets failed in several rounds in a row, and none has been made
-    /// since.
+    /// Returns true if no probed target has answered in several rounds in a row, and none since.
     bool isCutOff() const;
 
 private:
     bool endRound(TimePoint now);
 
-    std::optional<TimePoint> m_answerDueAt; ///< of a request that was sent since the last answer or connected round
+    std::optional<TimePoint> m_answerDueAt; ///< of a request that was sent since the last answer or answered round
     bool m_hasFailure = false; ///< since the last round
     bool m_isCutOff = false;
     unsigned m_failedRounds = 0; ///< in a row
     std::size_t m_pending = 0; ///< probes of the round in progress without a result
-    std::size_t m_connected = 0; ///< probes of the round that could connect
+    std::size_t m_answered = 0; ///< probes of the round that were answered
     TimePoint m_roundStartedAt{};
     TimePoint m_nextRoundAt{};
 };
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -80,7 +80,7 @@
 // Failures while this host was cut off say nothing about the targets.
 void Balancer::Impl::handle(const TargetProbed &event)
 {
-    if (!m_reachability[event.service].recordProbe(event.isConnected, m_now)) {
+    if (!m_reachability[event.service].recordProbe(event.isAnswered, m_now)) {
         return;
     }
     const bool isNowCutOff = isCutOff(event.service);
--- a/lib/Fleet/GatewayRelays.cpp
+++ b/lib/Fleet/GatewayRelays.cpp
@@ -4,6 +4,14 @@
 namespace pepperlug::fleet
 {
 
+namespace
+{
+
+/// For a probe to be answered, connection included. Targets answer it without a free slot.
+constexpr Milliseconds ProbeTimeout{600};
+
+} // namespace
+
 std::vector<HeaderField> GatewayDaemon::Impl::attemptHeaders(const StartAttempt &effect, const HttpRequest &http) const
 {
     const std::vector<HeaderField> headers = endToEndHeaders(http.headers);
@@ -39,13 +47,27 @@
     m_client->start(std::move(call), std::move(handler));
 }
 
+// Asks for an incarnation that no target has, so that none runs the probe. A connection alone would not do: a device in
+// between may accept it and pass nothing on.
 void GatewayDaemon::Impl::carryOut(const ProbeTarget &effect)
 {
-    connectTo(effect.address, [this, service = effect.service](const HttpResult &result) {
-        const bool isConnected = result.kind == HttpResult::Kind::Answered;
-        m_metrics.count(isConnected ? "pepperlug_target_probes{connected=\"yes\"}"
-                                    : "pepperlug_target_probes{connected=\"no\"}");
-        reduce(TargetProbed{service, isConnected});
+    const std::optional<Address> to = Address::parse(effect.address);
+    if (!to) {
+        return;
+    }
+    HttpCall call;
+    call.to = *to;
+    call.method = "GET";
+    call.resource = "/";
+    call.headers = m_dialect.targetHeaders({}, {m_incarnation, ProbeTimeout, false, {}});
+    call.usesNewConnection = true;
+    call.timeout = ProbeTimeout;
+    call.connectTimeout = ConnectTimeout;
+    m_client->start(std::move(call), [this, service = effect.service](const HttpResult &result) {
+        const bool isAnswered = result.receivedBytes > 0;
+        m_metrics.count(isAnswered ? "pepperlug_target_probes{answered=\"yes\"}"
+                                   : "pepperlug_target_probes{answered=\"no\"}");
+        reduce(TargetProbed{service, isAnswered});
     });
 }
 
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -284,6 +284,8 @@
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     if (call.connectsOnly) {
         curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
+    }
+    if (call.connectsOnly || call.usesNewConnection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
@@ -536,8 +538,9 @@
             transfer.easy = std::move(m_spare.back());
             m_spare.pop_back();
         }
-        // A call that only connects asks whether the target accepts connections now.
-        if (m_usesSpares && !transfer.call.connectsOnly && transfer.call.fromIp.empty()) {
+        // A call over a connection of its own asks whether the target can be reached now.
+        const bool asksNow = transfer.call.connectsOnly || transfer.call.usesNewConnection;
+        if (m_usesSpares && !asksNow && transfer.call.fromIp.empty()) {
             transfer.spares = &m_spareConnections;
             m_spareConnections.addUse(transfer.call.to, std::chrono::steady_clock::now());
         }
--- a/lib/Reachability/Reachability.cpp
+++ b/lib/Reachability/Reachability.cpp
@@ -22,9 +22,9 @@
 constexpr Milliseconds RoundInterval{200};
 /// The same while the host is cut off: all hosts probe a service whose targets are gone.
 constexpr Milliseconds CutOffRoundInterval{400};
-/// After a round that could connect, or that led to no result.
+/// After a round with an answer, or that led to no result.
 constexpr Milliseconds PauseAfterContact{1000};
-/// A round without all results is dropped after this time. Longer than a connection may take.
+/// A round without all results is dropped after this time. Longer than a probe may take.
 constexpr Milliseconds RoundTimeout{1000};
 
 } // namespace
@@ -62,7 +62,7 @@
     }
     m_hasFailure = false;
     m_roundStartedAt = now;
-    m_connected = 0;
+    m_answered = 0;
     m_pending = m_failedRounds == 0 ? FirstRoundProbes : RoundProbes;
     return m_pending;
 }
@@ -75,21 +75,21 @@
     }
 }
 
-bool TargetReachability::recordProbe(bool isConnected, TimePoint now)
+bool TargetReachability::recordProbe(bool isAnswered, TimePoint now)
 {
     if (m_pending == 0) {
         return false; // of a round that timed out
     }
-    m_connected += isConnected ? 1 : 0;
+    m_answered += isAnswered ? 1 : 0;
     --m_pending;
     return m_pending == 0 && endRound(now);
 }
 
-// One connection in a round shows that the host is not cut off from all targets.
+// One answer in a round shows that the host is not cut off from all targets.
 bool TargetReachability::endRound(TimePoint now)
 {
     const bool before = m_isCutOff;
-    if (m_connected > 0) {
+    if (m_answered > 0) {
         m_failedRounds = 0;
         m_isCutOff = false;
         m_answerDueAt.reset(); // the next request is a reason to look again
--- a/unittests/Fleet/RelayTest.cpp
+++ b/unittests/Fleet/RelayTest.cpp
@@ -77,6 +77,7 @@
     Reset, ///< open connections are reset, new ones refused
     Hanging, ///< open connections go silent, new ones are not completed
     NewRefused, ///< open connections live on, new ones are refused
+    Accepted, ///< open connections go silent, new ones are accepted and are silent as well
 };
 
 /// Two entry hosts and three targets, which the first reaches by addresses of its own.
@@ -118,10 +119,12 @@
         for (const auto &proxy : m_proxies) {
             if (form == CutForm::Reset) {
                 proxy->set(soak::LinkFault::Reset);
-            } else if (form == CutForm::Hanging) {
+            } else if (form != CutForm::NewRefused) {
                 proxy->set(soak::LinkFault::Silent);
             }
-            proxy->refuseNew();
+            if (form != CutForm::Accepted) {
+                proxy->refuseNew();
+            }
         }
         if (form != CutForm::Hanging) {
             return;
@@ -268,7 +271,7 @@
 // Guards against a cut that is noticed in some of its forms only.
 TEST_CASE("a host serves through another one whatever becomes of its connections to targets")
 {
-    const CutForm form = GENERATE(CutForm::Reset, CutForm::Hanging, CutForm::NewRefused);
+    const CutForm form = GENERATE(CutForm::Reset, CutForm::Hanging, CutForm::NewRefused, CutForm::Accepted);
     CAPTURE(static_cast<int>(form));
     Pair pair;
     pair.useProxies();
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -132,7 +132,7 @@
     void onRequest(const HttpExchangePtr &exchange)
     {
         if (exchange->request().header("X-Expect-Instance") != m_id) {
-            exchange->respond({421, {{"X-Request-Id", *exchange->request().header("X-Request-Id")}}, {}});
+            exchange->respond({421, {{"X-Request-Id", exchange->request().header("X-Request-Id").value_or("")}}, {}});
             return;
         }
         if (sheds) {
--- a/unittests/Reachability/ReachabilityTest.cpp
+++ b/unittests/Reachability/ReachabilityTest.cpp
@@ -16,14 +16,14 @@
 
 /// A host whose probes end as the test says.
 struct Prober {
-    /// Runs for a time. `connects` says of each probe whether it connects; `takes`: how long one takes.
-    template <typename Connects>
-    void run(Duration time, Duration takes, Connects connects)
+    /// Runs for a time. `answers` says of each probe whether it is answered; `takes`: how long one takes.
+    template <typename Answers>
+    void run(Duration time, Duration takes, Answers answers)
     {
         for (const TimePoint end = now + time; now < end; now += Step) {
             for (std::size_t n = reachability.startProbes(now); n > 0; --n) {
                 ++probes;
-                due.emplace_back(now + takes, connects());
+                due.emplace_back(now + takes, answers());
             }
             std::erase_if(due, [&](const auto &it) {
                 const bool isDue = it.first <= now;
@@ -155,3 +155,34 @@
         RC_ASSERT(cutOff < 2s); // of 10 s
     });
 }
+
+// Guards against a device in between that accepts connections and passes nothing on, for which a host that only
+// connects is never cut off.
+TEST_CASE("property: a host is cut off while no target answers it, and at no other time")
+{
+    constexpr Duration NoticeTime = 4s; // a third of the shortest cut that requests have to survive
+    constexpr Duration ReturnTime = 1s;
+    rc::check([=] {
+        Prober host;
+        const auto phases = *rc::gen::container<std::vector<std::pair<bool, int>>>(
+            rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(1, 599)));
+        TimePoint changedAt = host.now;
+        bool reached = true;
+        for (const auto &[reaches, takesMs] : phases) {
+            if (reaches != reached) {
+                changedAt = host.now;
+                reached = reaches;
+            }
+            for (const TimePoint end = host.now + 5s; host.now < end;) {
+                host.reachability.recordSent(host.now, 0ms);
+                host.run(Step, reaches ? Milliseconds(takesMs / 2) : Milliseconds(takesMs),
+                         [reaches] { return reaches; });
+                if (reaches && !host.reachability.isCutOff()) {
+                    host.reachability.recordAnswer(); // requests that are sent are answered
+                }
+                const bool isSettled = host.now - changedAt > (reaches ? ReturnTime : NoticeTime);
+                RC_ASSERT(!isSettled || host.reachability.isCutOff() != reaches);
+            }
+        }
+    });
+}
