Targets: lengths that are no number, and answers without a body by their status

What callers saw: nothing yet; found in review. A 304 or 204 that tells a length above max_answer_bytes was given up, and with 16 KiB or more it was begun as a streamed answer that never ends.

Cause: the length was read without looking at whether it could be read, and only HEAD was exempt from it.

Change: such a length is none, a body is held against max_answer_bytes whatever its head tells, 204 and 304 have no body, chunks with padded sizes fit the bound of the framing, and an answer that the library rejects for another reason than its first line is lost, not endless.

--- a/lib/Http/AnswerBudget.cpp
+++ b/lib/Http/AnswerBudget.cpp
@@ -10,8 +10,8 @@
 constexpr std::uint64_t MaxHeadBytes = 64UL * 1024; ///< of all heads of an answer
 constexpr std::uint64_t MaxTrailerBytes = 16UL * 1024;
 /// Sizes and extensions of chunks: for each byte of payload, and besides. A chunk of one byte has five bytes of
-/// framing.
-constexpr std::uint64_t FramingPerByte = 8;
+/// framing, and twelve where its size is padded to eight digits.
+constexpr std::uint64_t FramingPerByte = 16;
 constexpr std::uint64_t FramingBesides = 64UL * 1024;
 
 } // namespace
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -89,7 +89,8 @@
     bool isPassedOn = false; ///< the body goes to the call's handler as it arrives
 };
 
-// The only callback that is told of all bytes, before chunks are taken apart.
+// The only callback that is told of bytes before chunks are taken apart. It is told of header lines once they are
+// whole.
 int onReceived(CURL *, curl_infotype type, char *, std::size_t size, void *self)
 {
     auto *transfer = static_cast<Transfer *>(self);
@@ -115,7 +116,8 @@
         transfer->call.onPart({data, bytes});
         return bytes;
     }
-    if (transfer->budget.exceeded()) {
+    transfer->isTooLarge = transfer->answer.body.size() + bytes > transfer->maxAnswerBytes;
+    if (transfer->isTooLarge || transfer->budget.exceeded()) {
         return 0;
     }
     transfer->answer.body.append(data, bytes);
@@ -124,7 +126,8 @@
     return bytes;
 }
 
-// Nothing if the body is in chunks or ends with the connection. A transfer coding overrides a length (RFC 9112, 6.3).
+// Nothing if the body is in chunks or ends with the connection, or if the length is no number. A transfer coding
+// overrides a length (RFC 9112, 6.3).
 std::optional<std::uint64_t> lengthIn(const std::vector<HeaderField> &headers)
 {
     std::optional<std::uint64_t> length;
@@ -133,12 +136,24 @@
             return std::nullopt;
         }
         if (sameName(field.name, "content-length")) {
-            std::from_chars(field.value.data(), field.value.data() + field.value.size(), length.emplace());
+            const char *const end = field.value.data() + field.value.size();
+            const auto [ptr, ec] = std::from_chars(field.value.data(), end, length.emplace());
+            if (ec != std::errc() || ptr != end) {
+                return std::nullopt;
+            }
         }
     }
     return length;
 }
 
+// Returns true if the answer has a body, whatever length its head tells.
+bool hasBody(const Transfer &transfer, long status)
+{
+    constexpr long NoContent = 204;
+    constexpr long NotModified = 304;
+    return transfer.hasFinalHead && transfer.call.method != "HEAD" && status != NoContent && status != NotModified;
+}
+
 // Returns false if the answer is not taken.
 bool onHeadEnd(Transfer &transfer)
 {
@@ -146,8 +161,7 @@
     long status = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
     transfer.hasFinalHead = status >= FirstFinalStatus;
-    // An interim head has no body, and neither has the answer to HEAD, whatever length it tells.
-    if (!transfer.hasFinalHead || transfer.call.method == "HEAD") {
+    if (!hasBody(transfer, status)) {
         return true;
     }
     const std::optional<std::uint64_t> length = lengthIn(transfer.answer.headers);
@@ -350,7 +364,7 @@
 // Nothing would tell the end of these.
 bool tellsEndlessHead(CURLcode code)
 {
-    return code == CURLE_OUT_OF_MEMORY || code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY;
+    return code == CURLE_OUT_OF_MEMORY || code == CURLE_UNSUPPORTED_PROTOCOL;
 }
 
 HttpResult endlessResult(AnswerPart part, std::uint64_t receivedBytes)
