Balance: trials of a failing target go by time, one pause is one failure

A sound target with a long request on its way stayed out after its block; where all targets of a service were blocked, all requests went to one of them; seven requests that waited through one pause of 0.6 s blocked a target for 4 s; and a block outlived the answer that ended the failures.

Change: a trial begins the next block, so that there is one in each and the choice among blocked targets goes round; an answer, or the head of a large one, ends the block; attempts that waited at the same time count as one failure; a hedged attempt that ends with a failure of its target charges nobody.

--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -370,12 +370,12 @@
     }
 }
 
-// An attempt is in progress beside an earlier one only if the target of that one was unresponsive.
+// A second target is sent the request only if the first one was unresponsive.
 void Balancer::Impl::cancelAttempts(OpenRequest &open, const Attempt *answered)
 {
     for (const auto &[number, attempt] : open.attempts) {
         if (answered != nullptr && attempt.startedAt < answered->startedAt) {
-            m_targets.attemptOutrun(attempt.target, m_now);
+            m_targets.attemptOutrun(attempt.target, attempt.startedAt, m_now);
         } else {
             m_targets.attemptCancelled(attempt.target);
         }
@@ -421,6 +421,8 @@
     open.hasAnswerBegun = true;
     m_out->emplace_back(PassHead{event.id, event.attempt});
     auto kept = open.attempts.extract(event.attempt);
+    m_targets.answerBegun(kept.mapped().target);
+    recordReachability(open.service, AttemptOutcome::Answered);
     cancelAttempts(open, &kept.mapped());
     open.attempts.insert(std::move(kept));
 }
@@ -492,7 +494,7 @@
         if (!event.isFailure) {
             clearSuspicion(open);
         }
-        cancelAttempts(open, &attempt);
+        cancelAttempts(open, event.isFailure ? nullptr : &attempt);
         m_open.erase(it);
         return;
     }
--- a/lib/Balance/FailureBlock.cpp
+++ b/lib/Balance/FailureBlock.cpp
@@ -1,6 +1,8 @@
 //===- FailureBlock.cpp - When a failing target may be used again ---------===//
 #include "FailureBlock.h"
 
+#include <algorithm>
+
 namespace pepperlug::fleet
 {
 
@@ -13,12 +15,26 @@
 
 } // namespace
 
+// What is sent after a block is a trial; the next one is due in another block unless an answer comes.
+void FailureBlock::recordSent(TimePoint now)
+{
+    block(now);
+}
+
 void FailureBlock::recordFailure(TimePoint now)
 {
     ++m_failures;
     block(now);
 }
 
+void FailureBlock::recordOutrun(TimePoint sentAt, TimePoint now)
+{
+    if (sentAt >= m_outrunAt) {
+        m_outrunAt = now;
+        recordFailure(now);
+    }
+}
+
 void FailureBlock::recordOutage(TimePoint now)
 {
     m_failures = std::max(m_failures + 1, FailuresToBlock);
@@ -27,7 +43,7 @@
 
 void FailureBlock::recordAnswer()
 {
-    m_failures = 0;
+    clear();
 }
 
 void FailureBlock::clear()
@@ -35,10 +51,9 @@
     *this = {};
 }
 
-bool FailureBlock::mayUse(TimePoint now, unsigned inFlight) const
+bool FailureBlock::mayUse(TimePoint now) const
 {
-    const bool isOnTrial = m_failures >= FailuresToBlock;
-    return now >= m_blockedUntil && (!isOnTrial || inFlight == 0);
+    return now >= m_blockedUntil;
 }
 
 TimePoint FailureBlock::blockedUntil() const
--- a/lib/Balance/FailureBlock.h
+++ b/lib/Balance/FailureBlock.h
@@ -2,7 +2,8 @@
 //
 // A circuit breaker for one target: after several failures in a row the target
 // is not used for a while, the longer the more failures follow. Then one request
-// at a time tries it until an answer closes the circuit. Pure: time is passed in.
+// in as long a while tries it, until an answer closes the circuit. Pure: time is
+// passed in.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -15,8 +16,13 @@
 class FailureBlock
 {
 public:
+    /// Records that a request is sent to the target.
+    void recordSent(TimePoint now);
     /// Records a failure that may have been chance.
     void recordFailure(TimePoint now);
+    /// Records that the target has not answered a request in time, and was then given up. `sentAt`: when the request
+    /// was sent. Requests that wait at the same time count as one failure.
+    void recordOutrun(TimePoint sentAt, TimePoint now);
     /// Records a failure after which the target can't be expected to answer.
     void recordOutage(TimePoint now);
     /// Records an answer.
@@ -24,8 +30,7 @@
     /// Forgets all failures.
     void clear();
 
-    /// Returns true if the target may be used. `inFlight`: requests of this host that are at the target.
-    bool mayUse(TimePoint now, unsigned inFlight) const;
+    bool mayUse(TimePoint now) const;
     /// Returns until when the target is not used.
     TimePoint blockedUntil() const;
 
@@ -34,6 +39,7 @@
 
     unsigned m_failures = 0; ///< in a row
     TimePoint m_blockedUntil{};
+    TimePoint m_outrunAt{}; ///< last outrun that counted
 };
 
 } // namespace pepperlug::fleet
--- a/lib/Balance/TargetChoice.cpp
+++ b/lib/Balance/TargetChoice.cpp
@@ -49,7 +49,7 @@
     ++m_visited;
     return isUsable(target, now) && !query.excluded.contains(target.report.id)
         && (!target.isCold(now) || mayReceiveWhileCold(target, now)) && !untilCapacity(target, query, now)
-        && target.failures.mayUse(now, target.inFlight) && !target.isUnresponsive(now, query.responseTimeout);
+        && target.failures.mayUse(now) && !target.isUnresponsive(now, query.responseTimeout);
 }
 
 TargetState *TargetSet::chooseByKey(const std::vector<const TargetRing *> &rings, const TargetQuery &query,
@@ -115,7 +115,7 @@
                 soonest = std::min(soonest.value_or(*wait), *wait);
                 continue;
             }
-            if (target->failures.mayUse(now, target->inFlight) && !target->isUnresponsive(now, query.responseTimeout)) {
+            if (target->failures.mayUse(now) && !target->isUnresponsive(now, query.responseTimeout)) {
                 available.push_back(target);
             } else if (firstUnblocked == nullptr
                        || target->failures.blockedUntil() < firstUnblocked->failures.blockedUntil()) {
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -384,6 +384,7 @@
 void TargetSet::attemptStarted(TargetState &target, TimePoint now)
 {
     ++target.inFlight;
+    target.failures.recordSent(now);
     target.awaitingSince = target.awaitingSince.value_or(now);
     const std::optional<Duration> interval = target.isCold(now) ? coldRequestInterval(target) : std::nullopt;
     if (interval) {
@@ -405,11 +406,18 @@
     }
 }
 
-void TargetSet::attemptOutrun(const Incarnation &incarnation, TimePoint now)
+void TargetSet::attemptOutrun(const Incarnation &incarnation, TimePoint sentAt, TimePoint now)
 {
     attemptCancelled(incarnation);
     if (TargetState *const target = find(incarnation); target != nullptr) {
-        target->failures.recordFailure(now);
+        target->failures.recordOutrun(sentAt, now);
+    }
+}
+
+void TargetSet::answerBegun(const Incarnation &incarnation)
+{
+    if (TargetState *const target = find(incarnation); target != nullptr) {
+        target->failures.recordAnswer();
     }
 }
 
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -106,7 +106,9 @@
                       TimePoint now);
     void attemptCancelled(const Incarnation &incarnation);
     /// Records that an attempt was cancelled because another target answered the request, to which it was sent later.
-    void attemptOutrun(const Incarnation &incarnation, TimePoint now);
+    void attemptOutrun(const Incarnation &incarnation, TimePoint sentAt, TimePoint now);
+    /// Records that the head of a successful answer has arrived.
+    void answerBegun(const Incarnation &incarnation);
     /// Records a failure after which the target is not used for a while: no connection to it could be made, or its
     /// answer has no end.
     void blockAtOnce(const Incarnation &incarnation, TimePoint now);
