Reachability: a busy service that ends new connections is not out of reach

What callers saw: nothing yet; found in review of the probes that want an answer. Targets may reset connections beyond their number while they answer over kept ones, and slow ones answer a probe late. All probes of three rounds without a byte would have cut the host off, at each host alike.

Change: a connection alone counts as reached within 0.5 s of an answer to a request; the head of a large answer counts as one.

Evidence: ReachabilityTest, "connections without a byte ..."; the property over cuts holds with probes that fail in either way.

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -165,7 +165,7 @@
 /// Result of ProbeTarget.
 struct TargetProbed {
     std::string service; ///< of the target
-    bool isAnswered = false; ///< in whatever way
+    ProbeResult result{};
 };
 
 /// The head of a target's answer has arrived, also if no request waits for the answer any more.
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -45,7 +45,7 @@
     case AttemptOutcome::Shed:
     case AttemptOutcome::WrongTarget:
     case AttemptOutcome::Endless:
-        m_reachability[service].recordAnswer();
+        m_reachability[service].recordAnswer(m_now);
         return;
     case AttemptOutcome::NotSent:
     case AttemptOutcome::Lost:
@@ -80,7 +80,7 @@
 // Failures while this host was cut off say nothing about the targets.
 void Balancer::Impl::handle(const TargetProbed &event)
 {
-    if (!m_reachability[event.service].recordProbe(event.isAnswered, m_now)) {
+    if (!m_reachability[event.service].recordProbe(event.result, m_now)) {
         return;
     }
     const bool isNowCutOff = isCutOff(event.service);
--- a/lib/Fleet/GatewayRelays.cpp
+++ b/lib/Fleet/GatewayRelays.cpp
@@ -10,6 +10,27 @@
 /// For a probe to be answered, connection included. Targets answer it without a free slot.
 constexpr Milliseconds ProbeTimeout{600};
 
+ProbeResult probeResult(const HttpResult &result)
+{
+    if (result.receivedBytes > 0 || result.kind == HttpResult::Kind::Endless) {
+        return ProbeResult::Answered;
+    }
+    return result.kind == HttpResult::Kind::NotSent ? ProbeResult::Failed : ProbeResult::Connected;
+}
+
+const char *nameOf(ProbeResult result)
+{
+    switch (result) {
+    case ProbeResult::Answered:
+        return "answered";
+    case ProbeResult::Connected:
+        return "connected";
+    case ProbeResult::Failed:
+        return "failed";
+    }
+    return "failed";
+}
+
 } // namespace
 
 std::vector<HeaderField> GatewayDaemon::Impl::attemptHeaders(const StartAttempt &effect, const HttpRequest &http) const
@@ -64,10 +85,9 @@
     call.timeout = ProbeTimeout;
     call.connectTimeout = ConnectTimeout;
     m_client->start(std::move(call), [this, service = effect.service](const HttpResult &result) {
-        const bool isAnswered = result.receivedBytes > 0;
-        m_metrics.count(isAnswered ? "pepperlug_target_probes{answered=\"yes\"}"
-                                   : "pepperlug_target_probes{answered=\"no\"}");
-        reduce(TargetProbed{service, isAnswered});
+        const ProbeResult reached = probeResult(result);
+        m_metrics.count(std::string("pepperlug_target_probes{result=\"") + nameOf(reached) + "\"}");
+        reduce(TargetProbed{service, reached});
     });
 }
 
--- a/lib/Reachability/Reachability.cpp
+++ b/lib/Reachability/Reachability.cpp
@@ -22,8 +22,10 @@
 constexpr Milliseconds RoundInterval{200};
 /// The same while the host is cut off: all hosts probe a service whose targets are gone.
 constexpr Milliseconds CutOffRoundInterval{400};
-/// After a round with an answer, or that led to no result.
+/// After a round that reached a target, or that led to no result.
 constexpr Milliseconds PauseAfterContact{1000};
+/// Since the last answer to a request, within which a connection alone shows that a target is reached.
+constexpr Milliseconds ConnectionTrustTime{500};
 /// A round without all results is dropped after this time. Longer than a probe may take.
 constexpr Milliseconds RoundTimeout{1000};
 
@@ -35,8 +37,9 @@
     m_answerDueAt = std::min(dueAt, m_answerDueAt.value_or(dueAt));
 }
 
-void TargetReachability::recordAnswer()
+void TargetReachability::recordAnswer(TimePoint now)
 {
+    m_lastAnswerAt = now;
     m_answerDueAt.reset();
 }
 
@@ -62,7 +65,7 @@
     }
     m_hasFailure = false;
     m_roundStartedAt = now;
-    m_answered = 0;
+    m_reached = 0;
     m_pending = m_failedRounds == 0 ? FirstRoundProbes : RoundProbes;
     return m_pending;
 }
@@ -75,21 +78,27 @@
     }
 }
 
-bool TargetReachability::recordProbe(bool isAnswered, TimePoint now)
+bool TargetReachability::recordProbe(ProbeResult result, TimePoint now)
 {
     if (m_pending == 0) {
         return false; // of a round that timed out
     }
-    m_answered += isAnswered ? 1 : 0;
+    m_reached += reaches(result, now) ? 1 : 0;
     --m_pending;
     return m_pending == 0 && endRound(now);
 }
 
-// One answer in a round shows that the host is not cut off from all targets.
+bool TargetReachability::reaches(ProbeResult result, TimePoint now) const
+{
+    const bool isAnswering = m_lastAnswerAt && now - *m_lastAnswerAt < ConnectionTrustTime;
+    return result == ProbeResult::Answered || (result == ProbeResult::Connected && isAnswering);
+}
+
+// One target reached in a round shows that the host is not cut off from all of them.
 bool TargetReachability::endRound(TimePoint now)
 {
     const bool before = m_isCutOff;
-    if (m_answered > 0) {
+    if (m_reached > 0) {
         m_failedRounds = 0;
         m_isCutOff = false;
         m_answerDueAt.reset(); // the next request is a reason to look again
--- a/unittests/Balance/RegionsPropertyTest.cpp
+++ b/unittests/Balance/RegionsPropertyTest.cpp
@@ -168,7 +168,8 @@
                 checkRegion(n, *attempt, m_hosts[n].index);
                 m_pending.push_back({n, *attempt});
             } else if (const auto *probe = std::get_if<ProbeTarget>(&effect)) {
-                m_hosts[n].host->reduce(TargetProbed{probe->service, m_hosts[n].reachesTargets});
+                m_hosts[n].host->reduce(TargetProbed{
+                    probe->service, m_hosts[n].reachesTargets ? ProbeResult::Answered : ProbeResult::Failed});
                 applyEffects(n);
             }
         }
--- a/unittests/Balance/RelayingTest.cpp
+++ b/unittests/Balance/RelayingTest.cpp
@@ -42,7 +42,8 @@
             for (std::size_t n = 0; n < all.size(); ++n) {
                 if (const auto *probe = std::get_if<ProbeTarget>(&all[n])) {
                     ++probes;
-                    reduce(TargetProbed{std::string(probe->service), connects});
+                    reduce(TargetProbed{std::string(probe->service),
+                                        connects ? ProbeResult::Answered : ProbeResult::Failed});
                     all.insert(all.end(), effects.begin(), effects.end());
                 }
             }
@@ -365,7 +366,7 @@
     };
     host.end(host.request("/once/x"), 1, AttemptOutcome::NotSent);
     CHECK(probesOf() == 1);
-    host.reduce(TargetProbed{"s", false});
+    host.reduce(TargetProbed{"s", ProbeResult::Failed});
     host.now += 200ms;
     CHECK(probesOf() == 3);
 }
--- a/unittests/Balance/TenantTest.cpp
+++ b/unittests/Balance/TenantTest.cpp
@@ -338,7 +338,7 @@
         const auto probes = std::count_if(host.effects.begin(), host.effects.end(), isProbe);
         REQUIRE(probes > 0);
         for (auto left = probes; left > 0; --left) {
-            host.reduce(TargetProbed{"s", connects});
+            host.reduce(TargetProbed{"s", connects ? ProbeResult::Answered : ProbeResult::Failed});
         }
     };
     host.end(host.sendRequest("/once/x", "k2"), 1, AttemptOutcome::NotSent);
--- a/unittests/Reachability/ReachabilityTest.cpp
+++ b/unittests/Reachability/ReachabilityTest.cpp
@@ -28,7 +28,7 @@
             std::erase_if(due, [&](const auto &it) {
                 const bool isDue = it.first <= now;
                 if (isDue) {
-                    reachability.recordProbe(it.second, now);
+                    reachability.recordProbe(it.second ? ProbeResult::Answered : failure, now);
                 }
                 return isDue;
             });
@@ -41,11 +41,12 @@
         for (int n = 0; n < requests; ++n) {
             reachability.recordSent(now, usualTime);
             run(takes, 1ms, [] { return false; });
-            reachability.recordAnswer();
+            reachability.recordAnswer(now);
         }
     }
 
     TargetReachability reachability;
+    ProbeResult failure = ProbeResult::Failed; ///< of probes that are not answered
     TimePoint now{1000s};
     std::size_t probes = 0;
     std::vector<std::pair<TimePoint, bool>> due;
@@ -89,7 +90,7 @@
         host.reachability.recordSent(host.now, 0ms);
         host.reachability.recordFailure();
         host.run(50ms, 1ms, Never);
-        host.reachability.recordAnswer();
+        host.reachability.recordAnswer(host.now);
     }
     CHECK(host.reachability.isCutOff());
 }
@@ -156,6 +157,26 @@
     });
 }
 
+// Guards against a service that is overloaded, ends new connections and answers over kept ones, and is taken for one
+// that this host does not reach.
+TEST_CASE("connections without a byte cut a host off only if no request is answered either")
+{
+    Prober host;
+    host.failure = ProbeResult::Connected;
+    for (int n = 0; n < 100; ++n) {
+        host.reachability.recordSent(host.now, 0ms);
+        host.reachability.recordFailure();
+        host.run(50ms, 1ms, Never);
+        host.reachability.recordAnswer(host.now);
+        CHECK_FALSE(host.reachability.isCutOff());
+    }
+    for (const TimePoint end = host.now + 4s; host.now < end;) {
+        host.reachability.recordSent(host.now, 0ms);
+        host.run(50ms, 600ms, Never);
+    }
+    CHECK(host.reachability.isCutOff());
+}
+
 // Guards against a device in between that accepts connections and passes nothing on, for which a host that only
 // connects is never cut off.
 TEST_CASE("property: a host is cut off while no target answers it, and at no other time")
@@ -164,6 +185,7 @@
     constexpr Duration ReturnTime = 1s;
     rc::check([=] {
         Prober host;
+        host.failure = *rc::gen::element(ProbeResult::Failed, ProbeResult::Connected);
         const auto phases = *rc::gen::container<std::vector<std::pair<bool, int>>>(
             rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(1, 599)));
         TimePoint changedAt = host.now;
@@ -178,7 +200,7 @@
                 host.run(Step, reaches ? Milliseconds(takesMs / 2) : Milliseconds(takesMs),
                          [reaches] { return reaches; });
                 if (reaches && !host.reachability.isCutOff()) {
-                    host.reachability.recordAnswer(); // requests that are sent are answered
+                    host.reachability.recordAnswer(host.now); // requests that are sent are answered
                 }
                 const bool isSettled = host.now - changedAt > (reaches ? ReturnTime : NoticeTime);
                 RC_ASSERT(!isSettled || host.reachability.isCutOff() != reaches);
