Routing: a host that is heard again after a lease has no further lease

A host that had heard nothing for more than a lease is waited for by nobody. When it was heard again and learnt that newer routing exists, it sent by its old routing until that had been fetched, for up to a further lease of 1.8 s: 2.7 s of silence came to 4.5 s of replaced routing.

Cause: the time since which routing is missing began with its advertisement, although it may have been in force since the host was last waited for.

Change: after a silence of more than a lease, advertised routing counts as missing since the last contact before, so that the host decides nothing until it has it. RoutingLag keeps the contacts.

Evidence: RoutingLagTest, "routing advertised after a silence ..."; the type had no such state before, so the test can't be run on the old code.

--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -71,6 +71,7 @@
     , m_events(m_settings.name, clock, m_settings.logLinesPerSecond)
     , m_incarnation(m_settings.name + "#" + randomHex(IncarnationBytes))
     , m_balancer(std::make_unique<Balancer>(balanceSettings(m_settings, m_incarnation)))
+    , m_routingLag(m_settings.updateLease)
     , m_discovery(m_settings.zone)
 {
     m_events.state("start", {{"role", "entry"}, {"zone", m_settings.zone}});
@@ -331,7 +332,7 @@
         const std::lock_guard lock(m_mutex);
         if (reply.isCurrent) {
             m_viewAsOf = info.sentAt;
-            m_heardAt = m_clock.now();
+            m_routingLag.addContact(m_clock.now());
         }
         m_followedHost = info.from;
         for (const AgedReport<HostReport> &it : reply.changes.hosts) {
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -179,7 +179,6 @@
     std::size_t m_seedRequests = 0;
     TimePoint m_nextControlHostsRequest{};
     std::optional<TimePoint> m_viewAsOf; ///< this host knows all that a control host with a majority knew then
-    std::optional<TimePoint> m_heardAt; ///< when a control host with a majority last replied to a poll or a heartbeat
     bool m_wasSuspended = false; ///< as of the last log line about it
     EpochVersion m_acknowledgedSuspects; ///< version of this host's quarantine that the followed host has
     EpochVersion m_acknowledgedBackpressure; ///< version of this host's backpressure table that the followed host has
--- a/lib/Fleet/GatewayRouting.cpp
+++ b/lib/Fleet/GatewayRouting.cpp
@@ -120,11 +120,11 @@
     UpdateReceived received;
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_heardAt) {
+        if (!m_routingLag.heardAt()) {
             return;
         }
         received.requestedAt = m_viewAsOf.value_or(TimePoint{});
-        received.heardAt = m_heardAt;
+        received.heardAt = m_routingLag.heardAt();
         received.behindSince = m_routingLag.behindSince();
         received.isArriving = !m_needsFullRouting;
     }
@@ -140,7 +140,7 @@
     }
     {
         const std::lock_guard lock(m_mutex);
-        m_heardAt = m_clock.now();
+        m_routingLag.addContact(m_clock.now());
         m_routingLag.addAdvertised(reply.routingIndex, m_clock.now());
     }
     reportViewAge();
@@ -149,18 +149,19 @@
 void GatewayDaemon::Impl::reportSuspension()
 {
     const std::lock_guard lock(m_mutex);
+    const std::optional<TimePoint> heardAt = m_routingLag.heardAt();
     const bool isSuspended = m_balancer->isSuspended();
     if (isSuspended == m_wasSuspended) {
         return;
     }
     m_wasSuspended = isSuspended;
     m_metrics.gauge("pepperlug_routing_suspended", isSuspended ? 1 : 0);
-    m_events.state(isSuspended ? "routing-suspended" : "routing-resumed",
-                   {{"index", m_routing.index},
-                    {"newest_index", m_routingLag.newestIndex()},
-                    {"view_age_ms", viewAge().count()},
-                    {"heard_ms_ago",
-                     m_heardAt ? std::chrono::duration_cast<Milliseconds>(m_clock.now() - *m_heardAt).count() : -1}});
+    m_events.state(
+        isSuspended ? "routing-suspended" : "routing-resumed",
+        {{"index", m_routing.index},
+         {"newest_index", m_routingLag.newestIndex()},
+         {"view_age_ms", viewAge().count()},
+         {"heard_ms_ago", heardAt ? std::chrono::duration_cast<Milliseconds>(m_clock.now() - *heardAt).count() : -1}});
 }
 
 // Log index of the oldest routing by which this host decides. While it decides nothing, this may be an index that has
--- a/unittests/Fleet/RoutingLagTest.cpp
+++ b/unittests/Fleet/RoutingLagTest.cpp
@@ -7,10 +7,17 @@
 using namespace pepperlug::fleet;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+constexpr Duration Lease = 1800ms;
+
+} // namespace
+
 TEST_CASE("the lag starts when the oldest missing routing is advertised")
 {
     const TimePoint start{1000s};
-    RoutingLag lag;
+    RoutingLag lag(Lease);
     CHECK_FALSE(lag.behindSince());
     lag.addAdvertised(5, start);
     lag.addAdvertised(5, start + 1s); // advertised again
@@ -27,7 +34,7 @@
 TEST_CASE("routing that arrives before its advertisement is no lag")
 {
     const TimePoint start{1000s};
-    RoutingLag lag;
+    RoutingLag lag(Lease);
     lag.setApplied(3);
     CHECK(lag.newestIndex() == 3);
     lag.addAdvertised(3, start);
@@ -37,3 +44,23 @@
     CHECK_FALSE(lag.behindSince());
     CHECK(lag.newestIndex() == 9);
 }
+
+// Guards against a host that is heard again after more than a lease, learns of newer routing, and sends by its old
+// routing for a further lease, although nobody has waited for it.
+TEST_CASE("routing advertised after a silence of more than a lease is missing since the last contact")
+{
+    const TimePoint start{1000s};
+    RoutingLag lag(Lease);
+    lag.addContact(start);
+    lag.addContact(start + Lease); // still waited for
+    lag.addAdvertised(4, start + Lease);
+    CHECK(lag.behindSince() == start + Lease);
+    lag.setApplied(4);
+    lag.addContact(start + 5s);
+    lag.addAdvertised(5, start + 5s);
+    CHECK(lag.behindSince() == start + Lease);
+    lag.addContact(start + 6s);
+    lag.addAdvertised(6, start + 6s);
+    lag.setApplied(5);
+    CHECK(lag.behindSince() == start + 6s);
+}
