Balance: a service with a small demand sends its limited targets requests

What callers saw: the entry host of a region whose targets all had rate limits sent nearly all requests to another region until the limits lapsed after 30 s. The targets were idle, so that no answer confirmed or lifted a limit.

Cause: below one slot of demand the plan takes it for unknown and assumes that of a full service, an even part of all slots. A limited target counts with its rate times the service time, some hundredths of a slot at a few milliseconds. The region kept one over the other, less than 1 % of its callers.

LimitedRegionTest failed before (0 to 7 of 100 requests once the plan had moved, 51 to 70 after) and passes.

Why it works: the assumed demand of the host's own region shrinks in the part of its slots that limits leave, but not below the reported demand, which is in the same measure. Without limits, plans are what they were; how losses are measured is, too.

Cost, as with a known demand of a slot or more: the plan fills limits to 60 %, but hosts of other regions own a part of them.

--- a/lib/Balance/Placement.cpp
+++ b/lib/Balance/Placement.cpp
@@ -184,10 +184,7 @@
         const std::optional<double> mean =
             serviceTime == m_meanServiceTime.end() ? std::nullopt : std::optional(serviceTime->second);
         RegionState state{m_targets.capacity(service.name, mean, m_now), m_targets.demand(service.name),
-                          m_targets.boundDemand(service.name)};
-        if (followsLosses()) {
-            state.unlimited = m_targets.capacity(service.name, std::nullopt, m_now);
-        }
+                          m_targets.boundDemand(service.name), m_targets.capacity(service.name, std::nullopt, m_now)};
         if (m_settings.policy.schedulesReturns) {
             // As many callers return to this host as it sends away, so it schedules for an equal part of all slots.
             const auto hosts = static_cast<double>(std::max<std::size_t>(1, m_targets.entryHosts()));
--- a/lib/Balance/RegionPlanner.cpp
+++ b/lib/Balance/RegionPlanner.cpp
@@ -48,6 +48,20 @@
     return demand;
 }
 
+// The even demand fills all slots, and limits leave only as many as their rates occupy. Beside them it counts in the
+// same part, or else a service with a small demand would send limited targets nothing. The reported demand is in slots
+// that are occupied, too.
+double RegionPlanner::ownDemand(const RegionState &state, double even) const
+{
+    const auto limited = state.capacity.find(m_region);
+    const auto unlimited = state.unlimited.find(m_region);
+    if (limited == state.capacity.end() || unlimited == state.unlimited.end() || limited->second >= unlimited->second) {
+        return even;
+    }
+    const auto reported = state.demand.find(m_region);
+    return std::max(reported == state.demand.end() ? 0 : reported->second, even * limited->second / unlimited->second);
+}
+
 // Half of the bound: the states that it compares lie two windows apart, and random choices move some requests too.
 double RegionPlanner::maxStep() const
 {
@@ -65,7 +79,9 @@
     const double slots = sumOf(state.capacity);
     it.utilizationWithBound = state.bound.empty() ? std::nullopt : std::optional(slots > 0 ? sum / slots : 1);
     if (sum < MinKnownDemand) {
-        state.demand = evenDemand(state.capacity);
+        RegionSlots even = evenDemand(state.capacity);
+        even[m_region] = ownDemand(state, even[m_region]);
+        state.demand = std::move(even);
     } else if (!it.isDemandKnown) {
         it.isDemandKnown = true;
         it.plan.beginSettling(now);
@@ -76,7 +92,8 @@
         }
     }
     const RegionShares planned = plannedShares(m_region, state.capacity, state.demand, state.bound);
-    return it.plan.moveTowards(planned, state.unlimited.empty() ? state.capacity : state.unlimited, now, followsLosses);
+    const bool countsLimits = !followsLosses || state.unlimited.empty();
+    return it.plan.moveTowards(planned, countsLimits ? state.capacity : state.unlimited, now, followsLosses);
 }
 
 std::string RegionPlanner::regionFor(const std::string &service, std::uint64_t key) const
--- a/lib/Balance/RegionPlanner.h
+++ b/lib/Balance/RegionPlanner.h
@@ -18,8 +18,8 @@
     RegionSlots capacity; ///< of usable targets
     RegionSlots demand; ///< by the callers' region, without `bound`
     RegionSlots bound; ///< demand that home regions bind to a region
-    /// Like `capacity`, without what rate limits of targets exclude; empty: the same. Losses are measured by it, since
-    /// the slots that a limit leaves change with the service time.
+    /// Like `capacity`, but with the slots that rate limits of targets exclude; empty: the same. Losses that are
+    /// followed are measured by it, since the slots that a limit leaves change with the service time.
     RegionSlots unlimited{};
 };
 
@@ -54,6 +54,8 @@
 
     /// Demand of each region if all regions have the same and the service is full.
     RegionSlots evenDemand(const RegionSlots &capacity) const;
+    /// Demand of the host's region while none is known, given the even one.
+    double ownDemand(const RegionState &state, double even) const;
     double maxStep() const;
 
     const BalanceSettings &m_settings;
