--- a/test/soak/Actors.cpp
+++ b/test/soak/Actors.cpp
@@ -139,6 +139,19 @@
     m_arrivalsSinceAsk.clear();
 }
 
+void Target::answerWithoutEnd(const EndlessForm *form)
+{
+    if (form == nullptr) {
+        m_link.answerWithoutEnd(std::nullopt);
+        return;
+    }
+    m_link.answerWithoutEnd(EndlessAnswer{*form, [this](const std::string &id) {
+                                              m_ledger.answeredWithoutEnd(id, m_id, m_clock.now());
+                                              return "X-Request-Id: " + id + "\r\nX-Upstream-Seal: " + m_id + "." + id
+                                                  + "\r\n";
+                                          }});
+}
+
 std::vector<TargetArrival> Target::arrivalsSinceAsk()
 {
     const std::lock_guard lock(m_mutex);
--- a/test/soak/Actors.h
+++ b/test/soak/Actors.h
@@ -49,6 +49,8 @@
     bool drain(Duration patience);
     /// From now on its answers ask for this.
     void ask(const TargetAsks &asks);
+    /// From now on it answers without an end and runs nothing; null: it is sound again.
+    void answerWithoutEnd(const EndlessForm *form);
     /// Requests that came since the last ask().
     std::vector<TargetArrival> arrivalsSinceAsk();
     /// Requests that came since.
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t BufferBytes = 16 * 1024;
 /// What may wait in the proxy's socket, in bytes: a link holds little, the rest waits at the sender.
 constexpr int WaitingBytes = 64 * 1024;
+/// An endless answer has so many bytes in each interval: 4 MB a second.
+constexpr std::size_t EndlessBytes = 64UL * 1024;
+constexpr Milliseconds EndlessInterval{16};
 
 } // namespace
 
@@ -40,6 +43,9 @@
     bool isSilentFromTarget = false;
     std::array<char, BufferBytes> toTarget{};
     std::array<char, BufferBytes> toCaller{};
+    /// What an endless answer sends next, a whole number of the repeated parts but for its start; empty: there is none.
+    std::string endless;
+    std::string repeated; ///< so often that it fills an interval
 };
 
 FaultProxy::FaultProxy(Address target, const Address &at)
@@ -120,6 +126,13 @@
     set(LinkFault::Narrow);
 }
 
+void FaultProxy::answerWithoutEnd(std::optional<EndlessAnswer> answer)
+{
+    const auto isDone =
+        boost::asio::post(m_context, boost::asio::use_future([this, &answer] { m_endless = std::move(answer); }));
+    isDone.wait();
+}
+
 bool FaultProxy::isCut(bool isToTarget) const
 {
     const LinkFault fault = m_fault;
@@ -186,6 +199,9 @@
         end(session, true); // a real connection has no holes: it comes back whole or is reset
         return;
     }
+    if (isToTarget && takeForEndless(session, size)) {
+        return;
+    }
     const Duration time = holdTime(isToTarget, size);
     if (time == Duration::zero()) {
         write(session, isToTarget, size);
@@ -197,6 +213,49 @@
     });
 }
 
+// What does not begin with a whole head belongs to a request that the target has got a part of.
+bool FaultProxy::takeForEndless(const std::shared_ptr<Session> &session, std::size_t size)
+{
+    const std::string bytes(session->toTarget.data(), size);
+    const bool isRequest = bytes.starts_with("GET ") || bytes.starts_with("POST ");
+    if (!m_endless || !isRequest || bytes.find("\r\n\r\n") == std::string::npos) {
+        return false;
+    }
+    while (session->repeated.size() < EndlessBytes) {
+        session->repeated += m_endless->form.repeated;
+    }
+    session->endless = m_endless->form.startWith(m_endless->onRequest(valueInHead(bytes, "X-Request-Id")));
+    session->endless += session->repeated;
+    sendEndless(session);
+    return true;
+}
+
+void FaultProxy::sendEndless(const std::shared_ptr<Session> &session)
+{
+    if (!session->caller.is_open()) {
+        return;
+    }
+    if (isCut(false) || session->isSilentFromTarget) {
+        sendEndlessLater(session);
+        return;
+    }
+    boost::asio::async_write(session->caller, boost::asio::buffer(session->endless),
+                             [this, session](const boost::system::error_code &ec, std::size_t) {
+                                 if (ec) {
+                                     end(session, false);
+                                     return;
+                                 }
+                                 session->endless = session->repeated;
+                                 sendEndlessLater(session);
+                             });
+}
+
+void FaultProxy::sendEndlessLater(const std::shared_ptr<Session> &session)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, EndlessInterval);
+    timer->async_wait([this, session, timer](const boost::system::error_code &) { sendEndless(session); });
+}
+
 Duration FaultProxy::holdTime(bool isToTarget, std::size_t size) const
 {
     const LinkFault fault = m_fault;
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -1,10 +1,12 @@
 //===- FaultProxy.h - A bad network in front of an address -------*- C++ -*-===//
 #pragma once
 
+#include "EndlessForm.h"
 #include "pepperlug/Support.h"
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <functional>
 #include <thread>
 
 namespace pepperlug::soak
@@ -23,6 +25,14 @@
 /// The ways of a connection on which bytes are lost.
 enum class SilentWays : std::uint8_t { Both, ToTarget, FromTarget };
 
+/// What a proxy answers without an end instead of the target.
+struct EndlessAnswer {
+    EndlessForm form;
+    /// Called for each request that the target does not get, with its id, on the proxy's thread. Returns the header
+    /// lines of the answer.
+    std::function<std::string(const std::string &id)> onRequest;
+};
+
 /// Passes connections on to one target (which may be a host too), and spoils them as told.
 class FaultProxy
 {
@@ -44,6 +54,9 @@
     void silenceOpen(SilentWays ways);
     /// Sets LinkFault::Narrow: each connection has so many bytes a second towards its caller.
     void narrow(std::uint64_t bytesPerSecond);
+    /// Requests that come from now on are not passed on, but answered with 4 MB a second until their callers end the
+    /// connections. Without a value, the target gets new requests again. Returns when that holds.
+    void answerWithoutEnd(std::optional<EndlessAnswer> answer);
 
 private:
     struct Session;
@@ -56,6 +69,9 @@
     void write(const std::shared_ptr<Session> &session, bool isToTarget, std::size_t size);
     static void end(const std::shared_ptr<Session> &session, bool isReset);
     bool isCut(bool isToTarget) const;
+    bool takeForEndless(const std::shared_ptr<Session> &session, std::size_t size);
+    void sendEndless(const std::shared_ptr<Session> &session);
+    void sendEndlessLater(const std::shared_ptr<Session> &session);
 
     Address m_target;
     std::atomic<LinkFault> m_fault{LinkFault::None};
@@ -66,6 +82,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     Address m_address;
     std::vector<std::weak_ptr<Session>> m_sessions; ///< used on the proxy's thread only
+    std::optional<EndlessAnswer> m_endless; ///< the same
     std::thread m_thread;
 };
 
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -80,6 +80,26 @@
     return m_endedTargets;
 }
 
+void Ledger::answeredWithoutEnd(const std::string &id, const std::string &target, TimePoint at)
+{
+    const std::lock_guard lock(m_mutex);
+    if (id.empty()) {
+        return;
+    }
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end()) {
+        failLocked("asked", "target " + target + " got " + id + ", which nobody sent");
+        return;
+    }
+    m_endlessRequests.push_back({target, it->second.request.entryHost, at});
+}
+
+std::vector<EndlessRequest> Ledger::endlessRequests() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_endlessRequests;
+}
+
 void Ledger::fail(const std::string &rule, const std::string &what)
 {
     const std::lock_guard lock(m_mutex);
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -13,6 +13,13 @@
     std::string entryHost{}; ///< address that it was sent to
 };
 
+/// A request that a target answered without an end instead of running it.
+struct EndlessRequest {
+    std::string target;
+    std::string entryHost; ///< address that its caller sent it to
+    TimePoint at{};
+};
+
 /// Collects what happened at all sockets and finds what must never happen. Safe to use from all threads.
 class Ledger
 {
@@ -28,6 +35,10 @@
     void targetEnded();
     /// How many it ended so far.
     unsigned endedTargets() const;
+    /// A target answers a request without an end, and does not run it. Probes of entry hosts have no id and don't
+    /// count.
+    void answeredWithoutEnd(const std::string &id, const std::string &target, TimePoint at);
+    std::vector<EndlessRequest> endlessRequests() const;
     void fail(const std::string &rule, const std::string &what);
 
     /// What can only be said at the end: nothing that was told "not run" has run.
@@ -50,6 +61,7 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, Entry> m_entries;
+    std::vector<EndlessRequest> m_endlessRequests;
     std::vector<std::string> m_failures;
     unsigned m_served = 0;
     unsigned m_refused = 0;
--- a/test/soak/Processes.cpp
+++ b/test/soak/Processes.cpp
@@ -4,8 +4,10 @@
 #include <csignal>
 #include <cstring>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace pepperlug::soak
 {
@@ -28,9 +30,31 @@
     return m_name;
 }
 
+const std::vector<std::chrono::steady_clock::time_point> &Process::starts() const
+{
+    return m_starts;
+}
+
+std::optional<std::size_t> Process::residentBytes() const
+{
+    // What a program has before it serves says nothing about what it takes later.
+    constexpr auto StartTime = std::chrono::seconds(1);
+    const pid_t id = m_id;
+    if (id == 0 || std::chrono::steady_clock::now() - m_startedAt.load() < StartTime) {
+        return std::nullopt;
+    }
+    std::ifstream statm("/proc/" + std::to_string(id) + "/statm");
+    std::size_t pages = 0;
+    if (!(statm >> pages >> pages) || pages == 0) {
+        return std::nullopt;
+    }
+    return pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 void Process::start()
 {
-    m_startedAt = std::chrono::steady_clock::now();
+    m_starts.push_back(std::chrono::steady_clock::now());
+    m_startedAt = m_starts.back();
     std::vector<char *> words;
     for (std::string &it : m_arguments) {
         words.push_back(it.data());
@@ -43,12 +67,13 @@
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     // A socket of the soak that lives on in a host would stay open when the soak closes it.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    const int code = posix_spawn(&m_id, words[0], &actions, nullptr, words.data(), environ);
+    pid_t id = 0;
+    const int code = posix_spawn(&id, words[0], &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (code != 0) {
-        m_id = 0;
         throw Error("start process", m_name, std::strerror(code));
     }
+    m_id = id;
 }
 
 void Process::signal(int number)
@@ -63,7 +88,7 @@
     // Of 96 processes that got a SIGHUP within 15 ms of their start, on a busy machine, 72 ended by it, also where the
     // program handled it as the first thing in main(); the latest after 14 ms.
     constexpr auto LoadTime = std::chrono::milliseconds(500);
-    if (std::chrono::steady_clock::now() - m_startedAt >= LoadTime) {
+    if (std::chrono::steady_clock::now() - m_startedAt.load() >= LoadTime) {
         signal(SIGHUP);
     }
 }
--- a/test/soak/Processes.h
+++ b/test/soak/Processes.h
@@ -3,6 +3,7 @@
 
 #include "pepperlug/Support.h"
 
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <sys/types.h>
@@ -21,6 +22,10 @@
     Process &operator=(const Process &) = delete;
 
     const std::string &name() const;
+    /// When it was started, each time.
+    const std::vector<std::chrono::steady_clock::time_point> &starts() const;
+    /// Memory that it has, in bytes; nothing while it does not run or has only begun to. Safe to use from all threads.
+    std::optional<std::size_t> residentBytes() const;
     void signal(int number);
     /// Tells it that its settings have changed, unless its libraries may still be loading: until then no program can
     /// handle a SIGHUP, which ends it.
@@ -40,10 +45,11 @@
     std::string m_name;
     std::vector<std::string> m_arguments;
     std::filesystem::path m_output;
-    pid_t m_id = 0; ///< 0 while it does not run
+    std::atomic<pid_t> m_id{0}; ///< 0 while it does not run
     bool m_isKeptDown = false;
     bool m_isStopping = false; ///< its end was asked for
-    std::chrono::steady_clock::time_point m_startedAt;
+    std::vector<std::chrono::steady_clock::time_point> m_starts;
+    std::atomic<std::chrono::steady_clock::time_point> m_startedAt{};
 };
 
 } // namespace pepperlug::soak
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -8,6 +8,7 @@
 #include "Actors.h"
 #include "BackpressureCheck.h"
 #include "Cluster.h"
+#include "EndlessCheck.h"
 
 #include <algorithm>
 #include <csignal>
@@ -56,11 +57,17 @@
 /// Sets the generator of connections that go silent for good apart from the others.
 constexpr std::uint64_t SilenceSeries = 0x73696c65;
 
+/// Sets the generator of targets that send without end apart from the others.
+constexpr std::uint64_t EndlessSeries = 0x656e646c;
+/// More memory than before that an entry host may have while a target sends without end, in bytes.
+constexpr std::size_t MaxMoreMemory = 32UL << 20;
+
 /// What a seed plays besides the faults that each plays.
 struct SoakOptions {
     bool endsTargets = false; ///< a request that ends each target which runs it
     bool hasBackpressure = false; ///< targets that name limits, ask for rests, and say that they leave
     bool silencesConnections = false; ///< open connections that carry nothing any more, while new ones work
+    bool hasEndlessAnswers = false; ///< a target that answers without an end for a while
 };
 
 /// Set by a signal: the soak ends its processes before it ends itself.
@@ -93,7 +100,9 @@
         , m_linkRandom(seed ^ HostLinkSeries)
         , m_asksRandom(seed ^ AsksSeries)
         , m_silenceRandom(seed ^ SilenceSeries)
+        , m_endlessRandom(seed ^ EndlessSeries)
         , m_cluster(settings)
+        , m_memory(m_cluster.entryHosts())
         , m_control(m_cluster.controlAddresses())
         , m_operator(m_ledger, m_control)
         , m_client(1UL << 22)
@@ -124,9 +133,15 @@
             if (m_options.hasBackpressure) {
                 letOneAsk();
             }
+            if (m_options.hasEndlessAnswers) {
+                letOneSendWithoutEnd();
+            }
             pass(Milliseconds(50 + m_random() % 700));
         }
         calmDown();
+        if (m_options.hasEndlessAnswers) {
+            checkEndless();
+        }
         if (m_options.endsTargets) {
             checkShutOut();
         }
@@ -254,6 +269,47 @@
         target.ask(asks);
     }
 
+    // One target at a time, so that the others can serve.
+    void letOneSendWithoutEnd()
+    {
+        constexpr unsigned OneIn = 3;
+        constexpr unsigned LeastMilliseconds = 2000;
+        constexpr unsigned MoreMilliseconds = 3000;
+        const std::uint64_t drawn = m_endlessRandom();
+        const std::uint64_t target = m_endlessRandom();
+        const EndlessForm &form = endlessForms()[m_endlessRandom() % endlessForms().size()];
+        const Milliseconds time(LeastMilliseconds + m_endlessRandom() % MoreMilliseconds);
+        if (drawn % OneIn != 0 || m_sendsWithoutEnd) {
+            return;
+        }
+        m_steps += "endless ";
+        m_sendsWithoutEnd = true;
+        m_memory.begin();
+        m_targets[target % m_targets.size()]->answerWithoutEnd(&form);
+        m_later.emplace(m_clock.now() + time, [this] {
+            for (const std::unique_ptr<Target> &it : m_targets) {
+                it->answerWithoutEnd(nullptr);
+            }
+            m_memory.end();
+            m_sendsWithoutEnd = false;
+        });
+    }
+
+    void checkEndless()
+    {
+        const std::vector<EndlessRequest> requests = m_ledger.endlessRequests();
+        for (const std::string &it : brokenEndless(requests, m_cluster)) {
+            m_ledger.fail("endless", it);
+        }
+        const auto [bytes, host] = m_memory.most();
+        if (bytes > MaxMoreMemory) {
+            m_ledger.fail("memory",
+                          host + " has " + std::to_string(bytes >> 10)
+                              + " KB more than before while a target sends without end");
+        }
+        m_steps += "endless-" + std::to_string(requests.size()) + " memory-" + std::to_string(bytes >> 10) + "KB ";
+    }
+
     void checkBackpressure()
     {
         constexpr double Limit = 3;
@@ -784,9 +840,11 @@
     std::mt19937_64 m_linkRandom; ///< for faults between hosts, and for large routings
     std::mt19937_64 m_asksRandom; ///< for what targets ask for
     std::mt19937_64 m_silenceRandom; ///< for connections that go silent
+    std::mt19937_64 m_endlessRandom; ///< for targets that send without end
     SteadyClock m_clock;
     Ledger m_ledger;
     Cluster m_cluster;
+    MemoryWatch m_memory; ///< of entry hosts
     ControlHosts m_control;
     Operator m_operator;
     HttpClient m_client;
@@ -796,6 +854,7 @@
     unsigned m_routeGroups = 0; ///< that the next routing has
     TimePoint m_linksSpoiledUntil{}; ///< those of the control hosts; narrow ones are not spoiled
     TimePoint m_diskLostAt{};
+    bool m_sendsWithoutEnd = false; ///< some target
     std::multimap<TimePoint, std::function<void()>> m_later; ///< ends of disturbances
     std::string m_steps;
 };
@@ -841,7 +900,8 @@
         "seconds", "of disturbance for each", cxxopts::value<unsigned>()->default_value("25"))(
         "ending-request", "a request that ends each target which runs it comes again and again")(
         "backpressure", "targets name limits, ask for rests, and say that they leave")(
-        "silence", "open connections go silent for good, while new ones work")("help", "this text");
+        "silence", "open connections go silent for good, while new ones work")(
+        "endless", "a target answers without an end for a while, in some form")("help", "this text");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0 || arguments.count("program") == 0) {
         std::cout << options.help();
@@ -861,7 +921,7 @@
         try {
             allKept &= play(first + n, length, settings, arguments["folder"].as<std::string>(),
                             {arguments.count("ending-request") > 0, arguments.count("backpressure") > 0,
-                             arguments.count("silence") > 0});
+                             arguments.count("silence") > 0, arguments.count("endless") > 0});
         } catch (const Stopped &) {
             std::cout << "seed " << first + n << ": stopped midway" << std::endl;
             return 2;
--- a/unittests/Fleet/EndlessTargetTest.cpp
+++ b/unittests/Fleet/EndlessTargetTest.cpp
@@ -5,12 +5,15 @@
 //
 //===----------------------------------------------------------------------===//
 #include "Fleet/StubControl.h"
+#include "test/soak/EndlessForm.h"
 
 #include <fstream>
 
 using namespace pepperlug;
 using namespace pepperlug::fleet;
 using namespace pepperlug::fleet::test;
+using soak::EndlessForm;
+using soak::endlessForms;
 
 namespace
 {
@@ -28,35 +31,11 @@
 /// More memory than before, for each entry host.
 constexpr std::size_t MaxMoreMemory = 32 * Megabyte;
 
-/// What a target sends after a start, again and again. "%" stands for the fields that each answer must have.
-struct Form {
-    const char *name;
-    std::string start;
-    std::string repeated;
-};
-
-const std::vector<Form> &forms()
-{
-    static const std::string Filler(1000, 'x');
-    static const std::string Chunked = "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n";
-    static const std::vector<Form> Forms{
-        {"no status line", "", Filler},
-        {"one header line", "HTTP/1.1 200 OK\r\n%X-Filler: ", Filler},
-        {"header lines", "HTTP/1.1 200 OK\r\n%", "X-Filler: " + Filler + "\r\n"},
-        {"interim heads", "", "HTTP/1.1 103 Early Hints\r\nLink: " + Filler + "\r\n\r\n"},
-        {"a body in chunks", Chunked, "3e8\r\n" + Filler + "\r\n"},
-        {"a body without a length", "HTTP/1.1 200 OK\r\n%\r\n", Filler},
-        {"the extension of one chunk", Chunked + "5;", Filler},
-        {"trailers", Chunked + "2\r\nok\r\n0\r\n", "X-Filler: " + Filler + "\r\n"},
-    };
-    return Forms;
-}
-
 /// Sends 4 MB a second over each connection once a request has come, until the connection ends.
 class EndlessTarget
 {
 public:
-    explicit EndlessTarget(const Form &form)
+    explicit EndlessTarget(const EndlessForm &form)
         : m_form(form)
         , m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
         , m_thread([this] { accept(); })
@@ -114,10 +93,8 @@
             return;
         }
         ++m_requests;
-        std::string buf = m_form.start;
-        if (const std::size_t mark = buf.find('%'); mark != std::string::npos) {
-            buf.replace(mark, 1, "X-Request-Id: " + valueIn(head, "X-Request-Id") + "\r\nX-Upstream-Seal: seal\r\n");
-        }
+        const std::string id = soak::valueInHead(head, "X-Request-Id");
+        std::string buf = m_form.startWith("X-Request-Id: " + id + "\r\nX-Upstream-Seal: seal\r\n");
         while (!m_isOver) {
             while (buf.size() < BytesAtOnce) {
                 buf += m_form.repeated;
@@ -149,13 +126,7 @@
         return m_isOver ? std::string() : head;
     }
 
-    static std::string valueIn(const std::string &head, const std::string &name)
-    {
-        const std::size_t start = head.find(name + ": ") + name.size() + 2;
-        return head.substr(start, head.find('\r', start) - start);
-    }
-
-    Form m_form;
+    EndlessForm m_form;
     std::atomic<bool> m_isOver{false};
     std::atomic<int> m_requests{0};
     std::atomic<std::size_t> m_sentBytes{0};
@@ -169,7 +140,7 @@
 class Site
 {
 public:
-    Site(unsigned number, const Form &form, std::size_t soundTargets, std::size_t endlessTargets)
+    Site(unsigned number, const EndlessForm &form, std::size_t soundTargets, std::size_t endlessTargets)
         : name(form.name)
         , m_entry(number, "z1", MaxAnswerBytes)
     {
@@ -256,7 +227,7 @@
 void checkSites(std::size_t soundTargets, std::size_t endlessTargets)
 {
     std::vector<std::unique_ptr<Site>> sites;
-    for (const Form &form : forms()) {
+    for (const EndlessForm &form : endlessForms()) {
         const auto number = static_cast<unsigned>(sites.size());
         sites.push_back(std::make_unique<Site>(20 + number, form, soundTargets, endlessTargets));
     }
@@ -288,7 +259,7 @@
 
 TEST_CASE("an answer without an end has a metric")
 {
-    Site site(19, forms()[2], 2, 1);
+    Site site(19, endlessForms()[2], 2, 1);
     site.addEndless();
     CHECK(System::eventually([&] {
         site.call();
