Http: one silent kept connection puts the older ones of its target in doubt

Cause: what a request without a byte of an answer showed was held against its own connection alone.

Change: ConnectionTrust, a part without sockets, keeps by address before when connections are in doubt. A request over a kept or spare connection that ends or is cancelled without a byte, 500 ms or more after it was sent, puts all connections made until then in doubt, for 8 s. Calls use younger ones only (CURLOPT_MAXLIFETIME_CONN), or a new one within the first 2 s, as the library counts whole seconds (CURLOPT_FRESH_CONNECT). The spare connection is closed. Cancellations are carried out before the calls that start in the same turn. A byte ends the doubt if it comes on a connection that is not newer than the silent one: a newer one may have been made after the others went silent. Connections are told apart by their local ports. HttpClient::silences() counts.

Why it works: a connection that is in doubt was made before the moment of the doubt, and the doubt lasts longer than a connection is kept without use.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -195,6 +195,8 @@
     /// use of this function are not taken into account. From any thread.
     void keepConnected(const std::vector<Address> &addresses);
     SpareConnectionCounts spareConnections() const;
+    /// How often older connections to an address were not used any more since a request on one of them had no answer.
+    std::uint64_t silences() const;
     void stop();
 
 private:
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -7,6 +7,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "AnswerBudget.h"
+#include "ConnectionTrust.h"
 #include "SocketLoop.h"
 #include "SpareConnections.h"
 
@@ -24,6 +25,8 @@
 
 constexpr long KeptConnectionSeconds = 6; ///< a kept connection that was idle for longer is not used again
 constexpr long MaxKeptConnections = 512;
+// The library counts whole seconds, so a connection may be idle for almost one more.
+static_assert(ConnectionTrust::DoubtTime > std::chrono::seconds(KeptConnectionSeconds + 1));
 /// Read at a time where bytes a second are bounded; less makes a smoother stream, and more wake-ups.
 constexpr long BoundedRead = 8 * 1024;
 /// The library takes a buffer of its own for each call on its way, of 16 KiB to read and 64 KiB to send unless told
@@ -78,7 +81,12 @@
     Answer answer;
     SpareConnections *spares = nullptr; ///< null: no connection opened in advance is used
     curl_socket_t spareSocket = CURL_SOCKET_BAD; ///< of the connection opened in advance that the call uses
+    ConnectionTrust *trust = nullptr; ///< of all calls
     unsigned sendings = 0;
+    TimePoint sentAt{}; ///< the last sending
+    std::uint16_t port = 0; ///< local one of the connection that the last sending went over
+    std::optional<TimePoint> madeAt; ///< of that connection, if known
+    bool isOnOldConnection = false; ///< a kept one, or one opened in advance
     std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
     bool isTooLarge = false;
     bool isLate = false; ///< it could not be sent in time
@@ -93,6 +101,7 @@
 int onReceived(CURL *, curl_infotype type, char *, std::size_t size, void *self)
 {
     auto *transfer = static_cast<Transfer *>(self);
+    const bool isFirst = transfer->budget.received() == 0;
     if (type == CURLINFO_HEADER_IN) {
         transfer->budget.addHead(size);
     } else if (type == CURLINFO_DATA_IN) {
@@ -100,6 +109,9 @@
     } else {
         return 0;
     }
+    if (isFirst) {
+        transfer->trust->addAnswer(transfer->call.to, transfer->madeAt);
+    }
     if (transfer->budget.exceeded()) {
         transfer->flow->endless.push_back(transfer->id);
     }
@@ -194,11 +206,30 @@
     return bytes;
 }
 
-int onBeforeSending(void *self, char *, char *, int, int)
+// Records which connection a call is about to be sent over. One opened in advance counts as old, of an unknown age.
+void noteConnection(Transfer &transfer, std::uint16_t port, TimePoint now)
+{
+    const Address &to = transfer.call.to;
+    long made = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &made);
+    const bool isSpare = transfer.spareSocket != CURL_SOCKET_BAD;
+    transfer.isOnOldConnection = made == 0 || isSpare;
+    transfer.sentAt = now;
+    transfer.port = port;
+    if (made == 0) {
+        transfer.madeAt = transfer.trust->madeAt(to, port);
+    } else {
+        transfer.madeAt = isSpare ? std::nullopt : std::optional(now);
+    }
+    transfer.trust->addUse(to, port, transfer.madeAt, now);
+}
+
+int onBeforeSending(void *self, char *, char *, int, int localPort)
 {
     auto *transfer = static_cast<Transfer *>(self);
+    const TimePoint now = std::chrono::steady_clock::now();
     // What led to this call may be out of date by now.
-    transfer->isLate = std::chrono::steady_clock::now() - transfer->startedAt > transfer->call.sendWithin;
+    transfer->isLate = now - transfer->startedAt > transfer->call.sendWithin;
     transfer->isWithdrawn = !transfer->isLate && transfer->call.maySend && !transfer->call.maySend();
     if (transfer->isLate || transfer->isWithdrawn) {
         return CURL_PREREQFUNC_ABORT;
@@ -209,6 +240,7 @@
     if (transfer->isSpareClosed) {
         return CURL_PREREQFUNC_ABORT;
     }
+    noteConnection(*transfer, static_cast<std::uint16_t>(localPort), now);
     ++transfer->sendings;
     const bool isAgain = transfer->sendings > 1;
     return isAgain && !transfer->call.mayRepeat ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
@@ -228,6 +260,21 @@
     return socket == transfer->spareSocket ? CURL_SOCKOPT_ALREADY_CONNECTED : CURL_SOCKOPT_OK;
 }
 
+/// Leaves the call only connections that are not in doubt.
+void setUpTrust(Transfer &transfer, TimePoint now)
+{
+    const std::optional<TimePoint> before = transfer.trust->doubtedBefore(transfer.call.to, now);
+    if (!before) {
+        return;
+    }
+    const std::optional<std::chrono::seconds> lifetime = lifetimeSince(*before, now);
+    if (lifetime) {
+        curl_easy_setopt(transfer.easy.get(), CURLOPT_MAXLIFETIME_CONN, static_cast<long>(lifetime->count()));
+    } else {
+        curl_easy_setopt(transfer.easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+    }
+}
+
 void setUpSpares(Transfer &transfer)
 {
     CURL *easy = transfer.easy.get();
@@ -285,6 +332,7 @@
     if (call.connectsOnly) {
         curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
     }
+    setUpTrust(transfer, std::chrono::steady_clock::now());
     if (call.connectsOnly || call.usesNewConnection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -473,6 +521,11 @@
         return m_spareConnections.counts();
     }
 
+    std::uint64_t silences() const
+    {
+        return m_silences;
+    }
+
     void stop()
     {
         if (!m_thread.joinable()) {
@@ -510,6 +563,12 @@
                 m_usesSpares = true;
                 m_spareConnections.setWanted(*wanted, std::chrono::steady_clock::now());
             }
+            // A call that is cancelled may show a silence, which those that start with it have to heed.
+            for (const Order &order : orders) {
+                if (!order.transfer) {
+                    take(order.id);
+                }
+            }
             for (Order &order : orders) {
                 carryOut(order);
             }
@@ -518,6 +577,7 @@
             endEndless();
             shareRate();
             sweepSpares();
+            m_trust.expire(std::chrono::steady_clock::now());
         }
         for (auto &[id, transfer] : m_transfers) {
             curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
@@ -544,6 +604,7 @@
             transfer.spares = &m_spareConnections;
             m_spareConnections.addUse(transfer.call.to, std::chrono::steady_clock::now());
         }
+        transfer.trust = &m_trust;
         setUp(transfer);
         curl_easy_setopt(transfer.easy.get(), CURLOPT_PRIVATE, &transfer);
         curl_multi_add_handle(m_multi.get(), transfer.easy.get());
@@ -560,9 +621,24 @@
         std::unique_ptr<Transfer> transfer = std::move(node.mapped());
         curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
         m_flow.unsizedBytes -= std::min(m_flow.unsizedBytes, transfer->heldUnsized);
+        noteEnd(*transfer, std::chrono::steady_clock::now());
         return transfer;
     }
 
+    void noteEnd(const Transfer &transfer, TimePoint now)
+    {
+        if (transfer.sendings == 0) {
+            return;
+        }
+        const Address &to = transfer.call.to;
+        m_trust.addUse(to, transfer.port, transfer.madeAt, now);
+        const bool isUnanswered = transfer.isOnOldConnection && transfer.budget.received() == 0;
+        if (isUnanswered && m_trust.addUnanswered(to, transfer.madeAt, now - transfer.sentAt, now)) {
+            ++m_silences;
+            m_spareConnections.drop(to, now);
+        }
+    }
+
     void endEndless()
     {
         if (m_flow.unsizedBytes > m_limits.unsizedBytesInAll) {
@@ -646,6 +722,8 @@
     std::unique_ptr<SocketLoop> m_loop;
     std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> m_transfers;
     std::vector<EasyHandle> m_spare;
+    ConnectionTrust m_trust;
+    std::atomic<std::uint64_t> m_silences = 0;
     SpareConnections m_spareConnections;
     bool m_usesSpares = false; ///< from the first keepConnected()
     TimePoint m_nextSweep{}; ///< of m_spareConnections
@@ -689,6 +767,11 @@
     return m_impl->spareConnections();
 }
 
+std::uint64_t HttpClient::silences() const
+{
+    return m_impl->silences();
+}
+
 void HttpClient::stop()
 {
     m_impl->stop();
--- a/lib/Http/SpareConnections.cpp
+++ b/lib/Http/SpareConnections.cpp
@@ -183,6 +183,14 @@
     return socket;
 }
 
+void SpareConnections::drop(const Address &address, TimePoint now)
+{
+    if (m_connections.contains(address)) {
+        close(address);
+        m_plan.setLost(address, now);
+    }
+}
+
 SpareConnectionCounts SpareConnections::counts() const
 {
     return {m_opened, m_used, m_closedUnused};
--- a/lib/Http/SpareConnections.h
+++ b/lib/Http/SpareConnections.h
@@ -37,6 +37,8 @@
     void sweep(TimePoint now);
     /// Returns an open connection, which the caller owns from then on; nothing if there is none.
     std::optional<int> take(const Address &address, TimePoint now);
+    /// Closes the connection to the address, or the attempt to make one.
+    void drop(const Address &address, TimePoint now);
     /// From any thread.
     SpareConnectionCounts counts() const;
 
