Balance: a target that sends without end is no last resort

Cause: where no other target may be used, the blocked one whose block ends first is chosen, without a bound.

Change: not one that is blocked for an endless answer. The request is refused at once as not run; trials go on, one in each block.

Evidence: EndlessAnswerTest (Balance), "the only target of a service ..."; not run on the code before.

--- a/lib/Balance/FailureBlock.cpp
+++ b/lib/Balance/FailureBlock.cpp
@@ -41,6 +41,12 @@
     block(now);
 }
 
+void FailureBlock::recordEndless(TimePoint now)
+{
+    m_isEndless = true;
+    recordOutage(now);
+}
+
 void FailureBlock::recordAnswer()
 {
     clear();
@@ -56,6 +62,11 @@
     return now >= m_blockedUntil;
 }
 
+bool FailureBlock::mayUseWithoutOther() const
+{
+    return !m_isEndless;
+}
+
 TimePoint FailureBlock::blockedUntil() const
 {
     return m_blockedUntil;
--- a/lib/Balance/FailureBlock.h
+++ b/lib/Balance/FailureBlock.h
@@ -25,12 +25,16 @@
     void recordOutrun(TimePoint sentAt, TimePoint now);
     /// Records a failure after which the target can't be expected to answer.
     void recordOutage(TimePoint now);
+    /// Records an answer without an end: a request that is sent to the target costs this host more than one that fails.
+    void recordEndless(TimePoint now);
     /// Records an answer.
     void recordAnswer();
     /// Forgets all failures.
     void clear();
 
     bool mayUse(TimePoint now) const;
+    /// Returns true if the target may be used during a block where there is no other.
+    bool mayUseWithoutOther() const;
     /// Returns until when the target is not used.
     TimePoint blockedUntil() const;
 
@@ -40,6 +44,7 @@
     unsigned m_failures = 0; ///< in a row
     TimePoint m_blockedUntil{};
     TimePoint m_outrunAt{}; ///< last outrun that counted
+    bool m_isEndless = false; ///< one of the failures was an endless answer
 };
 
 } // namespace pepperlug::fleet
--- a/lib/Balance/TargetChoice.cpp
+++ b/lib/Balance/TargetChoice.cpp
@@ -97,7 +97,8 @@
     return target != nullptr ? TargetChoice{target, std::nullopt} : chooseAmongAll(rings, query, now);
 }
 
-// If all targets failed recently or are unresponsive, the one whose block ends first is chosen.
+// If all targets failed recently or are unresponsive, the one whose block ends first is chosen, unless its answers have
+// no end.
 TargetChoice TargetSet::chooseAmongAll(const std::vector<const TargetRing *> &rings, const TargetQuery &query,
                                        TimePoint now)
 {
@@ -117,8 +118,9 @@
             }
             if (target->failures.mayUse(now) && !target->isUnresponsive(now, query.responseTimeout)) {
                 available.push_back(target);
-            } else if (firstUnblocked == nullptr
-                       || target->failures.blockedUntil() < firstUnblocked->failures.blockedUntil()) {
+            } else if (target->failures.mayUseWithoutOther()
+                       && (firstUnblocked == nullptr
+                           || target->failures.blockedUntil() < firstUnblocked->failures.blockedUntil())) {
                 firstUnblocked = target;
             }
         }
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -449,9 +449,11 @@
     case AttemptOutcome::Withdrawn:
         return; // does not concern the target
     case AttemptOutcome::NotSent:
-    case AttemptOutcome::Endless:
         blockAtOnce(incarnation, now);
         return;
+    case AttemptOutcome::Endless:
+        target->failures.recordEndless(now);
+        return;
     case AttemptOutcome::Lost:
     case AttemptOutcome::TimedOut:
         target->failures.recordFailure(now);
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -109,8 +109,7 @@
     void attemptOutrun(const Incarnation &incarnation, TimePoint sentAt, TimePoint now);
     /// Records that the head of a successful answer has arrived.
     void answerBegun(const Incarnation &incarnation);
-    /// Records a failure after which the target is not used for a while: no connection to it could be made, or its
-    /// answer has no end.
+    /// Records that no connection to the target could be made; it is not used for a while.
     void blockAtOnce(const Incarnation &incarnation, TimePoint now);
 
     /// Starts a back-off that a target asked for. Returns for how long this host sends it nothing.
--- a/unittests/Balance/EndlessAnswerTest.cpp
+++ b/unittests/Balance/EndlessAnswerTest.cpp
@@ -42,6 +42,28 @@
     }
 }
 
+// Guards against a target that sends without end, is the only one, and gets all requests for want of another.
+TEST_CASE("the only target of a service is not used while it is blocked for an endless answer")
+{
+    Host host;
+    host.useTable();
+    host.report(Host::targetOf("i-1"));
+    int sent = 0;
+    for (int n = 0; n < 200; ++n) {
+        const RequestId id = host.request("/once/" + std::to_string(n));
+        if (host.find<StartAttempt>() != nullptr) {
+            ++sent;
+            host.end(id, 1, AttemptOutcome::Endless);
+        } else {
+            REQUIRE(host.find<RefuseRequest>() != nullptr);
+            CHECK(promisesNotRun(host.find<RefuseRequest>()->reason));
+        }
+        host.now += 50ms;
+    }
+    CHECK(sent > 1);
+    CHECK(sent <= 20); // in 10 s
+}
+
 TEST_CASE("a request that may run once is refused at once if its answer has no end")
 {
     TwoTargets host;
