--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -1,4 +1,4 @@
-//===- GatewayAttempts.cpp - Metrics and log lines of attempts ------------===//
+//===- GatewayAttempts.cpp - Outcomes and log lines of attempts -----------===//
 #include "../Daemon/HttpStatus.h"
 #include "GatewayImpl.h"
 
