--- a/unittests/Reachability/ReachabilityTest.cpp
+++ b/unittests/Reachability/ReachabilityTest.cpp
@@ -190,15 +190,16 @@
             rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(1, 599)));
         TimePoint changedAt = host.now;
         bool reached = true;
-        for (const auto &[reaches, takesMs] : phases) {
+        for (const std::pair<bool, int> &phase : phases) {
+            const bool reaches = phase.first;
+            const Milliseconds takes(reaches ? phase.second / 2 : phase.second);
             if (reaches != reached) {
                 changedAt = host.now;
                 reached = reaches;
             }
             for (const TimePoint end = host.now + 5s; host.now < end;) {
                 host.reachability.recordSent(host.now, 0ms);
-                host.run(Step, reaches ? Milliseconds(takesMs / 2) : Milliseconds(takesMs),
-                         [reaches] { return reaches; });
+                host.run(Step, takes, [reaches] { return reaches; });
                 if (reaches && !host.reachability.isCutOff()) {
                     host.reachability.recordAnswer(host.now); // requests that are sent are answered
                 }
