Show that relayed answers end a host's relaying

Cause: the head of a large answer that another entry host relays back is recorded as an answer of a target, so probes that only connect count as contact, and the host sends to targets that it does not reach.

--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -146,6 +146,16 @@
     close();
 }
 
+Address Stream::peer() const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getpeername(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    return {text.data(), ntohs(address.sin_port)};
+}
+
 std::unique_ptr<Stream> Stream::connect(const Address &to, const StreamOptions &options)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -622,10 +632,71 @@
     return true;
 }
 
-Upstream::Upstream(Identity identity, std::vector<Address> control, Handler handler)
+namespace
+{
+
+/// "0100007F:1F90", as /proc/net/tcp tells an address.
+std::string procText(const Address &address)
+{
+    in_addr ip{};
+    inet_pton(AF_INET, address.ip.c_str(), &ip);
+    std::array<char, 16> text{};
+    std::snprintf(text.data(), text.size(), "%08X:%04X", ip.s_addr, static_cast<unsigned>(address.port));
+    return text.data();
+}
+
+/// Inode of the socket with these ends; empty if there is none.
+std::string inodeOf(const Address &local, const Address &remote)
+{
+    std::ifstream table("/proc/net/tcp");
+    const std::string ends = procText(local).append(" ").append(procText(remote));
+    for (std::string line; std::getline(table, line);) {
+        if (line.find(ends) == std::string::npos) {
+            continue;
+        }
+        std::istringstream fields(line);
+        std::string word;
+        constexpr int InodeField = 10;
+        for (int n = 0; n < InodeField; ++n) {
+            fields >> word;
+        }
+        return word;
+    }
+    return {};
+}
+
+bool holdsSocket(pid_t id, const std::string &inode)
+{
+    std::error_code ec;
+    const std::string wanted = "socket:[" + inode + "]";
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(id) + "/fd", ec);
+    return std::any_of(begin(files), end(files), [&](const auto &it) {
+        std::error_code ignored;
+        return std::filesystem::read_symlink(it.path(), ignored).string() == wanted;
+    });
+}
+
+/// Child process that made a connection to this one; 0 if none is found.
+pid_t sourceOf(const Stream &stream, const Address &at)
+{
+    const std::string inode = inodeOf(stream.peer(), at);
+    const std::string self = std::to_string(getpid());
+    std::ifstream children("/proc/" + self + "/task/" + self + "/children");
+    for (pid_t id = 0; !inode.empty() && children >> id;) {
+        if (holdsSocket(id, inode)) {
+            return id;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+Upstream::Upstream(Identity identity, std::vector<Address> control, Handler handler, IsCut isCut)
     : m_identity(std::move(identity))
     , m_control(std::move(control))
     , m_handler(std::move(handler))
+    , m_isCut(std::move(isCut))
     , m_listener(std::make_unique<Listener>(m_identity.at, [this](Stream &stream) { serve(stream); }))
     , m_reporter([this] { reportRegularly(); })
 {
@@ -645,7 +716,12 @@
 void Upstream::serve(Stream &stream)
 {
     constexpr auto IdleTime = 10s;
+    const pid_t source = m_isCut ? sourceOf(stream, m_identity.at) : 0;
     while (const std::optional<Message> request = stream.read(IdleTime)) {
+        if (m_isCut && m_isCut(source)) {
+            stream.reset();
+            return;
+        }
         if (request->field("X-Expect-Instance").empty()) {
             stream.send(encode("HTTP/1.1 200 OK", {{"X-Instance-Id", m_identity.id}}, "well"));
         } else if (request->field("X-Expect-Instance") != m_identity.id) {
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -75,6 +75,8 @@
 public:
     explicit Stream(int socket);
     ~Stream();
+    /// Address of the other side.
+    Address peer() const;
     Stream(const Stream &) = delete;
     Stream &operator=(const Stream &) = delete;
 
@@ -209,6 +211,8 @@
 {
 public:
     using Handler = std::function<void(Stream &stream, const Message &request)>;
+    /// Tells whether a process is cut off from this upstream; its connections are reset when it sends something.
+    using IsCut = std::function<bool(pid_t source)>;
     struct Identity {
         std::string id;
         std::string service;
@@ -216,7 +220,7 @@
         Address at;
         unsigned slots = 3;
     };
-    Upstream(Identity identity, std::vector<Address> control, Handler handler);
+    Upstream(Identity identity, std::vector<Address> control, Handler handler, IsCut isCut = nullptr);
     ~Upstream();
     Upstream(const Upstream &) = delete;
     Upstream &operator=(const Upstream &) = delete;
@@ -232,6 +236,7 @@
     Identity m_identity;
     std::vector<Address> m_control;
     Handler m_handler;
+    IsCut m_isCut;
     std::mutex m_mutex;
     std::string m_state = "ready";
     std::uint64_t m_sequence = 0;
