Entry host: a planned stop waits for callers that still read

Cause: the host took itself for idle once no request was open. A request is not open any more when its answer is whole at the host, while bytes of it are still held for the caller or unacknowledged by its kernel. Ruled out: the bound on slow readers (30 s, no connection was cut off by it); resets by unread input (nothing follows the requests).

Change: PlannedStop, a part without sockets, decides from open requests and undelivered answers whether the host serves, refuses or exits. 1.4 s before the end of the grace period it refuses new requests, so that those that were taken can end; meanwhile it still counts as one that routes while any is open. Control hosts and hosts under a bundle wait for delivery as well. Lines "refusing" and "stopped" tell what is left.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -75,6 +75,9 @@
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 using HttpHandler = std::function<void(HttpExchangePtr)>;
 
+/// For callers to receive the last answers of a host that stops, where no other time bounds it.
+constexpr Duration DeliveryTimeout = std::chrono::seconds(5);
+
 /// Listens and hands whole, checked requests to a handler, which is called on a worker thread and must not wait.
 class HttpServer
 {
@@ -92,6 +95,11 @@
     /// Closes connections that have been too slow or idle for too long; to be called about once a second.
     void sweep();
     HttpServerStats stats() const;
+    /// Number of connections whose callers have not received all that was answered so far. A process that exits before
+    /// cuts these answers.
+    std::size_t undelivered() const;
+    /// Waits until there are none, or until the time has passed. Returns how many are left.
+    std::size_t awaitDelivery(Duration atMost) const;
     void stop();
 
 private:
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -316,6 +316,8 @@
     if (!m_failure.empty()) {
         throw Error("run control host", m_settings.name, m_failure);
     }
+    lock.unlock();
+    m_server->awaitDelivery(DeliveryTimeout);
 }
 
 void ControlDaemon::Impl::stop()
--- a/lib/Daemon/EntryDaemon.cpp
+++ b/lib/Daemon/EntryDaemon.cpp
@@ -152,8 +152,11 @@
 void EntryDaemon::Impl::stopGracefully()
 {
     post(StopRequested{});
-    std::unique_lock lock(m_stopMutex);
-    m_stopped.wait(lock, [this] { return m_stopReady; });
+    {
+        std::unique_lock lock(m_stopMutex);
+        m_stopped.wait(lock, [this] { return m_stopReady; });
+    }
+    m_server->awaitDelivery(DeliveryTimeout);
 }
 
 Address EntryDaemon::Impl::httpAddress() const
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -30,12 +30,6 @@
 /// Changed targets of one reply that are logged one by one.
 constexpr std::size_t MaxLoggedTargets = 32;
 constexpr std::size_t IncarnationBytes = 8;
-/// Callers with a cached directory answer arrive for that long after the directory has dropped this host.
-constexpr Milliseconds MinDrainTime{2500};
-/// Rest of the grace period at which the process exits even if requests are open.
-constexpr Milliseconds GraceReserve{600};
-/// For writing the last answers, and refusals of requests that arrive during the exit.
-constexpr Milliseconds FinalAnswersTime{200};
 
 BalanceSettings balanceSettings(const FleetSettings &settings, const std::string &incarnation)
 {
@@ -176,7 +170,8 @@
     report.address = m_settings.callers.text();
     report.peer = m_settings.peer.text();
     // A host that routes nothing any more need not confirm anything, so acknowledgements don't wait for it.
-    report.presence = m_isClosed ? Presence::Gone : (m_isStopping ? Presence::Draining : Presence::Ready);
+    const bool routesNothing = m_isClosed && m_open.empty();
+    report.presence = routesNothing ? Presence::Gone : (m_isStopping ? Presence::Draining : Presence::Ready);
     report.demand = m_balancer->demand(m_clock.now());
     report.linkUse = m_balancer->linkUse(m_clock.now());
     report.unreachableServices = m_balancer->unreachableServices();
@@ -378,12 +373,9 @@
     m_events.state("reload", {{"seeds", settings.seeds.size()}});
 }
 
-// Callers arrive until the directory's answers have expired, and are served meanwhile. A request that arrives just
-// before the exit must not be routed and then be cut off. Therefore new requests are refused from the moment when no
-// request is open, and the process exits a little later.
 void GatewayDaemon::Impl::stopGracefully()
 {
-    const TimePoint startedAt = m_clock.now();
+    PlannedStop stop(m_clock.now(), m_settings.bounds.gracePeriod);
     m_events.state("stop", {{"role", "entry"}});
     {
         const std::lock_guard lock(m_mutex);
@@ -391,31 +383,31 @@
     }
     m_callersServer->closeAfterAnswers();
     m_watch->sendReport();
-    const TimePoint deadline = startedAt + m_settings.bounds.gracePeriod - GraceReserve;
-    for (;;) {
+    while (advance(stop) != PlannedStop::Phase::Over) {
         std::this_thread::sleep_for(TickInterval);
-        const TimePoint now = m_clock.now();
-        const bool isIdle = now - startedAt >= MinDrainTime && closeIfIdle();
-        if (isIdle || now >= deadline) {
-            break;
-        }
     }
-    std::size_t open = 0;
-    {
-        const std::lock_guard lock(m_mutex);
-        m_isClosed = true;
-        open = m_open.size();
-    }
-    m_watch->sendReport();
-    m_events.state("stopped", {{"open_requests", open}});
-    std::this_thread::sleep_for(FinalAnswersTime);
 }
 
-bool GatewayDaemon::Impl::closeIfIdle()
+// An answer leaves m_open once it is whole, and then counts as undelivered: both are looked at under the mutex, so that
+// none is missed in between.
+PlannedStop::Phase GatewayDaemon::Impl::advance(PlannedStop &stop)
 {
-    const std::lock_guard lock(m_mutex);
-    m_isClosed = m_open.empty();
-    return m_isClosed;
+    PlannedStop::Work work;
+    PlannedStop::Phase phase{};
+    bool isNew = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        work = {m_open.size(), m_callersServer->undelivered()};
+        phase = stop.advance(work, m_clock.now());
+        isNew = phase != PlannedStop::Phase::Serving && (!m_isClosed || phase == PlannedStop::Phase::Over);
+        m_isClosed = phase != PlannedStop::Phase::Serving;
+    }
+    if (isNew) {
+        m_events.state(phase == PlannedStop::Phase::Over ? "stopped" : "refusing",
+                       {{"open_requests", work.openRequests}, {"undelivered_answers", work.undelivered}});
+        m_watch->sendReport();
+    }
+    return phase;
 }
 
 Address GatewayDaemon::Impl::callersAddress() const
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -13,6 +13,7 @@
 #include "EventLog.h"
 #include "pepperlug/Fleet.h"
 #include "pepperlug/Quarantine.h"
+#include "PlannedStop.h"
 #include "RecentTargets.h"
 #include "RoutingLag.h"
 #include "ServerSweep.h"
@@ -84,7 +85,7 @@
     }
     void onReadiness(const HttpExchangePtr &exchange);
     bool isReady();
-    bool closeIfIdle();
+    PlannedStop::Phase advance(PlannedStop &stop);
     void refuseStopping(OpenExchange &open);
 
     // GatewayRouting.cpp
--- /dev/null
+++ b/lib/Fleet/PlannedStop.cpp
@@ -0,0 +1,42 @@
+//===- PlannedStop.cpp - When a stopping entry host may exit --------------===//
+#include "PlannedStop.h"
+
+namespace pepperlug::fleet
+{
+
+namespace
+{
+
+/// Callers with a cached directory answer arrive for that long after the directory has dropped this host.
+constexpr Milliseconds MinServingTime{2500};
+/// For the refusals of requests that arrive during the exit.
+constexpr Milliseconds MinRefusingTime{200};
+/// Rest of the grace period at which the process exits even if work is left.
+constexpr Milliseconds GraceReserve{400};
+/// Before that, in which requests that were taken may end but no further ones are taken.
+constexpr Milliseconds CompletionTime{1000};
+
+} // namespace
+
+PlannedStop::PlannedStop(TimePoint startedAt, Duration gracePeriod)
+    : m_startedAt(startedAt)
+    , m_deadline(startedAt + gracePeriod - GraceReserve)
+{
+}
+
+PlannedStop::Phase PlannedStop::advance(const Work &work, TimePoint now)
+{
+    const bool isIdle = work.openRequests == 0 && work.undelivered == 0;
+    const bool mayRefuse = isIdle && now >= m_startedAt + MinServingTime;
+    if (m_phase == Phase::Serving && (mayRefuse || now >= m_deadline - CompletionTime)) {
+        m_phase = Phase::Refusing;
+        m_refusingSince = now;
+    }
+    const bool mayExit = isIdle && now >= m_refusingSince + MinRefusingTime;
+    if (m_phase == Phase::Refusing && (mayExit || now >= m_deadline)) {
+        m_phase = Phase::Over;
+    }
+    return m_phase;
+}
+
+} // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -31,6 +31,8 @@
 constexpr auto MinCurrentTime = std::chrono::seconds(3);
 constexpr std::size_t MaxTableBytes = 4UL << 20;
 constexpr Milliseconds FinalAnswersTime{300};
+/// Rest of the grace period at which the process exits even if answers are not delivered.
+constexpr Milliseconds GraceReserve{400};
 
 HttpLimits operatorLimits()
 {
@@ -376,6 +378,7 @@
 
 void RegistryDaemon::Impl::stopGracefully()
 {
+    const TimePoint deadline = m_clock.now() + m_settings.bounds.gracePeriod - GraceReserve;
     m_events.state("stop", {{"role", "control"}});
     m_operatorsServer->closeAfterAnswers();
     m_directoryServer->closeAfterAnswers();
@@ -387,6 +390,9 @@
         replyToWatchers(m_clock.now());
     }
     std::this_thread::sleep_for(FinalAnswersTime);
+    const std::size_t toOperators = m_operatorsServer->awaitDelivery(deadline - m_clock.now());
+    const std::size_t toCallers = m_directoryServer->awaitDelivery(deadline - m_clock.now());
+    m_events.state("stopped", {{"undelivered_answers", toOperators + toCallers}});
 }
 
 Address RegistryDaemon::Impl::operatorsAddress() const
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -516,6 +516,16 @@
     }
 }
 
+bool Connection::hasUndelivered()
+{
+    const std::lock_guard lock(m_mutex);
+    const std::shared_ptr<pt::Peer> peer = m_peer.lock();
+    if (!m_isAlive || !peer || m_isCutOff) {
+        return false;
+    }
+    return m_heldBytes > 0 || unacknowledged(peer->fd()) > 0;
+}
+
 // The socket reports room only when a third of its buffer is free, which takes a slow reader many seconds. So progress
 // is what the peer has acknowledged.
 bool Connection::hasStalledLocked(int socket, TimePoint now)
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -65,6 +65,8 @@
     /// Worker thread: the peer has gone.
     void gone();
     void sweep(TimePoint now);
+    /// Whether the caller has not yet received all that was answered so far, and may still receive it.
+    bool hasUndelivered();
 
 private:
     bool readHeadPart();
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -9,6 +9,9 @@
 
 #include <pistache/endpoint.h>
 
+#include <algorithm>
+#include <thread>
+
 namespace pepperlug
 {
 
@@ -96,24 +99,19 @@
 
     void sweep()
     {
-        std::vector<std::shared_ptr<Connection>> live;
-        {
-            const std::lock_guard lock(m_shared.mutex);
-            std::erase_if(m_shared.connections, [&](const std::weak_ptr<Connection> &weak) {
-                auto it = weak.lock();
-                const bool isGone = it == nullptr;
-                if (!isGone) {
-                    live.push_back(std::move(it));
-                }
-                return isGone;
-            });
-        }
         const TimePoint now = m_shared.clock.now();
-        for (const auto &connection : live) {
+        for (const auto &connection : liveConnections()) {
             connection->sweep(now);
         }
     }
 
+    std::size_t undelivered()
+    {
+        const std::vector<std::shared_ptr<Connection>> live = liveConnections();
+        return static_cast<std::size_t>(
+            std::ranges::count_if(live, [](const auto &it) { return it->hasUndelivered(); }));
+    }
+
     void closeAfterAnswers()
     {
         m_shared.closesAfterAnswers = true;
@@ -133,6 +131,21 @@
     }
 
 private:
+    std::vector<std::shared_ptr<Connection>> liveConnections()
+    {
+        std::vector<std::shared_ptr<Connection>> live;
+        const std::lock_guard lock(m_shared.mutex);
+        std::erase_if(m_shared.connections, [&](const std::weak_ptr<Connection> &weak) {
+            auto it = weak.lock();
+            const bool isGone = it == nullptr;
+            if (!isGone) {
+                live.push_back(std::move(it));
+            }
+            return isGone;
+        });
+        return live;
+    }
+
     ServerShared m_shared;
     std::string m_ip;
     ph::Endpoint m_endpoint;
@@ -170,6 +183,23 @@
     return m_impl->stats();
 }
 
+std::size_t HttpServer::undelivered() const
+{
+    return m_impl->undelivered();
+}
+
+std::size_t HttpServer::awaitDelivery(Duration atMost) const
+{
+    constexpr auto PollInterval = std::chrono::milliseconds(10);
+    const auto end = std::chrono::steady_clock::now() + atMost;
+    std::size_t left = undelivered();
+    while (left > 0 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(PollInterval);
+        left = undelivered();
+    }
+    return left;
+}
+
 void HttpServer::stop()
 {
     m_impl->stop();
--- a/unittests/Http/RawSocket.h
+++ b/unittests/Http/RawSocket.h
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <thread>
 
@@ -22,6 +23,18 @@
         m_socket.connect({boost::asio::ip::make_address(to.ip), to.port});
     }
 
+    /// Connects with a receive buffer of that size and short segments, so that the other system holds most of what is
+    /// not read.
+    RawSocket(const Address &to, int receiveBytes)
+        : m_socket(m_context)
+    {
+        constexpr int SegmentBytes = 1400;
+        m_socket.open(boost::asio::ip::tcp::v4());
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBytes));
+        ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &SegmentBytes, sizeof SegmentBytes);
+        m_socket.connect({boost::asio::ip::make_address(to.ip), to.port});
+    }
+
     void send(const std::string &bytes)
     {
         boost::asio::write(m_socket, boost::asio::buffer(bytes));
