Targets: answers with malformed heads are not passed on

Cause: nobody checked heads of answers. libcurl's header callback went on to the encoder, and of several lengths libcurl keeps the last.

Change: AnswerHead, a part without sockets, reads each line of a head: status line, names, values, lengths, transfer codings. A head with a defect is not taken, its connection is dropped and the attempt is lost, so a request that may be repeated goes elsewhere and any other one gets 502 (RFC 9112, 6.3). 101, which no request asks for, was passed on as a final answer and is a defect. Line "malformed-answer", metric pepperlug_malformed_answers.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -141,6 +141,17 @@
 };
 const char *nameOf(AnswerPart part);
 
+/// What makes the head of an answer one that must not be passed on.
+enum class HeadDefect : std::uint8_t {
+    StatusLine, ///< no status line of HTTP/1.1, or a status that answers no request
+    FieldName, ///< a line without a name
+    FieldValue, ///< a control character
+    Length, ///< no number, or several lengths that differ
+    TransferCoding, ///< other than one "chunked"
+    Other, ///< that libcurl has found
+};
+const char *nameOf(HeadDefect defect);
+
 struct HttpResult {
     enum class Kind {
         Answered, ///< a whole answer
@@ -157,6 +168,7 @@
     bool isRefused = false; ///< nothing listens at the address
     bool isWithdrawn = false; ///< not sent, since HttpCall::maySend did not allow it any more
     std::optional<AnswerPart> endlessPart; ///< Endless: what there was too much of
+    std::optional<HeadDefect> headDefect; ///< Broken: why the head was not taken
     std::uint64_t receivedBytes = 0; ///< of the answer, in whatever form
 };
 using HttpResultHandler = std::function<void(HttpResult)>;
--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -87,6 +87,17 @@
         {{"request", open.fields.requestId}, {"target", target.id}, {"form", form}, {"bytes", result.receivedBytes}});
 }
 
+void GatewayDaemon::Impl::reportMalformed(const OpenExchange &open, const Incarnation &target, const HttpResult &result)
+{
+    if (!result.headDefect) {
+        return;
+    }
+    const char *const defect = nameOf(*result.headDefect);
+    m_metrics.count(std::string("pepperlug_malformed_answers{defect=\"") + defect + "\"}");
+    m_events.decision("malformed-answer",
+                      {{"request", open.fields.requestId}, {"target", target.id}, {"defect", defect}});
+}
+
 bool GatewayDaemon::Impl::maySend(RequestId id, unsigned attempt)
 {
     const std::lock_guard lock(m_mutex);
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -120,6 +120,7 @@
     void reportAttempt(const StartAttempt &effect, const OpenExchange &open);
     AttemptEnded classifyResult(RequestId id, unsigned attempt, const AnswerFields &fields, HttpResult &result);
     void reportEndless(const OpenExchange &open, const Incarnation &target, const HttpResult &result);
+    void reportMalformed(const OpenExchange &open, const Incarnation &target, const HttpResult &result);
     bool maySend(RequestId id, unsigned attempt);
 
     // GatewayRelays.cpp
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -197,6 +197,7 @@
                            {"refused", result.isRefused},
                            {"signal", countSignal(fields.backpressure)}});
         reportEndless(*open, target, result);
+        reportMalformed(*open, target, result);
         if (ended.outcome == AttemptOutcome::Answered) {
             open->answer = std::move(result.answer);
         }
--- a/lib/Http/Head.cpp
+++ b/lib/Http/Head.cpp
@@ -1,10 +1,11 @@
 //===- Head.cpp - Strict heads in, whole heads out ------------------------===//
 #include "Head.h"
 
+#include "FieldSyntax.h"
+
 #include <pistache/http.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace pepperlug
 {
@@ -14,30 +15,6 @@
 
 constexpr std::array<std::string_view, 7> Methods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 
-bool isTokenChar(char c)
-{
-    return std::isalnum(static_cast<unsigned char>(c)) != 0
-        || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-}
-
-bool isToken(std::string_view text)
-{
-    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
-}
-
-// Control characters in a value could end it early for whoever reads it next.
-bool isFieldValue(std::string_view text)
-{
-    return std::none_of(text.begin(), text.end(),
-                        [](char c) { return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f; });
-}
-
-std::string_view trimmed(std::string_view text)
-{
-    text.remove_prefix(std::min(text.find_first_not_of(" \t"), text.size()));
-    return text.substr(0, text.find_last_not_of(" \t") + 1);
-}
-
 std::string_view nextLine(std::string_view &rest)
 {
     const std::size_t end = rest.find("\r\n");
@@ -78,13 +55,11 @@
 void applyField(const HeaderField &field, RequestHead &head, std::optional<std::size_t> &length, unsigned &hosts)
 {
     if (sameName(field.name, "content-length")) {
-        std::size_t value = 0;
-        const char *end = field.value.data() + field.value.size();
-        const auto [stop, ec] = std::from_chars(field.value.data(), end, value);
-        if (ec != std::errc() || stop != end) {
+        const std::optional<std::uint64_t> value = readLength(field.value);
+        if (!value) {
             throw HeadFault{400, "Content-Length is not a whole number"};
         }
-        if (length && *length != value) {
+        if (length && length != value) {
             throw HeadFault{400, "Content-Length is given twice with different values"};
         }
         length = value;
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -7,13 +7,13 @@
 //
 //===----------------------------------------------------------------------===//
 #include "AnswerBudget.h"
+#include "AnswerHead.h"
 #include "ConnectionTrust.h"
 #include "SocketLoop.h"
 #include "SpareConnections.h"
 
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -78,7 +78,8 @@
     std::uint64_t heldUnsized = 0; ///< part of AnswerFlow::unsizedBytes
     EasyHandle easy;
     HeaderList headers;
-    Answer answer;
+    AnswerHead head;
+    std::string body; ///< unless it is passed on
     SpareConnections *spares = nullptr; ///< null: no connection opened in advance is used
     curl_socket_t spareSocket = CURL_SOCKET_BAD; ///< of the connection opened in advance that the call uses
     ConnectionTrust *trust = nullptr; ///< of all calls
@@ -93,7 +94,6 @@
     bool isWithdrawn = false; ///< what led to it had changed before it was sent
     bool isSpareClosed = false; ///< the spare connection was closed before anything was sent
     bool isLarge = false;
-    bool hasFinalHead = false; ///< what header lines follow are trailers
     bool isPassedOn = false; ///< the body goes to the call's handler as it arrives
 };
 
@@ -128,70 +128,40 @@
         transfer->call.onPart({data, bytes});
         return bytes;
     }
-    transfer->isTooLarge = transfer->answer.body.size() + bytes > transfer->maxAnswerBytes;
+    transfer->isTooLarge = transfer->body.size() + bytes > transfer->maxAnswerBytes;
     if (transfer->isTooLarge || transfer->budget.exceeded()) {
         return 0;
     }
-    transfer->answer.body.append(data, bytes);
+    transfer->body.append(data, bytes);
     const std::uint64_t held = transfer->budget.unsizedPayload();
     transfer->flow->unsizedBytes += held - std::exchange(transfer->heldUnsized, held);
     return bytes;
 }
 
-// Nothing if the body is in chunks or ends with the connection, or if the length is no number. A transfer coding
-// overrides a length (RFC 9112, 6.3).
-std::optional<std::uint64_t> lengthIn(const std::vector<HeaderField> &headers)
-{
-    std::optional<std::uint64_t> length;
-    for (const HeaderField &field : headers) {
-        if (sameName(field.name, "transfer-encoding")) {
-            return std::nullopt;
-        }
-        if (sameName(field.name, "content-length")) {
-            const char *const end = field.value.data() + field.value.size();
-            const auto [ptr, ec] = std::from_chars(field.value.data(), end, length.emplace());
-            if (ec != std::errc() || ptr != end) {
-                return std::nullopt;
-            }
-        }
-    }
-    return length;
-}
-
 // Returns true if the answer has a body, whatever length its head tells.
-bool hasBody(const Transfer &transfer, long status)
+bool hasBody(const Transfer &transfer, unsigned status)
 {
-    constexpr long NoContent = 204;
-    constexpr long NotModified = 304;
+    constexpr unsigned NoContent = 204;
+    constexpr unsigned NotModified = 304;
     return transfer.call.method != "HEAD" && status != NoContent && status != NotModified;
 }
 
 // Returns false if the answer is not taken.
 bool onHeadEnd(Transfer &transfer)
 {
-    constexpr long FirstFinalStatus = 200;
-    long status = 0;
-    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    transfer.hasFinalHead = status >= FirstFinalStatus;
-    if (!transfer.hasFinalHead) {
-        return true; // an interim head need not name the call
-    }
-    if (transfer.call.acceptsHead && !transfer.call.acceptsHead(transfer.answer.headers)) {
+    const Answer &answer = transfer.head.answer();
+    if (transfer.call.acceptsHead && !transfer.call.acceptsHead(answer.headers)) {
         return false;
     }
-    if (!hasBody(transfer, status)) {
-        return true;
-    }
-    const std::optional<std::uint64_t> length = lengthIn(transfer.answer.headers);
-    if (!length) {
+    const std::optional<std::uint64_t> length = transfer.head.bodyLength();
+    if (!length || !hasBody(transfer, answer.status)) {
         return true;
     }
     transfer.budget.setSized();
     transfer.isTooLarge = *length > transfer.maxAnswerBytes;
     transfer.isLarge = *length >= LargeAnswerBytes;
     if (transfer.isLarge && !transfer.isTooLarge && transfer.call.onLargeHead) {
-        transfer.answer.status = static_cast<unsigned>(status);
-        transfer.isPassedOn = transfer.call.onLargeHead(transfer.answer, *length);
+        transfer.isPassedOn = transfer.call.onLargeHead(answer, *length);
     }
     return !transfer.isTooLarge;
 }
@@ -200,29 +170,18 @@
 {
     auto *transfer = static_cast<Transfer *>(self);
     const std::size_t bytes = size * count;
-    if (transfer->hasFinalHead) {
+    if (transfer->head.isWhole()) {
         transfer->budget.addTrailer(bytes);
         return bytes; // a trailer says nothing that a head may say (RFC 9110, 6.5.1)
     }
     if (transfer->budget.exceeded()) {
         return 0;
     }
-    std::string_view line(data, bytes);
-    line = line.substr(0, line.find_last_not_of("\r\n") + 1);
-    if (line.starts_with("HTTP/")) {
-        transfer->answer.headers.clear(); // a head after an interim one
-        return bytes;
-    }
-    if (line.empty()) {
-        return onHeadEnd(*transfer) ? bytes : 0;
-    }
-    const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        std::string_view value = line.substr(colon + 1);
-        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-        transfer->answer.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    transfer->head.addLine({data, bytes});
+    if (transfer->head.defect()) {
+        return 0;
     }
-    return bytes;
+    return !transfer->head.isWhole() || onHeadEnd(*transfer) ? bytes : 0;
 }
 
 // Records which connection a call is about to be sent over. One opened in advance counts as old, of an unknown age.
@@ -433,7 +392,7 @@
 HttpResult resultOf(Transfer &transfer, CURLcode code)
 {
     std::optional<AnswerPart> endless = transfer.budget.exceeded();
-    const bool isInHead = transfer.sendings > 0 && !transfer.hasFinalHead;
+    const bool isInHead = transfer.sendings > 0 && !transfer.head.isWhole();
     if (isInHead && tellsEndlessHead(code)) {
         endless = AnswerPart::Head;
     }
@@ -443,15 +402,19 @@
     HttpResult result;
     result.receivedBytes = transfer.budget.received();
     if (code == CURLE_OK) {
-        long status = 0;
-        curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
         result.kind = HttpResult::Kind::Answered;
-        result.answer = std::move(transfer.answer);
-        result.answer.status = static_cast<unsigned>(status);
+        result.answer = std::move(transfer.head.answer());
+        result.answer.body = std::move(transfer.body);
         return result;
     }
     result.isWithdrawn = transfer.isWithdrawn;
-    if (transfer.isWithdrawn) {
+    result.headDefect = transfer.head.defect();
+    if (code == CURLE_WEIRD_SERVER_REPLY && isInHead) {
+        result.headDefect = HeadDefect::Other;
+    }
+    if (result.headDefect) {
+        result.reason = std::string("the head of the answer is malformed: ") + nameOf(*result.headDefect);
+    } else if (transfer.isWithdrawn) {
         result.reason = "not allowed any more when it could be sent";
     } else if (transfer.isSpareClosed) {
         result.reason = "the connection opened in advance was closed";
