Soak: spoiled answers, second refusals and slow callers at planned stops

For a while most targets turn each second request away with free slots, their links put malformed heads into every fifth success and send a second copy of each refusal in the place of the next answer; at the end a caller reads on while its host is stopped. A malformed head that reaches a caller, a refused request that has run and a cut answer are failures.

--- a/test/soak/Actors.cpp
+++ b/test/soak/Actors.cpp
@@ -2,6 +2,7 @@
 #include "Actors.h"
 
 #include <future>
+#include <netinet/tcp.h>
 
 namespace pepperlug::soak
 {
@@ -106,6 +107,13 @@
     }
     ++m_arrivals;
     m_lastArrival = m_clock.now();
+    if (m_isSpoiled && m_arrivals % 2 == 0) {
+        exchange->respond(
+            {Unavailable,
+             {{"X-Request-Id", id}, {"X-Not-Executed", "1"}, {"X-Upstream-Load", "0,0," + std::to_string(Slots)}},
+             {}});
+        return;
+    }
     const TargetAsks asks = noteArrival(id);
     if (asks.rest) {
         exchange->respond(
@@ -123,6 +131,9 @@
         return;
     }
     Answer answer{Ok, {{"X-Request-Id", id}, {"X-Upstream-Seal", m_id + "." + id}}, Ledger::bodyOf(id)};
+    if (request.path().starts_with(LargePrefix)) {
+        answer.body.assign(LargeAnswer, 'x');
+    }
     if (asks.perSecond) {
         answer.headers.push_back({"Server-Limit", std::to_string(*asks.perSecond)});
     }
@@ -152,6 +163,13 @@
                                           }});
 }
 
+void Target::spoil(bool isSpoiled)
+{
+    constexpr unsigned OneIn = 5;
+    m_isSpoiled = isSpoiled;
+    m_link.spoil(isSpoiled ? std::optional(SpoiledAnswers{OneIn, true}) : std::nullopt);
+}
+
 std::vector<TargetArrival> Target::arrivalsSinceAsk()
 {
     const std::lock_guard lock(m_mutex);
@@ -301,6 +319,9 @@
     call.timeout = CallerPatience;
     const HttpResult result = fetch(client, call);
     const unsigned status = result.kind == HttpResult::Kind::Answered ? result.answer.status : 0;
+    if (result.headDefect) {
+        ledger.fail("answer", id + " got a malformed head: " + nameOf(*result.headDefect));
+    }
     const bool isWhole = result.answer.body == Ledger::bodyOf(id);
     ledger.answered(id, status, isWhole);
     return status;
@@ -321,6 +342,49 @@
     }
 }
 
+//===-- SlowCaller ------------------------------------------------------------===//
+
+// With a small buffer and short segments the entry host holds most of what is not read.
+SlowCaller::SlowCaller(Ledger &ledger, const Address &to)
+{
+    constexpr std::size_t IdBytes = 8;
+    constexpr int ReceiveBytes = 16 * 1024;
+    constexpr int SegmentBytes = 1400;
+    const std::string id = randomHex(IdBytes);
+    ledger.sent(id, {true, {}, to.text()});
+    m_socket.open(boost::asio::ip::tcp::v4());
+    m_socket.set_option(boost::asio::socket_base::receive_buffer_size(ReceiveBytes));
+    ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &SegmentBytes, sizeof SegmentBytes);
+    boost::system::error_code ec;
+    m_socket.connect({boost::asio::ip::make_address(to.ip), to.port}, ec);
+    const std::string request = std::string("GET ") + LargePrefix + id
+        + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id
+        + "\r\nX-Deadline-Ms: 10000\r\nConnection: close\r\n\r\n";
+    boost::asio::write(m_socket, boost::asio::buffer(request), ec);
+}
+
+bool SlowCaller::readHead()
+{
+    while (m_read.find("\r\n\r\n") == std::string::npos && readSome() > 0) { }
+    return m_read.starts_with("HTTP/1.1 200 ");
+}
+
+bool SlowCaller::readRest()
+{
+    while (readSome() > 0) { }
+    const std::size_t headEnd = m_read.find("\r\n\r\n");
+    return headEnd != std::string::npos && m_read.size() == headEnd + 4 + LargeAnswer;
+}
+
+std::size_t SlowCaller::readSome()
+{
+    std::array<char, 4096> buf{};
+    boost::system::error_code ec;
+    const std::size_t size = m_socket.read_some(boost::asio::buffer(buf), ec);
+    m_read.append(buf.data(), size);
+    return size;
+}
+
 //===-- EndingCaller ----------------------------------------------------------===//
 
 EndingCaller::EndingCaller(Ledger &ledger, std::vector<Address> entryHosts, std::uint64_t seed)
--- a/test/soak/Actors.h
+++ b/test/soak/Actors.h
@@ -12,6 +12,9 @@
 
 /// Of the one route that has a home region.
 constexpr const char *HomePrefix = "/home/";
+/// Requests under it get an answer of LargeAnswer bytes.
+constexpr const char *LargePrefix = "/read/large/";
+constexpr std::size_t LargeAnswer = 1UL << 20;
 /// A request to this path ends the target that runs it.
 constexpr const char *EndingPath = "/read/ends-targets";
 
@@ -51,6 +54,9 @@
     void ask(const TargetAsks &asks);
     /// From now on it answers without an end and runs nothing; null: it is sound again.
     void answerWithoutEnd(const EndlessForm *form);
+    /// From now on it turns each second request away, though it has free slots, and spoils answers; or it is sound
+    /// again.
+    void spoil(bool isSpoiled);
     /// Requests that came since the last ask().
     std::vector<TargetArrival> arrivalsSinceAsk();
     /// Requests that came since.
@@ -89,10 +95,31 @@
     std::atomic<TimePoint> m_lastArrivalAtHome{TimePoint{}};
     std::atomic<TimePoint> m_endedAt{TimePoint{}};
     std::atomic<bool> m_isDraining{false};
+    std::atomic<bool> m_isSpoiled{false};
     std::atomic<bool> m_stop{false};
     std::thread m_thread;
 };
 
+/// A caller that reads the beginning of a large answer, and the rest when it is told to.
+class SlowCaller
+{
+public:
+    /// Asks at once.
+    SlowCaller(Ledger &ledger, const Address &to);
+
+    /// Reads until the head has come. Returns whether it is that of a success.
+    bool readHead();
+    /// Reads to the end of the answer. Returns whether it is whole.
+    bool readRest();
+
+private:
+    std::size_t readSome();
+
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket{m_context};
+    std::string m_read;
+};
+
 /// Callers that keep their connections and go on until they are stopped.
 class Callers
 {
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -46,6 +46,8 @@
     /// What an endless answer sends next, a whole number of the repeated parts but for its start; empty: there is none.
     std::string endless;
     std::string repeated; ///< so often that it fills an interval
+    std::string surplus; ///< a second answer, for the place of the next one
+    std::string rewritten; ///< what goes to the caller in place of what came
 };
 
 FaultProxy::FaultProxy(Address target, const Address &at)
@@ -133,6 +135,12 @@
     isDone.wait();
 }
 
+void FaultProxy::spoil(std::optional<SpoiledAnswers> how)
+{
+    const auto isDone = boost::asio::post(m_context, boost::asio::use_future([this, how] { m_spoiled = how; }));
+    isDone.wait();
+}
+
 bool FaultProxy::isCut(bool isToTarget) const
 {
     const LinkFault fault = m_fault;
@@ -202,6 +210,9 @@
     if (isToTarget && takeForEndless(session, size)) {
         return;
     }
+    if (!isToTarget) {
+        rewrite(session, size);
+    }
     const Duration time = holdTime(isToTarget, size);
     if (time == Duration::zero()) {
         write(session, isToTarget, size);
@@ -213,6 +224,21 @@
     });
 }
 
+void FaultProxy::rewrite(const std::shared_ptr<Session> &session, std::size_t size)
+{
+    std::string bytes(session->toCaller.data(), size);
+    session->rewritten = std::exchange(session->surplus, {});
+    const bool isAnswer = bytes.starts_with("HTTP/1.1 ") && bytes.find("\r\n\r\n") != std::string::npos;
+    if (m_spoiled && isAnswer && bytes.starts_with("HTTP/1.1 503") && m_spoiled->repeatsRefusals) {
+        session->surplus = bytes;
+    } else if (m_spoiled && isAnswer && bytes.starts_with("HTTP/1.1 200") && ++m_successes % m_spoiled->oneIn == 0) {
+        static constexpr std::array<std::string_view, 3> Lines{"\r\nX-Note of shelf: 12", "\r\nX-Note: shelf\x01",
+                                                               "\r\nContent-Length: 100000"};
+        bytes.insert(bytes.find("\r\n"), Lines[m_successes / m_spoiled->oneIn % Lines.size()]);
+    }
+    session->rewritten += bytes;
+}
+
 // What does not begin with a whole head belongs to a request that the target has got a part of.
 bool FaultProxy::takeForEndless(const std::shared_ptr<Session> &session, std::size_t size)
 {
@@ -272,15 +298,15 @@
 void FaultProxy::write(const std::shared_ptr<Session> &session, bool isToTarget, std::size_t size)
 {
     Socket &to = isToTarget ? session->target : session->caller;
-    const auto &buf = isToTarget ? session->toTarget : session->toCaller;
-    boost::asio::async_write(to, boost::asio::buffer(buf.data(), size),
-                             [this, session, isToTarget](const boost::system::error_code &ec, std::size_t) {
-                                 if (ec) {
-                                     end(session, false);
-                                     return;
-                                 }
-                                 pump(session, isToTarget);
-                             });
+    const auto bytes =
+        isToTarget ? boost::asio::buffer(session->toTarget.data(), size) : boost::asio::buffer(session->rewritten);
+    boost::asio::async_write(to, bytes, [this, session, isToTarget](const boost::system::error_code &ec, std::size_t) {
+        if (ec) {
+            end(session, false);
+            return;
+        }
+        pump(session, isToTarget);
+    });
 }
 
 void FaultProxy::end(const std::shared_ptr<Session> &session, bool isReset)
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -33,6 +33,12 @@
     std::function<std::string(const std::string &id)> onRequest;
 };
 
+/// How answers of a target are spoiled.
+struct SpoiledAnswers {
+    unsigned oneIn = 1; ///< successes that get a malformed head
+    bool repeatsRefusals = false; ///< a second copy of each 503 takes the place of the next answer
+};
+
 /// Passes connections on to one target (which may be a host too), and spoils them as told.
 class FaultProxy
 {
@@ -57,6 +63,9 @@
     /// Requests that come from now on are not passed on, but answered with 4 MB a second until their callers end the
     /// connections. Without a value, the target gets new requests again. Returns when that holds.
     void answerWithoutEnd(std::optional<EndlessAnswer> answer);
+    /// Spoils answers that are short enough to arrive in one piece. Without a value, they pass unchanged. Returns when
+    /// that holds.
+    void spoil(std::optional<SpoiledAnswers> how);
 
 private:
     struct Session;
@@ -67,6 +76,7 @@
     void pass(const std::shared_ptr<Session> &session, bool isToTarget, std::size_t size);
     Duration holdTime(bool isToTarget, std::size_t size) const;
     void write(const std::shared_ptr<Session> &session, bool isToTarget, std::size_t size);
+    void rewrite(const std::shared_ptr<Session> &session, std::size_t size);
     static void end(const std::shared_ptr<Session> &session, bool isReset);
     bool isCut(bool isToTarget) const;
     bool takeForEndless(const std::shared_ptr<Session> &session, std::size_t size);
@@ -83,6 +93,8 @@
     Address m_address;
     std::vector<std::weak_ptr<Session>> m_sessions; ///< used on the proxy's thread only
     std::optional<EndlessAnswer> m_endless; ///< the same
+    std::optional<SpoiledAnswers> m_spoiled; ///< the same
+    unsigned m_successes = 0; ///< the same: that came while answers are spoiled
     std::thread m_thread;
 };
 
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -59,6 +59,8 @@
 
 /// Sets the generator of targets that send without end apart from the others.
 constexpr std::uint64_t EndlessSeries = 0x656e646c;
+/// Sets the generator of targets that spoil answers apart from the others.
+constexpr std::uint64_t SpoilSeries = 0x73706f69;
 /// More memory than before that an entry host may have while a target sends without end, in bytes.
 constexpr std::size_t MaxMoreMemory = 32UL << 20;
 
@@ -68,6 +70,7 @@
     bool hasBackpressure = false; ///< targets that name limits, ask for rests, and say that they leave
     bool silencesConnections = false; ///< open connections that carry nothing any more, while new ones work
     bool hasEndlessAnswers = false; ///< a target that answers without an end for a while
+    bool spoilsAnswers = false; ///< targets with malformed heads and second refusals; slow callers at planned stops
 };
 
 /// Set by a signal: the soak ends its processes before it ends itself.
@@ -101,6 +104,7 @@
         , m_asksRandom(seed ^ AsksSeries)
         , m_silenceRandom(seed ^ SilenceSeries)
         , m_endlessRandom(seed ^ EndlessSeries)
+        , m_spoilRandom(seed ^ SpoilSeries)
         , m_cluster(settings)
         , m_memory(m_cluster.entryHosts())
         , m_control(m_cluster.controlAddresses())
@@ -136,6 +140,9 @@
             if (m_options.hasEndlessAnswers) {
                 letOneSendWithoutEnd();
             }
+            if (m_options.spoilsAnswers) {
+                letSomeSpoilAnswers();
+            }
             pass(Milliseconds(50 + m_random() % 700));
         }
         calmDown();
@@ -154,6 +161,9 @@
             checkSilence();
         }
         checkNews();
+        if (m_options.spoilsAnswers) {
+            checkPlannedStop();
+        }
         callers.stop();
         keepUp();
         if (!servesEverywhere(RecoveryTime)) {
@@ -295,6 +305,46 @@
         });
     }
 
+    // So many that most of what a host tries turns requests away, and it sends to the same target again.
+    void letSomeSpoilAnswers()
+    {
+        constexpr unsigned OneIn = 3;
+        constexpr auto Time = 2s;
+        if (m_spoilRandom() % OneIn != 0 || m_isSpoiling) {
+            return;
+        }
+        m_steps += "spoil ";
+        m_isSpoiling = true;
+        const std::size_t sound = m_spoilRandom() % m_targets.size();
+        for (std::size_t n = 0; n < m_targets.size(); ++n) {
+            m_targets[n]->spoil(n != sound);
+        }
+        m_later.emplace(m_clock.now() + Time, [this] {
+            for (const std::unique_ptr<Target> &it : m_targets) {
+                it->spoil(false);
+            }
+            m_isSpoiling = false;
+        });
+    }
+
+    // A caller reads on while its host is stopped, until the host would have ended if nothing were left to do.
+    void checkPlannedStop()
+    {
+        constexpr auto Pause = 2800ms;
+        const std::size_t n = m_spoilRandom() % m_cluster.entryHosts().size();
+        SlowCaller caller(m_ledger, m_cluster.entryAddresses()[n]);
+        if (!caller.readHead()) {
+            m_ledger.fail("planned stop", "a large answer is not served although nothing is disturbed");
+            return;
+        }
+        m_cluster.entryHosts()[n]->stop();
+        pass(Pause);
+        if (!caller.readRest()) {
+            m_ledger.fail("planned stop", "the answer to a caller that still reads it is cut");
+        }
+        pass(CalmTime);
+    }
+
     void checkEndless()
     {
         const std::vector<EndlessRequest> requests = m_ledger.endlessRequests();
@@ -841,6 +891,7 @@
     std::mt19937_64 m_asksRandom; ///< for what targets ask for
     std::mt19937_64 m_silenceRandom; ///< for connections that go silent
     std::mt19937_64 m_endlessRandom; ///< for targets that send without end
+    std::mt19937_64 m_spoilRandom; ///< for targets that spoil answers
     SteadyClock m_clock;
     Ledger m_ledger;
     Cluster m_cluster;
@@ -855,6 +906,7 @@
     TimePoint m_linksSpoiledUntil{}; ///< those of the control hosts; narrow ones are not spoiled
     TimePoint m_diskLostAt{};
     bool m_sendsWithoutEnd = false; ///< some target
+    bool m_isSpoiling = false; ///< some target
     std::multimap<TimePoint, std::function<void()>> m_later; ///< ends of disturbances
     std::string m_steps;
 };
@@ -901,7 +953,9 @@
         "ending-request", "a request that ends each target which runs it comes again and again")(
         "backpressure", "targets name limits, ask for rests, and say that they leave")(
         "silence", "open connections go silent for good, while new ones work")(
-        "endless", "a target answers without an end for a while, in some form")("help", "this text");
+        "endless", "a target answers without an end for a while, in some form")(
+        "spoil", "targets spoil answers and repeat refusals, callers read slowly while their host is stopped")(
+        "help", "this text");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0 || arguments.count("program") == 0) {
         std::cout << options.help();
@@ -919,9 +973,10 @@
     for (unsigned n = 0; n < arguments["seeds"].as<unsigned>(); ++n) {
         const auto length = std::chrono::seconds(arguments["seconds"].as<unsigned>());
         try {
-            allKept &= play(first + n, length, settings, arguments["folder"].as<std::string>(),
-                            {arguments.count("ending-request") > 0, arguments.count("backpressure") > 0,
-                             arguments.count("silence") > 0, arguments.count("endless") > 0});
+            allKept &=
+                play(first + n, length, settings, arguments["folder"].as<std::string>(),
+                     {arguments.count("ending-request") > 0, arguments.count("backpressure") > 0,
+                      arguments.count("silence") > 0, arguments.count("endless") > 0, arguments.count("spoil") > 0});
         } catch (const Stopped &) {
             std::cout << "seed " << first + n << ": stopped midway" << std::endl;
             return 2;
