--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -39,6 +39,19 @@
                        {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
 }
 
+void GatewayDaemon::Impl::carryOut(const CancelAttempt &effect)
+{
+    OpenExchange *const open = findOpen(effect.id);
+    if (open == nullptr) {
+        return;
+    }
+    const auto call = open->calls.find(effect.attempt);
+    if (call != open->calls.end()) {
+        m_client->cancel(call->second);
+        open->calls.erase(call);
+    }
+}
+
 AttemptEnded GatewayDaemon::Impl::classifyResult(RequestId id, unsigned attempt, const AnswerFields &fields,
                                                  HttpResult &result)
 {
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -129,19 +129,6 @@
     });
 }
 
-void GatewayDaemon::Impl::carryOut(const CancelAttempt &effect)
-{
-    OpenExchange *const open = findOpen(effect.id);
-    if (open == nullptr) {
-        return;
-    }
-    const auto call = open->calls.find(effect.attempt);
-    if (call != open->calls.end()) {
-        m_client->cancel(call->second);
-        open->calls.erase(call);
-    }
-}
-
 // Streams only an answer that is passed on in any case; all others are buffered first.
 bool GatewayDaemon::Impl::onAnswerBegun(RequestId id, unsigned attempt, const Answer &head, const AnswerFields &fields,
                                         std::uint64_t length)
--- a/lib/Http/AnswerHead.cpp
+++ b/lib/Http/AnswerHead.cpp
@@ -3,8 +3,6 @@
 
 #include "FieldSyntax.h"
 
-#include <charconv>
-
 namespace pepperlug
 {
 
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -7,9 +7,8 @@
 //===----------------------------------------------------------------------===//
 #include "Connection.h"
 
-#include <cerrno>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
+#include "SocketBytes.h"
+
 #include <sys/socket.h>
 
 namespace pepperlug
@@ -28,30 +27,6 @@
 /// Room that a buffer of unsent bytes may keep for later answers; most answers fit in.
 constexpr std::size_t KeptBufferBytes = LargeAnswerBytes;
 
-/// Bytes that the socket took without waiting; nothing if it has ended.
-std::optional<std::size_t> writeNow(int socket, std::string_view bytes)
-{
-    std::size_t done = 0;
-    while (done < bytes.size()) {
-        const ssize_t n = ::send(socket, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
-        if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
-            return std::nullopt;
-        }
-        if (n <= 0) {
-            break;
-        }
-        done += static_cast<std::size_t>(n);
-    }
-    return done;
-}
-
-/// Bytes that the socket took but the peer has not acknowledged.
-std::uint64_t unacknowledged(int socket)
-{
-    int bytes = 0;
-    return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 ? static_cast<std::uint64_t>(std::max(bytes, 0)) : 0;
-}
-
 Answer notRun(unsigned status, const std::string &reason)
 {
     Answer answer = jsonAnswer(status, {{"outcome", "not-run"}, {"step", "read request"}, {"reason", reason}});
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include "AnsweredCalls.h"
 #include "AnswerHead.h"
 #include "ConnectionTrust.h"
+#include "CurlHandles.h"
 #include "SocketLoop.h"
 #include "SpareConnections.h"
 
@@ -35,32 +36,6 @@
 constexpr long ReadBuffer = 4 * 1024;
 constexpr long SendBuffer = 16 * 1024; ///< the least that the library takes
 
-// libcurl's handle types are all void, so each needs a deleter of its own name.
-struct EasyDeleter {
-    void operator()(CURL *handle) const
-    {
-        curl_easy_cleanup(handle);
-    }
-};
-
-struct ListDeleter {
-    void operator()(curl_slist *list) const
-    {
-        curl_slist_free_all(list);
-    }
-};
-
-struct MultiDeleter {
-    void operator()(CURLM *multi) const
-    {
-        curl_multi_cleanup(multi);
-    }
-};
-
-using EasyHandle = std::unique_ptr<CURL, EasyDeleter>;
-using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
-using MultiHandle = std::unique_ptr<CURLM, MultiDeleter>;
-
 /// What the answers on their way have in common.
 struct AnswerFlow {
     std::uint64_t unsizedBytes = 0; ///< held of bodies of unknown length
