Http: one reader of messages, whose events don't depend on splits

Readiness went on to say 200. Extensions of chunks got 400, and each body in chunks closed its connection.

Cause: bodies were framed by the parser of the server library, which does not return at that split, on the only thread that reads callers. Evidence: "a body in chunks that is split anywhere is answered, and so is everybody else" failed on at the split behind 9 bytes: other connections to that thread had no answer either, also after the caller had left. "long bodies in chunks, one after the other on a connection, are all answered" failed there at its second request, "a connection goes on behind a body in chunks" in both checks.

Change: MessageReader, a part without sockets, reads callers' requests and targets' answers: bytes in, head, parts of the body, trailers, end or fault out, bounds as arguments. Metric pepperlug_malformed_requests. HeadDefect is AnswerDefect now. Connection shrinks. HTTP/1.0 with chunks gets 400 (RFC 9112, 6.1). The older test of a body in chunks says "Connection: close", since the connection goes on now.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -1,7 +1,8 @@
 //===- pepperlug/Http.h - Callers and targets over HTTP/1.1 ------*- C++ -*-===//
 //
-// The server side over Pistache and the client side over libcurl. Both take and
-// give whole messages, but large answers can be passed on while they arrive.
+// The server side over Pistache and the client side over libcurl, with one reader
+// of messages. Both take and give whole messages, but large answers can be passed
+// on while they arrive.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -52,6 +53,7 @@
     std::uint64_t heldBytes = 0; ///< of answers that callers have not read, or that wait for earlier ones
     std::uint64_t slowReadersCutOff = 0; ///< connections closed since the start because their callers read nothing
     std::uint64_t refusedUnread = 0; ///< requests refused since the start because earlier answers were not read
+    std::uint64_t malformedRequests = 0; ///< refused since the start because of their head or framing
 };
 
 /// A request from a caller, until it is answered. Functions may be called from any thread.
@@ -144,16 +146,17 @@
 };
 const char *nameOf(AnswerPart part);
 
-/// What makes the head of an answer one that must not be passed on.
-enum class HeadDefect : std::uint8_t {
+/// What makes an answer one that must not be passed on.
+enum class AnswerDefect : std::uint8_t {
     StatusLine, ///< no status line of HTTP/1.1, or a status that answers no request
     FieldName, ///< a line without a name
     FieldValue, ///< a control character
     Length, ///< no number, or several lengths that differ
     TransferCoding, ///< other than one "chunked"
+    Framing, ///< chunks that can't be read
     Other, ///< that libcurl has found
 };
-const char *nameOf(HeadDefect defect);
+const char *nameOf(AnswerDefect defect);
 
 struct HttpResult {
     enum class Kind {
@@ -171,7 +174,7 @@
     bool isRefused = false; ///< nothing listens at the address
     bool isWithdrawn = false; ///< not sent, since HttpCall::maySend did not allow it any more
     std::optional<AnswerPart> endlessPart; ///< Endless: what there was too much of
-    std::optional<HeadDefect> headDefect; ///< Broken: why the head was not taken
+    std::optional<AnswerDefect> answerDefect; ///< Broken: why the answer was not taken
     bool isForeign = false; ///< Broken: HttpCall::acceptsHead did not take the head
     std::uint16_t port = 0; ///< local one of the connection that the call was sent over last; 0 if it was not sent
     std::uint64_t receivedBytes = 0; ///< of the answer, in whatever form
--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -105,10 +105,10 @@
     if (result.isForeign) {
         m_metrics.count("pepperlug_foreign_answers");
     }
-    if (!result.headDefect) {
+    if (!result.answerDefect) {
         return;
     }
-    const char *const defect = nameOf(*result.headDefect);
+    const char *const defect = nameOf(*result.answerDefect);
     m_metrics.count(std::string("pepperlug_malformed_answers{defect=\"") + defect + "\"}");
     m_events.decision("malformed-answer",
                       {{"request", open.fields.requestId}, {"target", target.id}, {"defect", defect}});
--- a/lib/Fleet/ServerSweep.h
+++ b/lib/Fleet/ServerSweep.h
@@ -6,7 +6,7 @@
 namespace pepperlug::fleet
 {
 
-/// Applies the time limits of connections about once a second, and reports what slow readers cost.
+/// Applies the time limits of connections about once a second, and reports what callers cost.
 class ServerSweep
 {
 public:
@@ -24,11 +24,13 @@
             sum.heldBytes += stats.heldBytes;
             sum.slowReadersCutOff += stats.slowReadersCutOff;
             sum.refusedUnread += stats.refusedUnread;
+            sum.malformedRequests += stats.malformedRequests;
         }
         const std::uint64_t cutOff = sum.slowReadersCutOff - m_reported.slowReadersCutOff;
         metrics.gauge("pepperlug_answer_bytes_held", static_cast<double>(sum.heldBytes));
         metrics.count("pepperlug_slow_readers_cut_off", cutOff);
         metrics.count("pepperlug_requests_refused_unread", sum.refusedUnread - m_reported.refusedUnread);
+        metrics.count("pepperlug_malformed_requests", sum.malformedRequests - m_reported.malformedRequests);
         m_reported = sum;
         return cutOff;
     }
--- a/lib/Http/AnswerHead.cpp
+++ b/lib/Http/AnswerHead.cpp
@@ -14,6 +14,9 @@
 constexpr unsigned FirstInterim = 100;
 constexpr unsigned FirstFinal = 200;
 constexpr unsigned LastStatus = 599;
+constexpr unsigned NoContent = 204;
+constexpr unsigned NotModified = 304;
+constexpr unsigned BadGateway = 502;
 
 std::string_view withoutLineEnd(std::string_view line)
 {
@@ -27,20 +30,22 @@
 
 } // namespace
 
-const char *nameOf(HeadDefect defect)
+const char *nameOf(AnswerDefect defect)
 {
     switch (defect) {
-    case HeadDefect::StatusLine:
+    case AnswerDefect::StatusLine:
         return "status-line";
-    case HeadDefect::FieldName:
+    case AnswerDefect::FieldName:
         return "field-name";
-    case HeadDefect::FieldValue:
+    case AnswerDefect::FieldValue:
         return "field-value";
-    case HeadDefect::Length:
+    case AnswerDefect::Length:
         return "length";
-    case HeadDefect::TransferCoding:
+    case AnswerDefect::TransferCoding:
         return "transfer-coding";
-    case HeadDefect::Other:
+    case AnswerDefect::Framing:
+        return "framing";
+    case AnswerDefect::Other:
         return "other";
     }
     return "other";
@@ -49,6 +54,7 @@
 void AnswerHead::addLine(std::string_view line)
 {
     line = withoutLineEnd(line);
+    m_hasBegun = true;
     if (m_isFirstLine) {
         m_isFirstLine = false;
         addStatusLine(line);
@@ -71,14 +77,14 @@
     const char minor = hasVersion ? line[VersionPrefix.size()] : '\0';
     const bool endsThere = line.size() == StatusEnd || (line.size() > StatusEnd && line[StatusEnd] == ' ');
     if ((minor != '0' && minor != '1') || !endsThere || !isFieldValue(line)) {
-        setDefect(HeadDefect::StatusLine);
+        setDefect(AnswerDefect::StatusLine);
         return;
     }
     m_isOldVersion = minor == '0';
     const std::optional<std::uint64_t> status = readLength(line.substr(StatusAt, StatusEnd - StatusAt));
     // No request asks for another protocol.
     if (!status || *status < FirstInterim || *status > LastStatus || *status == SwitchingProtocols) {
-        setDefect(HeadDefect::StatusLine);
+        setDefect(AnswerDefect::StatusLine);
         return;
     }
     m_answer.status = static_cast<unsigned>(*status);
@@ -90,13 +96,13 @@
 {
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos || !isToken(line.substr(0, colon))) {
-        setDefect(HeadDefect::FieldName);
+        setDefect(AnswerDefect::FieldName);
         return;
     }
     const std::string_view name = line.substr(0, colon);
     const std::string_view value = trimmed(line.substr(colon + 1));
     if (!isFieldValue(value)) {
-        setDefect(HeadDefect::FieldValue);
+        setDefect(AnswerDefect::FieldValue);
         return;
     }
     m_answer.headers.push_back({std::string(name), std::string(value)});
@@ -106,7 +112,7 @@
         const bool isUnderstood = !m_isOldVersion && !m_isChunked && sameName(value, "chunked");
         m_isChunked = true;
         if (!isUnderstood) {
-            setDefect(HeadDefect::TransferCoding);
+            setDefect(AnswerDefect::TransferCoding);
         }
     }
 }
@@ -118,7 +124,7 @@
         const std::size_t comma = list.find(',');
         const std::optional<std::uint64_t> length = readLength(trimmed(list.substr(0, comma)));
         if (!length || m_length.value_or(*length) != *length) {
-            setDefect(HeadDefect::Length);
+            setDefect(AnswerDefect::Length);
             return;
         }
         m_length = length;
@@ -127,13 +133,33 @@
     }
 }
 
+std::optional<MessageFault> AnswerHead::fault() const
+{
+    if (!m_defect) {
+        return std::nullopt;
+    }
+    return MessageFault{BadGateway, std::string("the head of the answer is malformed: ") + nameOf(*m_defect), m_defect};
+}
+
+BodyFraming AnswerHead::framing() const
+{
+    if (m_answer.status == NoContent || m_answer.status == NotModified) {
+        return {};
+    }
+    if (m_isChunked) {
+        return {BodyFraming::Kind::Chunks, 0};
+    }
+    return m_length ? BodyFraming{BodyFraming::Kind::Length, *m_length}
+                    : BodyFraming{BodyFraming::Kind::ConnectionEnd, 0};
+}
+
 void AnswerHead::endHead()
 {
     m_isWhole = m_answer.status >= FirstFinal;
     m_isFirstLine = !m_isWhole;
 }
 
-void AnswerHead::setDefect(HeadDefect defect)
+void AnswerHead::setDefect(AnswerDefect defect)
 {
     m_defect = m_defect.value_or(defect);
 }
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -1,12 +1,13 @@
 //===- Connection.cpp - One caller's connection ---------------------------===//
 //
 // What a caller is owed is written by the thread that has it, and what the socket does not take then by the write loop;
-// Pistache only reads. The number of a socket may be given to a new connection once its peer has gone, so it is used
-// only under the connection's mutex and while the connection is alive.
+// Pistache only hands on the bytes that arrive. The number of a socket may be given to a new connection once its peer
+// has gone, so it is used only under the connection's mutex and while the connection is alive.
 //
 //===----------------------------------------------------------------------===//
 #include "Connection.h"
 
+#include "AnswerEncoder.h"
 #include "SocketBytes.h"
 
 #include <sys/socket.h>
@@ -17,10 +18,8 @@
 namespace
 {
 
-namespace ph = Pistache::Http;
 namespace pt = Pistache::Tcp;
 
-constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 /// For a caller to read the last answer and close; some tens of round trips.
 constexpr auto LingerTime = std::chrono::seconds(2);
@@ -98,18 +97,20 @@
         m_lastActive = m_shared.clock.now();
         m_partSince = m_partSince.value_or(m_lastActive);
     }
-    m_buf.append(data, size);
-    bool goesOn = true;
-    while (goesOn && !ignoresInput()) {
-        goesOn = m_head ? readBodyPart() : readHeadPart();
+    m_reader.add({data, size});
+    while (!ignoresInput()) {
+        auto event = m_reader.next();
+        if (!event) {
+            break;
+        }
+        std::visit([this](auto &&it) { take(std::forward<decltype(it)>(it)); }, std::move(*event));
     }
     const std::lock_guard lock(m_mutex);
     if (m_ignoresInput) {
-        m_buf = {};
+        m_reader.stop();
         m_head.reset();
-        m_parser.reset();
     }
-    if (m_buf.empty() && !m_head) {
+    if (m_ignoresInput || m_reader.isBetweenMessages()) {
         m_partSince.reset();
     } else {
         // What follows a whole request is the start of the next one.
@@ -123,85 +124,25 @@
     return m_ignoresInput;
 }
 
-bool Connection::readHeadPart()
+MessageBounds Connection::boundsOf(const HttpLimits &limits)
 {
-    // Empty lines before a request are to be passed over (RFC 9112, 2.2).
-    while (m_buf.starts_with("\r\n")) {
-        m_buf.erase(0, 2);
-    }
-    if (m_buf.empty()) {
-        return false;
-    }
-    const std::size_t end = m_buf.find(HeadEnd);
-    if (std::min(end, m_buf.size()) > m_shared.limits.headBytes) {
-        fault(431, "the head is longer than " + std::to_string(m_shared.limits.headBytes) + " bytes");
-        return false;
-    }
-    if (end == std::string::npos) {
-        return false;
-    }
-    try {
-        m_head = readHead(std::string_view(m_buf).substr(0, end));
-    } catch (const HeadFault &it) {
-        fault(it.status, it.reason);
-        return false;
-    }
-    m_buf.erase(0, end + HeadEnd.size());
-    if (m_head->contentLength > m_shared.limits.bodyBytes) {
-        fault(413, "the body is longer than " + std::to_string(m_shared.limits.bodyBytes) + " bytes");
-        return false;
-    }
-    m_bodyLeft = m_head->contentLength;
-    const bool hasBody = m_head->isChunked || m_bodyLeft > 0;
-    if (!hasBody) {
-        emitRequest();
-        return true;
-    }
-    const HttpLimits &limits = m_shared.limits;
-    m_parser = std::make_unique<ph::RequestParser>(limits.headBytes + limits.bodyBytes * 2);
-    const std::string framing = framingHead(*m_head);
-    m_parser->feed(framing.data(), framing.size());
-    if (m_head->expectsContinue && m_buf.empty()) {
-        const std::lock_guard lock(m_mutex);
-        if (m_slots.empty()) {
-            sendLocked(ContinueLine, false);
-        }
-    }
-    return true;
+    return {.headBytes = limits.headBytes, .bodyBytes = limits.bodyBytes, .framingBytes = limits.headBytes};
 }
 
-bool Connection::readBodyPart()
+void Connection::take(std::unique_ptr<RequestHead> head)
 {
-    if (m_buf.empty()) {
-        return false;
-    }
-    // With a length we know where the next request starts. With chunks only the parser knows, and it does not tell;
-    // such a connection is closed after its answer, so that bytes of a next request are never taken for something else.
-    const std::size_t n = m_head->isChunked ? m_buf.size() : std::min(m_bodyLeft, m_buf.size());
-    bool fits = m_parser->feed(m_buf.data(), n);
-    m_buf.erase(0, n);
-    m_bodyLeft -= m_head->isChunked ? 0 : n;
-    ph::Private::State state = ph::Private::State::Again;
-    try {
-        state = fits ? m_parser->parse() : state;
-    } catch (const std::exception &ex) {
-        fault(400, std::string("the body is garbled: ") + ex.what());
-        return false;
-    }
-    fits = fits && m_parser->request.body().size() <= m_shared.limits.bodyBytes;
-    if (!fits) {
-        fault(413, "the body is longer than " + std::to_string(m_shared.limits.bodyBytes) + " bytes");
-        return false;
-    }
-    if (state != ph::Private::State::Done) {
-        return !m_buf.empty();
-    }
-    if (m_head->isChunked) {
-        m_head->keepAlive = false;
-        m_buf.clear();
+    m_head = std::move(head);
+    const bool isWaitedFor =
+        m_head->expectsContinue() && m_head->framing().kind != BodyFraming::Kind::None && m_reader.unreadBytes() == 0;
+    const std::lock_guard lock(m_mutex);
+    if (isWaitedFor && m_slots.empty()) {
+        sendLocked(ContinueLine, false);
     }
-    emitRequest();
-    return true;
+}
+
+void Connection::take(const BodyPart &part)
+{
+    m_head->request().body.append(part.bytes);
 }
 
 // An answer that says "close" is the last one (RFC 9112, 9.6). While the server is closing, that is the one to the last
@@ -226,20 +167,12 @@
     return slot;
 }
 
-void Connection::emitRequest()
+void Connection::take(const MessageEnd &)
 {
-    HttpRequest request;
-    request.method = std::move(m_head->method);
-    request.resource = std::move(m_head->resource);
-    request.headers = std::move(m_head->headers);
+    const std::unique_ptr<RequestHead> head = std::move(m_head);
+    HttpRequest request = std::move(head->request());
     request.peerIp = m_ip;
-    const bool hasBody = m_head->isChunked || m_head->contentLength > 0;
-    if (hasBody) {
-        request.body = m_parser->request.body();
-        m_parser.reset();
-    }
-    const bool keepAlive = m_head->keepAlive;
-    m_head.reset();
+    const bool keepAlive = head->keepsAlive();
     const auto slot = std::make_shared<Slot>();
     const char *refusal = nullptr;
     {
@@ -278,10 +211,14 @@
     return isHeldHere ? "earlier answers have not been read" : "too many answers have not been read";
 }
 
+void Connection::take(const MessageFault &it)
+{
+    ++m_shared.malformedRequests;
+    fault(it.status, it.reason);
+}
+
 void Connection::fault(unsigned status, const std::string &reason)
 {
-    m_buf.clear();
-    m_head.reset();
     {
         const std::lock_guard lock(m_mutex);
         m_ignoresInput = true;
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -6,10 +6,10 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "Head.h"
+#include "MessageReader.h"
+#include "RequestHead.h"
 #include "WriteLoop.h"
 
-#include <pistache/http.h>
 #include <pistache/peer.h>
 
 namespace pepperlug
@@ -38,6 +38,7 @@
     std::atomic<std::uint64_t> heldBytes = 0; ///< of answers that sockets have not taken
     std::atomic<std::uint64_t> slowReadersCutOff = 0;
     std::atomic<std::uint64_t> refusedUnread = 0;
+    std::atomic<std::uint64_t> malformedRequests = 0;
 };
 
 class Connection : public std::enable_shared_from_this<Connection>
@@ -46,6 +47,7 @@
     Connection(const std::shared_ptr<Pistache::Tcp::Peer> &peer, ServerShared &shared)
         : m_peer(peer)
         , m_ip(peer->address().host())
+        , m_reader(boundsOf(shared.limits))
         , m_shared(shared)
         , m_lastActive(shared.clock.now())
     {
@@ -69,10 +71,15 @@
     bool hasUndelivered();
 
 private:
-    bool readHeadPart();
-    bool readBodyPart();
+    static MessageBounds boundsOf(const HttpLimits &limits);
     bool ignoresInput();
-    void emitRequest();
+    void take(std::unique_ptr<RequestHead> head);
+    void take(const BodyPart &part);
+    void take(const TrailerPart &)
+    {
+    }
+    void take(const MessageEnd &);
+    void take(const MessageFault &it);
     const char *refusalLocked();
     void fault(unsigned status, const std::string &reason);
     void sendReadyLocked();
@@ -86,10 +93,8 @@
 
     std::weak_ptr<Pistache::Tcp::Peer> m_peer;
     std::string m_ip;
-    std::string m_buf;
-    std::optional<RequestHead> m_head;
-    std::size_t m_bodyLeft = 0;
-    std::unique_ptr<Pistache::Http::RequestParser> m_parser; ///< only while a body comes: it takes several KiB
+    MessageReader<RequestHead> m_reader;
+    std::unique_ptr<RequestHead> m_head; ///< of the request whose body comes
     ServerShared &m_shared;
 
     std::mutex m_mutex; ///< guards what follows
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -11,11 +11,13 @@
 #include "AnswerHead.h"
 #include "ConnectionTrust.h"
 #include "CurlHandles.h"
+#include "MessageReader.h"
 #include "SocketLoop.h"
 #include "SpareConnections.h"
 
 #include <algorithm>
 #include <cerrno>
+#include <limits>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -36,6 +38,10 @@
 constexpr long ReadBuffer = 4 * 1024;
 constexpr long SendBuffer = 16 * 1024; ///< the least that the library takes
 
+/// Bounds of answers are those of AnswerBudget, and the length that the client takes.
+constexpr std::uint64_t Unbounded = std::numeric_limits<std::uint64_t>::max() / 2;
+constexpr MessageBounds UnboundedAnswer{Unbounded, Unbounded, Unbounded};
+
 /// What the answers on their way have in common.
 struct AnswerFlow {
     std::uint64_t unsizedBytes = 0; ///< held of bodies of unknown length
@@ -54,7 +60,10 @@
     std::uint64_t heldUnsized = 0; ///< part of AnswerFlow::unsizedBytes
     EasyHandle easy;
     HeaderList headers;
-    AnswerHead head;
+    MessageReader<AnswerHead> reader{UnboundedAnswer};
+    std::unique_ptr<AnswerHead> head; ///< null until it is whole
+    std::optional<MessageFault> fault;
+    bool isWhole = false;
     std::string body; ///< unless it is passed on
     SpareConnections *spares = nullptr; ///< null: no connection opened in advance is used
     curl_socket_t spareSocket = CURL_SOCKET_BAD; ///< of the connection opened in advance that the call uses
@@ -96,70 +105,90 @@
     return 0;
 }
 
-std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self)
-{
-    auto *transfer = static_cast<Transfer *>(self);
-    const std::size_t bytes = size * count;
-    transfer->budget.addPayload(bytes);
-    if (transfer->isPassedOn) {
-        transfer->call.onPart({data, bytes});
-        return bytes;
-    }
-    transfer->isTooLarge = transfer->body.size() + bytes > transfer->maxAnswerBytes;
-    if (transfer->isTooLarge || transfer->budget.exceeded()) {
-        return 0;
-    }
-    transfer->body.append(data, bytes);
-    const std::uint64_t held = transfer->budget.unsizedPayload();
-    transfer->flow->unsizedBytes += held - std::exchange(transfer->heldUnsized, held);
-    return bytes;
-}
-
-// Returns true if the answer has a body, whatever length its head tells.
-bool hasBody(const Transfer &transfer, unsigned status)
-{
-    constexpr unsigned NoContent = 204;
-    constexpr unsigned NotModified = 304;
-    return transfer.call.method != "HEAD" && status != NoContent && status != NotModified;
-}
-
-// Returns false if the answer is not taken.
-bool onHeadEnd(Transfer &transfer)
+// The functions take() return false if the answer is not taken.
+bool take(Transfer &transfer, std::unique_ptr<AnswerHead> &&head)
 {
-    const Answer &answer = transfer.head.answer();
+    transfer.head = std::move(head);
+    const Answer &answer = transfer.head->answer();
     transfer.isForeign = transfer.call.acceptsHead && !transfer.call.acceptsHead(answer.headers);
     if (transfer.isForeign) {
         return false;
     }
-    const std::optional<std::uint64_t> length = transfer.head.bodyLength();
-    if (!length || !hasBody(transfer, answer.status)) {
+    const BodyFraming framing = transfer.head->framing();
+    if (framing.kind != BodyFraming::Kind::Length || transfer.call.method == "HEAD") {
         return true;
     }
     transfer.budget.setSized();
-    transfer.isTooLarge = *length > transfer.maxAnswerBytes;
-    transfer.isLarge = *length >= LargeAnswerBytes;
+    transfer.isTooLarge = framing.length > transfer.maxAnswerBytes;
+    transfer.isLarge = framing.length >= LargeAnswerBytes;
     if (transfer.isLarge && !transfer.isTooLarge && transfer.call.onLargeHead) {
-        transfer.isPassedOn = transfer.call.onLargeHead(answer, *length);
+        transfer.isPassedOn = transfer.call.onLargeHead(answer, framing.length);
     }
     return !transfer.isTooLarge;
 }
 
-std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *self)
+bool take(Transfer &transfer, const BodyPart &part)
 {
-    auto *transfer = static_cast<Transfer *>(self);
-    const std::size_t bytes = size * count;
-    if (transfer->head.isWhole()) {
-        transfer->budget.addTrailer(bytes);
-        return bytes; // a trailer says nothing that a head may say (RFC 9110, 6.5.1)
+    const std::size_t bytes = part.bytes.size();
+    transfer.budget.addPayload(bytes);
+    if (transfer.isPassedOn) {
+        transfer.call.onPart(part.bytes);
+        return true;
     }
-    if (transfer->budget.exceeded()) {
-        return 0;
+    transfer.isTooLarge = transfer.body.size() + bytes > transfer.maxAnswerBytes;
+    if (transfer.isTooLarge || transfer.budget.exceeded()) {
+        return false;
     }
-    transfer->head.addLine({data, bytes});
-    if (transfer->head.defect()) {
-        return 0;
+    transfer.body.append(part.bytes);
+    const std::uint64_t held = transfer.budget.unsizedPayload();
+    transfer.flow->unsizedBytes += held - std::exchange(transfer.heldUnsized, held);
+    return true;
+}
+
+bool take(Transfer &transfer, const TrailerPart &part)
+{
+    transfer.budget.addTrailer(part.bytes);
+    return true;
+}
+
+bool take(Transfer &transfer, const MessageEnd &)
+{
+    transfer.isWhole = true;
+    return true;
+}
+
+bool take(Transfer &transfer, MessageFault &&fault)
+{
+    transfer.fault = std::move(fault);
+    transfer.fault->defect = transfer.fault->defect.value_or(AnswerDefect::Framing);
+    return false;
+}
+
+bool takeAll(Transfer &transfer)
+{
+    while (auto event = transfer.reader.next()) {
+        const bool isTaken =
+            std::visit([&](auto &&it) { return take(transfer, std::forward<decltype(it)>(it)); }, std::move(*event));
+        if (!isTaken) {
+            return false;
+        }
     }
-    return !transfer->head.isWhole() || onHeadEnd(*transfer) ? bytes : 0;
+    // What follows a whole answer belongs to no request, and its connection can't be trusted.
+    return !(transfer.isWhole && transfer.reader.unreadBytes() > 0);
+}
+
+// Both are told of the bytes as they came: lines of heads, and bodies with the framing of their chunks.
+std::size_t onBytes(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    const std::size_t bytes = size * count;
+    transfer->reader.add({data, bytes});
+    return takeAll(*transfer) ? bytes : 0;
+}
+
+std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *self)
+{
+    return static_cast<const Transfer *>(self)->budget.exceeded() ? 0 : onBytes(data, size, count, self);
 }
 
 // Records which connection a call is about to be sent over. One opened in advance counts as old, of an unknown age.
@@ -276,7 +305,8 @@
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, KeptConnectionSeconds);
     const auto timeout = std::chrono::duration_cast<Milliseconds>(call.timeout).count();
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(timeout)));
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBytes);
+    curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeaderLine);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
@@ -367,10 +397,22 @@
     return result;
 }
 
+// The library takes the answer for whole, and the reader has to do so as well.
+CURLcode endOf(Transfer &transfer)
+{
+    if (auto event = transfer.reader.finish()) {
+        std::visit([&](auto &&it) { take(transfer, std::forward<decltype(it)>(it)); }, std::move(*event));
+    }
+    return transfer.isWhole ? CURLE_OK : CURLE_WEIRD_SERVER_REPLY;
+}
+
 HttpResult resultOf(Transfer &transfer, CURLcode code)
 {
     std::optional<AnswerPart> endless = transfer.budget.exceeded();
-    const bool isInHead = transfer.sendings > 0 && !transfer.head.isWhole();
+    if (code == CURLE_OK && !transfer.call.connectsOnly) {
+        code = endOf(transfer);
+    }
+    const bool isInHead = transfer.sendings > 0 && !transfer.head;
     if (isInHead && tellsEndlessHead(code)) {
         endless = AnswerPart::Head;
     }
@@ -380,20 +422,23 @@
     HttpResult result;
     result.port = transfer.port;
     result.receivedBytes = transfer.budget.received();
-    if (code == CURLE_OK) {
+    // An answer that is whole stays one, though bytes behind it have ended its connection.
+    if (code == CURLE_OK || transfer.isWhole) {
         result.kind = HttpResult::Kind::Answered;
-        result.answer = std::move(transfer.head.answer());
-        result.answer.body = std::move(transfer.body);
+        if (transfer.head) {
+            result.answer = std::move(transfer.head->answer());
+            result.answer.body = std::move(transfer.body);
+        }
         return result;
     }
     result.isWithdrawn = transfer.isWithdrawn;
     result.isForeign = transfer.isForeign;
-    result.headDefect = transfer.head.defect();
-    if (code == CURLE_WEIRD_SERVER_REPLY && isInHead) {
-        result.headDefect = HeadDefect::Other;
+    if (code == CURLE_WEIRD_SERVER_REPLY && isInHead && !transfer.fault) {
+        transfer.fault = MessageFault{0, "the head of the answer is malformed", AnswerDefect::Other};
     }
-    if (result.headDefect) {
-        result.reason = std::string("the head of the answer is malformed: ") + nameOf(*result.headDefect);
+    if (transfer.fault) {
+        result.answerDefect = transfer.fault->defect;
+        result.reason = transfer.fault->reason;
     } else if (transfer.isForeign) {
         result.reason = "the answer belongs to another call";
     } else if (transfer.isWithdrawn) {
@@ -449,6 +494,7 @@
         transfer->handler = std::move(handler);
         transfer->maxAnswerBytes = m_limits.answerBytes;
         transfer->bytesPerSecond = m_limits.bytesPerSecond;
+        transfer->reader = MessageReader<AnswerHead>(UnboundedAnswer, transfer->call.method == "HEAD");
         transfer->budget = AnswerBudget(std::min(m_limits.answerBytes, m_limits.unsizedBytes));
         transfer->flow = &m_flow;
         HttpCallId id{};
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -1,8 +1,8 @@
 //===- HttpServer.cpp - Callers' requests over Pistache -------------------===//
 //
-// Pistache gives the sockets, the threads and the framing of bodies. What it does not give is in Connection.cpp and
-// Head.cpp: a strict check of heads, answers to pipelined requests in order, and answers that can't reach another
-// caller.
+// Pistache gives the sockets and the threads. What it does not give is in Connection.cpp, MessageReader.h and
+// RequestHead.cpp: a strict reading of requests, answers to pipelined ones in order, and answers that can't reach
+// another caller.
 //
 //===----------------------------------------------------------------------===//
 #include "Connection.h"
@@ -119,7 +119,7 @@
 
     HttpServerStats stats() const
     {
-        return {m_shared.heldBytes, m_shared.slowReadersCutOff, m_shared.refusedUnread};
+        return {m_shared.heldBytes, m_shared.slowReadersCutOff, m_shared.refusedUnread, m_shared.malformedRequests};
     }
 
     void stop()
--- a/test/soak/Actors.cpp
+++ b/test/soak/Actors.cpp
@@ -319,8 +319,8 @@
     call.timeout = CallerPatience;
     const HttpResult result = fetch(client, call);
     const unsigned status = result.kind == HttpResult::Kind::Answered ? result.answer.status : 0;
-    if (result.headDefect) {
-        ledger.fail("answer", id + " got a malformed head: " + nameOf(*result.headDefect));
+    if (result.answerDefect) {
+        ledger.fail("answer", id + " got a malformed head: " + nameOf(*result.answerDefect));
     }
     const bool isWhole = result.answer.body == Ledger::bodyOf(id);
     ledger.answered(id, status, isWhole);
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -4,13 +4,15 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
+#include <sstream>
 
 using namespace pepperlug;
 
 namespace
 {
 
-/// A server that echoes, with the paths /hold (answered later), /204, /304 and /cookies.
+/// A server that echoes, with the paths /hold (answered later), /size (of the body), /204, /304 and /cookies.
 class EchoServer
 {
 public:
@@ -44,6 +46,8 @@
             exchange->respond({static_cast<unsigned>(std::stoul(request.path().substr(1))), {{"X-Mark", "m"}}, ""});
         } else if (request.path() == "/cookies") {
             exchange->respond({200, {{"Set-Cookie", "a=1"}, {"Set-Cookie", "b=2"}}, "ok"});
+        } else if (request.path() == "/size") {
+            exchange->respond({200, {}, "[" + std::to_string(request.body.size()) + " bytes]"});
         } else if (request.path() == "/length" && request.method == "HEAD") {
             exchange->respond({200, {{"Content-Length", "1234"}}, ""});
         } else {
@@ -172,10 +176,10 @@
     EchoServer echo;
     CHECK(has(answerTo(echo, "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello"),
               "[hello]"));
-    CHECK(has(
-        answerTo(echo,
-                 "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"),
-        "[abcde]"));
+    CHECK(has(answerTo(echo,
+                       "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: "
+                       "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"),
+              "[abcde]"));
     RawSocket socket(echo.server.address());
     for (const char c : std::string("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz")) {
         socket.send(std::string(1, c));
@@ -251,6 +255,58 @@
     CHECK(has(answerTo(echo, get("/well", "Connection: close\r\nCookie: no-equals\r\n")), "GET /well []"));
 }
 
+// Guards against a body in chunks that ends the service of its server, wherever the network splits it.
+TEST_CASE("a body in chunks that is split anywhere is answered, and so is everybody else")
+{
+    EchoServer echo({}, 1);
+    const std::string body = "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+    for (std::size_t at = 1; at < body.size(); ++at) {
+        INFO("split at " << at);
+        RawSocket socket(echo.server.address());
+        socket.send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + body.substr(0, at));
+        echo.settle(); // the first piece has been read before the second one comes
+        socket.send(body.substr(at));
+        REQUIRE(has(socket.readUntil("]"), "[hello world]"));
+        echo.settle();
+    }
+}
+
+// Guards against bodies longer than what is read at once, which a sound caller sends without any pause.
+TEST_CASE("long bodies in chunks, one after the other on a connection, are all answered")
+{
+    constexpr int Requests = 600;
+    constexpr std::size_t BodyBytes = 20'000;
+    EchoServer echo({}, 1);
+    std::mt19937 random(75); // NOLINT: the same sizes each time
+    std::uniform_int_distribution<std::size_t> sizes(200, 1200);
+    RawSocket socket(echo.server.address());
+    for (int n = 1; n <= Requests; ++n) {
+        std::ostringstream request;
+        request << "POST /size HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" << std::hex;
+        for (std::size_t left = BodyBytes; left > 0;) {
+            const std::size_t size = std::min(left, sizes(random));
+            request << size << "\r\n" << std::string(size, 'a') << "\r\n";
+            left -= size;
+        }
+        socket.send(request.str() + "0\r\n\r\n");
+        INFO("request " << n);
+        REQUIRE(occurrences(socket.readUntil("bytes]", n), "[20000 bytes]") == static_cast<std::size_t>(n));
+    }
+    echo.settle();
+}
+
+TEST_CASE("a connection goes on behind a body in chunks, whose extensions and trailers are dropped")
+{
+    EchoServer echo;
+    RawSocket socket(echo.server.address());
+    socket.send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "6;a=b\r\nhello \r\n5\r\nworld\r\n0;c\r\nX-Trailer: 1\r\n\r\n"
+                + get("/next", "Connection: close\r\n"));
+    const std::string all = socket.readToEnd();
+    CHECK(has(all, "POST /x [hello world]"));
+    CHECK(has(all, "GET /next []"));
+}
+
 TEST_CASE("a chunked body past the limit is refused")
 {
     HttpLimits limits;
--- a/unittests/Http/MalformedHeadTest.cpp
+++ b/unittests/Http/MalformedHeadTest.cpp
@@ -17,7 +17,7 @@
 
 /// A head that must not be passed on, and why.
 struct Example {
-    HeadDefect defect;
+    AnswerDefect defect;
     std::string statusLine;
     std::string fields;
 };
@@ -28,31 +28,31 @@
 {
     using namespace std::string_literals;
     const std::string length = "Content-Length: 25\r\n";
-    return {{HeadDefect::StatusLine, "HTTP/1.1 2000 OK", length},
-            {HeadDefect::StatusLine, "HTTP/1.1 20x OK", length},
-            {HeadDefect::StatusLine, "HTTP/1.1 600 Far", length},
-            {HeadDefect::StatusLine, "HTTP/1.1 200 O\x01K", length},
-            {HeadDefect::StatusLine, "HTTP/1.1 101 Switching Protocols", length},
-            {HeadDefect::FieldName, Ok, length + "X-Note of shelf: 12\r\n"},
-            {HeadDefect::FieldName, Ok, length + "X-Note : 12\r\n"},
-            {HeadDefect::FieldName, Ok, length + ": 12\r\n"},
-            {HeadDefect::FieldName, Ok, length + "shelf 12\r\n"},
-            {HeadDefect::FieldName, Ok, length + "X-Note: a\r\n folded: b\r\n"},
-            {HeadDefect::FieldName, Ok, length + "X-N\xc3\xb6te: 12\r\n"},
-            {HeadDefect::FieldValue, Ok, length + "X-Note: shelf\x01" + "12\r\n"},
-            {HeadDefect::FieldValue, Ok, length + "X-Note: shelf\r12\r\n"},
-            {HeadDefect::FieldValue, Ok, length + "X-Note: shelf\x7f\r\n"},
-            {HeadDefect::Length, Ok, length + "Content-Length: 7\r\n"},
-            {HeadDefect::Length, Ok, "Content-Length: 7\r\n" + length},
-            {HeadDefect::Length, Ok, "Content-Length: 7, 25\r\n"},
-            {HeadDefect::Length, Ok, "Content-Length: 25x\r\n"},
-            {HeadDefect::Length, Ok, "Content-Length: +25\r\n"},
-            {HeadDefect::Length, Ok, "Content-Length:\r\n"},
-            {HeadDefect::Length, Ok, "Content-Length: 99999999999999999999999\r\n"},
-            {HeadDefect::TransferCoding, Ok, "Transfer-Encoding: identity\r\n" + length},
-            {HeadDefect::TransferCoding, Ok, "Transfer-Encoding: gzip, chunked\r\n"},
-            {HeadDefect::TransferCoding, Ok, "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"},
-            {HeadDefect::TransferCoding, "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n"}};
+    return {{AnswerDefect::StatusLine, "HTTP/1.1 2000 OK", length},
+            {AnswerDefect::StatusLine, "HTTP/1.1 20x OK", length},
+            {AnswerDefect::StatusLine, "HTTP/1.1 600 Far", length},
+            {AnswerDefect::StatusLine, "HTTP/1.1 200 O\x01K", length},
+            {AnswerDefect::StatusLine, "HTTP/1.1 101 Switching Protocols", length},
+            {AnswerDefect::FieldName, Ok, length + "X-Note of shelf: 12\r\n"},
+            {AnswerDefect::FieldName, Ok, length + "X-Note : 12\r\n"},
+            {AnswerDefect::FieldName, Ok, length + ": 12\r\n"},
+            {AnswerDefect::FieldName, Ok, length + "shelf 12\r\n"},
+            {AnswerDefect::FieldName, Ok, length + "X-Note: a\r\n folded: b\r\n"},
+            {AnswerDefect::FieldName, Ok, length + "X-N\xc3\xb6te: 12\r\n"},
+            {AnswerDefect::FieldValue, Ok, length + "X-Note: shelf\x01" + "12\r\n"},
+            {AnswerDefect::FieldValue, Ok, length + "X-Note: shelf\r12\r\n"},
+            {AnswerDefect::FieldValue, Ok, length + "X-Note: shelf\x7f\r\n"},
+            {AnswerDefect::Length, Ok, length + "Content-Length: 7\r\n"},
+            {AnswerDefect::Length, Ok, "Content-Length: 7\r\n" + length},
+            {AnswerDefect::Length, Ok, "Content-Length: 7, 25\r\n"},
+            {AnswerDefect::Length, Ok, "Content-Length: 25x\r\n"},
+            {AnswerDefect::Length, Ok, "Content-Length: +25\r\n"},
+            {AnswerDefect::Length, Ok, "Content-Length:\r\n"},
+            {AnswerDefect::Length, Ok, "Content-Length: 99999999999999999999999\r\n"},
+            {AnswerDefect::TransferCoding, Ok, "Transfer-Encoding: identity\r\n" + length},
+            {AnswerDefect::TransferCoding, Ok, "Transfer-Encoding: gzip, chunked\r\n"},
+            {AnswerDefect::TransferCoding, Ok, "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"},
+            {AnswerDefect::TransferCoding, "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n"}};
 }
 
 std::string textOf(const Example &it)
@@ -93,7 +93,7 @@
         CHECK(result.answer.headers.empty());
         CHECK(result.answer.body.empty());
         // Bytes that libcurl takes for no status line are given up as an answer without an end.
-        CHECK(result.headDefect.has_value() == (result.kind == HttpResult::Kind::Broken));
+        CHECK(result.answerDefect.has_value() == (result.kind == HttpResult::Kind::Broken));
     }
 }
 
@@ -121,7 +121,7 @@
         CHECK(result.kind == HttpResult::Kind::Answered);
         CHECK(result.answer.status / 100 == 2);
         CHECK(result.answer.body == Body);
-        CHECK_FALSE(result.headDefect);
+        CHECK_FALSE(result.answerDefect);
     }
 }
 
