--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 #include "Actors.h"
 #include "BackpressureCheck.h"
+#include "ChunkCaller.h"
 #include "Cluster.h"
 #include "EndlessCheck.h"
 
@@ -61,6 +62,8 @@
 constexpr std::uint64_t EndlessSeries = 0x656e646c;
 /// Sets the generator of targets that spoil answers apart from the others.
 constexpr std::uint64_t SpoilSeries = 0x73706f69;
+/// Sets the generator of the caller whose bodies come in chunks apart from the others.
+constexpr std::uint64_t ChunkSeries = 0x6368756e;
 /// More memory than before that an entry host may have while a target sends without end, in bytes.
 constexpr std::size_t MaxMoreMemory = 32UL << 20;
 
@@ -71,6 +74,7 @@
     bool silencesConnections = false; ///< open connections that carry nothing any more, while new ones work
     bool hasEndlessAnswers = false; ///< a target that answers without an end for a while
     bool spoilsAnswers = false; ///< targets with malformed heads and second refusals; slow callers at planned stops
+    bool sendsChunks = false; ///< a caller whose bodies come in chunks that are split anywhere
 };
 
 /// Set by a signal: the soak ends its processes before it ends itself.
@@ -128,6 +132,10 @@
         if (m_options.endsTargets) {
             endingCaller.emplace(m_ledger, m_cluster.entryAddresses(), m_seed ^ EndingSeries);
         }
+        std::optional<ChunkCaller> chunkCaller;
+        if (m_options.sendsChunks) {
+            chunkCaller.emplace(m_ledger, m_cluster.entryAddresses(), m_seed ^ ChunkSeries);
+        }
         for (const auto end = m_clock.now() + length; m_clock.now() < end;) {
             disturb();
             disturbNews();
@@ -165,6 +173,7 @@
             checkPlannedStop();
         }
         callers.stop();
+        chunkCaller.reset();
         keepUp();
         if (!servesEverywhere(RecoveryTime)) {
             m_ledger.fail("recovery", "an entry host does not serve although nothing is disturbed");
@@ -955,7 +964,7 @@
         "silence", "open connections go silent for good, while new ones work")(
         "endless", "a target answers without an end for a while, in some form")(
         "spoil", "targets spoil answers and repeat refusals, callers read slowly while their host is stopped")(
-        "help", "this text");
+        "chunks", "a caller sends bodies in chunks that are split anywhere")("help", "this text");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0 || arguments.count("program") == 0) {
         std::cout << options.help();
@@ -973,10 +982,10 @@
     for (unsigned n = 0; n < arguments["seeds"].as<unsigned>(); ++n) {
         const auto length = std::chrono::seconds(arguments["seconds"].as<unsigned>());
         try {
-            allKept &=
-                play(first + n, length, settings, arguments["folder"].as<std::string>(),
-                     {arguments.count("ending-request") > 0, arguments.count("backpressure") > 0,
-                      arguments.count("silence") > 0, arguments.count("endless") > 0, arguments.count("spoil") > 0});
+            allKept &= play(first + n, length, settings, arguments["folder"].as<std::string>(),
+                            {arguments.count("ending-request") > 0, arguments.count("backpressure") > 0,
+                             arguments.count("silence") > 0, arguments.count("endless") > 0,
+                             arguments.count("spoil") > 0, arguments.count("chunks") > 0});
         } catch (const Stopped &) {
             std::cout << "seed " << first + n << ": stopped midway" << std::endl;
             return 2;
