--- a/lib/Http/MessageReader.h
+++ b/lib/Http/MessageReader.h
@@ -8,7 +8,6 @@
 
 #include "BodyReader.h"
 
-#include <concepts>
 #include <variant>
 
 namespace pepperlug
@@ -16,25 +15,14 @@
 
 /// Reads the lines of a head, each with its end.
 template <typename T>
-concept MessageHead = std::default_initializable<T> && std::movable<T> && requires(T head, const T &read,
-                                                                                   std::string_view line)
+concept MessageHead = requires(T head, std::string_view line)
 {
     head.addLine(line);
-    {
-        read.hasBegun()
-        } -> std::same_as<bool>;
-    {
-        read.isWhole()
-        } -> std::same_as<bool>;
-    {
-        read.fault()
-        } -> std::convertible_to<std::optional<MessageFault>>;
-    {
-        read.framing()
-        } -> std::same_as<BodyFraming>;
-    {
-        T::MayFollowAnother
-        } -> std::convertible_to<bool>;
+    head.hasBegun(); ///< false while only lines have come that are passed over
+    head.isWhole();
+    head.fault(); ///< nothing while the head is sound
+    head.framing();
+    T::MayFollowAnother; ///< whether the connection may carry another message behind this one
 };
 
 /// Valid until more bytes are added.
--- /dev/null
+++ b/lib/Http/Transfer.h
@@ -0,0 +1,66 @@
+//===- Transfer.h - One call on its way over libcurl -------------*- C++ -*-===//
+#pragma once
+
+#include "AnswerBudget.h"
+#include "AnswerHead.h"
+#include "ConnectionTrust.h"
+#include "CurlHandles.h"
+#include "MessageReader.h"
+#include "SpareConnections.h"
+
+#include <limits>
+
+namespace pepperlug
+{
+
+/// Bounds of answers are those of AnswerBudget, and the length that the client takes.
+constexpr std::uint64_t Unbounded = std::numeric_limits<std::uint64_t>::max() / 2;
+constexpr MessageBounds UnboundedAnswer{Unbounded, Unbounded, Unbounded};
+
+/// What the answers on their way have in common.
+struct AnswerFlow {
+    std::uint64_t unsizedBytes = 0; ///< held of bodies of unknown length
+    std::vector<HttpCallId> endless; ///< calls whose answers have exceeded their budget
+};
+
+/// One call on its way.
+struct Transfer {
+    HttpCallId id{};
+    HttpCall call;
+    HttpResultHandler handler;
+    std::size_t maxAnswerBytes = 0;
+    std::uint64_t bytesPerSecond = 0; ///< that a large answer may use now; 0 for no bound
+    AnswerBudget budget;
+    AnswerFlow *flow = nullptr; ///< of all calls
+    std::uint64_t heldUnsized = 0; ///< part of AnswerFlow::unsizedBytes
+    EasyHandle easy;
+    HeaderList headers;
+    MessageReader<AnswerHead> reader{UnboundedAnswer};
+    std::unique_ptr<AnswerHead> head; ///< null until it is whole
+    std::optional<MessageFault> fault;
+    bool isWhole = false;
+    std::string body; ///< unless it is passed on
+    SpareConnections *spares = nullptr; ///< null: no connection opened in advance is used
+    curl_socket_t spareSocket = CURL_SOCKET_BAD; ///< of the connection opened in advance that the call uses
+    ConnectionTrust *trust = nullptr; ///< of all calls
+    unsigned sendings = 0;
+    TimePoint sentAt{}; ///< the last sending
+    std::uint16_t port = 0; ///< local one of the connection that the last sending went over
+    std::optional<TimePoint> madeAt; ///< of that connection, if known
+    bool isOnOldConnection = false; ///< a kept one, or one opened in advance
+    std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
+    bool isTooLarge = false;
+    bool isLate = false; ///< it could not be sent in time
+    bool isWithdrawn = false; ///< what led to it had changed before it was sent
+    bool isSpareClosed = false; ///< the spare connection was closed before anything was sent
+    bool isForeign = false; ///< the answer belongs to another call
+    bool isLarge = false;
+    bool isPassedOn = false; ///< the body goes to the call's handler as it arrives
+};
+
+/// Prepares the handle of a transfer for its call. The transfer has to stay where it is.
+void setUp(Transfer &transfer);
+/// Returns what came of a transfer that has ended with this code.
+HttpResult resultOf(Transfer &transfer, CURLcode code);
+
+} // namespace pepperlug
