Entry host: answered is what has left whole, and cut answers are told

Lines could not tell why a caller has no answer: 'answered' was written when the answer was whole at the host, also where it was dropped with its connection, and no line told which requests share a connection. Now each answer is followed to its end: 'answered' and pepperlug_request_seconds once its last byte is with the socket, 'answer-cut' and pepperlug_answers_cut{cause} (caller-left, not-read, broke-off, behind-a-broken-answer) with the bytes that had left otherwise. 'attempt' names the caller's connection and the request's place on it. No decision changes.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -18,6 +18,8 @@
     std::vector<HeaderField> headers;
     std::string body;
     std::string peerIp;
+    std::uint64_t connection = 0; ///< number of the caller's connection, from 1
+    std::uint64_t place = 0; ///< among the requests of the connection, from 1
 
     /// First value of a header, names compared without case; nothing if it is absent.
     std::optional<std::string> header(std::string_view name) const;
@@ -56,6 +58,21 @@
     std::uint64_t malformedRequests = 0; ///< refused since the start because of their head or framing
 };
 
+/// Why an answer did not leave whole.
+enum class AnswerCut : std::uint8_t {
+    CallerLeft, ///< its caller ended the connection
+    NotRead, ///< its caller read nothing for too long
+    BrokeOff, ///< whoever gave it broke it off
+    Behind, ///< an earlier answer of the connection was broken off
+};
+const char *nameOf(AnswerCut cause);
+
+/// What became of an answer.
+struct AnswerEnd {
+    std::optional<AnswerCut> cut; ///< nothing: all of it has left
+    std::uint64_t sentBytes = 0; ///< that the socket took
+};
+
 /// A request from a caller, until it is answered. Functions may be called from any thread.
 class HttpExchange
 {
@@ -73,6 +90,9 @@
     virtual void abort() = 0;
     /// Called at most once, if the caller leaves before the answer was sent.
     virtual void onDeparture(std::function<void()> handler) = 0;
+    /// To be called before the answer is given. Called at most once, when all of the answer has left or the rest can't
+    /// any more, and on any thread; it must not use the exchange.
+    virtual void onEnd(std::function<void(const AnswerEnd &)> handler) = 0;
 };
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 using HttpHandler = std::function<void(HttpExchangePtr)>;
--- a/lib/Explain/Explain.cpp
+++ b/lib/Explain/Explain.cpp
@@ -36,7 +36,7 @@
     const bool endedBadly = what == "attempt-ended" && line.value("outcome", "") != "answered";
     const bool leftOut =
         what == "target" && (line.value("silent", false) || line.value("presence", "ready") != "ready");
-    return endedBadly || leftOut || what == "refused";
+    return endedBadly || leftOut || what == "refused" || what == "answer-cut";
 }
 
 ExplainedStep stepOf(const nlohmann::json &line)
--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -17,6 +17,8 @@
     m_events.decision("attempt",
                       {{"request", open.fields.requestId},
                        {"digest", open.digest},
+                       {"connection", open.exchange->request().connection},
+                       {"place", open.exchange->request().place},
                        {"attempt", effect.attempt},
                        {"target", effect.target},
                        {"relay", effect.relay},
@@ -114,6 +116,32 @@
                       {{"request", open.fields.requestId}, {"target", target.id}, {"defect", defect}});
 }
 
+// An answer that is whole here may still be lost with its connection, so it counts as answered once it has left.
+void GatewayDaemon::Impl::followAnswer(const OpenExchange &open, unsigned attempt, unsigned status)
+{
+    const HttpRequest &http = open.exchange->request();
+    open.exchange->onEnd([this, request = open.fields.requestId, connection = http.connection, place = http.place,
+                          attempt, status, arrivedAt = open.arrivedAt](const AnswerEnd &end) {
+        const Duration took = m_clock.now() - arrivedAt;
+        nlohmann::json line{{"request", request},
+                            {"connection", connection},
+                            {"place", place},
+                            {"attempt", attempt},
+                            {"status", status},
+                            {"sent_bytes", end.sentBytes},
+                            {"took_ms", secondsOf(took) * 1000}};
+        if (!end.cut) {
+            m_metrics.latency("pepperlug_request_seconds", took);
+            m_events.decision("answered", line);
+            return;
+        }
+        const char *const cause = nameOf(*end.cut);
+        m_metrics.count(std::string("pepperlug_answers_cut{cause=\"") + cause + "\"}");
+        line["cause"] = cause;
+        m_events.decision("answer-cut", line);
+    });
+}
+
 bool GatewayDaemon::Impl::maySend(RequestId id, unsigned attempt)
 {
     const std::lock_guard lock(m_mutex);
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -122,6 +122,8 @@
     void reportEndless(const OpenExchange &open, const Incarnation &target, const HttpResult &result);
     void reportMalformed(const OpenExchange &open, const Incarnation &target, const HttpResult &result);
     bool maySend(RequestId id, unsigned attempt);
+    /// Reports what becomes of the answer that the caller gets. The mutex is held.
+    void followAnswer(const OpenExchange &open, unsigned attempt, unsigned status);
 
     // GatewayRelays.cpp
     std::vector<HeaderField> attemptHeaders(const StartAttempt &effect, const HttpRequest &http) const;
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -210,6 +210,7 @@
                        {"status", head.status},
                        {"bytes", open->length},
                        {"took_ms", secondsOf(m_clock.now() - open->arrivedAt) * 1000}});
+    followAnswer(*open, effect.attempt, head.status);
     open->exchange->begin(head, open->length);
 }
 
@@ -235,16 +236,10 @@
     if (open == nullptr) {
         return;
     }
-    Answer answer = std::move(open->answer);
-    answer.headers = endToEndHeaders(answer.headers);
-    const Duration took = m_clock.now() - open->arrivedAt;
-    m_metrics.latency("pepperlug_request_seconds", took);
-    m_events.decision("answered",
-                      {{"request", open->fields.requestId},
-                       {"attempt", effect.attempt},
-                       {"status", answer.status},
-                       {"took_ms", secondsOf(took) * 1000}});
     if (open->streamedAttempt == 0) {
+        Answer answer = std::move(open->answer);
+        answer.headers = endToEndHeaders(answer.headers);
+        followAnswer(*open, effect.attempt, answer.status);
         open->exchange->respond(answer);
     }
     m_open.erase(static_cast<std::uint64_t>(effect.id));
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -78,6 +78,13 @@
         }
     }
 
+    void onEnd(std::function<void(const AnswerEnd &)> handler) override
+    {
+        if (!m_connection->setEnd(m_slot, handler)) {
+            handler({AnswerCut::CallerLeft, 0});
+        }
+    }
+
 private:
     HttpRequest m_request;
     std::shared_ptr<Connection> m_connection;
@@ -87,6 +94,21 @@
 
 } // namespace
 
+const char *nameOf(AnswerCut cause)
+{
+    switch (cause) {
+    case AnswerCut::CallerLeft:
+        return "caller-left";
+    case AnswerCut::NotRead:
+        return "not-read";
+    case AnswerCut::BrokeOff:
+        return "broke-off";
+    case AnswerCut::Behind:
+        return "behind-a-broken-answer";
+    }
+    return "caller-left";
+}
+
 void Connection::input(const char *data, std::size_t size)
 {
     {
@@ -172,6 +194,8 @@
     const std::unique_ptr<RequestHead> head = std::move(m_head);
     HttpRequest request = std::move(head->request());
     request.peerIp = m_ip;
+    request.connection = m_number;
+    request.place = ++m_requests;
     const bool keepAlive = head->keepsAlive();
     const auto slot = std::make_shared<Slot>();
     const char *refusal = nullptr;
@@ -273,6 +297,7 @@
     slot->onDeparture = nullptr;
     slot->bytes = std::move(slot->bytes).value_or("");
     slot->bytesToCome = 0;
+    slot->isBrokenOff = true;
     slot->closesAfter = true;
     m_ignoresInput = true;
     sendReadyLocked();
@@ -282,19 +307,52 @@
 void Connection::sendReadyLocked()
 {
     while (!m_closesWhenSent && !m_slots.empty() && m_slots.front()->bytes) {
-        Slot &slot = *m_slots.front();
-        const bool isWhole = slot.bytesToCome == 0;
-        sendLocked(*slot.bytes, isWhole && slot.closesAfter);
-        slot.bytes->clear();
+        const SlotPtr slot = m_slots.front();
+        const bool isWhole = slot->bytesToCome == 0;
+        const std::uint64_t given = m_writtenBytes + m_pending.size();
+        slot->startsAt = slot->endsAt == 0 ? given : slot->startsAt;
+        slot->endsAt = given + slot->bytes->size();
+        if (isWhole) {
+            m_leaving.push_back(slot);
+            m_slots.pop_front();
+        }
+        sendLocked(*slot->bytes, isWhole && slot->closesAfter);
+        slot->bytes->clear();
         if (!isWhole) {
             break;
         }
-        m_slots.pop_front();
+    }
+    if (m_closesWhenSent) {
+        endOwedLocked(AnswerCut::Behind);
     }
     m_lastActive = m_shared.clock.now();
     countHeldLocked();
 }
 
+void Connection::endSentLocked()
+{
+    while (!m_leaving.empty() && m_leaving.front()->endsAt <= m_writtenBytes) {
+        Slot &slot = *m_leaving.front();
+        endLocked(slot, slot.isBrokenOff ? std::optional(AnswerCut::BrokeOff) : std::nullopt);
+        m_leaving.pop_front();
+    }
+}
+
+void Connection::endOwedLocked(AnswerCut cause)
+{
+    for (const SlotPtr &it : m_slots) {
+        endLocked(*it, cause);
+    }
+}
+
+void Connection::endLocked(Slot &slot, std::optional<AnswerCut> cut)
+{
+    if (const auto handler = std::exchange(slot.onEnd, nullptr)) {
+        const std::uint64_t end = std::min(m_writtenBytes, slot.endsAt);
+        handler({cut, end - std::min(end, slot.startsAt)});
+    }
+}
+
 void Connection::countHeldLocked()
 {
     std::uint64_t held = m_pending.size();
@@ -329,6 +387,7 @@
         return;
     }
     m_writtenBytes += *written;
+    endSentLocked();
     m_pending.erase(0, *written);
     if (m_pending.capacity() > KeptBufferBytes && m_pending.size() < m_pending.capacity() / 4) {
         m_pending.shrink_to_fit();
@@ -374,12 +433,28 @@
     return true;
 }
 
+bool Connection::setEnd(const SlotPtr &slot, std::function<void(const AnswerEnd &)> handler)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_isAlive) {
+        return false;
+    }
+    slot->onEnd = std::move(handler);
+    return true;
+}
+
 void Connection::gone()
 {
     std::deque<SlotPtr> slots;
     {
         const std::lock_guard lock(m_mutex);
         m_isAlive = false;
+        const AnswerCut cause = m_isCutOff ? AnswerCut::NotRead : AnswerCut::CallerLeft;
+        for (const SlotPtr &it : m_leaving) {
+            endLocked(*it, it->isBrokenOff ? AnswerCut::BrokeOff : cause);
+        }
+        endOwedLocked(cause);
+        m_leaving.clear();
         m_pending = {};
         m_shared.writes.forget(m_watch);
         m_watch = {};
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -22,7 +22,11 @@
     std::optional<std::string> bytes; ///< what there is to send yet; nothing before the answer has begun
     std::uint64_t bytesToCome = 0; ///< of the body, not given yet
     bool closesAfter = false;
+    bool isBrokenOff = false;
+    std::uint64_t startsAt = 0; ///< in the bytes of the connection
+    std::uint64_t endsAt = 0; ///< of what was given so far
     std::function<void()> onDeparture;
+    std::function<void(const AnswerEnd &)> onEnd;
 };
 using SlotPtr = std::shared_ptr<Slot>;
 
@@ -34,6 +38,7 @@
     std::mutex mutex;
     std::vector<std::weak_ptr<Connection>> connections;
     WriteLoop writes;
+    std::atomic<std::uint64_t> lastConnection = 0;
     std::atomic<bool> closesAfterAnswers = false;
     std::atomic<std::uint64_t> heldBytes = 0; ///< of answers that sockets have not taken
     std::atomic<std::uint64_t> slowReadersCutOff = 0;
@@ -44,8 +49,9 @@
 class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(const std::shared_ptr<Pistache::Tcp::Peer> &peer, ServerShared &shared)
+    Connection(const std::shared_ptr<Pistache::Tcp::Peer> &peer, ServerShared &shared, std::uint64_t number)
         : m_peer(peer)
+        , m_number(number)
         , m_ip(peer->address().host())
         , m_reader(boundsOf(shared.limits))
         , m_shared(shared)
@@ -64,6 +70,8 @@
     void add(const SlotPtr &slot, std::string_view part);
     void abort(const SlotPtr &slot);
     bool setDeparture(const SlotPtr &slot, std::function<void()> handler);
+    /// Returns false if nothing of the answer can leave any more.
+    bool setEnd(const SlotPtr &slot, std::function<void(const AnswerEnd &)> handler);
     /// Worker thread: the peer has gone.
     void gone();
     void sweep(TimePoint now);
@@ -83,6 +91,9 @@
     const char *refusalLocked();
     void fault(unsigned status, const std::string &reason);
     void sendReadyLocked();
+    void endSentLocked();
+    void endOwedLocked(AnswerCut cause);
+    void endLocked(Slot &slot, std::optional<AnswerCut> cut);
     void sendLocked(const std::string &bytes, bool closesAfter);
     void writePendingLocked(int socket);
     void onWritable();
@@ -92,6 +103,8 @@
     SlotPtr addSlot();
 
     std::weak_ptr<Pistache::Tcp::Peer> m_peer;
+    std::uint64_t m_number;
+    std::uint64_t m_requests = 0; ///< that have arrived whole
     std::string m_ip;
     MessageReader<RequestHead> m_reader;
     std::unique_ptr<RequestHead> m_head; ///< of the request whose body comes
@@ -110,6 +123,7 @@
     bool m_closesWhenSent = false; ///< ends the connection once nothing is pending
     WatchId m_watch{}; ///< of the wait for the socket to take more
     std::deque<SlotPtr> m_slots;
+    std::deque<SlotPtr> m_leaving; ///< whose last bytes are pending
     TimePoint m_lastActive;
     std::optional<TimePoint> m_partSince; ///< when an unfinished request began
 };
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -56,7 +56,7 @@
     {
         std::shared_ptr<Connection> connection = find(peer);
         if (!connection) {
-            connection = std::make_shared<Connection>(peer, *m_shared);
+            connection = std::make_shared<Connection>(peer, *m_shared, ++m_shared->lastConnection);
             peer->putData(ConnectionKey, connection);
             const std::lock_guard lock(m_shared->mutex);
             m_shared->connections.push_back(connection);
