--- a/unittests/Http/SurplusTarget.h
+++ b/unittests/Http/SurplusTarget.h
@@ -1,10 +1,9 @@
 //===- SurplusTarget.h - A target that repeats its refusals -----*- C++ -*-===//
 #pragma once
 
-#include "RawSocket.h"
+#include "RawTarget.h"
 #include "test/soak/EndlessForm.h"
 
-#include <list>
 #include <mutex>
 #include <set>
 
@@ -16,31 +15,9 @@
 class SurplusTarget
 {
 public:
-    SurplusTarget()
-        : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
-        , m_thread([this] { accept(); })
-    {
-    }
-
-    ~SurplusTarget()
-    {
-        m_isOver = true;
-        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
-        m_thread.join();
-        for (RawServer::Socket &it : m_sockets) {
-            ::shutdown(it.native_handle(), SHUT_RDWR);
-        }
-        for (std::thread &it : m_connections) {
-            it.join();
-        }
-    }
-
-    SurplusTarget(const SurplusTarget &) = delete;
-    SurplusTarget &operator=(const SurplusTarget &) = delete;
-
     Address address() const
     {
-        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+        return m_target.address();
     }
 
     /// Whether a request with that id was run.
@@ -57,20 +34,7 @@
     }
 
 private:
-    void accept()
-    {
-        while (!m_isOver) {
-            RawServer::Socket socket(m_context);
-            boost::system::error_code ec;
-            m_acceptor.accept(socket, ec);
-            if (!ec) {
-                m_sockets.push_back(std::move(socket));
-                m_connections.emplace_back([this, &it = m_sockets.back()] { serve(it); });
-            }
-        }
-    }
-
-    void serve(RawServer::Socket &socket)
+    void serve(RawTarget::Socket &socket)
     {
         std::string surplus;
         for (;;) {
@@ -102,15 +66,12 @@
         return isNew;
     }
 
-    std::atomic<bool> m_isOver{false};
     std::mutex m_mutex;
     std::set<std::string> m_seen;
     std::set<std::string> m_run;
-    boost::asio::io_context m_context;
-    boost::asio::ip::tcp::acceptor m_acceptor;
-    std::list<RawServer::Socket> m_sockets; ///< used by m_thread, and after it has ended
-    std::vector<std::thread> m_connections;
-    std::thread m_thread;
+    RawTarget m_target{[this](RawTarget::Socket &socket) {
+        serve(socket);
+    }};
 };
 
 } // namespace pepperlug::test
