Entry host: what is passed on behind an answer that breaks off is answered

Callers saw (LOST): a request that had run, behind another one on its connection, got no answer; the connection ended. Cause: pipelined requests are passed on at once, and a large answer is streamed. If it breaks off, the end of the connection is the only sign that it is not whole, and takes along all that is owed behind it.

AnswerOrder (lib/Http, pure) owns the order of a connection's requests and answers: while an answer leaves in parts, no request behind it is passed on; while requests behind it are in progress, an answer of up to HttpLimits::heldBytes is held until it is whole, and replaced by 502 or 504 if it breaks off, so the connection goes on. Behind a longer answer requests may be lost once; from then on the connection's requests are passed on one at a time. A request that waited keeps its deadline: the time is taken off, and one whose time is over is refused as not run.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -20,6 +20,7 @@
     std::string peerIp;
     std::uint64_t connection = 0; ///< number of the caller's connection, from 1
     std::uint64_t place = 0; ///< among the requests of the connection, from 1
+    Duration waited{}; ///< since it arrived whole, for answers ahead of it on its connection
 
     /// First value of a header, names compared without case; nothing if it is absent.
     std::optional<std::string> header(std::string_view name) const;
@@ -36,11 +37,12 @@
 struct HttpLimits {
     std::size_t headBytes = 16 * 1024;
     std::size_t bodyBytes = 1024 * 1024;
-    std::size_t pipelined = 16; ///< requests of one connection that may be in progress
+    std::size_t pipelined = 16; ///< requests of one connection that may be in progress or wait
+    std::size_t passedOn = 16; ///< of these, how many may be in progress
     Duration headTimeout = std::chrono::seconds(10); ///< for a request to arrive whole
     Duration idleTimeout = std::chrono::seconds(300); ///< between requests
     /// Answers that a caller has not read, beyond which further requests of the connection are refused; as much as the
-    /// largest body of a request.
+    /// largest body of a request. Also the longest answer that is held until it is whole, for requests behind it.
     std::size_t heldBytes = 1024 * 1024;
     /// The same for all connections: those that hold data are refused beyond this, and all beyond twice as much. A
     /// seventh of the memory of the smallest known entry host, 112 MB.
@@ -71,6 +73,7 @@
 struct AnswerEnd {
     std::optional<AnswerCut> cut; ///< nothing: all of it has left
     std::uint64_t sentBytes = 0; ///< that the socket took
+    bool isReplaced = false; ///< by the one given to HttpExchange::abort()
 };
 
 /// A request from a caller, until it is answered. Functions may be called from any thread.
@@ -86,8 +89,9 @@
     virtual void begin(const Answer &head, std::uint64_t length) = 0;
     /// Sends the next part of the body. The answer ends with its last byte.
     virtual void more(std::string_view part) = 0;
-    /// Gives up an answer that was begun: its connection is closed, so that what was sent can't pass for the whole.
-    virtual void abort() = 0;
+    /// Gives up an answer that was begun. Another one is sent in its place if nothing of it has left; otherwise its
+    /// connection is closed, so that what was sent can't pass for the whole.
+    virtual void abort(const Answer &inPlace) = 0;
     /// Called at most once, if the caller leaves before the answer was sent.
     virtual void onDeparture(std::function<void()> handler) = 0;
     /// To be called before the answer is given. Called at most once, when all of the answer has left or the rest can't
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -203,7 +203,7 @@
 {
     OpenRequest open;
     open.request = event;
-    open.arrivedAt = m_now;
+    open.arrivedAt = m_now - event.waited;
     if (!m_table) {
         refuse(open, Refusal::NoConfiguration);
         return;
@@ -219,6 +219,10 @@
         return;
     }
     assignRoute(open, *route, caller);
+    if (event.waited > Duration(0) && m_now >= open.deadline) {
+        refuse(open, Refusal::NotReached); // its time is over, and it has certainly not run
+        return;
+    }
     if (m_isSuspended || hasOlderRoutingThan(event)) {
         refuse(open, Refusal::RoutingLate);
         return;
--- a/lib/Daemon/EntryHttp.cpp
+++ b/lib/Daemon/EntryHttp.cpp
@@ -171,7 +171,7 @@
     pending.body = std::make_shared<const std::string>(request.body);
     pending.key = request.header("idempotency-key").value_or("");
     pending.cls = service.classOf(request.method, pending.resource);
-    pending.arrivedAt = m_clock.now();
+    pending.arrivedAt = m_clock.now() - request.waited;
 
     RequestArrived event;
     event.id = nextId();
--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -130,6 +130,11 @@
                             {"status", status},
                             {"sent_bytes", end.sentBytes},
                             {"took_ms", secondsOf(took) * 1000}};
+        if (end.isReplaced) {
+            m_metrics.count("pepperlug_answers_replaced");
+            m_events.decision("answer-replaced", line);
+            return;
+        }
         if (!end.cut) {
             m_metrics.latency("pepperlug_request_seconds", took);
             m_events.decision("answered", line);
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -23,7 +23,7 @@
     open.exchange = exchange;
     open.fields = m_dialect.readRequest(http);
     open.digest = digestOf({http.method, open.fields.host, http.resource, open.fields.caller, http.body});
-    open.arrivedAt = m_clock.now();
+    open.arrivedAt = m_clock.now() - http.waited;
     if (!http.body.empty()) {
         open.body = std::make_shared<const std::string>(http.body);
     }
@@ -32,6 +32,7 @@
     request.path = open.fields.path;
     request.affinityKey = open.fields.affinityKey;
     request.deadline = open.fields.deadline;
+    request.waited = http.waited;
     request.digest = open.digest;
     request.keyDigest = open.fields.keyDigest;
     request.relayedByIndex = open.fields.relayedByIndex;
@@ -226,7 +227,7 @@
                        {"reason", nameOf(effect.reason)},
                        {"attempt", open->streamedAttempt},
                        {"took_ms", secondsOf(m_clock.now() - open->arrivedAt) * 1000}});
-    open->exchange->abort();
+    open->exchange->abort(m_dialect.refusal({open->fields.requestId, effect.reason, {}}));
     m_open.erase(static_cast<std::uint64_t>(effect.id));
 }
 
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -66,9 +66,10 @@
         m_connection->add(m_slot, part);
     }
 
-    void abort() override
+    void abort(const Answer &inPlace) override
     {
-        m_connection->abort(m_slot);
+        const bool keepAlive = m_connection->keepsAlive(m_slot, m_keepAlive);
+        m_connection->abort(m_slot, encodeAnswer(inPlace, m_request.method == "HEAD", keepAlive), !keepAlive);
     }
 
     void onDeparture(std::function<void()> handler) override
@@ -157,7 +158,7 @@
     const bool isWaitedFor =
         m_head->expectsContinue() && m_head->framing().kind != BodyFraming::Kind::None && m_reader.unreadBytes() == 0;
     const std::lock_guard lock(m_mutex);
-    if (isWaitedFor && m_slots.empty()) {
+    if (isWaitedFor && m_order.owed().empty()) {
         sendLocked(ContinueLine, false);
     }
 }
@@ -172,32 +173,24 @@
 bool Connection::keepsAlive(const SlotPtr &slot, bool isWanted)
 {
     const std::lock_guard lock(m_mutex);
-    if (slot->bytes) {
-        return isWanted; // a second answer, which is dropped
+    if (slot->hasBegun) {
+        return !slot->closesAfter;
     }
-    const bool isLast = m_slots.empty() || m_slots.back() == slot;
-    const bool keepAlive = isWanted && !(m_shared.closesAfterAnswers && isLast);
+    const bool keepAlive = isWanted && !(m_shared.closesAfterAnswers && !m_order.hasPassedOnBehind(slot.get()));
     m_ignoresInput |= !keepAlive;
     return keepAlive;
 }
 
-SlotPtr Connection::addSlot()
-{
-    auto slot = std::make_shared<Slot>();
-    const std::lock_guard lock(m_mutex);
-    m_slots.push_back(slot);
-    return slot;
-}
-
 void Connection::take(const MessageEnd &)
 {
     const std::unique_ptr<RequestHead> head = std::move(m_head);
-    HttpRequest request = std::move(head->request());
-    request.peerIp = m_ip;
-    request.connection = m_number;
-    request.place = ++m_requests;
-    const bool keepAlive = head->keepsAlive();
     const auto slot = std::make_shared<Slot>();
+    slot->request = std::move(head->request());
+    slot->request.peerIp = m_ip;
+    slot->request.connection = m_number;
+    slot->request.place = ++m_requests;
+    slot->keepsAlive = head->keepsAlive();
+    slot->arrivedAt = m_shared.clock.now();
     const char *refusal = nullptr;
     {
         const std::lock_guard lock(m_mutex);
@@ -207,15 +200,44 @@
         m_partSince.reset();
         refusal = refusalLocked();
         if (refusal == nullptr) {
-            m_ignoresInput = !keepAlive;
-            m_slots.push_back(slot);
+            m_ignoresInput = !slot->keepsAlive;
+            m_order.add(slot);
         }
     }
     if (refusal != nullptr) {
         fault(503, refusal);
         return;
     }
-    m_shared.handler(std::make_shared<Exchange>(std::move(request), shared_from_this(), slot, keepAlive));
+    passOn();
+}
+
+// Hands on the requests whose turn it is, outside the lock, as a handler may answer at once.
+void Connection::passOn()
+{
+    for (;;) {
+        SlotPtr slot;
+        {
+            const std::lock_guard lock(m_mutex);
+            const bool isOver = !m_isAlive || m_closesWhenSent || m_shared.isStopped;
+            slot = isOver ? nullptr : m_order.nextToPassOn();
+            if (!slot) {
+                return;
+            }
+            slot->isPassedOn = true;
+        }
+        slot->request.waited = m_shared.clock.now() - slot->arrivedAt;
+        m_shared.handler(
+            std::make_shared<Exchange>(std::move(slot->request), shared_from_this(), slot, slot->keepsAlive));
+    }
+}
+
+// Whoever gives an answer may hold locks that the handler takes, so the write loop hands on what has waited for it.
+void Connection::passOnSoonLocked()
+{
+    const std::shared_ptr<pt::Peer> peer = m_peer.lock();
+    if (peer && m_isAlive && !m_closesWhenSent && m_watch == WatchId{} && m_order.nextToPassOn()) {
+        watchLocked(peer->fd());
+    }
 }
 
 // A caller that does not read its answers gets no further ones. Where many hold little each, the sum is bounded: those
@@ -224,7 +246,7 @@
 {
     const HttpLimits &limits = m_shared.limits;
     const std::uint64_t inAll = m_shared.heldBytes;
-    if (m_slots.size() >= limits.pipelined) {
+    if (m_order.owed().size() >= limits.pipelined) {
         return "too many requests on one connection";
     }
     const bool isHeldHere = m_heldBytes > limits.heldBytes || (m_heldBytes > 0 && inAll > limits.heldBytesInAll);
@@ -243,12 +265,19 @@
 
 void Connection::fault(unsigned status, const std::string &reason)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_ignoresInput = true;
-        m_partSince.reset();
-    }
-    complete(addSlot(), encodeAnswer(notRun(status, reason), false, false), true);
+    const std::lock_guard lock(m_mutex);
+    answerLastLocked(status, reason);
+}
+
+// Earlier requests may still be in progress or wait; their answers come first.
+void Connection::answerLastLocked(unsigned status, const std::string &reason)
+{
+    m_ignoresInput = true;
+    m_partSince.reset();
+    const auto slot = std::make_shared<Slot>();
+    m_order.begin(*slot, encodeAnswer(notRun(status, reason), false, false), 0, true);
+    m_order.add(slot);
+    sendReadyLocked();
 }
 
 void Connection::complete(const SlotPtr &slot, std::string bytes, bool closesAfter)
@@ -259,12 +288,10 @@
 void Connection::begin(const SlotPtr &slot, std::string bytes, std::uint64_t bytesToCome, bool closesAfter)
 {
     const std::lock_guard lock(m_mutex);
-    if (slot->bytes || !m_isAlive || m_isCutOff) {
+    if (slot->hasBegun || !m_isAlive || m_isCutOff) {
         return;
     }
-    slot->bytes = std::move(bytes);
-    slot->bytesToCome = bytesToCome;
-    slot->closesAfter = closesAfter;
+    m_order.begin(*slot, std::move(bytes), bytesToCome, closesAfter);
     if (bytesToCome == 0) {
         slot->onDeparture = nullptr;
     }
@@ -274,57 +301,51 @@
 void Connection::add(const SlotPtr &slot, std::string_view part)
 {
     const std::lock_guard lock(m_mutex);
-    if (!slot->bytes || !m_isAlive || m_isCutOff) {
+    if (!slot->hasBegun || !m_isAlive || m_isCutOff) {
         return;
     }
-    part = part.substr(0, slot->bytesToCome);
-    slot->bytes->append(part);
-    slot->bytesToCome -= part.size();
-    if (slot->bytesToCome == 0) {
+    m_order.give(*slot, part);
+    if (slot->isWhole()) {
         slot->onDeparture = nullptr;
     }
     sendReadyLocked();
 }
 
-// Nothing may follow the cut answer. Those before it are still delivered.
-void Connection::abort(const SlotPtr &slot)
+// Nothing may follow an answer that is cut. Those before it are still delivered.
+void Connection::abort(const SlotPtr &slot, std::string inPlace, bool closesAfter)
 {
     const std::lock_guard lock(m_mutex);
-    const bool isWhole = slot->bytes && slot->bytesToCome == 0;
-    if (!m_isAlive || m_isCutOff || isWhole) {
+    if (!m_isAlive || m_isCutOff || slot->isWhole()) {
         return;
     }
     slot->onDeparture = nullptr;
-    slot->bytes = std::move(slot->bytes).value_or("");
-    slot->bytesToCome = 0;
-    slot->isBrokenOff = true;
-    slot->closesAfter = true;
-    m_ignoresInput = true;
+    slot->isReplaced = m_order.breakOff(*slot, std::move(inPlace), closesAfter);
+    m_ignoresInput |= slot->closesAfter;
     sendReadyLocked();
 }
 
 // Sends what there is of the answers whose turn it is. None may follow one that closes the connection.
 void Connection::sendReadyLocked()
 {
-    while (!m_closesWhenSent && !m_slots.empty() && m_slots.front()->bytes) {
-        const SlotPtr slot = m_slots.front();
-        const bool isWhole = slot->bytesToCome == 0;
+    const bool mayHold = m_shared.heldBytes <= m_shared.limits.heldBytesInAll;
+    while (!m_closesWhenSent) {
+        const SlotPtr slot = m_order.sendNext(mayHold);
+        if (!slot) {
+            break;
+        }
         const std::uint64_t given = m_writtenBytes + m_pending.size();
         slot->startsAt = slot->endsAt == 0 ? given : slot->startsAt;
-        slot->endsAt = given + slot->bytes->size();
-        if (isWhole) {
+        slot->endsAt = given + slot->unsent.size();
+        if (slot->isWhole()) {
             m_leaving.push_back(slot);
-            m_slots.pop_front();
-        }
-        sendLocked(*slot->bytes, isWhole && slot->closesAfter);
-        slot->bytes->clear();
-        if (!isWhole) {
-            break;
         }
+        sendLocked(slot->unsent, slot->isWhole() && slot->closesAfter);
+        slot->unsent.clear();
     }
     if (m_closesWhenSent) {
         endOwedLocked(AnswerCut::Behind);
     }
+    passOnSoonLocked();
     m_lastActive = m_shared.clock.now();
     countHeldLocked();
 }
@@ -340,7 +361,7 @@
 
 void Connection::endOwedLocked(AnswerCut cause)
 {
-    for (const SlotPtr &it : m_slots) {
+    for (const SlotPtr &it : m_order.owed()) {
         endLocked(*it, cause);
     }
 }
@@ -349,15 +370,15 @@
 {
     if (const auto handler = std::exchange(slot.onEnd, nullptr)) {
         const std::uint64_t end = std::min(m_writtenBytes, slot.endsAt);
-        handler({cut, end - std::min(end, slot.startsAt)});
+        handler({cut, end - std::min(end, slot.startsAt), slot.isReplaced});
     }
 }
 
 void Connection::countHeldLocked()
 {
     std::uint64_t held = m_pending.size();
-    for (const SlotPtr &slot : m_slots) {
-        held += slot->bytes ? slot->bytes->size() : 0;
+    for (const SlotPtr &it : m_order.owed()) {
+        held += it->unsent.size();
     }
     m_shared.heldBytes += held - m_heldBytes; // unsigned: wraps where less is held than before
     m_heldBytes = held;
@@ -393,11 +414,7 @@
         m_pending.shrink_to_fit();
     }
     if (!m_pending.empty()) {
-        m_watch = m_shared.writes.watch(socket, [weak = weak_from_this()] {
-            if (const auto it = weak.lock()) {
-                it->onWritable();
-            }
-        });
+        watchLocked(socket);
         return;
     }
     if (m_closesWhenSent && !m_sentAllAt) {
@@ -409,15 +426,31 @@
     }
 }
 
+void Connection::watchLocked(int socket)
+{
+    m_watch = m_shared.writes.watch(socket, [weak = weak_from_this()] {
+        if (const auto it = weak.lock()) {
+            it->onWritable();
+        }
+    });
+}
+
 void Connection::onWritable()
 {
-    const std::lock_guard lock(m_mutex);
-    m_watch = {};
-    const std::shared_ptr<pt::Peer> peer = m_peer.lock();
-    if (m_isAlive && peer) {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_watch = {};
+        const std::shared_ptr<pt::Peer> peer = m_peer.lock();
+        if (!m_isAlive || !peer) {
+            return;
+        }
         writePendingLocked(peer->fd());
         countHeldLocked();
+        if (m_watch != WatchId{}) {
+            return; // a caller that does not read gets no further work done
+        }
     }
+    passOn();
 }
 
 bool Connection::setDeparture(const SlotPtr &slot, std::function<void()> handler)
@@ -426,8 +459,7 @@
     if (!m_isAlive) {
         return false;
     }
-    const bool isWhole = slot->bytes && slot->bytesToCome == 0;
-    if (!isWhole) {
+    if (!slot->isWhole()) {
         slot->onDeparture = std::move(handler);
     }
     return true;
@@ -458,7 +490,7 @@
         m_pending = {};
         m_shared.writes.forget(m_watch);
         m_watch = {};
-        slots.swap(m_slots);
+        slots = m_order.takeOwed();
         countHeldLocked();
     }
     for (const SlotPtr &slot : slots) {
@@ -488,16 +520,9 @@
     }
     const bool isSlow = m_partSince && now > *m_partSince + m_shared.limits.headTimeout;
     const bool isIdle =
-        !m_partSince && m_slots.empty() && m_pending.empty() && now > m_lastActive + m_shared.limits.idleTimeout;
+        !m_partSince && m_order.owed().empty() && m_pending.empty() && now > m_lastActive + m_shared.limits.idleTimeout;
     if (isSlow && !m_ignoresInput) {
-        m_ignoresInput = true;
-        m_partSince.reset();
-        // Earlier requests may still be in progress; their answers come first.
-        const auto slot = std::make_shared<Slot>();
-        slot->bytes = encodeAnswer(notRun(408, "the request did not arrive in time"), false, false);
-        slot->closesAfter = true;
-        m_slots.push_back(slot);
-        sendReadyLocked();
+        answerLastLocked(408, "the request did not arrive in time");
     } else if (isIdle) {
         ::shutdown(peer->fd(), SHUT_RDWR);
     }
@@ -536,11 +561,8 @@
     m_isCutOff = true;
     m_ignoresInput = true;
     m_pending = {};
-    for (const SlotPtr &slot : m_slots) {
-        if (slot->bytes) {
-            slot->bytes->clear();
-            slot->bytes->shrink_to_fit();
-        }
+    for (const SlotPtr &it : m_order.owed()) {
+        it->unsent = {};
     }
     countHeldLocked();
     ++m_shared.slowReadersCutOff;
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "AnswerOrder.h"
 #include "MessageReader.h"
 #include "RequestHead.h"
 #include "WriteLoop.h"
@@ -17,12 +18,12 @@
 
 class Connection;
 
-/// One answer that a connection owes, in order.
-struct Slot {
-    std::optional<std::string> bytes; ///< what there is to send yet; nothing before the answer has begun
-    std::uint64_t bytesToCome = 0; ///< of the body, not given yet
-    bool closesAfter = false;
-    bool isBrokenOff = false;
+/// A request and the answer that its connection owes.
+struct Slot : OwedAnswer {
+    HttpRequest request; ///< until it is passed on
+    TimePoint arrivedAt{}; ///< when it was whole
+    bool keepsAlive = true; ///< as its caller wants
+    bool isReplaced = false;
     std::uint64_t startsAt = 0; ///< in the bytes of the connection
     std::uint64_t endsAt = 0; ///< of what was given so far
     std::function<void()> onDeparture;
@@ -40,6 +41,7 @@
     WriteLoop writes;
     std::atomic<std::uint64_t> lastConnection = 0;
     std::atomic<bool> closesAfterAnswers = false;
+    std::atomic<bool> isStopped = false; ///< no request is handed on any more
     std::atomic<std::uint64_t> heldBytes = 0; ///< of answers that sockets have not taken
     std::atomic<std::uint64_t> slowReadersCutOff = 0;
     std::atomic<std::uint64_t> refusedUnread = 0;
@@ -55,6 +57,7 @@
         , m_ip(peer->address().host())
         , m_reader(boundsOf(shared.limits))
         , m_shared(shared)
+        , m_order({shared.limits.heldBytes, shared.limits.passedOn})
         , m_lastActive(shared.clock.now())
     {
     }
@@ -68,7 +71,7 @@
     /// Begins an answer of which `bytesToCome` bytes follow through add().
     void begin(const SlotPtr &slot, std::string bytes, std::uint64_t bytesToCome, bool closesAfter);
     void add(const SlotPtr &slot, std::string_view part);
-    void abort(const SlotPtr &slot);
+    void abort(const SlotPtr &slot, std::string inPlace, bool closesAfter);
     bool setDeparture(const SlotPtr &slot, std::function<void()> handler);
     /// Returns false if nothing of the answer can leave any more.
     bool setEnd(const SlotPtr &slot, std::function<void(const AnswerEnd &)> handler);
@@ -90,17 +93,20 @@
     void take(const MessageFault &it);
     const char *refusalLocked();
     void fault(unsigned status, const std::string &reason);
+    void answerLastLocked(unsigned status, const std::string &reason);
+    void passOn();
+    void passOnSoonLocked();
     void sendReadyLocked();
     void endSentLocked();
     void endOwedLocked(AnswerCut cause);
     void endLocked(Slot &slot, std::optional<AnswerCut> cut);
     void sendLocked(const std::string &bytes, bool closesAfter);
     void writePendingLocked(int socket);
+    void watchLocked(int socket);
     void onWritable();
     void countHeldLocked();
     bool hasStalledLocked(int socket, TimePoint now);
     void cutOffLocked(int socket);
-    SlotPtr addSlot();
 
     std::weak_ptr<Pistache::Tcp::Peer> m_peer;
     std::uint64_t m_number;
@@ -122,7 +128,7 @@
     bool m_isCutOff = false; ///< closed because the caller does not read
     bool m_closesWhenSent = false; ///< ends the connection once nothing is pending
     WatchId m_watch{}; ///< of the wait for the socket to take more
-    std::deque<SlotPtr> m_slots;
+    AnswerOrder<Slot> m_order;
     std::deque<SlotPtr> m_leaving; ///< whose last bytes are pending
     TimePoint m_lastActive;
     std::optional<TimePoint> m_partSince; ///< when an unfinished request began
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -126,6 +126,7 @@
     {
         if (!m_stopped) {
             m_stopped = true;
+            m_shared.isStopped = true;
             m_endpoint.shutdown();
         }
     }
--- a/unittests/Fleet/System.h
+++ b/unittests/Fleet/System.h
@@ -175,7 +175,7 @@
         if (truncatesAnswers) {
             exchange->begin(head, bodyBytes);
             exchange->more(std::string(bodyBytes / 2, 'x'));
-            exchange->abort();
+            exchange->abort({});
             return;
         }
         exchange->respond({200, head.headers, bodyBytes > 0 ? std::string(bodyBytes, 'x') : "body of " + m_id});
