--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -106,12 +106,12 @@
     std::string path;
     std::string affinityKey; ///< empty: none
     std::optional<Duration> deadline; ///< how long the caller waits for an answer
-    Duration waited{}; ///< since its arrival, for answers ahead of it on its connection
     std::string digest{}; ///< digestOf() the request; empty: it matches no other request
     std::string keyDigest{}; ///< digestOfSecret() of the caller's key; empty: the request has no key
     /// Log index of the routing by which another entry host relayed it here; this one must not relay it again. Nothing:
     /// it comes from a caller.
     std::optional<std::uint64_t> relayedByIndex{};
+    Duration waited{}; ///< since its arrival, for answers ahead of it on its connection
 };
 
 struct CallerLeft {
