Text from outside that is no UTF-8 ends no process

An operator's order to evacuate a zone whose name is no UTF-8 ended the control host that read it, and each further one that the client asked: the answer repeats the name, the JSON library throws at it, and nothing caught that on the reading thread.

- jsonText() (lib/Support) is the one place where JSON becomes text; what can't be read is replaced.
Answers, log lines and traces go through it.
A failing disk still ends a control host: its log runs on a thread of its own.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -58,6 +58,8 @@
     std::uint64_t slowReadersCutOff = 0; ///< connections closed since the start because their callers read nothing
     std::uint64_t refusedUnread = 0; ///< requests refused since the start because earlier answers were not read
     std::uint64_t malformedRequests = 0; ///< refused since the start because of their head or framing
+    std::uint64_t failedHandlings = 0; ///< requests answered 500 since the start because the handler threw
+    std::string lastFailure; ///< path and reason of the last one of these
 };
 
 /// Why an answer did not leave whole.
@@ -104,7 +106,8 @@
 /// For callers to receive the last answers of a host that stops, where no other time bounds it.
 constexpr Duration DeliveryTimeout = std::chrono::seconds(5);
 
-/// Listens and hands whole, checked requests to a handler, which is called on a worker thread and must not wait.
+/// Listens and hands whole, checked requests to a handler, which is called on a worker thread and must not wait. If the
+/// handler throws, the request is answered 500.
 class HttpServer
 {
 public:
--- a/include/pepperlug/Support.h
+++ b/include/pepperlug/Support.h
@@ -326,5 +326,7 @@
 bool isHex(std::string_view text, std::size_t bytes);
 /// The first bytes of a text from outside, up to `longest`, with '?' in place of what lines and answers can't hold.
 std::string printable(std::string_view text, std::size_t longest);
+/// The JSON on one line. Text from outside that is no UTF-8 has U+FFFD in place of what can't be read.
+std::string jsonText(const nlohmann::json &value);
 
 } // namespace pepperlug
--- a/include/pepperlug/Wire.h
+++ b/include/pepperlug/Wire.h
@@ -70,6 +70,7 @@
     std::uint64_t callsServed = 0;
     std::uint64_t connectionsMade = 0;
     std::uint64_t connectionsSilent = 0; ///< closed since nothing arrived on them any more
+    std::uint64_t handlersFailed = 0; ///< calls or replies whose handler threw
 };
 
 /// A connection that was closed since nothing arrived on it any more.
@@ -91,6 +92,9 @@
 
     /// Sets a handler that is told of silent connections, on the network thread. Must be called before any call.
     void onSilence(std::function<void(const SilentConnection &)> handler);
+    /// Sets a handler that is told what a handler of a call or reply threw, on the network thread. Such a call is
+    /// replied to with 500. Must be called before any call.
+    void onFailure(std::function<void(const std::string &path, const std::string &reason)> handler);
     /// Listens; port 0 lets the kernel choose. Returns the address. Throws Error with step "listen".
     Address listen(const Address &address, CallHandler handler);
     /// Calls `path` at the peer. The handler is called exactly once unless stop() comes first.
--- a/lib/Daemon/AdminClient.cpp
+++ b/lib/Daemon/AdminClient.cpp
@@ -42,7 +42,7 @@
 
 AdminReply AdminClient::post(const std::string &path, const nlohmann::json &body)
 {
-    return ask("POST", path, body.dump());
+    return ask("POST", path, jsonText(body));
 }
 
 AdminReply AdminClient::ask(const std::string &method, const std::string &path, const std::string &body)
--- a/lib/Daemon/ConfigWatch.cpp
+++ b/lib/Daemon/ConfigWatch.cpp
@@ -76,8 +76,7 @@
             }
         } catch (const Error &ex) {
             m_metrics.count("pepperlug_bad_configs");
-            m_states.write(
-                nlohmann::json({{"what", "config refused"}, {"subject", ex.peer()}, {"detail", ex.what()}}).dump());
+            m_states.write(jsonText({{"what", "config refused"}, {"subject", ex.peer()}, {"detail", ex.what()}}));
         }
         const TimePoint now = m_clock.now();
         {
@@ -172,7 +171,7 @@
     for (const EntryHost &host : m_bundle->hosts) {
         const nlohmann::json item{
             {"name", host.name}, {"address", host.http.text()}, {"zone", m_bundle->zones[idx(host.zone)].name}};
-        m_hostJson.push_back(item.dump());
+        m_hostJson.push_back(jsonText(item));
     }
     for (auto &[id, pending] : m_pending) {
         pending.service = m_bundle->findService(pending.serviceName).value_or(ServiceId{});
--- a/lib/Daemon/ControlDaemon.cpp
+++ b/lib/Daemon/ControlDaemon.cpp
@@ -78,6 +78,8 @@
     m_net.onSilence([this](const SilentConnection &silent) {
         tell("connection silent", silent.peer.text(), describeSilence(silent));
     });
+    m_net.onFailure(
+        [this](const std::string &path, const std::string &reason) { tell("handler failed", path, reason); });
     m_net.listen(self->peer, [this](const IncomingCallPtr &call) { onPeerCall(call); });
     HttpLimits limits;
     limits.bodyBytes = MaxPeerMessageBytes / 2;
@@ -110,7 +112,7 @@
     m_metrics.count("pepperlug_state_changes{what=\"" + what + "\"}");
     const nlohmann::json line{
         {"at_ms", m_clock.wallTime().count()}, {"what", what}, {"subject", subject}, {"detail", detail}};
-    m_states.write(line.dump());
+    m_states.write(jsonText(line));
 }
 
 void ControlDaemon::Impl::post(ControlEvent event)
--- a/lib/Daemon/EntryDaemon.cpp
+++ b/lib/Daemon/EntryDaemon.cpp
@@ -62,7 +62,13 @@
                                   {"what", "connection silent"},
                                   {"subject", silent.peer.text()},
                                   {"detail", describeSilence(silent)}};
-        m_states.write(line.dump());
+        m_states.write(jsonText(line));
+    });
+    m_net.onFailure([this](const std::string &path, const std::string &reason) {
+        m_states.write(jsonText({{"at_ms", m_clock.wallTime().count()},
+                                 {"what", "handler failed"},
+                                 {"subject", path},
+                                 {"detail", reason}}));
     });
     m_peerAddress = m_net.listen(m_settings.peer, [this](const IncomingCallPtr &call) { onPeerCall(call); });
     HttpLimits limits;
@@ -71,9 +77,7 @@
     m_server = std::make_unique<HttpServer>(m_settings.http, m_settings.httpThreads, limits, m_clock,
                                             [this](const HttpExchangePtr &exchange) { onHttp(exchange); });
     m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
-    m_states.write(
-        nlohmann::json({{"what", "started"}, {"subject", m_settings.name}, {"http", m_server->address().text()}})
-            .dump());
+    m_states.write(jsonText({{"what", "started"}, {"subject", m_settings.name}, {"http", m_server->address().text()}}));
 }
 
 EntryDaemon::Impl::~Impl()
--- a/lib/Daemon/EntryEffects.cpp
+++ b/lib/Daemon/EntryEffects.cpp
@@ -395,8 +395,7 @@
     } catch (const Error &ex) {
         // Nothing is dispatched without its claim on the disk: these requests end at their deadline, as not run.
         m_metrics.count("pepperlug_disk_failures");
-        m_states.write(
-            nlohmann::json({{"what", "disk failed"}, {"subject", ex.peer()}, {"detail", ex.reason()}}).dump());
+        m_states.write(jsonText({{"what", "disk failed"}, {"subject", ex.peer()}, {"detail", ex.reason()}}));
         return;
     }
     m_metrics.count("pepperlug_claim_syncs");
@@ -415,7 +414,7 @@
     m_decisions.writeLater([effect, bundle = m_bundle, at = m_clock.wallTime()] {
         nlohmann::json line = describe(effect, bundle.get());
         line["at_ms"] = at.count();
-        return line.dump();
+        return jsonText(line);
     });
 }
 
@@ -430,7 +429,7 @@
     m_states.writeLater([effect, at = m_clock.wallTime()] {
         const nlohmann::json line{
             {"at_ms", at.count()}, {"what", effect.what}, {"subject", effect.subject}, {"detail", effect.detail}};
-        return line.dump();
+        return jsonText(line);
     });
 }
 
--- a/lib/Explain/Explain.cpp
+++ b/lib/Explain/Explain.cpp
@@ -36,7 +36,7 @@
     const bool endedBadly = what == "attempt-ended" && line.value("outcome", "") != "answered";
     const bool leftOut =
         what == "target" && (line.value("silent", false) || line.value("presence", "ready") != "ready");
-    return endedBadly || leftOut || what == "refused" || what == "answer-cut";
+    return endedBadly || leftOut || what == "refused" || what == "answer-cut" || what == "answer-replaced";
 }
 
 ExplainedStep stepOf(const nlohmann::json &line)
@@ -50,7 +50,7 @@
         const bool isPlaced = std::find(PlacedFields.begin(), PlacedFields.end(), name) != PlacedFields.end();
         if (!isPlaced) {
             step.details += (step.details.empty() ? "" : " ") + name + "="
-                + (value.is_string() ? value.get<std::string>() : value.dump());
+                + (value.is_string() ? value.get<std::string>() : jsonText(value));
         }
     }
     return step;
--- a/lib/Fleet/EventLog.cpp
+++ b/lib/Fleet/EventLog.cpp
@@ -59,8 +59,7 @@
     if (newlyDropped > 0) {
         line["lines_dropped"] = newlyDropped;
     }
-    m_sink.writeLater(
-        [line = std::move(line)] { return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace); });
+    m_sink.writeLater([line = std::move(line)] { return jsonText(line); });
 }
 
 } // namespace pepperlug::fleet
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -103,6 +103,8 @@
         onLink(control, isLost, reason);
     };
     m_net.onSilence([this](const SilentConnection &silent) { reportSilence(m_events, silent); });
+    m_net.onFailure(
+        [this](const std::string &path, const std::string &reason) { reportFailure(m_events, path, reason); });
     m_watch = std::make_unique<ControlWatch>(m_net, m_clock, PollMaxWait, std::move(hooks));
     m_callersServer = std::make_unique<HttpServer>(m_settings.callers, 1, callerLimits(m_settings), m_clock,
                                                    [this](const HttpExchangePtr &exchange) { onHttp(exchange); });
@@ -135,10 +137,13 @@
     } else {
         requestControlHosts(now);
     }
-    const std::uint64_t cutOff =
+    const ServerSweep::Findings found =
         m_sweep.run({m_callersServer.get(), m_readinessServer.get(), m_metricsServer.get()}, now, m_metrics);
-    if (cutOff > 0) {
-        m_events.state("slow-readers-cut-off", {{"connections", cutOff}});
+    if (found.cutOff > 0) {
+        m_events.state("slow-readers-cut-off", {{"connections", found.cutOff}});
+    }
+    if (found.failures > 0) {
+        m_events.state("handler-failed", {{"requests", found.failures}, {"last", found.lastFailure}});
     }
     const std::lock_guard lock(m_mutex);
     m_metrics.gauge("pepperlug_view_age_seconds", secondsOf(viewAge()));
--- a/lib/Fleet/PeerEvents.h
+++ b/lib/Fleet/PeerEvents.h
@@ -17,4 +17,12 @@
                   {"peer_alive", silent.isPeerAlive}});
 }
 
+/// Logs what a handler of a call or reply threw.
+inline void reportFailure(EventLog &events, const std::string &path, const std::string &reason)
+{
+    constexpr std::size_t LongestTold = 200;
+    events.state("handler-failed",
+                 {{"path", printable(path, LongestTold)}, {"reason", printable(reason, LongestTold)}});
+}
+
 } // namespace pepperlug::fleet
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -78,6 +78,8 @@
                     {"first_start", m_settings.isFirstStart}});
     restoreCachedState();
     m_net.onSilence([this](const SilentConnection &silent) { reportSilence(m_events, silent); });
+    m_net.onFailure(
+        [this](const std::string &path, const std::string &reason) { reportFailure(m_events, path, reason); });
     m_net.listen(m_settings.peerListen.value_or(m_settings.peer),
                  [this](const IncomingCallPtr &call) { onPeerCall(call); });
     m_log->start();
@@ -118,10 +120,13 @@
     }
     requestMembership(now);
     pollPeers(now);
-    const std::uint64_t cutOff =
+    const ServerSweep::Findings found =
         m_sweep.run({m_operatorsServer.get(), m_directoryServer.get(), m_metricsServer.get()}, now, m_metrics);
-    if (cutOff > 0) {
-        m_events.state("slow-readers-cut-off", {{"connections", cutOff}});
+    if (found.cutOff > 0) {
+        m_events.state("slow-readers-cut-off", {{"connections", found.cutOff}});
+    }
+    if (found.failures > 0) {
+        m_events.state("handler-failed", {{"requests", found.failures}, {"last", found.lastFailure}});
     }
 }
 
--- a/lib/Fleet/ServerSweep.h
+++ b/lib/Fleet/ServerSweep.h
@@ -10,11 +10,17 @@
 class ServerSweep
 {
 public:
-    /// How many connections were cut off since the last call, since their callers read nothing.
-    std::uint64_t run(const std::vector<HttpServer *> &servers, TimePoint now, Metrics &metrics)
+    /// What has happened since the last call.
+    struct Findings {
+        std::uint64_t cutOff = 0; ///< connections whose callers read nothing
+        std::uint64_t failures = 0; ///< requests whose handler threw
+        std::string lastFailure; ///< path and reason
+    };
+
+    Findings run(const std::vector<HttpServer *> &servers, TimePoint now, Metrics &metrics)
     {
         if (now < m_next) {
-            return 0;
+            return {};
         }
         m_next = now + std::chrono::seconds(1);
         HttpServerStats sum;
@@ -25,14 +31,18 @@
             sum.slowReadersCutOff += stats.slowReadersCutOff;
             sum.refusedUnread += stats.refusedUnread;
             sum.malformedRequests += stats.malformedRequests;
+            sum.failedHandlings += stats.failedHandlings;
+            sum.lastFailure = stats.lastFailure.empty() ? sum.lastFailure : stats.lastFailure;
         }
-        const std::uint64_t cutOff = sum.slowReadersCutOff - m_reported.slowReadersCutOff;
+        const Findings findings{sum.slowReadersCutOff - m_reported.slowReadersCutOff,
+                                sum.failedHandlings - m_reported.failedHandlings, sum.lastFailure};
         metrics.gauge("pepperlug_answer_bytes_held", static_cast<double>(sum.heldBytes));
-        metrics.count("pepperlug_slow_readers_cut_off", cutOff);
+        metrics.count("pepperlug_slow_readers_cut_off", findings.cutOff);
+        metrics.count("pepperlug_failed_handlings", findings.failures);
         metrics.count("pepperlug_requests_refused_unread", sum.refusedUnread - m_reported.refusedUnread);
         metrics.count("pepperlug_malformed_requests", sum.malformedRequests - m_reported.malformedRequests);
         m_reported = sum;
-        return cutOff;
+        return findings;
     }
 
 private:
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -23,6 +23,7 @@
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 /// For a caller to read the last answer and close; some tens of round trips.
 constexpr auto LingerTime = std::chrono::seconds(2);
+constexpr std::size_t LongestFailureTold = 200; ///< bytes
 /// Room that a buffer of unsent bytes may keep for later answers; most answers fit in.
 constexpr std::size_t KeptBufferBytes = LargeAnswerBytes;
 
@@ -226,8 +227,22 @@
             slot->isPassedOn = true;
         }
         slot->request.waited = m_shared.clock.now() - slot->arrivedAt;
-        m_shared.handler(
-            std::make_shared<Exchange>(std::move(slot->request), shared_from_this(), slot, slot->keepsAlive));
+        handle(std::make_shared<Exchange>(std::move(slot->request), shared_from_this(), slot, slot->keepsAlive));
+    }
+}
+
+// What a handler throws would end the process, and with it the requests of all other callers.
+void Connection::handle(const HttpExchangePtr &exchange)
+{
+    try {
+        m_shared.handler(exchange);
+    } catch (const std::exception &ex) {
+        ++m_shared.failedHandlings;
+        {
+            const std::lock_guard lock(m_shared.mutex);
+            m_shared.lastFailure = printable(exchange->request().path() + ": " + ex.what(), LongestFailureTold);
+        }
+        exchange->abort(jsonAnswer(500, {{"step", "handle request"}, {"reason", "internal failure"}}));
     }
 }
 
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -46,6 +46,8 @@
     std::atomic<std::uint64_t> slowReadersCutOff = 0;
     std::atomic<std::uint64_t> refusedUnread = 0;
     std::atomic<std::uint64_t> malformedRequests = 0;
+    std::atomic<std::uint64_t> failedHandlings = 0;
+    std::string lastFailure{}; ///< of a handler; guarded by the mutex
 };
 
 class Connection : public std::enable_shared_from_this<Connection>
@@ -95,6 +97,7 @@
     void fault(unsigned status, const std::string &reason);
     void answerLastLocked(unsigned status, const std::string &reason);
     void passOn();
+    void handle(const HttpExchangePtr &exchange);
     void passOnSoonLocked();
     void sendReadyLocked();
     void endSentLocked();
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -117,9 +117,11 @@
         m_shared.closesAfterAnswers = true;
     }
 
-    HttpServerStats stats() const
+    HttpServerStats stats()
     {
-        return {m_shared.heldBytes, m_shared.slowReadersCutOff, m_shared.refusedUnread, m_shared.malformedRequests};
+        const std::lock_guard lock(m_shared.mutex);
+        return {m_shared.heldBytes,         m_shared.slowReadersCutOff, m_shared.refusedUnread,
+                m_shared.malformedRequests, m_shared.failedHandlings,   m_shared.lastFailure};
     }
 
     void stop()
--- a/lib/Http/Message.cpp
+++ b/lib/Http/Message.cpp
@@ -117,7 +117,7 @@
 
 Answer jsonAnswer(unsigned status, const nlohmann::json &body)
 {
-    return {status, {{"Content-Type", "application/json"}}, body.dump() + "\n"};
+    return {status, {{"Content-Type", "application/json"}}, jsonText(body) + "\n"};
 }
 
 } // namespace pepperlug
--- a/lib/Steer/TraceReplay.cpp
+++ b/lib/Steer/TraceReplay.cpp
@@ -152,14 +152,14 @@
     void expectEffect(const json &fields)
     {
         if (std::none_of(m_effects.begin(), m_effects.end(), [&](const Effect &it) { return matches(it, fields); })) {
-            fail("expected an effect with " + fields.dump());
+            fail("expected an effect with " + jsonText(fields));
         }
     }
 
     void expectNoEffect(const json &fields)
     {
         if (std::any_of(m_effects.begin(), m_effects.end(), [&](const Effect &it) { return matches(it, fields); })) {
-            fail("expected no effect with " + fields.dump());
+            fail("expected no effect with " + jsonText(fields));
         }
     }
 
--- a/lib/Steer/TraceWriter.cpp
+++ b/lib/Steer/TraceWriter.cpp
@@ -152,7 +152,7 @@
 {
     json line = std::visit(EventWriter(bundleText), event);
     line["at"] = at.time_since_epoch().count();
-    return line.dump();
+    return jsonText(line);
 }
 
 std::string traceHeader(const SteerSettings &settings, TimePoint startedAt)
@@ -164,7 +164,7 @@
                       {"sync_claims", settings.syncClaims},
                       {"seed", settings.seed},
                       {"tick_ns", settings.tick.count()}}}};
-    return line.dump();
+    return jsonText(line);
 }
 
 } // namespace pepperlug
--- a/lib/Support/Json.cpp
+++ b/lib/Support/Json.cpp
@@ -262,4 +262,9 @@
     return told;
 }
 
+std::string jsonText(const nlohmann::json &value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 } // namespace pepperlug
--- a/lib/Wire/Http2Connection.h
+++ b/lib/Wire/Http2Connection.h
@@ -24,6 +24,7 @@
     std::atomic<std::uint64_t> callsServed{0};
     std::atomic<std::uint64_t> connectionsMade{0};
     std::atomic<std::uint64_t> connectionsSilent{0};
+    std::atomic<std::uint64_t> handlersFailed{0};
 };
 
 struct SessionDeleter {
--- a/lib/Wire/PeerNet.cpp
+++ b/lib/Wire/PeerNet.cpp
@@ -90,7 +90,11 @@
         const std::uint16_t port = acceptor->local_endpoint().port();
         asio::post(m_context, [this, acceptor, handler = std::move(handler)]() mutable {
             m_acceptors.push_back(acceptor);
-            accept(acceptor, std::move(handler));
+            accept(acceptor, [this, handler = std::move(handler)](const IncomingCallPtr &call) {
+                if (!isHandled(call->path(), [&] { handler(call); })) {
+                    call->reply(500, "internal failure");
+                }
+            });
         });
         return {address.ip, port};
     }
@@ -100,6 +104,11 @@
         m_onSilence = std::move(handler);
     }
 
+    void onFailure(std::function<void(const std::string &, const std::string &)> handler)
+    {
+        m_onFailure = std::move(handler);
+    }
+
     CallId call(const Address &to, std::string path, std::string body, Duration timeout, ReplyHandler handler,
                 CallLimit limit)
     {
@@ -158,11 +167,27 @@
 
     PeerTraffic traffic() const
     {
-        return {m_counters.bytesSent,   m_counters.bytesReceived,   m_counters.callsMade,
-                m_counters.callsServed, m_counters.connectionsMade, m_counters.connectionsSilent};
+        return {m_counters.bytesSent,     m_counters.bytesReceived,   m_counters.callsMade,
+                m_counters.callsServed,   m_counters.connectionsMade, m_counters.connectionsSilent,
+                m_counters.handlersFailed};
     }
 
 private:
+    // What a handler throws would end the network thread, and with it the process.
+    bool isHandled(const std::string &path, const std::function<void()> &handler)
+    {
+        try {
+            handler();
+            return true;
+        } catch (const std::exception &ex) {
+            ++m_counters.handlersFailed;
+            if (m_onFailure) {
+                m_onFailure(path, ex.what());
+            }
+            return false;
+        }
+    }
+
     struct OpenCall {
         Address to;
         std::string path;
@@ -408,7 +433,7 @@
         PeerChannel::Effects effects;
         peer.channel.finish(id, reply.delivered, now(), effects);
         if (open->handler) {
-            open->handler(std::move(reply));
+            isHandled(open->path, [&] { open->handler(std::move(reply)); });
         }
         if (!effects.empty()) {
             carryOut(peer, effects);
@@ -424,6 +449,7 @@
     std::map<Address, std::unique_ptr<Peer>> m_peers;
     std::map<CallId, OpenCallPtr> m_calls;
     std::function<void(const SilentConnection &)> m_onSilence;
+    std::function<void(const std::string &, const std::string &)> m_onFailure;
     bool m_isStopped = false;
     std::thread m_thread;
 };
@@ -440,6 +466,11 @@
     m_impl->onSilence(std::move(handler));
 }
 
+void PeerNet::onFailure(std::function<void(const std::string &path, const std::string &reason)> handler)
+{
+    m_impl->onFailure(std::move(handler));
+}
+
 Address PeerNet::listen(const Address &address, CallHandler handler)
 {
     return m_impl->listen(address, std::move(handler));
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -217,6 +217,10 @@
     CHECK(std::get<PutTable>(Control::readControlRequest(put)).baseVersion == 0);
     const auto start = Control::readControlRequest(request("POST", "/api/Evacuations.Start/z-a"));
     CHECK(std::get<SetEvacuation>(start).zone == "z-a");
+    const std::string unreadable = std::string("/api/Evacuations.End/z\xff");
+    const auto refused = Control::readControlRequest(request("POST", unreadable));
+    REQUIRE(std::holds_alternative<UnknownCall>(refused));
+    CHECK(std::get<UnknownCall>(refused).isKnownPath);
     CHECK(std::get<SetEvacuation>(start).isEvacuated);
     const auto end = Control::readControlRequest(request("POST", "/api/Evacuations.End/z-a"));
     CHECK_FALSE(std::get<SetEvacuation>(end).isEvacuated);
--- a/unittests/Wire/PeerNetTest.cpp
+++ b/unittests/Wire/PeerNetTest.cpp
@@ -75,6 +75,37 @@
     CHECK(large.get_future().get().delivered);
 }
 
+// Guards against a handler that throws and ends the process.
+TEST_CASE("a call whose handler throws is replied to with 500, and so is no other one")
+{
+    PeerNet server;
+    std::promise<std::string> told;
+    server.onFailure(
+        [&told](const std::string &path, const std::string &reason) { told.set_value(path + " " + reason); });
+    const Address address = server.listen(AnyPort, [](const IncomingCallPtr &call) {
+        if (call->path() == "/throws") {
+            throw std::runtime_error("no such thing");
+        }
+        echo(call);
+    });
+    PeerNet client;
+    CHECK(callNow(client, address, "/throws", "").status == 500);
+    CHECK(told.get_future().get() == "/throws no such thing");
+    CHECK(server.traffic().handlersFailed == 1);
+    CHECK(callNow(client, address, "/a", "next").body == "/a:next");
+}
+
+// Guards against a reply that ends the process which asked.
+TEST_CASE("what the handler of a reply throws ends nothing")
+{
+    PeerNet server;
+    const Address address = server.listen(AnyPort, echo);
+    PeerNet client;
+    client.call(address, "/a", "", std::chrono::seconds(10), [](const PeerReply &) { throw std::runtime_error("no"); });
+    CHECK(callNow(client, address, "/a", "next").body == "/a:next");
+    CHECK(client.traffic().handlersFailed == 1);
+}
+
 TEST_CASE("without a peer nothing was sent; with one that dies it may have been")
 {
     PeerNet client;
