Reachability: a large answer that is relayed is no evidence of a target

Cause: the head of a streamed answer counted as an answer of a target, whoever sent it, and for 0.5 s after one a bare connection counts as reaching a target. Whole answers were told apart, begun ones were not.

An answer that begins counts for reachability, for its target and against targets that it outran only if the attempt was sent to a target.

RelayingTest has a property over drawn orders of relayed answers, begun and whole, beside probes that connect and get no byte: falsified without the change.

--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -425,9 +425,14 @@
     open.hasAnswerBegun = true;
     m_out->emplace_back(PassHead{event.id, event.attempt});
     auto kept = open.attempts.extract(event.attempt);
-    m_targets.answerBegun(kept.mapped().target);
-    recordReachability(open.service, AttemptOutcome::Answered);
-    cancelAttempts(open, &kept.mapped());
+    const Attempt &attempt = kept.mapped();
+    // What another entry host passes on shows nothing of the way from here to a target.
+    const bool isOfTarget = attempt.relay.empty();
+    if (isOfTarget) {
+        m_targets.answerBegun(attempt.target);
+        recordReachability(open.service, AttemptOutcome::Answered);
+    }
+    cancelAttempts(open, isOfTarget ? &attempt : nullptr);
     open.attempts.insert(std::move(kept));
 }
 
--- a/unittests/Balance/RelayingTest.cpp
+++ b/unittests/Balance/RelayingTest.cpp
@@ -2,6 +2,7 @@
 #include "Balance/BalanceFixture.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace pepperlug;
 using namespace pepperlug::fleet;
@@ -33,8 +34,13 @@
         return it;
     }
 
-    /// Lets time pass; probes connect or fail at once.
-    void pass(Duration time, bool connects)
+    /// Lets time pass; probes are answered or fail at once.
+    void pass(Duration time, bool answers)
+    {
+        pass(time, answers ? ProbeResult::Answered : ProbeResult::Failed);
+    }
+
+    void pass(Duration time, ProbeResult result)
     {
         for (const TimePoint end = now + time; now < end; now += 25ms) {
             reduce(BalanceTick{});
@@ -42,8 +48,7 @@
             for (std::size_t n = 0; n < all.size(); ++n) {
                 if (const auto *probe = std::get_if<ProbeTarget>(&all[n])) {
                     ++probes;
-                    reduce(TargetProbed{std::string(probe->service),
-                                        connects ? ProbeResult::Answered : ProbeResult::Failed});
+                    reduce(TargetProbed{std::string(probe->service), result});
                     all.insert(all.end(), effects.begin(), effects.end());
                 }
             }
@@ -327,6 +332,35 @@
     CHECK(relays == std::set<std::string>{"e2", "e5", "e6", "e7"});
 }
 
+// Guards against a host that sends to targets which it does not reach, since another host passes large answers on.
+TEST_CASE("a relayed answer is no evidence that a target is reached, large or small, whole or begun")
+{
+    CHECK(rc::check([] {
+        ProbedHost host;
+        host.cutOff();
+        std::vector<RequestId> begun;
+        const int steps = *rc::gen::inRange(1, 40);
+        for (int n = 0; n < steps; ++n) {
+            const RequestId id = host.request(n % 2 == 0 ? "/read/x" : "/once/x");
+            RC_ASSERT(host.started() != nullptr);
+            RC_ASSERT(!host.started()->relay.empty());
+            if (*rc::gen::arbitrary<bool>()) {
+                host.reduce(AnswerBegun{id, 1});
+                begun.push_back(id);
+            } else {
+                host.end(id, 1, AttemptOutcome::Answered);
+            }
+            if (!begun.empty() && *rc::gen::arbitrary<bool>()) {
+                host.end(begun.back(), 1, AttemptOutcome::Answered);
+                begun.pop_back();
+            }
+            // A device in between accepts connections, and passes nothing on.
+            host.pass(Milliseconds(*rc::gen::inRange(0, 500)), ProbeResult::Connected);
+            RC_ASSERT(host.isCutOff());
+        }
+    }));
+}
+
 // Guards against targets that stay blocked after a cut of the host itself.
 TEST_CASE("after a cut a host uses all targets within a second")
 {
