Callers: a target of a request that could not arrive as it was sent gets 400

Bytes beyond ASCII reached targets percent-encoded, and what follows "#" was left out: the client library does so by itself. Control hosts read requests with the same reader.

--- a/lib/Http/RequestHead.cpp
+++ b/lib/Http/RequestHead.cpp
@@ -14,11 +14,14 @@
 constexpr std::array<std::string_view, 7> Methods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 constexpr std::string_view LineEnd = "\r\n";
 
+// The client library sends bytes beyond ASCII in another form and leaves out a fragment, neither of which a URI of a
+// request may have (RFC 9112, 3.2), so they could not arrive as they were sent.
 bool isPath(std::string_view target)
 {
-    return target.starts_with('/') && std::none_of(target.begin(), target.end(), [](char c) {
-               return static_cast<unsigned char>(c) <= 0x20 || c == 0x7f;
-           });
+    const auto isUnsuitable = [](char c) {
+        return c <= ' ' || c > '~' || c == '#';
+    };
+    return target.starts_with('/') && std::ranges::none_of(target, isUnsuitable);
 }
 
 } // namespace
@@ -62,7 +65,7 @@
     } else if (std::find(Methods.begin(), Methods.end(), method) == Methods.end()) {
         refuse(501, "the method is not supported");
     } else if (!isPath(target)) {
-        refuse(400, "the target is not a path");
+        refuse(400, "the target is not a path of visible ASCII characters without \"#\"");
     }
     m_request.method = method;
     m_request.resource = target;
