Entry host: a decision that can't be carried out takes no other along

Found by the review: if carrying out one effect throws (waiting for a socket needs a descriptor of its own, and these may run out), the rest of the list was dropped, although the balancer had done with its requests; on the client's thread the process ended. Each effect is carried out by itself now; failures are counted (pepperlug_failed_effects) and told (effect-failed). By reading, no test.

--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -73,7 +73,13 @@
     BalanceEffects effects;
     m_balancer->reduce(event, m_clock.now(), effects);
     for (const BalanceEffect &effect : effects) {
-        std::visit([this](const auto &it) { carryOut(it); }, effect);
+        // The balancer has done with the requests of all effects, so one that fails must not take the others along.
+        try {
+            std::visit([this](const auto &it) { carryOut(it); }, effect);
+        } catch (const std::exception &ex) {
+            m_metrics.count("pepperlug_failed_effects");
+            m_events.state("effect-failed", {{"effect", effect.index()}, {"reason", ex.what()}});
+        }
     }
 }
 
