Entry host: requests that wait are answered at a planned stop

The last request that has arrived closes again, waiting ones count as undelivered work, and nothing is passed on once the connection is cut off or takes no bytes. What is dropped behind a broken answer is counted (pepperlug_waiting_requests_dropped). A replaced answer whose connection ends is told as cut.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -58,6 +58,7 @@
     std::uint64_t slowReadersCutOff = 0; ///< connections closed since the start because their callers read nothing
     std::uint64_t refusedUnread = 0; ///< requests refused since the start because earlier answers were not read
     std::uint64_t malformedRequests = 0; ///< refused since the start because of their head or framing
+    std::uint64_t droppedWaiting = 0; ///< that were read and not handed on before their connection ended
     std::uint64_t failedHandlings = 0; ///< requests answered 500 since the start because the handler threw
     std::string lastFailure; ///< path and reason of the last one of these
 };
--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -132,20 +132,18 @@
                             {"status", status},
                             {"sent_bytes", end.sentBytes},
                             {"took_ms", secondsOf(took) * 1000}};
-        if (end.isReplaced) {
+        if (end.cut) {
+            const char *const cause = nameOf(*end.cut);
+            m_metrics.count(std::string("pepperlug_answers_cut{cause=\"") + cause + "\"}");
+            line["cause"] = cause;
+            m_events.decision("answer-cut", line);
+        } else if (end.isReplaced) {
             m_metrics.count("pepperlug_answers_replaced");
             m_events.decision("answer-replaced", line);
-            return;
-        }
-        if (!end.cut) {
+        } else {
             m_metrics.latency("pepperlug_request_seconds", took);
             m_events.decision("answered", line);
-            return;
         }
-        const char *const cause = nameOf(*end.cut);
-        m_metrics.count(std::string("pepperlug_answers_cut{cause=\"") + cause + "\"}");
-        line["cause"] = cause;
-        m_events.decision("answer-cut", line);
     });
 }
 
--- a/lib/Fleet/ServerSweep.h
+++ b/lib/Fleet/ServerSweep.h
@@ -31,6 +31,7 @@
             sum.slowReadersCutOff += stats.slowReadersCutOff;
             sum.refusedUnread += stats.refusedUnread;
             sum.malformedRequests += stats.malformedRequests;
+            sum.droppedWaiting += stats.droppedWaiting;
             sum.failedHandlings += stats.failedHandlings;
             sum.lastFailure = stats.lastFailure.empty() ? sum.lastFailure : stats.lastFailure;
         }
@@ -39,6 +40,7 @@
         metrics.gauge("pepperlug_answer_bytes_held", static_cast<double>(sum.heldBytes));
         metrics.count("pepperlug_slow_readers_cut_off", findings.cutOff);
         metrics.count("pepperlug_failed_handlings", findings.failures);
+        metrics.count("pepperlug_waiting_requests_dropped", sum.droppedWaiting - m_reported.droppedWaiting);
         metrics.count("pepperlug_requests_refused_unread", sum.refusedUnread - m_reported.refusedUnread);
         metrics.count("pepperlug_malformed_requests", sum.malformedRequests - m_reported.malformedRequests);
         m_reported = sum;
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -10,6 +10,7 @@
 #include "AnswerEncoder.h"
 #include "SocketBytes.h"
 
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace pepperlug
@@ -170,14 +171,15 @@
 }
 
 // An answer that says "close" is the last one (RFC 9112, 9.6). While the server is closing, that is the one to the last
-// request that was handed on, so that those before it are answered too, and nothing behind it is read.
+// request that has arrived, so that those before it are answered too, and nothing behind it is read.
 bool Connection::keepsAlive(const SlotPtr &slot, bool isWanted)
 {
     const std::lock_guard lock(m_mutex);
     if (slot->hasBegun) {
         return !slot->closesAfter;
     }
-    const bool keepAlive = isWanted && !(m_shared.closesAfterAnswers && !m_order.hasPassedOnBehind(slot.get()));
+    const bool isLast = m_order.owed().empty() || m_order.owed().back() == slot;
+    const bool keepAlive = isWanted && !(m_shared.closesAfterAnswers && isLast);
     m_ignoresInput |= !keepAlive;
     return keepAlive;
 }
@@ -219,7 +221,7 @@
         SlotPtr slot;
         {
             const std::lock_guard lock(m_mutex);
-            const bool isOver = !m_isAlive || m_closesWhenSent || m_shared.isStopped;
+            const bool isOver = !canAnswerLocked() || m_shared.isStopped;
             slot = isOver ? nullptr : m_order.nextToPassOn();
             if (!slot) {
                 return;
@@ -250,11 +252,16 @@
 void Connection::passOnSoonLocked()
 {
     const std::shared_ptr<pt::Peer> peer = m_peer.lock();
-    if (peer && m_isAlive && !m_closesWhenSent && m_watch == WatchId{} && m_order.nextToPassOn()) {
+    if (peer && canAnswerLocked() && m_watch == WatchId{} && m_order.nextToPassOn()) {
         watchLocked(peer->fd());
     }
 }
 
+bool Connection::canAnswerLocked() const
+{
+    return m_isAlive && !m_isCutOff && !m_hasFailed && !m_closesWhenSent;
+}
+
 // A caller that does not read its answers gets no further ones. Where many hold little each, the sum is bounded: those
 // that hold data are refused first.
 const char *Connection::refusalLocked()
@@ -420,6 +427,7 @@
     const std::optional<std::size_t> written = writeNow(socket, m_pending);
     if (!written) {
         m_pending = {}; // whoever reads the socket will see its end
+        m_hasFailed = true;
         return;
     }
     m_writtenBytes += *written;
@@ -506,6 +514,8 @@
         m_shared.writes.forget(m_watch);
         m_watch = {};
         slots = m_order.takeOwed();
+        m_shared.droppedWaiting += static_cast<std::uint64_t>(
+            std::ranges::count_if(slots, [](const SlotPtr &it) { return !it->isPassedOn && !it->hasBegun; }));
         countHeldLocked();
     }
     for (const SlotPtr &slot : slots) {
@@ -550,7 +560,7 @@
     if (!m_isAlive || !peer || m_isCutOff) {
         return false;
     }
-    return m_heldBytes > 0 || unacknowledged(peer->fd()) > 0;
+    return m_heldBytes > 0 || m_order.nextToPassOn() || unacknowledged(peer->fd()) > 0;
 }
 
 // The socket reports room only when a third of its buffer is free, which takes a slow reader many seconds. So progress
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -38,7 +38,6 @@
     HttpHandler handler;
     std::mutex mutex;
     std::vector<std::weak_ptr<Connection>> connections;
-    WriteLoop writes;
     std::atomic<std::uint64_t> lastConnection = 0;
     std::atomic<bool> closesAfterAnswers = false;
     std::atomic<bool> isStopped = false; ///< no request is handed on any more
@@ -47,7 +46,9 @@
     std::atomic<std::uint64_t> refusedUnread = 0;
     std::atomic<std::uint64_t> malformedRequests = 0;
     std::atomic<std::uint64_t> failedHandlings = 0;
+    std::atomic<std::uint64_t> droppedWaiting = 0;
     std::string lastFailure{}; ///< of a handler; guarded by the mutex
+    WriteLoop writes{}; ///< last, as its thread uses the others
 };
 
 class Connection : public std::enable_shared_from_this<Connection>
@@ -99,6 +100,7 @@
     void passOn();
     void handle(const HttpExchangePtr &exchange);
     void passOnSoonLocked();
+    bool canAnswerLocked() const;
     void sendReadyLocked();
     void endSentLocked();
     void endOwedLocked(AnswerCut cause);
@@ -129,6 +131,7 @@
     TimePoint m_progressAt; ///< when the peer last acknowledged bytes, or since when there are unsent ones
     std::optional<TimePoint> m_sentAllAt; ///< when the last byte of the last answer was written
     bool m_isCutOff = false; ///< closed because the caller does not read
+    bool m_hasFailed = false; ///< the socket takes no bytes any more
     bool m_closesWhenSent = false; ///< ends the connection once nothing is pending
     WatchId m_watch{}; ///< of the wait for the socket to take more
     AnswerOrder<Slot> m_order;
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -73,7 +73,7 @@
 {
 public:
     Impl(const Address &address, unsigned threads, HttpLimits limits, const Clock &clock, HttpHandler handler)
-        : m_shared{limits, clock, std::move(handler), {}, {}, {}}
+        : m_shared{limits, clock, std::move(handler), {}, {}}
         , m_ip(address.ip)
         , m_endpoint(Pistache::Address(address.ip, Pistache::Port(address.port)))
     {
@@ -120,8 +120,8 @@
     HttpServerStats stats()
     {
         const std::lock_guard lock(m_shared.mutex);
-        return {m_shared.heldBytes,         m_shared.slowReadersCutOff, m_shared.refusedUnread,
-                m_shared.malformedRequests, m_shared.failedHandlings,   m_shared.lastFailure};
+        return {m_shared.heldBytes,      m_shared.slowReadersCutOff, m_shared.refusedUnread, m_shared.malformedRequests,
+                m_shared.droppedWaiting, m_shared.failedHandlings,   m_shared.lastFailure};
     }
 
     void stop()
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -531,7 +531,7 @@
 }
 
 // Guards against requests that reach a target although their caller was told that they were not read.
-TEST_CASE("requests behind an answer that closes the connection are not handed on")
+TEST_CASE("requests behind an answer that closes the connection are not handed on, and those before it are answered")
 {
     EchoServer echo({}, 1);
     SECTION("the caller asked to close")
@@ -567,6 +567,22 @@
         CHECK(occurrences(all, "Connection: close") == 1);
         CHECK_FALSE(echo.hasSeen("/behind"));
     }
+    SECTION("the server is closing, with requests that wait for earlier ones")
+    {
+        HttpLimits limits;
+        limits.passedOn = 1;
+        EchoServer serial(limits, 1);
+        RawSocket socket(serial.server.address());
+        socket.send(get("/hold") + get("/second") + get("/last"));
+        const std::vector<HttpExchangePtr> held = serial.takeHeld(1);
+        serial.settle();
+        serial.server.closeAfterAnswers();
+        held[0]->respond({200, {}, "first"});
+        const std::string all = socket.readToEnd();
+        CHECK(has(all, "GET /second []"));
+        CHECK(has(all, "GET /last []"));
+        CHECK(occurrences(all, "Connection: close") == 1);
+    }
     SECTION("a request is refused")
     {
         RawSocket socket(echo.server.address());
