Entry host: answers of up to 8 MiB are held for requests behind them

The bound is one of its own now, HttpLimits::orderedBytes, 8 MiB for an answer; what all connections hold stays bounded by 16 MiB, beyond which answers are streamed.

Findings of the linter in ServerSweep, AnswerOrder and PipelinedAnswerTest are mended.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -42,11 +42,14 @@
     Duration headTimeout = std::chrono::seconds(10); ///< for a request to arrive whole
     Duration idleTimeout = std::chrono::seconds(300); ///< between requests
     /// Answers that a caller has not read, beyond which further requests of the connection are refused; as much as the
-    /// largest body of a request. Also the longest answer that is held until it is whole, for requests behind it.
+    /// largest body of a request.
     std::size_t heldBytes = 1024 * 1024;
     /// The same for all connections: those that hold data are refused beyond this, and all beyond twice as much. A
     /// seventh of the memory of the smallest known entry host, 112 MB.
     std::size_t heldBytesInAll = 16UL * 1024 * 1024;
+    /// Longest answer that is held until it is whole while requests behind it are in progress, unless heldBytesInAll is
+    /// exceeded. If a longer one breaks off, they are lost with it.
+    std::size_t orderedBytes = 8UL * 1024 * 1024;
     /// A connection that holds data is closed after this time in which its caller read nothing. A caller's kernel
     /// announces room in steps of up to a 16th of its receive buffer (6 MB at most by default), so every caller that
     /// reads 13 KB/s counts as reading.
--- a/lib/Fleet/ServerSweep.h
+++ b/lib/Fleet/ServerSweep.h
@@ -35,8 +35,8 @@
             sum.failedHandlings += stats.failedHandlings;
             sum.lastFailure = stats.lastFailure.empty() ? sum.lastFailure : stats.lastFailure;
         }
-        const Findings findings{sum.slowReadersCutOff - m_reported.slowReadersCutOff,
-                                sum.failedHandlings - m_reported.failedHandlings, sum.lastFailure};
+        Findings findings{sum.slowReadersCutOff - m_reported.slowReadersCutOff,
+                          sum.failedHandlings - m_reported.failedHandlings, sum.lastFailure};
         metrics.gauge("pepperlug_answer_bytes_held", static_cast<double>(sum.heldBytes));
         metrics.count("pepperlug_slow_readers_cut_off", findings.cutOff);
         metrics.count("pepperlug_failed_handlings", findings.failures);
--- a/lib/Http/AnswerOrder.h
+++ b/lib/Http/AnswerOrder.h
@@ -79,7 +79,7 @@
     }
 
     /// Begins an answer with its head, behind which `bytesToCome` bytes follow through give().
-    static void begin(T &answer, std::string head, std::uint64_t bytesToCome, bool closesAfter)
+    static void begin(T &answer, std::string &&head, std::uint64_t bytesToCome, bool closesAfter)
     {
         answer.hasBegun = true;
         answer.closesAfter = closesAfter;
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -60,7 +60,7 @@
         , m_ip(peer->address().host())
         , m_reader(boundsOf(shared.limits))
         , m_shared(shared)
-        , m_order({shared.limits.heldBytes, shared.limits.passedOn})
+        , m_order({shared.limits.orderedBytes, shared.limits.passedOn})
         , m_lastActive(shared.clock.now())
     {
     }
--- a/unittests/Fleet/PipelinedAnswerTest.cpp
+++ b/unittests/Fleet/PipelinedAnswerTest.cpp
@@ -49,7 +49,9 @@
             if (head.find(CutPath) == std::string::npos) {
                 const std::lock_guard lock(m_mutex);
                 m_run.insert(id);
-                RawServer::send(socket, start + "Content-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id);
+                std::string answer = start;
+                answer.append("Content-Length: ").append(std::to_string(id.size())).append("\r\n\r\n").append(id);
+                RawServer::send(socket, answer);
                 continue;
             }
             RawServer::send(socket,
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -641,7 +641,7 @@
 {
     const bool isTooLong = GENERATE(false, true);
     HttpLimits limits;
-    limits.heldBytes = isTooLong ? 10 : limits.heldBytes;
+    limits.orderedBytes = isTooLong ? 10 : limits.orderedBytes;
     EchoServer echo(limits, 1);
     RawSocket socket(echo.server.address());
     socket.send(get("/hold") + get("/hold") + get("/hold", "Connection: close\r\n"));
