--- a/test/soak/Actors.cpp
+++ b/test/soak/Actors.cpp
@@ -57,10 +57,12 @@
     , m_client(MaxAnswer)
     , m_thread([this] { beat(); })
 {
+    m_link.watchAnswers([this](const std::string &id) { m_ledger.answeredWhole(id, m_id); });
 }
 
 Target::~Target()
 {
+    m_ledger.disturbed(m_id, m_clock.now());
     m_stop = true;
     m_thread.join();
     m_client.stop();
@@ -170,6 +172,11 @@
     m_link.spoil(isSpoiled ? std::optional(SpoiledAnswers{OneIn, true}) : std::nullopt);
 }
 
+void Target::breakAnswers(const std::optional<BrokenAnswers> &how)
+{
+    m_link.breakAnswers(how);
+}
+
 std::vector<TargetArrival> Target::arrivalsSinceAsk()
 {
     const std::lock_guard lock(m_mutex);
@@ -189,6 +196,7 @@
 {
     m_ledger.targetEnded();
     m_endedAt = m_clock.now();
+    m_ledger.disturbed(m_id, m_clock.now());
     m_link.close();
 }
 
--- a/test/soak/Actors.h
+++ b/test/soak/Actors.h
@@ -57,6 +57,8 @@
     /// From now on it turns each second request away, though it has free slots, and spoils answers; or it is sound
     /// again.
     void spoil(bool isSpoiled);
+    /// From now on it breaks answers off and repeats them; without a value, it is sound again.
+    void breakAnswers(const std::optional<BrokenAnswers> &how);
     /// Requests that came since the last ask().
     std::vector<TargetArrival> arrivalsSinceAsk();
     /// Requests that came since.
--- a/test/soak/ChunkCaller.cpp
+++ b/test/soak/ChunkCaller.cpp
@@ -1,6 +1,8 @@
 //===- ChunkCaller.cpp - A caller whose bodies come in chunks -------------===//
 #include "ChunkCaller.h"
 
+#include "RawAnswer.h"
+
 #include <sys/socket.h>
 
 namespace pepperlug::soak
@@ -15,27 +17,6 @@
 constexpr auto Patience = 3s;
 constexpr std::uint64_t MaxBody = 12'000; ///< several times what a host reads at once
 constexpr std::uint64_t MaxChunk = 1200;
-constexpr std::string_view HeadEnd = "\r\n\r\n";
-
-unsigned statusIn(const std::string &answer)
-{
-    constexpr std::string_view Start = "HTTP/1.1 ";
-    constexpr std::size_t Digits = 3;
-    const bool hasStatus = answer.starts_with(Start) && answer.size() >= Start.size() + Digits;
-    return hasStatus ? static_cast<unsigned>(std::stoul(answer.substr(Start.size(), Digits))) : 0;
-}
-
-/// Bytes of an answer up to the end of its body; nothing while its head is not whole.
-std::optional<std::size_t> lengthOf(const std::string &answer)
-{
-    constexpr std::string_view Name = "\r\nContent-Length: ";
-    const std::size_t end = answer.find(HeadEnd);
-    const std::size_t length = answer.find(Name);
-    if (end == std::string::npos) {
-        return std::nullopt;
-    }
-    return end + HeadEnd.size() + (length < end ? std::stoul(answer.substr(length + Name.size())) : 0);
-}
 
 } // namespace
 
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -6,6 +6,8 @@
 //===----------------------------------------------------------------------===//
 #include "FaultProxy.h"
 
+#include "RawAnswer.h"
+
 namespace pepperlug::soak
 {
 
@@ -15,6 +17,7 @@
 using boost::asio::ip::tcp;
 
 constexpr Milliseconds DelayTime{120};
+constexpr Milliseconds RetryTime{1};
 constexpr std::size_t BufferBytes = 16 * 1024;
 /// What may wait in the proxy's socket, in bytes: a link holds little, the rest waits at the sender.
 constexpr int WaitingBytes = 64 * 1024;
@@ -48,6 +51,16 @@
     std::string repeated; ///< so often that it fills an interval
     std::string surplus; ///< a second answer, for the place of the next one
     std::string rewritten; ///< what goes to the caller in place of what came
+    std::string id; ///< of the newest request
+    std::size_t left = 0; ///< bytes of the answer that are still to come
+    std::optional<std::size_t> stopsAfter; ///< so many bytes more of the answer pass
+    bool isEndDue = false; ///< after what is being written
+    bool isWholeDue = false; ///< the answer is whole with what is being written
+    bool repeats = false; ///< the answer
+    std::string answer; ///< that is repeated
+    bool isPassing = false; ///< something to the caller
+    bool isRepeating = false;
+    bool hasRepeated = false;
 };
 
 FaultProxy::FaultProxy(Address target, const Address &at)
@@ -141,6 +154,22 @@
     isDone.wait();
 }
 
+void FaultProxy::breakAnswers(std::optional<BrokenAnswers> how)
+{
+    const auto isDone = boost::asio::post(m_context, boost::asio::use_future([this, how] {
+                                              m_broken = how;
+                                              m_random.seed(how ? how->seed : 0);
+                                          }));
+    isDone.wait();
+}
+
+void FaultProxy::watchAnswers(std::function<void(const std::string &id)> onWhole)
+{
+    const auto isDone =
+        boost::asio::post(m_context, boost::asio::use_future([this, &onWhole] { m_onWhole = std::move(onWhole); }));
+    isDone.wait();
+}
+
 bool FaultProxy::isCut(bool isToTarget) const
 {
     const LinkFault fault = m_fault;
@@ -210,18 +239,132 @@
     if (isToTarget && takeForEndless(session, size)) {
         return;
     }
-    if (!isToTarget) {
+    if (isToTarget) {
+        const std::string bytes(session->toTarget.data(), size);
+        session->id = bytes.find(HeadEnd) != std::string::npos ? valueInHead(bytes, "X-Request-Id") : session->id;
+    } else {
+        session->isPassing = true;
         rewrite(session, size);
+        track(*session);
     }
     const Duration time = holdTime(isToTarget, size);
     if (time == Duration::zero()) {
         write(session, isToTarget, size);
         return;
     }
+    after(time, [this, session, isToTarget, size] { write(session, isToTarget, size); });
+}
+
+void FaultProxy::after(Duration time, std::function<void()> action)
+{
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, time);
-    timer->async_wait([this, session, isToTarget, size, timer](const boost::system::error_code &) {
-        write(session, isToTarget, size);
-    });
+    timer->async_wait([action = std::move(action), timer](const boost::system::error_code &) { action(); });
+}
+
+// What a proxy spoils has no length that could be followed.
+void FaultProxy::track(Session &session)
+{
+    std::string &bytes = session.rewritten;
+    const std::optional<std::size_t> length = statusIn(bytes) != 0 ? lengthOf(bytes) : std::nullopt;
+    if (m_spoiled) {
+        session.left = 0;
+        return;
+    }
+    if (session.left == 0 && length && !session.id.empty()) {
+        beginAnswer(session, *length);
+    }
+    if (session.left == 0) {
+        return;
+    }
+    session.left -= std::min(session.left, bytes.size());
+    if (session.stopsAfter && *session.stopsAfter <= bytes.size()) {
+        bytes.resize(*session.stopsAfter);
+        session.isEndDue = true;
+        return;
+    }
+    if (session.stopsAfter) {
+        *session.stopsAfter -= bytes.size();
+    }
+    if (session.repeats) {
+        session.answer += bytes;
+    }
+    session.isWholeDue = session.left == 0;
+}
+
+// Half of those that stop do so within the head.
+void FaultProxy::beginAnswer(Session &session, std::size_t length)
+{
+    session.left = length;
+    session.stopsAfter.reset();
+    session.answer.clear();
+    session.repeats = false;
+    if (!m_broken) {
+        return;
+    }
+    if (m_random() % m_broken->stopOneIn == 0) {
+        const std::size_t head = session.rewritten.find(HeadEnd) + HeadEnd.size();
+        session.stopsAfter = 1 + m_random() % ((m_random() % 2 == 0 ? head : length) - 1);
+    } else {
+        session.repeats = m_random() % m_broken->repeatOneIn == 0;
+    }
+}
+
+void FaultProxy::onWritten(const std::shared_ptr<Session> &session)
+{
+    session->isPassing = false;
+    if (session->isEndDue) {
+        const bool isReset = m_random() % 2 == 0;
+        after(drawDelay(), [session, isReset] { end(session, isReset); });
+        return;
+    }
+    if (std::exchange(session->isWholeDue, false)) {
+        const LinkFault fault = m_fault;
+        const bool isSound = fault == LinkFault::None || fault == LinkFault::Delay;
+        if (m_onWhole && isSound && !session->hasRepeated) {
+            m_onWhole(session->id);
+        }
+        if (session->repeats) {
+            after(drawDelay(), [this, session, answer = session->answer] { repeat(session, answer); });
+        }
+    }
+    pump(session, false);
+}
+
+// A second answer comes between answers, never within one.
+void FaultProxy::repeat(const std::shared_ptr<Session> &session, const std::string &bytes)
+{
+    if (!session->caller.is_open()) {
+        return;
+    }
+    if (session->isPassing || session->isRepeating || session->left > 0) {
+        after(RetryTime, [this, session, bytes] { repeat(session, bytes); });
+        return;
+    }
+    session->isRepeating = true;
+    session->hasRepeated = true;
+    sendParts(session, bytes, m_random() % 2 == 0 ? bytes.size() : 1 + m_random() % (bytes.size() - 1));
+}
+
+void FaultProxy::sendParts(const std::shared_ptr<Session> &session, const std::string &bytes, std::size_t split)
+{
+    const auto part = std::make_shared<const std::string>(bytes.substr(0, split));
+    boost::asio::async_write(
+        session->caller, boost::asio::buffer(*part),
+        [this, session, part, rest = bytes.substr(split)](const boost::system::error_code &ec, std::size_t) {
+            if (ec) {
+                end(session, false);
+            } else if (rest.empty()) {
+                session->isRepeating = false;
+            } else {
+                after(drawDelay(), [this, session, rest] { sendParts(session, rest, rest.size()); });
+            }
+        });
+}
+
+Milliseconds FaultProxy::drawDelay()
+{
+    constexpr unsigned MostMilliseconds = 40;
+    return Milliseconds(m_random() % (MostMilliseconds + 1));
 }
 
 void FaultProxy::rewrite(const std::shared_ptr<Session> &session, std::size_t size)
@@ -297,6 +440,10 @@
 
 void FaultProxy::write(const std::shared_ptr<Session> &session, bool isToTarget, std::size_t size)
 {
+    if (!isToTarget && session->isRepeating) {
+        after(RetryTime, [this, session, isToTarget, size] { write(session, isToTarget, size); });
+        return;
+    }
     Socket &to = isToTarget ? session->target : session->caller;
     const auto bytes =
         isToTarget ? boost::asio::buffer(session->toTarget.data(), size) : boost::asio::buffer(session->rewritten);
@@ -305,7 +452,11 @@
             end(session, false);
             return;
         }
-        pump(session, isToTarget);
+        if (isToTarget) {
+            pump(session, true);
+        } else {
+            onWritten(session);
+        }
     });
 }
 
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <functional>
+#include <random>
 #include <thread>
 
 namespace pepperlug::soak
@@ -39,6 +40,13 @@
     bool repeatsRefusals = false; ///< a second copy of each 503 takes the place of the next answer
 };
 
+/// How answers of a target are broken off and repeated.
+struct BrokenAnswers {
+    std::uint64_t seed = 0;
+    unsigned stopOneIn = 8; ///< answers that end after some bytes, in the head too, and the connection with them
+    unsigned repeatOneIn = 8; ///< whole answers that come a second time up to 40 ms later, in one or two parts
+};
+
 /// Passes connections on to one target (which may be a host too), and spoils them as told.
 class FaultProxy
 {
@@ -66,6 +74,12 @@
     /// Spoils answers that are short enough to arrive in one piece. Without a value, they pass unchanged. Returns when
     /// that holds.
     void spoil(std::optional<SpoiledAnswers> how);
+    /// Breaks off and repeats answers to requests with an id. Without a value, they pass unchanged. Returns when that
+    /// holds.
+    void breakAnswers(std::optional<BrokenAnswers> how);
+    /// From now on calls back on the proxy's thread with the id of each request whose whole answer has left, unless
+    /// the link harms it or an answer was repeated on its connection. Returns when that holds.
+    void watchAnswers(std::function<void(const std::string &id)> onWhole);
 
 private:
     struct Session;
@@ -77,6 +91,14 @@
     Duration holdTime(bool isToTarget, std::size_t size) const;
     void write(const std::shared_ptr<Session> &session, bool isToTarget, std::size_t size);
     void rewrite(const std::shared_ptr<Session> &session, std::size_t size);
+    void after(Duration time, std::function<void()> action);
+    /// Follows the answers of a connection through what goes to its caller next.
+    void track(Session &session);
+    void beginAnswer(Session &session, std::size_t length);
+    void onWritten(const std::shared_ptr<Session> &session);
+    void repeat(const std::shared_ptr<Session> &session, const std::string &bytes);
+    void sendParts(const std::shared_ptr<Session> &session, const std::string &bytes, std::size_t split);
+    Milliseconds drawDelay();
     static void end(const std::shared_ptr<Session> &session, bool isReset);
     bool isCut(bool isToTarget) const;
     bool takeForEndless(const std::shared_ptr<Session> &session, std::size_t size);
@@ -94,6 +116,9 @@
     std::vector<std::weak_ptr<Session>> m_sessions; ///< used on the proxy's thread only
     std::optional<EndlessAnswer> m_endless; ///< the same
     std::optional<SpoiledAnswers> m_spoiled; ///< the same
+    std::optional<BrokenAnswers> m_broken; ///< the same
+    std::mt19937_64 m_random; ///< the same: for broken answers
+    std::function<void(const std::string &id)> m_onWhole; ///< the same
     unsigned m_successes = 0; ///< the same: that came while answers are spoiled
     std::thread m_thread;
 };
--- a/test/soak/Ledger.cpp
+++ b/test/soak/Ledger.cpp
@@ -1,6 +1,8 @@
 //===- Ledger.cpp - What callers and targets saw, and what may not be -----===//
 #include "Ledger.h"
 
+#include <algorithm>
+
 namespace pepperlug::soak
 {
 
@@ -100,6 +102,33 @@
     return m_endlessRequests;
 }
 
+void Ledger::answeredWhole(const std::string &id, const std::string &target)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto it = m_entries.find(id); it != m_entries.end()) {
+        it->second.answeredBy = target;
+    }
+}
+
+void Ledger::cutOffBehind(const std::string &id, TimePoint at)
+{
+    const std::lock_guard lock(m_mutex);
+    m_entries[id].cutOffAt = at;
+    ++m_cutOff;
+}
+
+void Ledger::disturbed(const std::string &name, TimePoint at)
+{
+    const std::lock_guard lock(m_mutex);
+    m_disturbed.emplace(name, at);
+}
+
+bool Ledger::isDisturbed(const std::string &name, TimePoint since, TimePoint until) const
+{
+    const auto [first, last] = m_disturbed.equal_range(name);
+    return std::any_of(first, last, [&](const auto &it) { return it.second >= since && it.second <= until; });
+}
+
 void Ledger::fail(const std::string &rule, const std::string &what)
 {
     const std::lock_guard lock(m_mutex);
@@ -111,13 +140,23 @@
     m_failures.push_back(rule + ": " + what);
 }
 
-void Ledger::close()
+void Ledger::close(Duration calmTime)
 {
     const std::lock_guard lock(m_mutex);
     for (const auto &[id, entry] : m_entries) {
         if (promisesNotRun(entry.status) && entry.runs > 0 && !entry.request.mayRepeat) {
             failLocked("not run", id + " was told " + std::to_string(entry.status) + " and has run");
         }
+        if (!entry.cutOffAt || entry.answeredBy.empty()) {
+            continue;
+        }
+        const TimePoint since = *entry.cutOffAt - calmTime;
+        if (!isDisturbed(entry.request.entryHost, since, *entry.cutOffAt)
+            && !isDisturbed(entry.answeredBy, since, *entry.cutOffAt)) {
+            failLocked("lost",
+                       id + " was answered by " + entry.answeredBy + ", and its connection to "
+                           + entry.request.entryHost + " ended without the answer");
+        }
     }
 }
 
@@ -132,7 +171,7 @@
     const std::lock_guard lock(m_mutex);
     return std::to_string(m_entries.size()) + " requests, " + std::to_string(m_served) + " served, "
         + std::to_string(m_refused) + " told not run, " + std::to_string(m_failed) + " failed, "
-        + std::to_string(m_unanswered) + " without an answer";
+        + std::to_string(m_unanswered) + " without an answer, " + std::to_string(m_cutOff) + " of them behind others";
 }
 
 unsigned Ledger::served() const
--- a/test/soak/Ledger.h
+++ b/test/soak/Ledger.h
@@ -39,10 +39,17 @@
     /// count.
     void answeredWithoutEnd(const std::string &id, const std::string &target, TimePoint at);
     std::vector<EndlessRequest> endlessRequests() const;
+    /// A whole answer of a target to a request has left, as its target sent it.
+    void answeredWhole(const std::string &id, const std::string &target);
+    /// A connection ended without a whole answer to a request that was behind another one.
+    void cutOffBehind(const std::string &id, TimePoint at);
+    /// The address of an entry host, or the id of a target, that was disturbed from outside.
+    void disturbed(const std::string &name, TimePoint at);
     void fail(const std::string &rule, const std::string &what);
 
-    /// What can only be said at the end: nothing that was told "not run" has run.
-    void close();
+    /// What can only be said at the end: nothing that was told "not run" has run, and nothing is lost for the answer
+    /// ahead of it, unless its host or target was disturbed less than `calmTime` before.
+    void close(Duration calmTime);
     std::vector<std::string> failures() const;
     std::string summary() const;
     unsigned served() const;
@@ -55,19 +62,25 @@
         SentRequest request;
         unsigned runs = 0;
         unsigned status = 0;
+        std::string answeredBy{}; ///< target whose whole answer has left
+        std::optional<TimePoint> cutOffAt{}; ///< behind another request
     };
 
+    bool isDisturbed(const std::string &name, TimePoint since, TimePoint until) const;
+
     void failLocked(const std::string &rule, const std::string &what);
 
     mutable std::mutex m_mutex;
     std::map<std::string, Entry> m_entries;
     std::vector<EndlessRequest> m_endlessRequests;
+    std::multimap<std::string, TimePoint> m_disturbed;
     std::vector<std::string> m_failures;
     unsigned m_served = 0;
     unsigned m_refused = 0;
     unsigned m_failed = 0;
     unsigned m_unanswered = 0;
     unsigned m_endedTargets = 0;
+    unsigned m_cutOff = 0; ///< behind another request
 };
 
 } // namespace pepperlug::soak
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -10,6 +10,7 @@
 #include "ChunkCaller.h"
 #include "Cluster.h"
 #include "EndlessCheck.h"
+#include "PipelineCaller.h"
 
 #include <algorithm>
 #include <csignal>
@@ -64,6 +65,9 @@
 constexpr std::uint64_t SpoilSeries = 0x73706f69;
 /// Sets the generator of the caller whose bodies come in chunks apart from the others.
 constexpr std::uint64_t ChunkSeries = 0x6368756e;
+/// Sets the generators of requests that don't wait for answers, and of the targets that break these off, apart.
+constexpr std::uint64_t PipelineSeries = 0x70697065;
+constexpr unsigned PipelineThreads = 3;
 /// More memory than before that an entry host may have while a target sends without end, in bytes.
 constexpr std::size_t MaxMoreMemory = 32UL << 20;
 
@@ -75,6 +79,7 @@
     bool hasEndlessAnswers = false; ///< a target that answers without an end for a while
     bool spoilsAnswers = false; ///< targets with malformed heads and second refusals; slow callers at planned stops
     bool sendsChunks = false; ///< a caller whose bodies come in chunks that are split anywhere
+    bool sendsPipelines = false; ///< callers that don't wait for answers; targets that break answers off or repeat them
 };
 
 /// Set by a signal: the soak ends its processes before it ends itself.
@@ -109,6 +114,7 @@
         , m_silenceRandom(seed ^ SilenceSeries)
         , m_endlessRandom(seed ^ EndlessSeries)
         , m_spoilRandom(seed ^ SpoilSeries)
+        , m_pipelineRandom(seed ^ PipelineSeries)
         , m_cluster(settings)
         , m_memory(m_cluster.entryHosts())
         , m_control(m_cluster.controlAddresses())
@@ -136,6 +142,10 @@
         if (m_options.sendsChunks) {
             chunkCaller.emplace(m_ledger, m_cluster.entryAddresses(), m_seed ^ ChunkSeries);
         }
+        std::optional<PipelineCallers> pipelineCallers;
+        if (m_options.sendsPipelines) {
+            pipelineCallers.emplace(m_ledger, m_cluster.entryAddresses(), PipelineThreads, m_pipelineRandom());
+        }
         for (const auto end = m_clock.now() + length; m_clock.now() < end;) {
             disturb();
             disturbNews();
@@ -151,6 +161,9 @@
             if (m_options.spoilsAnswers) {
                 letSomeSpoilAnswers();
             }
+            if (m_options.sendsPipelines) {
+                letSomeBreakAnswers();
+            }
             pass(Milliseconds(50 + m_random() % 700));
         }
         calmDown();
@@ -172,8 +185,12 @@
         if (m_options.spoilsAnswers) {
             checkPlannedStop();
         }
+        if (m_options.sendsPipelines) {
+            breakAnswersWhileCalm();
+        }
         callers.stop();
         chunkCaller.reset();
+        pipelineCallers.reset();
         keepUp();
         if (!servesEverywhere(RecoveryTime)) {
             m_ledger.fail("recovery", "an entry host does not serve although nothing is disturbed");
@@ -181,7 +198,7 @@
         if (!m_operator.isKept(RecoveryTime)) {
             m_ledger.fail("configuration", "the newest one can't be read although nothing is disturbed");
         }
-        m_ledger.close();
+        m_ledger.close(CalmTime);
         return m_ledger.failures();
     }
 
@@ -247,6 +264,7 @@
         m_steps += "silence ";
         silenceSome(m_cluster.controlLinks());
         for (const auto &it : m_targets) {
+            m_ledger.disturbed(it->id(), m_clock.now());
             silenceSome({&it->link()});
         }
     }
@@ -336,6 +354,44 @@
         });
     }
 
+    void letSomeBreakAnswers()
+    {
+        constexpr unsigned OneIn = 3;
+        constexpr auto Time = 2s;
+        if (m_pipelineRandom() % OneIn != 0 || m_isBreaking) {
+            return;
+        }
+        m_steps += "break ";
+        breakAnswers();
+        m_later.emplace(m_clock.now() + Time, [this] { endBreaking(); });
+    }
+
+    void breakAnswers()
+    {
+        m_isBreaking = true;
+        for (const std::unique_ptr<Target> &it : m_targets) {
+            it->breakAnswers(BrokenAnswers{.seed = m_pipelineRandom()});
+        }
+    }
+
+    void endBreaking()
+    {
+        for (const std::unique_ptr<Target> &it : m_targets) {
+            it->breakAnswers(std::nullopt);
+        }
+        m_isBreaking = false;
+    }
+
+    // Nothing else is disturbed, so that no loss is exempt.
+    void breakAnswersWhileCalm()
+    {
+        constexpr auto Time = 4s;
+        pass(CalmTime);
+        breakAnswers();
+        pass(Time);
+        endBreaking();
+    }
+
     // A caller reads on while its host is stopped, until the host would have ended if nothing were left to do.
     void checkPlannedStop()
     {
@@ -469,8 +525,12 @@
 
     void kill(Process &host, std::uint64_t mostMilliseconds)
     {
+        noteDisturbed(host);
         host.kill();
-        later(mostMilliseconds, [&host] { host.release(); });
+        later(mostMilliseconds, [this, &host] {
+            noteDisturbed(host);
+            host.release();
+        });
     }
 
     void killEntry()
@@ -478,6 +538,15 @@
         kill(anyOf(m_cluster.entryHosts()), 800);
     }
 
+    void noteDisturbed(const Process &host)
+    {
+        const std::vector<Process *> hosts = m_cluster.entryHosts();
+        const auto n = std::find(hosts.begin(), hosts.end(), &host) - hosts.begin();
+        if (n < std::ssize(hosts)) {
+            m_ledger.disturbed(m_cluster.entryAddresses()[static_cast<std::size_t>(n)].text(), m_clock.now());
+        }
+    }
+
     void killControl()
     {
         kill(anyOf(m_cluster.controlHosts()), 2500);
@@ -492,8 +561,12 @@
 
     void freeze(Process &host)
     {
+        noteDisturbed(host);
         host.signal(SIGSTOP);
-        later(3000, [&host] { host.signal(SIGCONT); });
+        later(3000, [this, &host] {
+            noteDisturbed(host);
+            host.signal(SIGCONT);
+        });
     }
 
     void freezeEntry()
@@ -541,12 +614,15 @@
     {
         constexpr std::array Faults{LinkFault::Delay, LinkFault::Reset, LinkFault::CutToTarget,
                                     LinkFault::CutFromTarget, LinkFault::Silent};
-        m_targets[m_random() % m_targets.size()]->link().set(Faults[m_random() % Faults.size()]);
+        Target &target = *m_targets[m_random() % m_targets.size()];
+        m_ledger.disturbed(target.id(), m_clock.now());
+        target.link().set(Faults[m_random() % Faults.size()]);
     }
 
     void mendLinks()
     {
         for (const auto &it : m_targets) {
+            m_ledger.disturbed(it->id(), m_clock.now());
             it->link().set(LinkFault::None);
         }
     }
@@ -784,10 +860,12 @@
     {
         const unsigned paused = static_cast<unsigned>(m_linkRandom() % m_cluster.entryHosts().size());
         Process &host = *m_cluster.entryHosts()[paused];
+        noteDisturbed(host);
         host.signal(SIGSTOP);
         if (const std::optional<TimePoint> since = acknowledgeRoutes("links are narrow")) {
             checkAddedRoutes(*since, paused);
         }
+        noteDisturbed(host);
         host.signal(SIGCONT);
     }
 
@@ -901,6 +979,7 @@
     std::mt19937_64 m_silenceRandom; ///< for connections that go silent
     std::mt19937_64 m_endlessRandom; ///< for targets that send without end
     std::mt19937_64 m_spoilRandom; ///< for targets that spoil answers
+    std::mt19937_64 m_pipelineRandom; ///< for callers that don't wait, and targets that break answers off
     SteadyClock m_clock;
     Ledger m_ledger;
     Cluster m_cluster;
@@ -916,6 +995,7 @@
     TimePoint m_diskLostAt{};
     bool m_sendsWithoutEnd = false; ///< some target
     bool m_isSpoiling = false; ///< some target
+    bool m_isBreaking = false; ///< all targets
     std::multimap<TimePoint, std::function<void()>> m_later; ///< ends of disturbances
     std::string m_steps;
 };
@@ -964,7 +1044,9 @@
         "silence", "open connections go silent for good, while new ones work")(
         "endless", "a target answers without an end for a while, in some form")(
         "spoil", "targets spoil answers and repeat refusals, callers read slowly while their host is stopped")(
-        "chunks", "a caller sends bodies in chunks that are split anywhere")("help", "this text");
+        "chunks", "a caller sends bodies in chunks that are split anywhere")(
+        "pipelines", "callers don't wait for answers, and targets break these off or answer twice")("help",
+                                                                                                    "this text");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0 || arguments.count("program") == 0) {
         std::cout << options.help();
@@ -982,10 +1064,11 @@
     for (unsigned n = 0; n < arguments["seeds"].as<unsigned>(); ++n) {
         const auto length = std::chrono::seconds(arguments["seconds"].as<unsigned>());
         try {
-            allKept &= play(first + n, length, settings, arguments["folder"].as<std::string>(),
-                            {arguments.count("ending-request") > 0, arguments.count("backpressure") > 0,
-                             arguments.count("silence") > 0, arguments.count("endless") > 0,
-                             arguments.count("spoil") > 0, arguments.count("chunks") > 0});
+            allKept &=
+                play(first + n, length, settings, arguments["folder"].as<std::string>(),
+                     {arguments.count("ending-request") > 0, arguments.count("backpressure") > 0,
+                      arguments.count("silence") > 0, arguments.count("endless") > 0, arguments.count("spoil") > 0,
+                      arguments.count("chunks") > 0, arguments.count("pipelines") > 0});
         } catch (const Stopped &) {
             std::cout << "seed " << first + n << ": stopped midway" << std::endl;
             return 2;
