Review: a request that may run once runs twice when its route is removed

Cause: after an attempt that may have run, the balancer looks the route up anew and decides by the newest kind alone whether the request may be repeated.

--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -1,12 +1,11 @@
-//===- Case.cpp - A late heartbeat after all control hosts were killed ----===//
+//===- Case.cpp - A removed route and a lost answer -----------------------===//
 //
-// An upstream leaves and this is acknowledged. All control hosts are killed at one moment and return within a second,
-// with their disks. A heartbeat that the upstream sent before it left arrives late, at one of them.
+// A request that may run once is at its upstream when the operator removes its route, so that a shorter one leads to
+// the same service, whose requests may be repeated. The upstream runs the request, and its answer is lost.
 //
 //===----------------------------------------------------------------------===//
 #include "../standin-2/Standin.h"
 
-#include <csignal>
 #include <iostream>
 
 namespace
@@ -14,44 +13,78 @@
 
 using namespace review;
 
-constexpr Seconds ContactTime{3}; ///< contactS of kemal-sahaf
-constexpr Seconds DrainTime{2}; ///< drainS of kemal-sahaf
-constexpr Seconds ServesOnFor{7}; ///< that the upstream serves on after the acknowledgement
-constexpr Seconds HeldFor{3.5}; ///< how late the heartbeat is
-constexpr Milliseconds WorkTime{600};
-constexpr std::size_t LateAt = 0; ///< control host at which the late heartbeat arrives
-constexpr std::size_t LeavesAt = 1; ///< control host that acknowledges the departure
+constexpr Milliseconds WorkTime{1000};
+constexpr Seconds ApplyTime{2}; ///< applyS of kemal-sahaf
+constexpr unsigned LostOfTen = 4; ///< by more than half of the upstreams
+constexpr int Removals = 3;
 
-constexpr const char *Table =
-    R"({"version":"r1","services":[{"name":"katalog","healthPath":"/healthz","maxConns":330,)"
-    R"("proto":"h1","tls":false,"coldS":3.0,"coldPerS":3.5}],"limits":{"maxHeaderBytes":16384,)"
-    R"("maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},"hosts":[{"host":"ficu.example",)"
-    R"("paths":[{"name":"hold","pathPrefix":"/hold/","kind":"unsafe","timeoutS":4,"sloS":1.2,"prio":1,)"
-    R"("service":"katalog","attempts":2,"sticky":true,"homeRegions":[]}]}]})";
-
-// Sends a heartbeat at once over a path that holds it back; the upstream has given it up by then.
-std::thread sendLate(const Address &to, std::string path, std::string body, Record &record)
+std::string routeText(const std::string &name, const std::string &prefix, const std::string &kind)
 {
-    return std::thread([to, path = std::move(path), body = std::move(body), &record] {
-        std::this_thread::sleep_for(HeldFor);
-        ControlCaller caller({to});
-        const HttpMessage answer = caller.call("POST", path, "Content-Type: application/json\r\n", body);
-        record.add("late heartbeat at control " + std::to_string(LateAt) + ": " + answer.startLine);
-    });
+    return R"({"name":")" + name + R"(","pathPrefix":")" + prefix + R"(","kind":")" + kind
+        + R"(","timeoutS":4,"sloS":2,"prio":1,"service":"katalog","attempts":2,"sticky":true,"homeRegions":[]})";
 }
 
-void killControls(Deployment &deployment)
+std::string tableText(unsigned version, bool hasHoldRoute)
 {
-    for (std::size_t n = 0; n < deployment.size(); ++n) {
-        deployment.control(n).signal(SIGKILL);
+    std::string routes = routeText("lookup", "/katalog/", "safe");
+    if (hasHoldRoute) {
+        routes += "," + routeText("hold", "/katalog/hold/", "unsafe");
     }
-    for (std::size_t n = 0; n < deployment.size(); ++n) {
-        deployment.control(n).kill();
+    return R"({"version":"r)" + std::to_string(version)
+        + R"(","services":[{"name":"katalog","healthPath":"/healthz","maxConns":330,"proto":"h1","tls":false,)"
+          R"("coldS":3.0,"coldPerS":3.5}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,)"
+          R"("idleTimeoutS":15},"hosts":[{"host":"ficu.example","paths":[)"
+        + routes + "]}]}";
+}
+
+bool put(ControlCaller &caller, unsigned version, bool hasHoldRoute, Record &record)
+{
+    const std::string base = version == 1 ? "0" : "r" + std::to_string(version - 1);
+    record.add("the operator sends r" + std::to_string(version) + (hasHoldRoute ? "" : ", without the route \"hold\""));
+    const auto answer =
+        caller.callUntilClear("POST", "/api/Config.Put", "X-If-Rev: " + base + "\r\nContent-Type: application/json\r\n",
+                              tableText(version, hasHoldRoute), Milliseconds(15000));
+    record.add("r" + std::to_string(version) + ": " + (answer ? answer->startLine : "no answer"));
+    return answer && answer->status() == 200;
+}
+
+struct Interval {
+    TimePoint from;
+    TimePoint until;
+};
+
+struct Findings {
+    std::size_t requests = 0;
+    std::size_t served = 0;
+    std::size_t twice = 0;
+};
+
+// Counts requests that were sent while no configuration could be in force but one with the route "hold".
+Findings judge(const std::vector<std::unique_ptr<Upstream>> &upstreams,
+               const std::map<std::string, Clients::Outcome> &outcomes, const std::vector<Interval> &onceOnly,
+               Record &record)
+{
+    std::map<std::string, std::vector<std::string>> runs;
+    for (const auto &upstream : upstreams) {
+        for (const Upstream::Arrival &it : upstream->arrivals()) {
+            runs[it.request].push_back(upstream->options().id);
+        }
     }
-    std::this_thread::sleep_for(Milliseconds(500));
-    for (std::size_t n = 0; n < deployment.size(); ++n) {
-        deployment.control(n).start();
+    Findings findings;
+    for (const auto &[id, outcome] : outcomes) {
+        ++findings.requests;
+        findings.served += outcome.status == 200 ? 1 : 0;
+        bool isOnceOnly = false;
+        for (const Interval &it : onceOnly) {
+            isOnceOnly |= outcome.sentAt > it.from && outcome.sentAt < it.until;
+        }
+        if (isOnceOnly && runs[id].size() > 1) {
+            ++findings.twice;
+            record.add("run twice: " + id + " sent at " + std::to_string(record.secondsOf(outcome.sentAt)) + " s, at "
+                       + runs[id][0] + " and " + runs[id][1] + ", answered " + std::to_string(outcome.status));
+        }
     }
+    return findings;
 }
 
 int run(const std::string &program, const std::string &folder, const std::string &recordFile)
@@ -60,101 +93,66 @@
     Deployment deployment({program, folder});
     deployment.startAll();
     std::vector<Address> controls;
-    std::vector<Address> entries;
+    Clients::Options options;
+    options.host = "ficu.example";
+    options.prefix = "/katalog/hold/";
     for (std::size_t n = 0; n < deployment.size(); ++n) {
         controls.push_back(deployment.operators(n));
-        entries.push_back(deployment.callers(n));
+        options.entries.push_back(deployment.callers(n));
     }
     std::vector<std::unique_ptr<Upstream>> upstreams;
     for (std::size_t n = 0; n < 2 * deployment.size(); ++n) {
-        Upstream::Options options{"i-" + std::to_string(n), "katalog", Deployment::zones()[n % deployment.size()],
-                                  deployment.freeAddress(), 3,         WorkTime};
-        upstreams.push_back(std::make_unique<Upstream>(options, controls, record));
+        Upstream::Options upstream{"i-" + std::to_string(n), "katalog", Deployment::zones()[n % deployment.size()],
+                                   deployment.freeAddress(), 3,         WorkTime};
+        upstreams.push_back(std::make_unique<Upstream>(upstream, controls, record));
         upstreams.back()->startBeats();
     }
-    ControlCaller operatorCaller(controls);
-    const auto put = operatorCaller.callUntilClear(
-        "POST", "/api/Config.Put", "X-If-Rev: 0\r\nContent-Type: application/json\r\n", Table, Milliseconds(15000));
-    if (!put || put->status() != 200 || !deployment.awaitReady(Milliseconds(15000))) {
+    ControlCaller caller(controls);
+    unsigned version = 1;
+    if (!put(caller, version, true, record) || !deployment.awaitReady(Milliseconds(15000))) {
         record.add("could not run: no configuration, or entry hosts that are not ready");
         return 2;
     }
     deployment.endFirstStart();
-    Clients::Options options;
-    options.entries = entries;
-    options.host = "ficu.example";
-    options.prefix = "/hold/";
+    std::vector<Interval> onceOnly;
+    TimePoint inForceFrom = SteadyClock::now();
     Clients clients(options);
-    std::this_thread::sleep_for(Seconds(6));
-
-    Upstream &leaving = *upstreams.front();
-    leaving.stopBeats();
-    record.add("a heartbeat of " + leaving.options().id + " is sent to control 0 and held on its way");
-    std::thread late = sendLate(controls[LateAt], leaving.beatPath(), leaving.nextBeat("ready"), record);
-    std::this_thread::sleep_for(Seconds(1));
-    ControlCaller next({controls[LeavesAt]});
-    next.call("POST", leaving.beatPath(), "Content-Type: application/json\r\n", leaving.nextBeat("ready"));
-    const auto left = next.callUntilClear("POST", leaving.leavePath(), "Content-Type: application/json\r\n",
-                                          leaving.leaveBody(), Milliseconds(3000));
-    const TimePoint acknowledgedAt = SteadyClock::now();
-    if (!left || left->status() != 200) {
-        record.add("could not run: the departure was not acknowledged");
-        late.join();
-        return 2;
-    }
-    record.add("the departure of " + leaving.options().id + " is acknowledged");
-    std::this_thread::sleep_for(Milliseconds(300));
-    TimePoint calmFrom = acknowledgedAt;
-    if (hasTrouble()) {
-        record.add("all control hosts are killed");
-        killControls(deployment);
-        calmFrom = SteadyClock::now() + std::chrono::duration_cast<SteadyClock::duration>(ContactTime);
-        record.add("all control hosts are started again");
-    }
-    late.join();
-    std::this_thread::sleep_until(acknowledgedAt + ServesOnFor);
-    leaving.end();
-    const TimePoint endedAt = SteadyClock::now();
-    record.add(leaving.options().id + " ends");
-    std::this_thread::sleep_for(Seconds(4));
-    clients.stop();
-
-    const TimePoint boundAt =
-        std::max(acknowledgedAt + std::chrono::duration_cast<SteadyClock::duration>(DrainTime), calmFrom);
-    const auto outcomes = clients.outcomes();
-    std::size_t served = 0;
-    std::size_t late0 = 0;
-    std::size_t broken = 0;
-    std::size_t lost = 0;
-    for (const auto &[id, outcome] : outcomes) {
-        served += outcome.status == 200 ? 1 : 0;
-    }
-    for (const Upstream::Arrival &it : leaving.arrivals()) {
-        late0 += it.at > acknowledgedAt + DrainTime ? 1 : 0;
-        if (it.at <= boundAt) {
-            continue;
+    std::this_thread::sleep_for(Seconds(5));
+    for (int n = 0; n < Removals; ++n) {
+        if (hasTrouble()) {
+            record.add("upstreams lose answers");
+            for (std::size_t k = 0; k < upstreams.size() * 6 / 10; ++k) {
+                upstreams[k]->loseAnswers(LostOfTen);
+            }
         }
-        ++broken;
-        const auto outcome = outcomes.find(it.request);
-        const bool isLost = outcome != outcomes.end() && outcome->second.status != 200;
-        lost += isLost ? 1 : 0;
-        record.add("after the bound: " + it.request + " reached " + leaving.options().id + " "
-                   + std::to_string(Seconds(it.at - acknowledgedAt).count()) + " s after the acknowledgement, answered "
-                   + (outcome == outcomes.end() ? "-" : std::to_string(outcome->second.status)));
+        std::this_thread::sleep_for(Seconds(1));
+        onceOnly.push_back({inForceFrom, SteadyClock::now()});
+        if (!put(caller, ++version, false, record)) {
+            return 2;
+        }
+        std::this_thread::sleep_for(Seconds(2));
+        for (const auto &it : upstreams) {
+            it->loseAnswers(0);
+        }
+        if (!put(caller, ++version, true, record)) {
+            return 2;
+        }
+        std::this_thread::sleep_for(ApplyTime);
+        inForceFrom = SteadyClock::now();
+        std::this_thread::sleep_for(Seconds(3));
     }
-    record.add("requests " + std::to_string(outcomes.size()) + ", served " + std::to_string(served));
-    record.add("ended " + std::to_string(Seconds(endedAt - acknowledgedAt).count()) + " s after the acknowledgement");
-    record.add("at the upstream that left, later than drainS: " + std::to_string(late0)
-               + ", of these with all machines in touch: " + std::to_string(broken)
-               + ", of these not served: " + std::to_string(lost));
-    if (const auto ended = deployment.endedProcesses(); !ended.empty()) {
-        record.add("ended by itself: " + ended.front());
+    clients.stop();
+    const Findings findings = judge(upstreams, clients.outcomes(), onceOnly, record);
+    record.add("requests " + std::to_string(findings.requests) + ", served " + std::to_string(findings.served)
+               + ", sent while they may run once and run twice: " + std::to_string(findings.twice));
+    for (const std::string &it : deployment.endedProcesses()) {
+        record.add("ended by itself: " + it);
     }
-    if (served * 2 < outcomes.size()) {
+    if (findings.served * 2 < findings.requests) {
         record.add("could not run: most requests were not served");
         return 2;
     }
-    return broken > 0 ? 1 : 0;
+    return findings.twice > 0 ? 1 : 0;
 }
 
 } // namespace
--- a/review/standin-2/Standin.cpp
+++ b/review/standin-2/Standin.cpp
@@ -693,12 +693,30 @@
 void Upstream::serve(Connection &connection)
 {
     while (const std::optional<HttpMessage> request = connection.read(IdleTimeout)) {
-        if (!connection.send(answerTo(*request))) {
+        const std::string answer = answerTo(*request);
+        if (losesAnswer()) {
+            m_record.add("answer lost: " + m_options.id + " " + request->header("X-Request-Id"));
+            connection.close(true);
+            return;
+        }
+        if (!connection.send(answer)) {
             return;
         }
     }
 }
 
+void Upstream::loseAnswers(unsigned ofTen)
+{
+    m_lostOfTen = ofTen;
+}
+
+bool Upstream::losesAnswer()
+{
+    constexpr unsigned Ten = 10;
+    constexpr unsigned Step = 3; // spreads the lost ones
+    return m_answers++ * Step % Ten < m_lostOfTen;
+}
+
 std::string Upstream::answerTo(const HttpMessage &request)
 {
     const std::string id = request.header("X-Request-Id");
--- a/review/standin-2/Standin.h
+++ b/review/standin-2/Standin.h
@@ -230,12 +230,15 @@
     std::string leaveBody() const;
     const Options &options() const;
     std::vector<Arrival> arrivals() const;
+    /// From now on loses so many of each ten answers: it resets the connection once the request has run.
+    void loseAnswers(unsigned ofTen);
     /// Ends as a planned end does: it closes its connections whatever runs.
     void end();
 
 private:
     void serve(Connection &connection);
     std::string answerTo(const HttpMessage &request);
+    bool losesAnswer();
 
     Options m_options;
     ControlCaller m_caller;
@@ -244,6 +247,8 @@
     std::atomic<std::uint64_t> m_sequence = 0;
     std::atomic<bool> m_beats = false;
     std::atomic<unsigned> m_running = 0;
+    std::atomic<unsigned> m_lostOfTen = 0;
+    std::atomic<unsigned> m_answers = 0;
     mutable std::mutex m_mutex;
     std::vector<Arrival> m_arrivals;
     std::thread m_beater;
