--- a/review/standin-2/Standin.cpp
+++ b/review/standin-2/Standin.cpp
@@ -528,7 +528,14 @@
 
 Address Deployment::freeAddress()
 {
-    return {"127.0.13.1", m_nextPort++};
+    for (;;) {
+        const Address address{"127.0.13.1", m_nextPort++};
+        const int socket = boundSocket(address);
+        if (socket >= 0) {
+            ::close(socket);
+            return address;
+        }
+    }
 }
 
 void Deployment::endFirstStart()
