Review: an address that can be moved out

Cause: the linter found a constant that is returned by copy.

Added: the stand-in's address is not constant.

--- a/review/standin-2/Standin.cpp
+++ b/review/standin-2/Standin.cpp
@@ -529,7 +529,7 @@
 Address Deployment::freeAddress()
 {
     for (;;) {
-        const Address address{"127.0.13.1", m_nextPort++};
+        Address address{"127.0.13.1", m_nextPort++};
         const int socket = boundSocket(address);
         if (socket >= 0) {
             ::close(socket);
