Balance: a request that may run once stays so when its route is replaced

Callers saw a request run twice: its route, once-only, was removed while it was at a target, a shorter route for repeatable requests led on, the answer was lost, and a second target ran it again.

Cause: each send, hedge and relay decided by the newest route alone whether a run may be repeated.

RunLimit separates where a request may go (newest route) from whether it may run again, which each route only makes stricter. LoosenedRoutes does the same for requests that were under way, or whose body was arriving, when a table was replaced. A relay tells its receiver, which has routes of its own (X-Relayed-Once).

--- a/include/pepperlug/Balance.h
+++ b/include/pepperlug/Balance.h
@@ -113,6 +113,8 @@
     std::optional<std::uint64_t> relayedByIndex{};
     Duration waited{}; ///< since its arrival, for answers ahead of it on its connection
     TimePoint dueAhead{}; ///< when the last of these answers is due; the default: there is none
+    Duration age{}; ///< since its first byte arrived
+    bool isOnceOnly = false; ///< the entry host that relayed it must not let it run twice
 };
 
 /// This host stops.
@@ -238,6 +240,7 @@
     std::string region; ///< of the target or relay
     std::string route; ///< name
     std::vector<std::string> homeRegions; ///< that the receiver is one of; empty: the request is not bound to any
+    bool isOnceOnly = false; ///< the receiver must not let the request run twice
     bool hasTenants = false; ///< the table has tenants, so the caller's key is not passed to the target
     std::string tenant; ///< that the request is counted for; empty: none
     Duration timeLeft{}; ///< until the caller's deadline or the route's timeout
--- a/include/pepperlug/Fleet.h
+++ b/include/pepperlug/Fleet.h
@@ -81,6 +81,7 @@
     /// Log index of the routing by which an entry host that reaches no target passes it on; nothing: it comes from a
     /// caller.
     std::optional<std::uint64_t> relayedByIndex;
+    bool isOnceOnly = false; ///< that entry host must not let it run twice, whatever the kind of its route here
 };
 
 /// Fields that an entry host adds to a request for a target.
@@ -95,6 +96,7 @@
 struct RelayedRequestFields {
     Duration timeLeft{};
     std::uint64_t routingIndex = 0; ///< log index of the routing that the relay was decided by
+    bool isOnceOnly = false; ///< the receiver must not let the request run twice
 };
 
 /// Fields of the status and head of a target's answer, or of an entry host's that a request was relayed to.
--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -20,6 +20,7 @@
     std::string peerIp;
     std::uint64_t connection = 0; ///< number of the caller's connection, from 1
     std::uint64_t place = 0; ///< among the requests of the connection, from 1
+    Duration age{}; ///< since its first byte arrived
     Duration waited{}; ///< since it arrived whole, for answers ahead of it on its connection
 
     /// First value of a header, names compared without case; nothing if it is absent.
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -74,6 +74,9 @@
 
 void Balancer::Impl::handle(const RoutesChanged &event)
 {
+    if (m_table && m_table->version != event.table->version) {
+        m_loosened.replace(*m_table, *m_routeIndex, *event.table, m_now);
+    }
     m_table = event.table;
     m_routingIndex = event.index;
     m_routeIndex.emplace(m_table);
@@ -210,6 +213,7 @@
     effect.region = target.region;
     effect.route = open.route.name;
     effect.homeRegions = open.regions.homes();
+    effect.isOnceOnly = !open.runs.isRepeatable();
     effect.hasTenants = !m_table->tenants.empty();
     effect.tenant = open.tenant;
     effect.timeLeft = open.deadline - m_now;
@@ -313,8 +317,7 @@
     if (open.hasAnswerBegun || !mayUseAnotherTarget(open, outcome)) {
         return false;
     }
-    const bool isSafe = open.route.kind == RouteKind::Repeatable || (isCertainlyNotRun(outcome) && !open.mayHaveRun);
-    if (!isSafe || open.attemptsStarted >= open.route.attempts || m_now >= open.deadline
+    if (!open.runs.mayRunNow() || open.attemptsStarted >= open.route.attempts || m_now >= open.deadline
         || !m_stop.admits(open.deadline)) {
         return false;
     }
@@ -420,12 +423,14 @@
         checkForCrash(open, attempt);
     }
     open.hasAnswerBegun &= !event.isTakenBack;
-    open.mayHaveRun |= open.hasAnswerBegun || !isCertainlyNotRun(event.outcome);
+    if (open.hasAnswerBegun || !isCertainlyNotRun(event.outcome)) {
+        open.runs.recordRun();
+    }
     if (!open.attempts.empty()) {
         return; // another attempt is in progress
     }
     const bool hasRoute = refreshRoute(open);
-    const bool mayRelay = isCutOff(open.service) && isCertainlyNotRun(event.outcome) && !open.mayHaveRun;
+    const bool mayRelay = isCutOff(open.service) && isCertainlyNotRun(event.outcome) && !open.runs.mayHaveRun();
     if (hasRoute && mayRelay && startRelay(open)) {
         return;
     }
@@ -445,7 +450,7 @@
 Refusal Balancer::Impl::refusalAfter(const OpenRequest &open, AttemptOutcome outcome, bool hasRoute,
                                      Refusal unserved) const
 {
-    if (open.mayHaveRun) {
+    if (open.runs.mayHaveRun()) {
         return outcome == AttemptOutcome::TimedOut || m_now >= open.deadline ? Refusal::TimedOut : Refusal::Lost;
     }
     if (!hasRoute) {
@@ -486,9 +491,8 @@
 bool Balancer::Impl::mayHedge(const OpenRequest &open) const
 {
     return open.attempts.size() == 1 && open.attempts.begin()->second.relay.empty() && !isCutOff(open.service)
-        && mayUseAnotherTarget(open, AttemptOutcome::TimedOut) && !open.hasAnswerBegun
-        && open.route.kind == RouteKind::Repeatable && open.attemptsStarted < open.route.attempts
-        && m_stop.admits(open.deadline);
+        && mayUseAnotherTarget(open, AttemptOutcome::TimedOut) && !open.hasAnswerBegun && open.runs.isRepeatable()
+        && open.attemptsStarted < open.route.attempts && m_stop.admits(open.deadline);
 }
 
 bool Balancer::Impl::isTargetUnresponsive(const Attempt &attempt, const Route &route)
--- a/lib/Balance/Impl.h
+++ b/lib/Balance/Impl.h
@@ -5,10 +5,12 @@
 #include "Admission.h"
 #include "DemandEstimate.h"
 #include "LinkBudget.h"
+#include "LoosenedRoutes.h"
 #include "RegionPlanner.h"
 #include "RelayHosts.h"
 #include "RetryBudget.h"
 #include "ReturnSchedule.h"
+#include "RunLimit.h"
 #include "ShedWatch.h"
 #include "TargetSet.h"
 
@@ -79,7 +81,7 @@
         std::set<std::string> triedRelays;
         unsigned relaysStarted = 0;
         std::string lastTarget;
-        bool mayHaveRun = false;
+        RunLimit runs;
         bool isShedWithFreeSlots = false; ///< by the target of the last attempt
         bool isCallerRetry = false; ///< the caller was refused before, and waited
         bool hasAnswerBegun = false; ///< a part of an answer was sent to the caller
@@ -141,6 +143,7 @@
     const Route *currentRoute(const OpenRequest &open) const;
     CallerIdentity identifyCaller(const CallerRequest &request, const Route *route) const;
     void assignRoute(OpenRequest &open, const Route &route, const CallerIdentity &caller);
+    void restrictRuns(OpenRequest &open) const;
     static void assignTenant(OpenRequest &open, const CallerIdentity &caller);
     bool refreshRoute(OpenRequest &open);
     bool isStillUsable(const TargetState *target, const Attempt &attempt) const;
@@ -211,6 +214,7 @@
     std::shared_ptr<const RouteTable> m_table;
     std::optional<RouteIndex> m_routeIndex; ///< of m_table
     std::uint64_t m_routingIndex = 0; ///< log index of the routing in force
+    LoosenedRoutes m_loosened; ///< by the latest tables
     std::optional<UpdateReceived> m_lastUpdate;
     bool m_isSuspended = false;
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
--- a/lib/Balance/Relaying.cpp
+++ b/lib/Balance/Relaying.cpp
@@ -102,7 +102,7 @@
     if (host == nullptr) {
         return false;
     }
-    const bool isAtTarget = !open.attempts.empty() || open.mayHaveRun;
+    const bool isAtTarget = !open.attempts.empty() || open.runs.mayHaveRun();
     if (!isAtTarget) {
         refundToken(open, Refusal::NotReached); // the other host takes a token
         open.token.reset();
@@ -127,6 +127,7 @@
     effect.region = host->region;
     effect.route = open.route.name;
     effect.homeRegions = open.regions.homes();
+    effect.isOnceOnly = !open.runs.isRepeatable();
     effect.timeLeft = open.deadline - m_now;
     effect.loadAge = Milliseconds(-1);
     m_out->emplace_back(std::move(effect));
@@ -148,9 +149,9 @@
 {
     for (auto &[id, open] : m_open) {
         const bool isAtTarget = open.attempts.size() == 1 && open.attempts.begin()->second.relay.empty();
-        const bool mayRepeat = open.route.kind == RouteKind::Repeatable && !open.hasAnswerBegun
-            && m_stop.admits(open.deadline) && mayUseAnotherTarget(open, AttemptOutcome::TimedOut);
-        if (open.service == service && isAtTarget && mayRepeat && refreshRoute(open)
+        const bool mayRelay =
+            !open.hasAnswerBegun && m_stop.admits(open.deadline) && mayUseAnotherTarget(open, AttemptOutcome::TimedOut);
+        if (open.service == service && isAtTarget && mayRelay && refreshRoute(open) && open.runs.isRepeatable()
             && m_budgets.at(open.service).take(m_now, m_targets.entryHosts())) {
             startRelay(open);
         }
@@ -168,7 +169,9 @@
         return;
     }
     const bool isNotRun = isCertainlyNotRun(event.outcome);
-    open.mayHaveRun |= !isNotRun;
+    if (!isNotRun) {
+        open.runs.recordRun();
+    }
     if (event.outcome == AttemptOutcome::Withdrawn) {
         --open.relaysStarted;
         open.triedRelays.erase(attempt.relay);
@@ -179,8 +182,7 @@
         return; // another attempt is in progress
     }
     const bool hasRoute = refreshRoute(open);
-    const bool mayRepeat = !open.mayHaveRun || open.route.kind == RouteKind::Repeatable;
-    if (hasRoute && isNotRun && mayRepeat && !open.hasAnswerBegun && startRelay(open)) {
+    if (hasRoute && isNotRun && open.runs.mayRunNow() && !open.hasAnswerBegun && startRelay(open)) {
         return;
     }
     failRequest(open, refusalAfter(open, event.outcome, hasRoute, Refusal::NotReached));
--- a/lib/Balance/RoutesInForce.cpp
+++ b/lib/Balance/RoutesInForce.cpp
@@ -94,10 +94,20 @@
     }
 }
 
+// Each table since the request was sent counts, also those by which it was not sent on.
+void Balancer::Impl::restrictRuns(OpenRequest &open) const
+{
+    const CallerRequest &request = open.request;
+    const Duration age = m_now - open.arrivedAt + std::max(Duration(0), request.age - request.waited);
+    const bool wasOnceOnly = request.isOnceOnly || m_loosened.covers(request.host, request.path, age, m_now);
+    open.runs.restrictTo(wasOnceOnly ? RouteKind::OnceOnly : open.route.kind);
+}
+
 // Keeps the service if the route still leads to it by the new table, so that the weights of a split hold.
 void Balancer::Impl::assignRoute(OpenRequest &open, const Route &route, const CallerIdentity &caller)
 {
     open.route = route;
+    restrictRuns(open);
     assignTenant(open, caller);
     open.tableVersion = m_table->version;
     const auto isKept = [&](const WeightedService &it) {
--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -35,6 +35,7 @@
                        {"newest_table", m_balancer->tableVersion()},
                        {"index", effect.routingIndex},
                        {"relayed_by_index", relayingIndexOf(open)},
+                       {"once_only", effect.isOnceOnly},
                        {"has_homes", !effect.homeRegions.empty()},
                        {"homes", effect.homeRegions},
                        {"view_age_ms", viewAge().count()},
--- a/lib/Fleet/GatewayRelays.cpp
+++ b/lib/Fleet/GatewayRelays.cpp
@@ -37,7 +37,7 @@
 {
     const std::vector<HeaderField> headers = endToEndHeaders(http.headers);
     if (!effect.relay.empty()) {
-        return m_dialect.relayHeaders(headers, {effect.timeLeft, effect.routingIndex});
+        return m_dialect.relayHeaders(headers, {effect.timeLeft, effect.routingIndex, effect.isOnceOnly});
     }
     return m_dialect.targetHeaders(headers, {effect.target, effect.timeLeft, effect.hasTenants, effect.tenant});
 }
--- a/lib/Fleet/GatewayRequests.cpp
+++ b/lib/Fleet/GatewayRequests.cpp
@@ -35,6 +35,8 @@
     request.digest = open.digest;
     request.keyDigest = open.fields.keyDigest;
     request.relayedByIndex = open.fields.relayedByIndex;
+    request.isOnceOnly = open.fields.isOnceOnly;
+    request.age = http.age;
     m_metrics.count(open.fields.relayedByIndex ? "pepperlug_relayed_requests" : "pepperlug_requests");
     {
         const std::lock_guard lock(m_mutex);
--- a/lib/Http/Connection.cpp
+++ b/lib/Http/Connection.cpp
@@ -169,7 +169,7 @@
         if (m_ignoresInput) {
             return; // an answer that closes the connection was given meanwhile
         }
-        m_partSince.reset();
+        slot->begunAt = std::exchange(m_partSince, std::nullopt).value_or(slot->arrivedAt);
         refusal = refusalLocked();
         if (refusal == nullptr) {
             m_ignoresInput = !slot->keepsAlive;
@@ -197,7 +197,9 @@
             }
             slot->isPassedOn = true;
         }
-        slot->request.waited = m_shared.clock.now() - slot->arrivedAt;
+        const TimePoint now = m_shared.clock.now();
+        slot->request.waited = now - slot->arrivedAt;
+        slot->request.age = now - slot->begunAt;
         handle(makeExchange(shared_from_this(), slot));
     }
 }
--- a/lib/Http/Connection.h
+++ b/lib/Http/Connection.h
@@ -22,6 +22,7 @@
 struct Slot : OwedAnswer {
     HttpRequest request; ///< until it is passed on
     IntakeShare share; ///< likewise
+    TimePoint begunAt{}; ///< when its first byte arrived
     TimePoint arrivedAt{}; ///< when it was whole
     bool keepsAlive = true; ///< as its caller wants
     bool isReplaced = false;
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -308,6 +308,20 @@
     CHECK(relayedByIndex("") == std::nullopt);
 }
 
+// Guards against a second run by the receiver of a relayed request, and against a mark that reaches a target.
+TEST_CASE("a relayed request that may run once says so to the receiver alone")
+{
+    const std::vector<HeaderField> sent{{"x-relayed-once", "1"}, {"A", "b"}};
+    const auto isOnceOnly = [](const std::vector<HeaderField> &headers) {
+        HttpRequest it = request("GET", "/p/x");
+        it.headers = headers;
+        return Clients::readRequest(it).isOnceOnly;
+    };
+    CHECK(isOnceOnly(Clients::relayHeaders({{"A", "b"}}, {1s, 7, true})));
+    CHECK_FALSE(isOnceOnly(Clients::relayHeaders(sent, {1s, 7, false})));
+    CHECK_FALSE(isOnceOnly(Clients::targetHeaders(sent, {"i-1", 1s, false, {}})));
+}
+
 TEST_CASE("a caller's key is read only where it is the one key that it shows")
 {
     const auto digestOf = [](const std::vector<HeaderField> &headers) {
