Control hosts: a departure is on disk at a majority before it is acknowledged

Callers' requests reached a target whose departure had been acknowledged, after all control hosts were killed at one moment and a report from before the departure came late; some were lost when the target ended.

Cause: departures were held in memory alone.

Control hosts write departures to a synced file (DepartureStore), read it before their first report, and acknowledge one when a majority of the voters has saved it (SavedUpdates: with polls and confirmations). Entry hosts keep the ends of targets for as long (DepartedTargets).

DepartureTest and the new case of BalancerTest fail where saved departures are not read, or ends not kept.

--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -184,10 +184,13 @@
 /// abandoned after 1.2 s, and the next control host is polled.
 constexpr int LeasesUntilIsolated = 2;
 
+/// Time for which the end of a target's incarnation is kept. A report from before it may arrive until then.
+constexpr std::chrono::seconds DepartureRetention{60};
+
 struct RegistrySettings {
     Duration targetExpiry = std::chrono::seconds(6); ///< a target without a report for this long is silent
     Duration hostExpiry = UpdateLease; ///< the same for hosts
-    Duration retention = std::chrono::seconds(60); ///< for which reports of silent and gone targets and hosts are kept
+    Duration retention = DepartureRetention; ///< for which reports of silent and gone targets and hosts are kept
 };
 
 /// Table of the last report of each target and host. A change is significant if entry hosts receive it: a renewal or a
@@ -231,6 +234,8 @@
     RegistryChanges receivedSince(std::uint64_t version, TimePoint now) const;
     /// Returns reports with a significant change after a version.
     RegistryChanges changedSince(std::uint64_t version, TimePoint now) const;
+    /// Returns the targets that drain or have ended among those with a significant change after a version.
+    std::vector<TargetReport> departuresSince(std::uint64_t version) const;
     std::uint64_t version() const;
     /// Returns the version of the latest significant change.
     std::uint64_t changedVersion() const;
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -108,6 +108,11 @@
 {
     for (const AgedReport<TargetReport> &it : changes.targets) {
         ++m_visited;
+        if (it.report.presence == Presence::Gone) {
+            m_departed.add(it.report, now);
+        } else if (m_departed.covers(it.report)) {
+            continue;
+        }
         const auto [entry, isNew] = m_targets.try_emplace(it.report.id);
         TargetState &target = entry->second;
         if (!isNew && it.report.startedAt < target.report.startedAt) {
@@ -502,6 +507,9 @@
 void TargetSet::addRestored(const std::vector<TargetReport> &targets, TimePoint now)
 {
     for (const TargetReport &it : targets) {
+        if (m_departed.covers(it)) {
+            continue;
+        }
         const auto [entry, isNew] = m_targets.try_emplace(it.id);
         if (!isNew) {
             continue;
--- a/lib/Balance/TargetSet.h
+++ b/lib/Balance/TargetSet.h
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "DepartedTargets.h"
 #include "EntryHosts.h"
 #include "FailureBlock.h"
 #include "LimitShare.h"
@@ -172,6 +173,7 @@
     std::set<std::string> m_evacuated;
     std::unordered_map<std::string, TargetState> m_targets;
     std::map<std::string, RingsByRegion, std::less<>> m_rings; ///< of m_targets, by service
+    DepartedTargets m_departed;
     EntryHosts m_entryHosts;
     std::uint64_t m_samples = 0; ///< for which a point of the ring was drawn
     mutable std::uint64_t m_visited = 0;
--- a/lib/Fleet/FleetMessages.h
+++ b/lib/Fleet/FleetMessages.h
@@ -71,8 +71,11 @@
     UpdateOffer<BackpressureReport> backpressure; ///< rate limits and departures advertised in targets' answers
     std::uint64_t removedLoadsSince = 0; ///< used by earlier versions
     bool readsPacked = false; ///< the sender reads packed parts of FleetWatchReply; false in calls of earlier versions
+    /// From a control host: registry version up to which it has saved the departures; earlier versions save none and
+    /// send nothing.
+    std::uint64_t saved = std::numeric_limits<std::uint64_t>::max();
     MSGPACK_DEFINE(self, epoch, since, routingIndex, newestRoutingIndex, maxWait, confirmed, suspects, backpressure,
-                   removedLoadsSince, readsPacked);
+                   removedLoadsSince, readsPacked, saved);
 };
 
 /// Reply to path::FleetAlive. It is short, so it arrives beside a long reply on a slow link. Replies of earlier
@@ -127,7 +130,8 @@
     std::uint64_t sequence = 0; ///< from the same counter as the sequence of its reports
     std::string epoch; ///< of the confirmed registry
     UpdateVersions confirmed;
-    MSGPACK_DEFINE(host, peer, sequence, epoch, confirmed);
+    std::uint64_t saved = 0; ///< FleetWatchCall::saved
+    MSGPACK_DEFINE(host, peer, sequence, epoch, confirmed, saved);
 };
 
 /// Body of path::FleetRouting: an entry host fetches the changes of the routing.
--- a/lib/Fleet/RegistryConfirmations.cpp
+++ b/lib/Fleet/RegistryConfirmations.cpp
@@ -1,10 +1,9 @@
 //===- RegistryConfirmations.cpp - Acknowledgements of a control host -----===//
 //
-// What is acknowledged must hold. A target's departure is acknowledged when a majority of the control hosts knows it,
-// so that it isn't forgotten, and when all entry hosts whose lease is valid have confirmed it, since only these could
-// violate it. A routing change is acknowledged when it is committed and these entry hosts have confirmed it. This file
-// keeps track of the confirmations, sends those that other control hosts wait for, and acknowledges departures and
-// changes.
+// What is acknowledged must hold. A target's departure is acknowledged when a majority of the control hosts has saved
+// it, so that it isn't forgotten, and when all entry hosts whose lease is valid have confirmed it, since only these
+// could violate it. A routing change is acknowledged when it is committed and these entry hosts have confirmed it. This
+// file keeps track of the confirmations, sends those that other control hosts wait for, and acknowledges changes.
 //
 //===----------------------------------------------------------------------===//
 #include "../Daemon/HttpStatus.h"
@@ -39,7 +38,7 @@
 {
     const HostReport &self = request.self;
     if (self.role == HostRole::Control) {
-        m_peerVersions[self.peer] = request.since;
+        m_peerVersions[self.peer] = std::min(request.since, request.saved);
         // Versions of an earlier incarnation of this host are invalid.
         m_confirmations.recordPeerConfirmation(self.peer, isSameEpoch ? request.confirmed : UpdateVersions{});
         return;
@@ -104,6 +103,8 @@
         const bool isSameEpoch = confirmation.epoch == m_epoch;
         if (isSameEpoch && acceptSequence(confirmation.peer, confirmation.host, confirmation.sequence)) {
             m_confirmations.recordPeerConfirmation(confirmation.peer, confirmation.confirmed);
+            std::uint64_t &saved = m_peerVersions[confirmation.peer];
+            saved = std::max(saved, confirmation.saved);
             resolvePending(m_clock.now());
         }
     }
@@ -112,11 +113,24 @@
 
 void RegistryDaemon::Impl::queueConfirmation(const std::optional<Address> &to, UpdateVersions position)
 {
-    if (to && *to != m_settings.peer) {
-        m_pendingConfirmations.push_back({*to, position, m_clock.now() + 2 * m_settings.updateLease});
+    if (!to || *to == m_settings.peer) {
+        return;
+    }
+    const TimePoint until = m_clock.now() + 2 * m_settings.updateLease;
+    m_pendingConfirmations.push_back({*to, position, until});
+    if (position.registryVersion > 0) {
+        m_pendingConfirmations.push_back({*to, position, until, true});
     }
 }
 
+bool RegistryDaemon::Impl::hasReached(const PendingConfirmation &pending, UpdateVersions confirmed)
+{
+    if (pending.isOfSaving) {
+        return m_saved.savedOf(pending.to.text(), m_epochs[pending.to]) >= pending.position.registryVersion;
+    }
+    return confirmed.reaches(pending.position);
+}
+
 // Polls are held by the other host, so a confirmation in the next one would come up to a third of a second late. A
 // confirmation that is lost comes with the next poll.
 void RegistryDaemon::Impl::sendPendingConfirmations(TimePoint now)
@@ -128,14 +142,16 @@
         if (isNew) {
             it->second = confirmedTo(pending.to, m_epochs[pending.to]);
         }
-        const bool isReached = it->second.reaches(pending.position);
+        const bool isReached = hasReached(pending, it->second);
         if (isReached) {
             reached.insert(pending.to);
         }
         return isReached || now > pending.until;
     });
     for (const Address &to : reached) {
-        const FleetConfirmCall call{m_incarnation, m_settings.peer.text(), ++m_sequence, m_epochs[to], confirmed[to]};
+        const std::string &epoch = m_epochs[to];
+        const FleetConfirmCall call{m_incarnation, m_settings.peer.text(), ++m_sequence,
+                                    epoch,         confirmed[to],          m_saved.savedOf(to.text(), epoch)};
         m_net.call(to, path::FleetConfirm, encode(call), ConfirmTimeout, [](const PeerReply &) {});
     }
 }
@@ -200,46 +216,6 @@
     sendPendingConfirmations(now);
 }
 
-void RegistryDaemon::Impl::resolveDepartures(TimePoint now)
-{
-    if (m_departures.empty()) {
-        return;
-    }
-    const ControlLogStatus status = m_log->status();
-    const auto isKnownToMajority = [&](const Departure &departure) {
-        std::size_t voters = 0;
-        std::size_t informed = 0;
-        for (const ControlMember &member : status.members) {
-            if (!member.voter) {
-                continue;
-            }
-            const auto seen = m_peerVersions.find(member.name);
-            const bool knows = member.name == m_settings.peer.text()
-                || (seen != m_peerVersions.end() && seen->second >= departure.version);
-            ++voters;
-            informed += knows ? 1 : 0;
-        }
-        return informed * 2 > voters;
-    };
-    const std::vector<std::string> controlHosts = followedControlHosts(now);
-    std::erase_if(m_departures, [&](const Departure &departure) {
-        const bool isDone = isInForce({departure.version, 0}, controlHosts, now) && isKnownToMajority(departure);
-        if (!isDone && now < departure.until) {
-            return false;
-        }
-        const std::vector<std::string> missing = unconfirmed({departure.version, 0}, now);
-        m_events.state(isDone ? "departure-acknowledged" : "departure-not-spread",
-                       {{"target", departure.target},
-                        {"registry_version", departure.version},
-                        {"missing", describeMissing(missing, now)},
-                        {"took_ms", std::chrono::duration_cast<Milliseconds>(now - departure.since).count()}});
-        m_metrics.latency("pepperlug_departure_seconds", now - departure.since);
-        departure.exchange->respond(m_dialect.controlAnswer(isDone ? ControlAnswer::Done : ControlAnswer::Unavailable,
-                                                            isDone ? "" : "not all hosts know of it yet"));
-        return true;
-    });
-}
-
 void RegistryDaemon::Impl::awaitConfirmation(const HttpExchangePtr &exchange, const std::string &subject,
                                              bool isRepeated)
 {
--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -76,6 +76,7 @@
                     {"disk", m_log->diskId()},
                     {"first_start", m_settings.isFirstStart}});
     restoreCachedState();
+    restoreDepartures();
     m_net.onSilence([this](const SilentConnection &silent) { reportSilence(m_events, silent); });
     m_net.onFailure(
         [this](const std::string &path, const std::string &reason) { reportFailure(m_events, path, reason); });
@@ -94,6 +95,7 @@
     m_directoryServer = std::make_unique<HttpServer>(m_settings.directory, 1, HttpLimits{}, m_clock, handler, m_intake);
     m_metricsServer = serveMetrics(m_settings.metrics, m_metrics, m_clock, m_intake);
     m_writer = std::make_unique<TaskThread>();
+    m_departureWriter = std::make_unique<TaskThread>();
     m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
 }
 
@@ -106,6 +108,7 @@
     m_directoryServer->stop();
     m_metricsServer->stop();
     m_net.stop();
+    m_departureWriter.reset();
 }
 
 void RegistryDaemon::Impl::tick()
@@ -116,6 +119,7 @@
         const std::lock_guard lock(m_mutex);
         reportSelf(now);
         expire(now);
+        saveDepartures(now);
         replyToWatchers(now);
         resolvePending(now);
         updateCallerShares(now);
@@ -259,6 +263,7 @@
                     call.routingIndex = m_routing.index();
                     call.newestRoutingIndex = m_routing.index();
                     call.confirmed = confirmedTo(to, epoch);
+                    call.saved = m_saved.savedOf(to.text(), epoch);
                     return call;
                 };
                 hooks.candidates = [peer] {
--- a/lib/Fleet/RegistryImpl.h
+++ b/lib/Fleet/RegistryImpl.h
@@ -5,8 +5,10 @@
 #include "CachedState.h"
 #include "ControlLog.h"
 #include "ControlWatch.h"
+#include "DepartureStore.h"
 #include "EventLog.h"
 #include "pepperlug/Fleet.h"
+#include "SavedUpdates.h"
 #include "ServerSweep.h"
 #include "SharedChanges.h"
 #include "UpdateExchange.h"
@@ -61,6 +63,13 @@
     std::string cachePath() const;
     void postCacheWrite(std::function<void()> write);
 
+    // RegistryDepartures.cpp
+    void restoreDepartures();
+    void saveDepartures(TimePoint now);
+    void writeDepartures(const std::vector<TargetReport> &departures, std::uint64_t version);
+    std::size_t votersThatSaved(std::uint64_t version, const std::vector<ControlMember> &members) const;
+    void resolveDepartures(TimePoint now);
+
     // RegistryPeers.cpp
     void onPeerCall(const IncomingCallPtr &call);
     void onJoin(const IncomingCallPtr &call);
@@ -135,6 +144,8 @@
     /// Returns false if a newer confirmation of this incarnation of the host has been received.
     bool acceptSequence(const std::string &peer, const std::string &host, std::uint64_t sequence);
     void queueConfirmation(const std::optional<Address> &to, UpdateVersions position);
+    struct PendingConfirmation;
+    bool hasReached(const PendingConfirmation &pending, UpdateVersions confirmed);
     void sendPendingConfirmations(TimePoint now);
     bool hasNoFollowers(TimePoint now) const;
     UpdateVersions confirmedTo(const Address &to, const std::string &epoch) const;
@@ -142,7 +153,6 @@
     bool isInForce(UpdateVersions position, const std::vector<std::string> &controlHosts, TimePoint now) const;
     std::vector<std::string> unconfirmed(UpdateVersions position, TimePoint now) const;
     void resolvePending(TimePoint now);
-    void resolveDepartures(TimePoint now);
     void awaitConfirmation(const HttpExchangePtr &exchange, const std::string &subject, bool isRepeated);
     void resolveChanges(TimePoint now);
 
@@ -187,7 +197,8 @@
         TimePoint until{};
     };
 
-    /// A target's departure that is acknowledged once a majority of the control hosts and all live entry hosts know it.
+    /// A target's departure that is acknowledged once a majority of the control hosts has saved it and all live entry
+    /// hosts know it.
     struct Departure {
         HttpExchangePtr exchange;
         std::string target;
@@ -208,6 +219,7 @@
         Address to;
         UpdateVersions position;
         TimePoint until{}; ///< nobody waits for it after this
+        bool isOfSaving = false; ///< that this host has saved the departures up to the version, not that all have it
     };
 
     FleetSettings m_settings;
@@ -254,7 +266,11 @@
     std::vector<Change> m_changes;
     std::map<std::uint64_t, HttpExchangePtr> m_undecided; ///< orders that the control group has not decided
     std::uint64_t m_lastUndecided = 0;
-    std::map<std::string, std::uint64_t> m_peerVersions; ///< registry versions of control hosts, by peer address
+    SavedUpdates m_saved;
+    bool m_isSaving = false; ///< departures are being written
+    TimePoint m_nextSave{}; ///< after a failure
+    /// Versions up to which control hosts have saved the departures of this host's registry, by peer address.
+    std::map<std::string, std::uint64_t> m_peerVersions;
     TimePoint m_startedAt{};
     TimePoint m_currentSince{};
     bool m_wasCurrent = false;
@@ -279,6 +295,8 @@
     std::unique_ptr<HttpServer> m_metricsServer;
     ServerSweep m_sweep; ///< used by the ticker only
     std::unique_ptr<TaskThread> m_writer; ///< a slow disk must not block the ticker
+    std::optional<DepartureStore> m_departureStore; ///< used by m_departureWriter only, once that runs
+    std::unique_ptr<TaskThread> m_departureWriter; ///< apart from long writes of the cache
     std::unique_ptr<Ticker> m_ticker;
 };
 
--- a/lib/Fleet/RegistryPeers.cpp
+++ b/lib/Fleet/RegistryPeers.cpp
@@ -170,6 +170,7 @@
         if (isFullyMerged) {
             // Followers receive only changes, so they have to confirm the newest of these.
             m_confirmations.recordMerge(info.from.text(), reply.epoch, reply.version, m_registry.changedVersion());
+            m_saved.recordMerge(info.from.text(), reply.epoch, reply.version, m_registry.changedVersion());
         }
         mergeSuspects(reply.suspects.reports, false, now);
         mergeBackpressure(reply.backpressure.reports, false, now);
@@ -179,6 +180,7 @@
                         [](const AgedReport<TargetReport> &it) { return it.report.presence != Presence::Ready; });
         if (hasDepartures) {
             queueConfirmation(info.from, {reply.version, 0});
+            saveDepartures(now);
         }
         announceUpdates(now);
     }
--- a/lib/Fleet/RegistryRequests.cpp
+++ b/lib/Fleet/RegistryRequests.cpp
@@ -94,6 +94,7 @@
         announceUpdates(now);
         if (isDeparture) {
             m_departures.push_back({exchange, report.id, entry->changedVersion, now, now + DepartureTimeout});
+            saveDepartures(now);
             resolveDepartures(now);
             answerPendingIfStopped();
         }
--- a/lib/Registry/Registry.cpp
+++ b/lib/Registry/Registry.cpp
@@ -537,6 +537,19 @@
     return changes;
 }
 
+std::vector<TargetReport> Registry::departuresSince(std::uint64_t version) const
+{
+    std::vector<TargetReport> departures;
+    for (auto it = m_targets.byChange.upper_bound(version); it != m_targets.byChange.end(); ++it) {
+        ++m_visited;
+        const TargetReport &report = it->second->report;
+        if (report.presence != Presence::Ready) {
+            departures.push_back(report);
+        }
+    }
+    return departures;
+}
+
 std::uint64_t Registry::version() const
 {
     return m_version;
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -431,6 +431,29 @@
     }
 }
 
+// Guards against a control host that has lost its state and passes on a report from before a target's end.
+TEST_CASE("a late report of a target that has ended does not bring it back, a later incarnation does")
+{
+    Host host;
+    host.useTable();
+    TargetReport target = Host::targetOf("t1");
+    target.startedAt = 1000ms;
+    target.sequence = 9;
+    host.report(target);
+    TargetReport departure = target;
+    departure.presence = Presence::Gone;
+    host.report(departure);
+    host.report(target);
+    host.reduce(ReportsChanged{{}, false, {}, {target}});
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() == nullptr);
+    target.startedAt = 2000ms;
+    target.sequence = 1;
+    host.report(target);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
 TEST_CASE("targets of a zone whose evacuation ends count as cold until they report")
 {
     Host host("z2");
