Bundle: a forwarded request is repeated only if both hosts may repeat it

The receiver of a forwarded request read its class by its own bundle. If that was newer than the sender's, a request that the sender may not repeat could be retried or hedged. The call carries whether it may be repeated; calls of earlier versions count as before. Found by reading, as the same cause as the requests that ran twice after a route change.

ForwardingTest tests the decision and the message; there is no test with two daemons.

--- a/include/pepperlug/Wire.h
+++ b/include/pepperlug/Wire.h
@@ -163,7 +163,9 @@
     std::string key;
     bool toHome = false;
     bool claimed = false;
-    MSGPACK_DEFINE(sender, service, callerZone, method, resource, headers, body, budget, key, toHome, claimed);
+    bool mayRepeat = true; ///< by the sender's bundle; absent in calls of earlier versions
+    MSGPACK_DEFINE(sender, service, callerZone, method, resource, headers, body, budget, key, toHome, claimed,
+                   mayRepeat);
 };
 
 /// Reply to path::Forward.
--- a/lib/Daemon/EntryEffects.cpp
+++ b/lib/Daemon/EntryEffects.cpp
@@ -218,6 +218,7 @@
     message.key = pending.key;
     message.toHome = effect.toOwner;
     message.claimed = pending.cls == RouteClass::Once && !effect.toOwner;
+    message.mayRepeat = pending.cls == RouteClass::Read;
     const EntryHost &host = m_bundle->hosts[idx(effect.host)];
     m_metrics.count("pepperlug_forwards");
     pending.attempts[effect.attempt].peerCall =
--- a/lib/Daemon/EntryPeer.cpp
+++ b/lib/Daemon/EntryPeer.cpp
@@ -1,5 +1,6 @@
 //===- EntryPeer.cpp - Other entry hosts' calls become events -------------===//
 #include "EntryImpl.h"
+#include "Forwarding.h"
 #include "HttpStatus.h"
 
 namespace pepperlug
@@ -68,7 +69,7 @@
         pending.headers.push_back({header.name, header.value});
     }
     pending.key = message.key;
-    pending.cls = bundle->services[idx(*service)].classOf(pending.method, pending.resource);
+    pending.cls = classOfForwarded(message, bundle->services[idx(*service)].classOf(pending.method, pending.resource));
     pending.arrivedAt = m_clock.now();
 
     RequestArrived event;
--- a/lib/Daemon/Forwarding.h
+++ b/lib/Daemon/Forwarding.h
@@ -7,6 +7,13 @@
 namespace pepperlug
 {
 
+/// Class of a forwarded request at its receiver. The bundles of the two hosts may differ for a moment; what the sender
+/// may not repeat, the receiver may not either. `own`: class by the receiver's bundle.
+inline RouteClass classOfForwarded(const ForwardCall &call, RouteClass own)
+{
+    return own == RouteClass::Read && !call.mayRepeat ? RouteClass::Plain : own;
+}
+
 /// Returns the answer in a reply; nothing if its status is none of a whole answer.
 inline std::optional<Answer> answerIn(ForwardReply &&reply)
 {
--- a/unittests/Daemon/ForwardingTest.cpp
+++ b/unittests/Daemon/ForwardingTest.cpp
@@ -5,6 +5,20 @@
 
 using namespace pepperlug;
 
+// Guards against a forwarded request that runs twice since the receiver's bundle allows what the sender's did not.
+TEST_CASE("a forwarded request is repeated only if the bundles of both hosts allow it")
+{
+    ForwardCall call;
+    CHECK(classOfForwarded(call, RouteClass::Read) == RouteClass::Read); // a sender of an earlier version
+    for (const bool mayRepeat : {true, false}) {
+        call.mayRepeat = mayRepeat;
+        const auto received = decode<ForwardCall>(encode(call), "p");
+        CHECK(classOfForwarded(received, RouteClass::Read) == (mayRepeat ? RouteClass::Read : RouteClass::Plain));
+        CHECK(classOfForwarded(received, RouteClass::Plain) == RouteClass::Plain);
+        CHECK(classOfForwarded(received, RouteClass::Once) == RouteClass::Once);
+    }
+}
+
 // Guards against a status that is none in an answer to a caller.
 TEST_CASE("a reply of another entry host holds an answer only with a status of a whole answer")
 {
