--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -65,6 +65,22 @@
     CHECK(checkRouteTable(table, "f").empty());
 }
 
+// Guards against requests that are sent again although nothing says that they may run twice.
+TEST_CASE("only routes of the kinds that may be repeated are read as such")
+{
+    const auto kindOf = [](const std::string &name) {
+        std::string text = TableText;
+        const std::string known = "\"unsafe\"";
+        text.replace(text.find(known), known.size(), "\"" + name + "\"");
+        return Control::readTable(text).routes.at(0).kind;
+    };
+    CHECK(kindOf("safe") == RouteKind::Repeatable);
+    CHECK(kindOf("download") == RouteKind::Repeatable);
+    for (const char *name : {"unsafe", "keyed", "Safe", ""}) {
+        CHECK(kindOf(name) == RouteKind::OnceOnly);
+    }
+}
+
 TEST_CASE("a configuration that is cut short or lacks a field is an error, not a part of one")
 {
     CHECK_THROWS_AS(Control::readTable(TableText.substr(0, TableText.size() / 2)), Error);
