Control hosts: departures are written from the first call to the last

The thread that writes departures was started after the ports, so a departure that arrived in between would have ended the process; and it was ended after the servers of those who wait for it. Found by reading.

--- a/lib/Fleet/RegistryDaemon.cpp
+++ b/lib/Fleet/RegistryDaemon.cpp
@@ -95,7 +95,6 @@
     m_directoryServer = std::make_unique<HttpServer>(m_settings.directory, 1, HttpLimits{}, m_clock, handler, m_intake);
     m_metricsServer = serveMetrics(m_settings.metrics, m_metrics, m_clock, m_intake);
     m_writer = std::make_unique<TaskThread>();
-    m_departureWriter = std::make_unique<TaskThread>();
     m_ticker = std::make_unique<Ticker>(TickInterval, [this] { tick(); });
 }
 
@@ -103,12 +102,12 @@
 {
     m_ticker.reset();
     m_writer.reset();
+    m_departureWriter->stop(); // calls that still arrive may post to it
     m_log->stop();
     m_operatorsServer->stop();
     m_directoryServer->stop();
     m_metricsServer->stop();
     m_net.stop();
-    m_departureWriter.reset();
 }
 
 void RegistryDaemon::Impl::tick()
--- a/lib/Fleet/RegistryDepartures.cpp
+++ b/lib/Fleet/RegistryDepartures.cpp
@@ -39,6 +39,7 @@
     m_registry.merge(changes, m_startedAt);
     m_saved.recordSaved(m_registry.changedVersion());
     m_events.state("departures", {{"targets", changes.targets.size()}});
+    m_departureWriter = std::make_unique<TaskThread>(); // before the first call of another host arrives
 }
 
 // The mutex is held.
