--- a/unittests/Fleet/DepartureTest.cpp
+++ b/unittests/Fleet/DepartureTest.cpp
@@ -144,6 +144,7 @@
     std::filesystem::create_directory(file.path() + ".new");
     now += 2 * DepartureRetention;
     std::vector<TargetReport> many;
+    many.reserve(300);
     for (int n = 0; n < 300; ++n) {
         many.push_back(departureOf("j-" + std::to_string(n)));
     }
