Http: an answer to HEAD without a status line is told as malformed

Such an answer ended as malformed in another way, and a probe by HEAD would have taken it for a connection without an answer: libcurl skips a body without a head after HEAD, so onBody() never saw it.

--- a/lib/Http/Transfer.cpp
+++ b/lib/Http/Transfer.cpp
@@ -381,6 +381,8 @@
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, hasBody ? call.body->data() : "");
     }
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    // onBody() refuses an answer without a head. The library would skip one to HEAD as its body.
+    curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 1L);
 }
 
 // The library sends again over a new connection where a kept one turns out to be closed; that it may not, or can't
@@ -504,7 +506,6 @@
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, KeptConnectionSeconds);
     const auto timeout = std::chrono::duration_cast<Milliseconds>(call.timeout).count();
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(timeout)));
-    curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 1L); // onBody() refuses an answer without a head
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
     curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
--- a/unittests/Http/MalformedHeadTest.cpp
+++ b/unittests/Http/MalformedHeadTest.cpp
@@ -133,6 +133,34 @@
     }
 }
 
+// Guards against a connection that carries another call although its last answer had no head.
+TEST_CASE("the connection of an answer without a status line is not used again, also after HEAD")
+{
+    for (const char *method : {"GET", "HEAD"}) {
+        for (const char *line : {"HTTP/1.1 000 OK", "no status line"}) {
+            INFO(method << " " << line);
+            std::atomic<int> connections{0};
+            const auto serve = [&](RawServer::Socket &socket) {
+                const bool isFirst = ++connections == 1;
+                RawServer::readRequest(socket);
+                RawServer::send(socket,
+                                std::string(isFirst ? line : "HTTP/1.1 200 OK") + "\r\nContent-Length: 0\r\n\r\n");
+                RawServer::readRequest(socket); // until the caller ends the connection
+            };
+            const RawServer server({serve, serve});
+            HttpClient client(MaxAnswerBytes);
+            HttpCall call = callTo(server.address());
+            call.method = method;
+            const HttpResult first = callAndWait(client, call);
+            CHECK(first.kind == HttpResult::Kind::Broken);
+            CHECK(first.answerDefect == AnswerDefect::StatusLine);
+            CHECK(first.receivedBytes > 0);
+            CHECK(callAndWait(client, call).kind == HttpResult::Kind::Answered);
+            CHECK(connections == 2);
+        }
+    }
+}
+
 TEST_CASE("what is wrong with a malformed head is told")
 {
     for (const Example &it : malformedHeads()) {
