Balance: the end of a target is forgotten after the retention time

Ends were dropped only when another target ended. So a target without a start time that left and came back under its id was never used by entry hosts that ran on, though control hosts took its reports after a minute.

BalancerTest, "the end of a target is forgotten after the retention time", failed before.

--- a/lib/Balance/DepartedTargets.h
+++ b/lib/Balance/DepartedTargets.h
@@ -26,23 +26,18 @@
             }
             m_order.pop_front();
         }
-        const auto [it, isNew] = m_ends.try_emplace(report.id);
-        if (isNew || report.startedAt > it->second.startedAt) {
-            it->second = {report.startedAt, now};
+        if (!covers(report, now)) {
+            m_ends[report.id] = {report.startedAt, now};
             m_order.emplace_back(now, report.id);
         }
     }
 
-    /// Returns true if a report is of an incarnation that has ended, or of one before it.
-    bool covers(const TargetReport &report) const
+    /// Returns true if a report is of an incarnation that has ended lately, or of one before it.
+    bool covers(const TargetReport &report, TimePoint now) const
     {
         const auto it = m_ends.find(report.id);
-        return it != m_ends.end() && report.startedAt <= it->second.startedAt;
-    }
-
-    std::size_t size() const
-    {
-        return m_ends.size();
+        return it != m_ends.end() && report.startedAt <= it->second.startedAt
+            && now - it->second.at <= DepartureRetention;
     }
 
 private:
--- a/lib/Balance/TargetSet.cpp
+++ b/lib/Balance/TargetSet.cpp
@@ -110,7 +110,7 @@
         ++m_visited;
         if (it.report.presence == Presence::Gone) {
             m_departed.add(it.report, now);
-        } else if (m_departed.covers(it.report)) {
+        } else if (m_departed.covers(it.report, now)) {
             continue;
         }
         const auto [entry, isNew] = m_targets.try_emplace(it.report.id);
@@ -507,7 +507,7 @@
 void TargetSet::addRestored(const std::vector<TargetReport> &targets, TimePoint now)
 {
     for (const TargetReport &it : targets) {
-        if (m_departed.covers(it)) {
+        if (m_departed.covers(it, now)) {
             continue;
         }
         const auto [entry, isNew] = m_targets.try_emplace(it.id);
--- a/unittests/Balance/BalancerTest.cpp
+++ b/unittests/Balance/BalancerTest.cpp
@@ -454,6 +454,25 @@
     CHECK(host.find<StartAttempt>() != nullptr);
 }
 
+// Guards against a target without a start time that is never used again once one of its id has ended.
+TEST_CASE("the end of a target is forgotten after the retention time, also where no other target ends")
+{
+    Host host;
+    host.useTable();
+    TargetReport target = Host::targetOf("t1");
+    TargetReport departure = target;
+    departure.presence = Presence::Gone;
+    host.report(departure);
+    host.now += DepartureRetention;
+    host.report(target);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() == nullptr);
+    host.now += 1s;
+    host.report(target);
+    host.request("/read/x");
+    CHECK(host.find<StartAttempt>() != nullptr);
+}
+
 TEST_CASE("targets of a zone whose evacuation ends count as cold until they report")
 {
     Host host("z2");
