Registry: one map of merged versions for confirmations and saved updates

SavedUpdates kept pairs of versions as UpdateConfirmations does. MergedVersions serves both; its bound and the way it drops pairs are those of UpdateConfirmations. The tests of both are unchanged and pass.

--- a/include/pepperlug/Registry.h
+++ b/include/pepperlug/Registry.h
@@ -392,6 +392,29 @@
     MSGPACK_DEFINE(registryVersion, routingIndex);
 };
 
+/// Versions of another host's table, each with the version of this host's table that holds all updates up to it.
+class MergedVersions
+{
+public:
+    /// Records that all updates up to their version `theirs` are in this host's table at version `own`, which never
+    /// decreases. `epoch` identifies the other host's incarnation: its versions restart with each.
+    void record(const std::string &epoch, std::uint64_t theirs, std::uint64_t own);
+    /// Returns their latest known version whose updates are all in this host's table at version `own`; 0 if there is
+    /// none, or for another epoch than that of record().
+    std::uint64_t reachedAt(const std::string &epoch, std::uint64_t own) const;
+    /// Drops what is only needed for versions of this host's table before `own`.
+    void dropReached(std::uint64_t own);
+
+private:
+    struct VersionPair {
+        std::uint64_t theirs = 0;
+        std::uint64_t own = 0;
+    };
+
+    std::string m_epoch;
+    std::deque<VersionPair> m_pairs; ///< both versions increase
+};
+
 /// Records which hosts have applied which updates, at one control host: its own followers (the entry hosts that poll
 /// it) by their polls, those of other control hosts by what these confirm. One object lives as long as the registry
 /// whose versions it refers to.
@@ -450,17 +473,6 @@
     std::uint64_t visitedFollowers() const;
 
 private:
-    /// A host that has reached version `own` of this host has all updates of the other host up to `theirs`.
-    struct VersionPair {
-        std::uint64_t theirs = 0;
-        std::uint64_t own = 0;
-    };
-
-    struct MergedUpdates {
-        std::string epoch;
-        std::deque<VersionPair> pairs; ///< both versions increase
-    };
-
     /// Followers that are waited for, in the orders in which they are looked for.
     struct Waited {
         std::set<std::pair<TimePoint, std::string_view>> byPoll; ///< with the id
@@ -480,7 +492,7 @@
     std::map<std::string, Follower> m_followers; ///< by id
     mutable Waited m_waited; ///< of m_followers
     mutable std::uint64_t m_visited = 0;
-    std::map<std::string, MergedUpdates> m_merged; ///< by peer
+    std::map<std::string, MergedVersions> m_merged; ///< by peer
     std::map<std::string, UpdateVersions> m_confirmed; ///< by peer
 };
 
--- a/lib/Fleet/SavedUpdates.h
+++ b/lib/Fleet/SavedUpdates.h
@@ -1,10 +1,7 @@
 //===- SavedUpdates.h - Up to where departures are on disk ------*- C++ -*-===//
 #pragma once
 
-#include "pepperlug/Support.h"
-
-#include <deque>
-#include <map>
+#include "pepperlug/Registry.h"
 
 namespace pepperlug::fleet
 {
@@ -14,27 +11,36 @@
 class SavedUpdates
 {
 public:
-    /// Records that all updates of a peer up to its version `theirs` are in this host's registry at version `own`.
-    void recordMerge(const std::string &peer, const std::string &epoch, std::uint64_t theirs, std::uint64_t own);
+    /// See MergedVersions::record().
+    void recordMerge(const std::string &peer, const std::string &epoch, std::uint64_t theirs, std::uint64_t own)
+    {
+        m_merged[peer].record(epoch, theirs, own);
+    }
+
     /// Records that all departures in this host's registry up to a version are on disk.
-    void recordSaved(std::uint64_t own);
-    std::uint64_t saved() const;
+    void recordSaved(std::uint64_t own)
+    {
+        m_saved = std::max(m_saved, own);
+        for (auto &[peer, merged] : m_merged) {
+            merged.dropReached(m_saved);
+        }
+    }
+
+    std::uint64_t saved() const
+    {
+        return m_saved;
+    }
+
     /// Returns the version of a peer's registry up to which its departures are saved here; 0 for another epoch.
-    std::uint64_t savedOf(const std::string &peer, const std::string &epoch) const;
+    std::uint64_t savedOf(const std::string &peer, const std::string &epoch) const
+    {
+        const auto it = m_merged.find(peer);
+        return it == m_merged.end() ? 0 : it->second.reachedAt(epoch, m_saved);
+    }
 
 private:
-    struct VersionPair {
-        std::uint64_t theirs = 0;
-        std::uint64_t own = 0;
-    };
-    struct Merged {
-        std::string epoch;
-        std::uint64_t saved = 0; ///< version of the peer's registry
-        std::deque<VersionPair> unsaved; ///< both versions increase
-    };
-
     std::uint64_t m_saved = 0;
-    std::map<std::string, Merged> m_merged; ///< by peer
+    std::map<std::string, MergedVersions> m_merged; ///< by peer
 };
 
 } // namespace pepperlug::fleet
--- a/lib/Registry/UpdateConfirmations.cpp
+++ b/lib/Registry/UpdateConfirmations.cpp
@@ -22,31 +22,10 @@
 namespace
 {
 
-/// Pairs of versions kept for each control host.
-constexpr std::size_t MaxVersionPairs = 256;
 /// Leases after which a silent follower is removed. After the first it is not waited for; the second allows for callers
 /// whose times were read in another order.
 constexpr int LeasesUntilRemoved = 2;
 
-// Returns the first pair that a host at version `own` has not reached.
-template <typename Pairs>
-auto firstUnreached(Pairs &pairs, std::uint64_t own)
-{
-    return std::partition_point(pairs.begin(), pairs.end(), [&](const auto &pair) { return pair.own <= own; });
-}
-
-// Keeps the oldest pair, which a slow follower reaches first, and confirms updates between the others in larger steps,
-// so that followers that are always many pairs behind still confirm.
-template <typename Pairs>
-void dropEverySecond(Pairs &pairs)
-{
-    std::size_t kept = 0;
-    for (std::size_t n = 0; n < pairs.size(); n += 2) {
-        pairs[kept++] = pairs[n];
-    }
-    pairs.resize(kept);
-}
-
 } // namespace
 
 UpdateConfirmations::UpdateConfirmations(Duration lease)
@@ -155,23 +134,7 @@
 void UpdateConfirmations::recordMerge(const std::string &peer, const std::string &epoch, std::uint64_t theirs,
                                       std::uint64_t own)
 {
-    MergedUpdates &updates = m_merged[peer];
-    if (updates.epoch != epoch) {
-        updates = {epoch, {}};
-    }
-    std::deque<VersionPair> &pairs = updates.pairs;
-    const bool isKnown = !pairs.empty() && theirs <= pairs.back().theirs;
-    if (isKnown) {
-        return;
-    }
-    // The later updates changed nothing here, so a host that has reached this version has them too.
-    while (!pairs.empty() && pairs.back().own >= own) {
-        pairs.pop_back();
-    }
-    if (pairs.size() == MaxVersionPairs) {
-        dropEverySecond(pairs);
-    }
-    pairs.push_back({theirs, own});
+    m_merged[peer].record(epoch, theirs, own);
 }
 
 // Drops all pairs before the last one that every follower has reached. A follower that falls back below that pair makes
@@ -179,11 +142,8 @@
 void UpdateConfirmations::dropReachedPairs(TimePoint now)
 {
     const std::uint64_t reached = lowestFollowerVersions(now).registryVersion;
-    for (auto &[peer, updates] : m_merged) {
-        const auto unreached = firstUnreached(updates.pairs, reached);
-        if (unreached != updates.pairs.begin()) {
-            updates.pairs.erase(updates.pairs.begin(), std::prev(unreached));
-        }
+    for (auto &[peer, merged] : m_merged) {
+        merged.dropReached(reached);
     }
 }
 
@@ -194,13 +154,8 @@
     // The routing is replicated by consensus, so its index means the same at every host.
     UpdateVersions confirmed{0, std::min(ownRoutingIndex, lowest.routingIndex)};
     const auto it = m_merged.find(peer);
-    if (it == m_merged.end() || it->second.epoch != epoch) {
-        return confirmed;
-    }
-    const std::deque<VersionPair> &pairs = it->second.pairs;
-    const auto unreached = firstUnreached(pairs, lowest.registryVersion);
-    if (unreached != pairs.begin()) {
-        confirmed.registryVersion = std::prev(unreached)->theirs;
+    if (it != m_merged.end()) {
+        confirmed.registryVersion = it->second.reachedAt(epoch, lowest.registryVersion);
     }
     return confirmed;
 }
