--- a/lib/Fleet/GatewayAttempts.cpp
+++ b/lib/Fleet/GatewayAttempts.cpp
@@ -1,10 +1,20 @@
-//===- GatewayAttempts.cpp - Outcomes and log lines of attempts -----------===//
+//===- GatewayAttempts.cpp - Attempts, their outcomes and log lines -------===//
 #include "../Daemon/HttpStatus.h"
 #include "GatewayImpl.h"
 
 namespace pepperlug::fleet
 {
 
+namespace
+{
+
+/// A target that was chosen longer ago may be draining; another one is chosen then.
+constexpr Milliseconds SendTimeout{600};
+/// Timeout of the HTTP client beyond the deadline, at which the request is given up anyway.
+constexpr Milliseconds ClientTimeoutMargin{50};
+
+} // namespace
+
 nlohmann::json GatewayDaemon::Impl::relayingIndexOf(const OpenExchange &open)
 {
     const std::optional<std::uint64_t> &index = open.fields.relayedByIndex;
@@ -42,6 +52,64 @@
                        {"time_left_ms", std::chrono::duration_cast<Milliseconds>(effect.timeLeft).count()}});
 }
 
+void GatewayDaemon::Impl::carryOut(const StartAttempt &effect)
+{
+    OpenExchange *const found = findOpen(effect.id);
+    const std::optional<Address> to = Address::parse(effect.address);
+    if (found == nullptr || !to) {
+        return;
+    }
+    OpenExchange &open = *found;
+    const HttpRequest &http = open.exchange->request();
+    HttpCall call;
+    call.to = *to;
+    call.method = http.method;
+    call.resource = http.resource;
+    call.headers = attemptHeaders(effect, http);
+    call.body = open.body;
+    call.timeout = effect.timeLeft + ClientTimeoutMargin;
+    call.connectTimeout = std::min<Duration>(ConnectTimeout, effect.timeLeft);
+    call.sendWithin = SendTimeout;
+    // State that this host has confirmed must hold also for requests that still wait for a connection.
+    call.maySend = [this, id = effect.id, attempt = effect.attempt] {
+        return maySend(id, attempt);
+    };
+    call.name = open.fields.requestId;
+    call.acceptsHead = [accepts = m_dialect.answersRequest,
+                        id = open.fields.requestId](const std::vector<HeaderField> &headers) {
+        return accepts(headers, id);
+    };
+    call.nameIn = m_dialect.answeredRequest;
+    const RequestId id = effect.id;
+    const unsigned attempt = effect.attempt;
+    const Incarnation target{effect.target, effect.targetStartedAt};
+    const TimePoint sentAt = m_clock.now();
+    call.onLargeHead = [this, id, attempt, target, sentAt](const Answer &head, std::uint64_t length) {
+        const AnswerFields fields = readAnswer(target, head);
+        onTargetSignal(target, fields, sentAt);
+        return onAnswerBegun(id, attempt, head, fields, length);
+    };
+    call.onPart = [this, id, attempt](std::string_view part) {
+        onAnswerPart(id, attempt, part);
+    };
+    call.wantsPart = [this, id, attempt] {
+        return wantsAnswerPart(id, attempt);
+    };
+    if (effect.relay.empty()) {
+        noteAttempt(*to, effect.zone, sentAt);
+    }
+    reportAttempt(effect, open);
+    open.deadline = sentAt + effect.timeLeft;
+    open.calls[attempt] = m_client->start(std::move(call), [this, id, attempt, target, sentAt](HttpResult result) {
+        AnswerFields fields;
+        if (result.kind == HttpResult::Kind::Answered) {
+            fields = readAnswer(target, result.answer);
+            onTargetSignal(target, fields, sentAt);
+        }
+        onAttemptEnded(id, attempt, target, fields, std::move(result));
+    });
+}
+
 void GatewayDaemon::Impl::carryOut(const CancelAttempt &effect)
 {
     OpenExchange *const open = findOpen(effect.id);
--- a/lib/Fleet/GatewayImpl.h
+++ b/lib/Fleet/GatewayImpl.h
@@ -120,6 +120,8 @@
     void carryOut(const SuspectChanged &effect);
 
     // GatewayAttempts.cpp
+    void carryOut(const StartAttempt &effect);
+    void carryOut(const CancelAttempt &effect);
     /// Log index of the routing by which another host relayed the request; null if it comes from a caller.
     static nlohmann::json relayingIndexOf(const OpenExchange &open);
     void reportAttempt(const StartAttempt &effect, const OpenExchange &open);
@@ -159,8 +161,6 @@
     void reduce(const BalanceEvent &event);
     /// Returns null if the exchange has ended. The mutex is held.
     OpenExchange *findOpen(RequestId id);
-    void carryOut(const StartAttempt &effect);
-    void carryOut(const CancelAttempt &effect);
     void carryOut(const PassHead &effect);
     void carryOut(const PassAnswer &effect);
     void carryOut(const AbortAnswer &effect);
