--- a/unittests/Fleet/MalformedAnswerTest.cpp
+++ b/unittests/Fleet/MalformedAnswerTest.cpp
@@ -71,8 +71,7 @@
             served += status == 200 ? 1 : 0;
         }
         CHECK(served >= Requests - Malformed - TakenByProbes);
-        CHECK(entry.metric("pepperlug_malformed_answers{defect=\"status-line\"}")
-              >= Malformed - TakenByProbes);
+        CHECK(entry.metric("pepperlug_malformed_answers{defect=\"status-line\"}") >= Malformed - TakenByProbes);
     }
 }
 
