HttpClient: a request that is given up on its way does not arrive later

Callers were answered, or had left, while their requests still reached targets, 6.2 s and more after the zone of these had been evacuated.

Cause: an attempt that ends without its answer closed its connection plainly, and the system goes on sending what the socket took until it is acknowledged. The lines of an entry host show it: the only attempt for that target began before the evacuation, the caller had its answer from another target 4 s before the arrival, and the late run is cut at once. A later attempt, a relay, or one still in progress would each have shown other lines.

Change: where the other side has not acknowledged all that was sent, the connection is reset, which drops the rest. Other connections close as before. pepperlug_requests_undelivered counts the resets.

--- a/include/pepperlug/Http.h
+++ b/include/pepperlug/Http.h
@@ -299,6 +299,8 @@
     std::uint64_t separated() const;
     /// How many connections have ended with the start of an answer that nobody had read.
     std::uint64_t unreadAnswers() const;
+    /// How many connections were reset since the other side had not received all of a request that was given up.
+    std::uint64_t undelivered() const;
     /// How many calls have gone on behind answers to others.
     std::uint64_t continued() const;
     /// To how many addresses connections carry one call each, since surplus answers came from them.
--- a/lib/Fleet/GatewayDaemon.cpp
+++ b/lib/Fleet/GatewayDaemon.cpp
@@ -159,6 +159,7 @@
     m_metrics.gauge("pepperlug_attempts_separated", static_cast<double>(m_client->separated()));
     m_metrics.gauge("pepperlug_attempts_continued", static_cast<double>(m_client->continued()));
     m_metrics.gauge("pepperlug_unread_answers", static_cast<double>(m_client->unreadAnswers()));
+    m_metrics.gauge("pepperlug_requests_undelivered", static_cast<double>(m_client->undelivered()));
     m_metrics.gauge("pepperlug_addresses_repeating", static_cast<double>(m_client->repeating()));
     publishTraffic(m_metrics, m_net.traffic());
 }
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -110,6 +110,11 @@
         return m_flow.unreadAnswers;
     }
 
+    std::uint64_t undelivered() const
+    {
+        return m_flow.undelivered;
+    }
+
     std::uint64_t continued() const
     {
         return m_continued;
@@ -499,6 +504,11 @@
     return m_impl->unreadAnswers();
 }
 
+std::uint64_t HttpClient::undelivered() const
+{
+    return m_impl->undelivered();
+}
+
 std::uint64_t HttpClient::continued() const
 {
     return m_impl->continued();
--- a/lib/Http/SocketBytes.cpp
+++ b/lib/Http/SocketBytes.cpp
@@ -6,6 +6,7 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace pepperlug
 {
@@ -32,4 +33,16 @@
     return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 ? static_cast<std::uint64_t>(std::max(bytes, 0)) : 0;
 }
 
+// After a plain close the system goes on sending.
+bool closeUndelivered(int socket)
+{
+    const bool isUndelivered = unacknowledged(socket) > 0;
+    if (isUndelivered) {
+        const linger reset{1, 0};
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+    ::close(socket);
+    return isUndelivered;
+}
+
 } // namespace pepperlug
--- a/lib/Http/SocketHandle.h
+++ b/lib/Http/SocketHandle.h
@@ -1,7 +1,8 @@
 //===- SocketHandle.h - Owns a socket ----------------------------*- C++ -*-===//
 #pragma once
 
-#include <unistd.h>
+#include "SocketBytes.h"
+
 #include <utility>
 
 namespace pepperlug
@@ -31,7 +32,7 @@
     ~SocketHandle()
     {
         if (m_socket >= 0) {
-            ::close(m_socket);
+            closeUndelivered(m_socket);
         }
     }
 
--- a/lib/Http/Transfer.cpp
+++ b/lib/Http/Transfer.cpp
@@ -8,6 +8,8 @@
 //===----------------------------------------------------------------------===//
 #include "Transfer.h"
 
+#include "SocketBytes.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <algorithm>
@@ -336,7 +338,11 @@
     if (holdsAnswerStart(socket)) {
         ++flow.unreadAnswers;
     }
-    return ::close(socket);
+    // The network may hold a request for longer than its caller waits.
+    if (closeUndelivered(socket)) {
+        ++flow.undelivered;
+    }
+    return 0;
 }
 
 /// Leaves the call only connections that are not in doubt.
--- a/lib/Http/Transfer.h
+++ b/lib/Http/Transfer.h
@@ -29,6 +29,7 @@
     std::vector<HttpCallId> endless; ///< calls whose answers have exceeded their budget
     std::vector<HttpCallId> paused; ///< calls that the library does not read for, and may have ended
     std::atomic<std::uint64_t> unreadAnswers = 0; ///< that had begun to arrive when their connections were closed
+    std::atomic<std::uint64_t> undelivered = 0; ///< connections closed before all of a request had arrived
     std::map<ConnectionName, int> openSockets; ///< of the library's connections
     /// Connections whose sockets are kept where the library closes them.
     std::map<ConnectionName, SocketHandle> keptSockets;
